Membership: first usable version of the SWIM-style state machine

Cause: reader election, the push tree and repair all stand on one view of the fleet. Ruled out: a direct heartbeat that turns a suspect alive by itself (views would differ for good from those who did not hear it; the sender is told of its suspicion and refutes by incarnation instead); gossip of whole lists (1,000 updates keep the queues busy for half an hour; lists are exchanged instead). Change: member list with incremental hash, update queue, prober, suspicion timers, joiner, list exchange and their composition; a seeded virtual network for tests. Eligible() and EligibleInZone() return const references into a cache (callers that copy still compile); EligibilityVersion() and Member::remembered_by_others are new. Conclusion: usable by distribution; membership.cc is still to be split and contract tests are to come.

--- /dev/null
+++ b/src/membership/member_list.cc
@@ -0,0 +1,228 @@
+#include "membership/member_list.h"
+
+#include <xxhash.h>
+
+#include <utility>
+
+namespace copperlead {
+namespace {
+
+// Order of statements of one incarnation.
+int Rank(MemberState state) {
+  switch (state) {
+    case MemberState::kAlive:
+      return 0;
+    case MemberState::kSuspect:
+      return 1;
+    case MemberState::kLeaving:
+      return 2;
+    case MemberState::kDead:
+      break;
+  }
+  return 3;
+}
+
+bool IsLive(MemberState state) {
+  return state == MemberState::kAlive || state == MemberState::kSuspect;
+}
+
+std::uint64_t HashOf(const MemberRecord& record) {
+  constexpr unsigned kStateBits = 8;
+  const auto seed = (static_cast<std::uint64_t>(record.incarnation) << kStateBits) |
+                    static_cast<std::uint64_t>(record.state);
+  return XXH3_64bits_withSeed(record.id.data(), record.id.size(), seed);
+}
+
+// True when replacing `before` by `after` changes who is eligible, or where.
+bool AffectsEligibility(const MemberRecord& before, const MemberRecord& after) {
+  const bool stays = IsLive(before.state) && IsLive(after.state);
+  if (!stays) return IsLive(before.state) != IsLive(after.state);
+  return before.zone != after.zone || before.address != after.address;
+}
+
+}  // namespace
+
+bool Outranks(const MemberRecord& statement, const MemberRecord& held) {
+  if (statement.incarnation != held.incarnation) return statement.incarnation > held.incarnation;
+  return Rank(statement.state) > Rank(held.state);
+}
+
+MemberList::MemberList(MemberRecord self) : self_(std::move(self)) { hash_ ^= HashOf(self_); }
+
+void MemberList::SetSelf(MemberState state, std::uint32_t incarnation) {
+  hash_ ^= HashOf(self_);
+  self_.state = state;
+  self_.incarnation = incarnation;
+  hash_ ^= HashOf(self_);
+  EligibilityChanged();
+}
+
+void MemberList::SetSelfConfiguration(const DocumentVersion& configuration) {
+  if (IsNewer(self_.configuration, configuration)) return;
+  self_.configuration = configuration;
+  eligible_.PatchConfiguration(self_);
+}
+
+const Member* MemberList::Find(const NodeId& id) const {
+  const auto found = members_.find(id);
+  return found == members_.end() ? nullptr : &found->second;
+}
+
+ApplyResult MemberList::Apply(Timestamp now, const MemberRecord& statement) {
+  const auto found = members_.find(statement.id);
+  if (found == members_.end()) return Add(now, statement);
+  Member& member = found->second;
+  MergeConfiguration(member, statement.configuration);
+  if (!Outranks(statement, member.record)) return ApplyResult::kUnchanged;
+  return Replace(now, member, statement);
+}
+
+ApplyResult MemberList::ApplySummary(Timestamp now, const NodeSummary& summary) {
+  const auto result = Apply(now, summary.record);
+  Member& member = members_.at(summary.record.id);
+  if (summary.record.incarnation < member.record.incarnation) return result;
+  const bool first_hearing = member.last_heard == Timestamp{};
+  const bool moved =
+      member.record.zone != summary.record.zone || member.record.address != summary.record.address;
+  if (first_hearing && moved) {
+    // What was held came from the platform's list or by gossip; the node itself knows better.
+    member.record.zone = summary.record.zone;
+    member.record.address = summary.record.address;
+    EligibilityChanged();
+  }
+  const bool new_life = result != ApplyResult::kUnchanged;
+  if (new_life || IsNewer(summary.machines, member.machines)) member.machines = summary.machines;
+  member.last_heard = now;
+  return result;
+}
+
+void MemberList::AddRemembered(Timestamp now, const MemberRecord& record) {
+  Apply(now, record);
+  members_.at(record.id).remembered_by_others = true;
+}
+
+void MemberList::Restore(Timestamp now, const NodeId& id) {
+  const auto found = members_.find(id);
+  if (found == members_.end()) return;
+  auto alive = found->second.record;
+  alive.state = MemberState::kAlive;
+  Replace(now, found->second, alive);
+}
+
+void MemberList::SetPlatformLeaving(const NodeId& id, bool leaving) {
+  const bool changed =
+      leaving ? platform_leaving_.insert(id).second : platform_leaving_.erase(id) > 0;
+  if (changed) EligibilityChanged();
+}
+
+std::vector<NodeId> MemberList::ForgetDead(Timestamp now, Duration age) {
+  std::vector<NodeId> forgotten;
+  if (dead_count_ == 0) return forgotten;
+  for (const auto& [id, member] : members_) {
+    const bool dead = member.record.state == MemberState::kDead;
+    if (dead && now - member.state_since >= age) forgotten.push_back(id);
+  }
+  for (const auto& id : forgotten) {
+    Uncount(members_.at(id).record);
+    members_.erase(id);
+    platform_leaving_.erase(id);
+  }
+  return forgotten;
+}
+
+std::size_t MemberList::LiveCount() const {
+  const std::size_t own = IsLive(self_.state) ? 1 : 0;
+  const std::size_t count = live_count_ + own;
+  return count == 0 ? 1 : count;
+}
+
+const std::vector<MemberRecord>& MemberList::Eligible() const {
+  return eligible_.All([this](const auto& visit) { EnumerateEligible(visit); });
+}
+
+const std::vector<MemberRecord>& MemberList::EligibleInZone(const ZoneName& zone) const {
+  return eligible_.InZone(zone, [this](const auto& visit) { EnumerateEligible(visit); });
+}
+
+ApplyResult MemberList::Add(Timestamp now, const MemberRecord& statement) {
+  Member member;
+  member.record = statement;
+  member.state_since = now;
+  members_.emplace(statement.id, std::move(member));
+  Count(statement);
+  if (IsLive(statement.state)) EligibilityChanged();
+  return ApplyResult::kAdded;
+}
+
+ApplyResult MemberList::Replace(Timestamp now, Member& member, const MemberRecord& statement) {
+  const bool affects_eligibility = AffectsEligibility(member.record, statement);
+  const bool was_dead = member.record.state == MemberState::kDead;
+  const bool state_changes = member.record.state != statement.state;
+  const auto configuration = member.record.configuration;
+  Uncount(member.record);
+  member.record = statement;
+  member.record.configuration = configuration;
+  Count(member.record);
+  if (state_changes) member.state_since = now;
+  member.remembered_by_others = false;
+  if (affects_eligibility) EligibilityChanged();
+  const bool is_dead = statement.state == MemberState::kDead;
+  return was_dead && !is_dead ? ApplyResult::kRevived : ApplyResult::kChanged;
+}
+
+void MemberList::MergeConfiguration(Member& member, const DocumentVersion& configuration) {
+  if (!IsNewer(configuration, member.record.configuration)) return;
+  member.record.configuration = configuration;
+  eligible_.PatchConfiguration(member.record);
+}
+
+void MemberList::Count(const MemberRecord& record) {
+  if (record.state == MemberState::kDead) {
+    ++dead_count_;
+    return;
+  }
+  hash_ ^= HashOf(record);
+  if (IsLive(record.state)) ++live_count_;
+}
+
+void MemberList::Uncount(const MemberRecord& record) {
+  if (record.state == MemberState::kDead) {
+    --dead_count_;
+    return;
+  }
+  hash_ ^= HashOf(record);
+  if (IsLive(record.state)) --live_count_;
+}
+
+void MemberList::EligibilityChanged() {
+  ++eligibility_version_;
+  eligible_.Invalidate();
+}
+
+void MemberList::EnumerateEligible(const EligibleCache::Visitor& visit) const {
+  // Zones in which somebody stays: there, the platform's word that a node leaves costs it its role.
+  std::set<ZoneName> staffed;
+  const auto stays = [this](const MemberRecord& record) {
+    return IsLive(record.state) && !platform_leaving_.contains(record.id);
+  };
+  if (stays(self_)) staffed.insert(self_.zone);
+  for (const auto& [id, member] : members_) {
+    if (!platform_leaving_.empty() && stays(member.record)) staffed.insert(member.record.zone);
+  }
+  const auto visit_if_eligible = [&](const MemberRecord& record) {
+    if (!IsLive(record.state)) return;
+    if (platform_leaving_.contains(record.id) && staffed.contains(record.zone)) return;
+    visit(record);
+  };
+  bool self_visited = false;
+  for (const auto& [id, member] : members_) {
+    if (!self_visited && self_.id < id) {
+      visit_if_eligible(self_);
+      self_visited = true;
+    }
+    visit_if_eligible(member.record);
+  }
+  if (!self_visited) visit_if_eligible(self_);
+}
+
+}  // namespace copperlead
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -35,6 +35,8 @@
   DocumentVersion machines;  // Last heard directly.
   Timestamp last_heard{};    // Direct evidence only; the epoch when never.
   Timestamp state_since{};
+  // A dead member learned from another node's list; not listed on, so that it ends being known.
+  bool remembered_by_others = false;
 };
 
 class Membership {
@@ -77,8 +79,11 @@
   // All members but this node, by id; includes suspect, leaving and dead ones.
   const std::map<NodeId, Member>& members() const;
   // Members that may hold a role or a place in a tree (alive or suspect), this node included.
-  std::vector<MemberRecord> Eligible() const;
-  std::vector<MemberRecord> EligibleInZone(const ZoneName& zone) const;
+  // Sorted by id. Both are kept until the fleet changes; valid until the next non-const call.
+  const std::vector<MemberRecord>& Eligible() const;
+  const std::vector<MemberRecord>& EligibleInZone(const ZoneName& zone) const;
+  // Rises with every change of who is eligible, or of an eligible member's zone or address.
+  std::uint64_t EligibilityVersion() const;
   // Alive or suspect nodes, this one included; at least 1.
   std::size_t LiveCount() const;
 
--- /dev/null
+++ b/src/membership/suspicion.cc
@@ -0,0 +1,81 @@
+#include "membership/suspicion.h"
+
+#include <algorithm>
+
+namespace copperlead {
+namespace {
+
+// Hearsay waits this many times the timeout.
+constexpr int kHearsayFactor = 2;
+// A member that keeps refuting gets at most this many times the timeout.
+constexpr std::size_t kMaxDampingFactor = 4;
+// Refutations count against later suspicions for this many timeouts after the last one.
+constexpr int kRefutationMemory = 15;
+
+}  // namespace
+
+void SuspicionTable::Start(Timestamp now, const NodeId& id, bool own_probe) {
+  const auto timeout = TimeoutFor(now, id);
+  const auto [found, inserted] = timers_.try_emplace(id);
+  Timer& timer = found->second;
+  if (inserted) timer.deadline = now + timeout * (own_probe ? 1 : kHearsayFactor);
+  if (!own_probe || timer.own_probe) return;
+  timer.own_probe = true;
+  timer.deadline = std::min(timer.deadline, now + timeout);
+  timer.reminder = now + timeout / 2;
+}
+
+void SuspicionTable::Stop(const NodeId& id) { timers_.erase(id); }
+
+void SuspicionTable::NoteRefutation(Timestamp now, const NodeId& id) {
+  auto& history = refutations_[id];
+  if (now - history.last > timeout_ * kRefutationMemory) history.count = 0;
+  history.count = std::min(history.count + 1, kMaxDampingFactor - 1);
+  history.last = now;
+}
+
+void SuspicionTable::RestartAll(Timestamp now) {
+  for (auto& [id, timer] : timers_) {
+    timer = {now + TimeoutFor(now, id) * kHearsayFactor, std::nullopt, false};
+  }
+}
+
+std::vector<NodeId> SuspicionTable::TakeExpired(Timestamp now) {
+  std::vector<NodeId> expired;
+  for (const auto& [id, timer] : timers_) {
+    if (timer.deadline <= now) expired.push_back(id);
+  }
+  for (const auto& id : expired) timers_.erase(id);
+  return expired;
+}
+
+std::vector<NodeId> SuspicionTable::TakeReminders(Timestamp now) {
+  std::vector<NodeId> due;
+  for (auto& [id, timer] : timers_) {
+    if (!timer.reminder || *timer.reminder > now) continue;
+    timer.reminder.reset();
+    due.push_back(id);
+  }
+  return due;
+}
+
+std::optional<Timestamp> SuspicionTable::NextDeadline() const {
+  std::optional<Timestamp> next;
+  for (const auto& [id, timer] : timers_) {
+    const auto due = timer.reminder ? std::min(*timer.reminder, timer.deadline) : timer.deadline;
+    next = next ? std::min(*next, due) : due;
+  }
+  return next;
+}
+
+Duration SuspicionTable::TimeoutFor(Timestamp now, const NodeId& id) {
+  const auto found = refutations_.find(id);
+  if (found == refutations_.end()) return timeout_;
+  if (now - found->second.last > timeout_ * kRefutationMemory) {
+    refutations_.erase(found);
+    return timeout_;
+  }
+  return timeout_ * (1 + found->second.count);
+}
+
+}  // namespace copperlead
--- /dev/null
+++ b/src/membership/update_queue.h
@@ -0,0 +1,49 @@
+// News of members that wait to ride on messages: each is sent a bounded number of times, those
+// sent least often first, newest first among them.
+//
+// Holds ids only; what is sent is the record as it stands when the message leaves. Not thread-safe.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <vector>
+
+#include "membership/member.h"
+
+namespace copperlead {
+
+class UpdateQueue {
+ public:
+  // Queues news of a member, or starts its sends anew.
+  void Add(const NodeId& id);
+  void Remove(const NodeId& id);
+  void Clear();
+
+  // Picks up to `count` members for one message and counts one send of each.
+  // @param send_limit number of sends after which a member leaves the queue.
+  std::vector<NodeId> Take(std::size_t count, std::size_t send_limit);
+
+  std::size_t size() const { return places_.size(); }
+  bool empty() const { return places_.empty(); }
+
+ private:
+  // Order of sending.
+  struct Place {
+    std::size_t sends = 0;
+    std::uint64_t age = 0;  // Falls with each Add, so newer ones sort first.
+    NodeId id;
+
+    auto operator<=>(const Place&) const = default;
+  };
+
+  std::uint64_t next_age_ = UINT64_MAX;
+  std::set<Place> order_;
+  std::map<NodeId, Place> places_;
+};
+
+// @return retransmit_factor * log2(node_count + 1), rounded up, at least 1.
+std::size_t SendLimit(std::size_t retransmit_factor, std::size_t node_count);
+
+}  // namespace copperlead
--- /dev/null
+++ b/tests/membership/fleet_test.cc
@@ -0,0 +1,101 @@
+// Membership objects on a virtual network: joining, detection, false positives, cuts, pauses.
+#include <gtest/gtest.h>
+
+#include "tests/membership/virtual_network.h"
+
+namespace copperlead {
+namespace {
+
+using std::chrono::seconds;
+
+TEST(FleetTest, HerdStartEndsWithOneViewAndTheQuietFleetSendsOnePingPerInterval) {
+  VirtualNetwork fleet({}, {});
+  fleet.StartFleet(100, 5);
+  const auto took =
+      fleet.RunUntil([&] { return fleet.AllAlive(100) && fleet.HashesAgree(); }, seconds(60));
+  EXPECT_LT(took, seconds(60));
+  RecordProperty("join_ms", static_cast<int>(took.count() / 1000));
+  fleet.RunFor(seconds(60));
+  fleet.ResetCounters();
+  fleet.RunFor(seconds(60));
+  const double per_interval = static_cast<double>(fleet.messages_sent()) / (100 * 60);
+  EXPECT_GT(per_interval, 1.9);
+  EXPECT_LT(per_interval, 2.2);
+}
+
+struct DetectionCase {
+  std::size_t nodes;
+  seconds limit;
+};
+
+class DetectionTest : public ::testing::TestWithParam<DetectionCase> {};
+
+TEST_P(DetectionTest, CrashedMemberIsDeadEverywhere) {
+  VirtualNetwork fleet({}, {});
+  fleet.StartSeededFleet(GetParam().nodes, 5);
+  fleet.RunFor(seconds(20));
+  fleet.Crash(3);
+  const auto first =
+      fleet.RunUntil([&] { return fleet.StateAt(0, 3) == MemberState::kDead; }, GetParam().limit);
+  const auto rest = fleet.RunUntil([&] { return fleet.DeadEverywhere(3); }, GetParam().limit);
+  std::printf("%zu nodes: dead at one node after %.1f s, at all after %.1f s\n", GetParam().nodes,
+              first.count() / 1e6, (first + rest).count() / 1e6);
+  EXPECT_LT(first + rest, GetParam().limit);
+  EXPECT_EQ(fleet.FalseDeaths(), 0u);
+}
+
+INSTANTIATE_TEST_SUITE_P(Sizes, DetectionTest,
+                         ::testing::Values(DetectionCase{10, seconds(12)},
+                                           DetectionCase{100, seconds(16)},
+                                           DetectionCase{1000, seconds(24)}));
+
+TEST(FleetTest, LossDuplicationAndReorderingKillNobody) {
+  VirtualNetwork fleet({}, {.loss = 0.01, .duplication = 0.02, .longest_delay = Milliseconds(50)});
+  fleet.StartFleet(100, 5);
+  fleet.RunFor(seconds(60));
+  std::size_t false_deaths = 0;
+  for (int second = 0; second < 600; ++second) {
+    fleet.RunFor(seconds(1));
+    false_deaths += fleet.FalseDeaths();
+  }
+  EXPECT_EQ(false_deaths, 0u);
+}
+
+TEST(FleetTest, ZoneCutSeparatesAndHealEndsWithAllAlive) {
+  VirtualNetwork fleet({}, {});
+  fleet.StartFleet(50, 5);
+  fleet.RunFor(seconds(30));
+  fleet.SetCut([](std::size_t from, std::size_t to) { return (from % 5 == 0) != (to % 5 == 0); });
+  const auto apart = fleet.RunUntil(
+      [&] { return fleet.at(0).LiveCount() == 10 && fleet.at(1).LiveCount() == 40; }, seconds(90));
+  EXPECT_LT(apart, seconds(90));
+  fleet.RunFor(seconds(30));
+  fleet.SetCut(nullptr);
+  const auto healed =
+      fleet.RunUntil([&] { return fleet.AllAlive(50) && fleet.HashesAgree(); }, seconds(90));
+  EXPECT_LT(healed, seconds(90));
+  std::printf("cut seen after %.1f s, healed after %.1f s\n", apart.count() / 1e6,
+              healed.count() / 1e6);
+}
+
+TEST(FleetTest, PausedNodeIsDeadAndWakesWithoutKillingOthers) {
+  VirtualNetwork fleet({}, {});
+  fleet.StartFleet(30, 3);
+  fleet.RunFor(seconds(30));
+  fleet.Pause(7);
+  fleet.RunFor(seconds(30));
+  EXPECT_EQ(fleet.StateAt(0, 7), MemberState::kDead);
+  fleet.Wake(7);
+  std::size_t held_dead_by_woken = 0;
+  for (int step = 0; step < 200; ++step) {
+    fleet.RunFor(Milliseconds(100));
+    for (std::size_t subject = 0; subject < 30; ++subject) {
+      if (subject != 7 && fleet.StateAt(7, subject) == MemberState::kDead) ++held_dead_by_woken;
+    }
+  }
+  EXPECT_EQ(held_dead_by_woken, 0u);
+  EXPECT_TRUE(fleet.AllAlive(30));
+}
+
+}  // namespace
+}  // namespace copperlead
