--- /dev/null
+++ b/src/node/agent_shell.cc
@@ -0,0 +1,93 @@
+#include "node/agent_shell.h"
+
+#include <utility>
+
+namespace copperlead {
+namespace {
+
+// Calls the sink that belongs to an action.
+struct SinkCaller {
+  const ActionSinks& sinks;
+
+  void operator()(const SendMessage& action) const { sinks.send(action); }
+  void operator()(const FetchFromSource& action) const { sinks.fetch(action); }
+  void operator()(const ActivateBundle& action) const { sinks.activate_bundle(action); }
+  void operator()(const ActivateMachines& action) const { sinks.activate_machines(action); }
+  void operator()(const Report& action) const { sinks.report(action); }
+};
+
+}  // namespace
+
+AgentShell::AgentShell(const Clock& clock, ActionSinks sinks)
+    : clock_(clock), sinks_(std::move(sinks)) {}
+
+AgentShell::~AgentShell() { Stop(); }
+
+void AgentShell::Start(std::unique_ptr<Agent> agent) {
+  agent_ = std::move(agent);
+  thread_ = std::thread([this] { Run(); });
+}
+
+void AgentShell::Stop() {
+  {
+    const std::lock_guard lock(queue_mutex_);
+    stopping_ = true;
+  }
+  queue_changed_.notify_all();
+  if (thread_.joinable()) thread_.join();
+}
+
+void AgentShell::Post(Event event) {
+  {
+    const std::lock_guard lock(queue_mutex_);
+    const bool is_message = std::holds_alternative<MessageReceived>(event);
+    if (is_message && queue_.size() >= kMaxQueuedEvents) {
+      ++dropped_events_;
+      return;
+    }
+    queue_.push_back(std::move(event));
+  }
+  queue_changed_.notify_one();
+}
+
+std::uint64_t AgentShell::dropped_events() const {
+  const std::lock_guard lock(queue_mutex_);
+  return dropped_events_;
+}
+
+bool AgentShell::WaitForEvent(Timestamp deadline, Event& event) {
+  std::unique_lock lock(queue_mutex_);
+  // Timers go before queued events once due: a pause must be noticed before old messages are read.
+  const auto due = [&] { return clock_.Now() >= deadline; };
+  if (!due()) {
+    queue_changed_.wait_until(lock, deadline, [&] { return stopping_ || !queue_.empty(); });
+  }
+  if (stopping_) return false;
+  if (queue_.empty() || due()) {
+    event = TimerFired{};
+    return true;
+  }
+  event = std::move(queue_.front());
+  queue_.pop_front();
+  return true;
+}
+
+std::vector<Action> AgentShell::Step(const Event& event) {
+  const std::lock_guard lock(agent_mutex_);
+  auto actions = agent_->Step(clock_.Now(), event);
+  if (sinks_.after_step) sinks_.after_step(*agent_);
+  return actions;
+}
+
+void AgentShell::CarryOut(const Action& action) const { std::visit(SinkCaller{sinks_}, action); }
+
+void AgentShell::Run() {
+  Event event;
+  while (true) {
+    const Timestamp deadline = Inspect([](const Agent& agent) { return agent.NextDeadline(); });
+    if (!WaitForEvent(deadline, event)) return;
+    for (const auto& action : Step(event)) CarryOut(action);
+  }
+}
+
+}  // namespace copperlead
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -11,21 +11,25 @@
 
 namespace copperlead {
 
-enum class Profile { kAvlak, kFerraris };
+// Which cost the intervals favour; the figures are in distribution/profiles.h.
+enum class Profile {
+  kAvlak,     // Short convergence time.
+  kFerraris,  // Few control bytes.
+};
 
 struct NodeSettings {
   std::string id;
   std::string zone;
-  SocketAddress listen;
-  SocketAddress admin;
-  SocketAddress peer_listen;
+  SocketAddress listen;       // Callers.
+  SocketAddress admin;        // Operators.
+  SocketAddress peer_listen;  // Other nodes; UDP and TCP. Told to peers, so never a wildcard.
   std::vector<SocketAddress> peers;
   std::optional<SocketAddress> source;
-  Milliseconds source_interval{1000};
+  std::optional<Milliseconds> source_interval;  // Of one zone's reader; none: the profile's.
   std::string fleet_key_file;
-  std::string log_level = "info";
-  std::string log_format = "text";
-  Milliseconds drain_limit{30000};
+  std::string log_level;
+  std::string log_format;
+  Milliseconds drain_limit{};
   Profile profile = Profile::kAvlak;
 };
 
@@ -37,7 +41,9 @@
 };
 
 // Reads flags and the file named by --settings (flags win); checks every value.
-// @return kBadSetting whose place is the key and whose cause names the value and what is allowed.
+// @param arguments without the program's name.
+// @return kBadSetting (kUnreadableFile for the settings file) whose place is the key and whose
+//         cause names the value and what is allowed.
 Result<ParsedCommandLine> ParseNodeSettings(const std::vector<std::string>& arguments);
 
 }  // namespace copperlead
