Commands status and stepback

Cause: operators watch the fleet settle and step back on purpose; both read a node's admin port. Ruled out: stepback publishing by itself (nothing shared can be written; the operator publishes).

--- a/src/toolbox/commands.cc
+++ b/src/toolbox/commands.cc
@@ -3,7 +3,10 @@
 namespace copperlead {
 
 const std::vector<Command>& AllCommands() {
-  static const std::vector<Command> commands = {};
+  static const std::vector<Command> commands = {
+      {"status", "revisions by zone, and who is behind", RunStatus},
+      {"stepback", "the table of an earlier revision, to publish again", RunStepback},
+  };
   return commands;
 }
 
