--- /dev/null
+++ b/src/table/diff.cc
@@ -0,0 +1,49 @@
+#include "table/diff.h"
+
+#include "table/row_cells.h"
+
+namespace copperlead {
+namespace {
+
+std::vector<CellChange> DiffCells(const RouteRow& before, const RouteRow& after) {
+  const RowCells before_cells = CellsOf(before);
+  const RowCells after_cells = CellsOf(after);
+  std::vector<CellChange> changes;
+  for (std::size_t column = 0; column < kColumnCount; ++column) {
+    if (before_cells[column] == after_cells[column]) continue;
+    changes.push_back(
+        {std::string(kColumnNames[column]), before_cells[column], after_cells[column]});
+  }
+  return changes;
+}
+
+}  // namespace
+
+// Merges the two tables by route; both are sorted by it.
+std::vector<RowChange> Diff(const Table& before, const Table& after) {
+  std::vector<RowChange> changes;
+  auto left = before.rows.begin();
+  auto right = after.rows.begin();
+  while (left != before.rows.end() || right != after.rows.end()) {
+    const bool only_left =
+        right == after.rows.end() || (left != before.rows.end() && left->route < right->route);
+    const bool only_right = !only_left && (left == before.rows.end() || right->route < left->route);
+    if (only_left) {
+      changes.push_back({RowChange::Kind::kRemoved, left->service, left->route, {}});
+      ++left;
+    } else if (only_right) {
+      changes.push_back({RowChange::Kind::kAdded, right->service, right->route, {}});
+      ++right;
+    } else {
+      if (*left != *right) {
+        changes.push_back(
+            {RowChange::Kind::kChanged, right->service, right->route, DiffCells(*left, *right)});
+      }
+      ++left;
+      ++right;
+    }
+  }
+  return changes;
+}
+
+}  // namespace copperlead
--- /dev/null
+++ b/src/table/fault_list.cc
@@ -0,0 +1,24 @@
+#include "table/fault_list.h"
+
+#include <utility>
+
+namespace copperlead {
+
+void FaultList::Add(ErrorKind kind, std::uint32_t row, std::uint32_t column, std::string message) {
+  if (faults_.size() < kMaxTableFaults) {
+    faults_.push_back({kind, row, column, std::move(message)});
+    return;
+  }
+  if (!first_kind_left_out_) first_kind_left_out_ = kind;
+  ++left_out_;
+}
+
+std::vector<TableFault> FaultList::Take() {
+  if (first_kind_left_out_) {
+    faults_.push_back({*first_kind_left_out_, 0, 0,
+                       std::to_string(left_out_) + " more faults are not shown; mend these first"});
+  }
+  return std::move(faults_);
+}
+
+}  // namespace copperlead
