--- /dev/null
+++ b/src/snapshot/machines.cc
@@ -0,0 +1,16 @@
+#include "snapshot/machines.h"
+
+#include <algorithm>
+
+#include "snapshot/document_writer.h"
+
+namespace copperlead {
+
+void Seal(MachineList& list) {
+  std::ranges::stable_sort(list.machines, {}, &Machine::id);
+  DocumentWriter writer;
+  WriteMachines(writer, list.machines);
+  list.version = {list.sequence, 0, ContentOf(writer.Take())};
+}
+
+}  // namespace copperlead
--- a/src/snapshot/machines.h
+++ b/src/snapshot/machines.h
@@ -1,6 +1,7 @@
 // The platform's list of machines. It lags: evidence of the system's own goes before it.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -27,6 +28,9 @@
   bool operator==(const Machine&) const = default;
 };
 
+// Most items of one kind in a document: machines, services, secrets, removed names.
+inline constexpr std::size_t kMaxDocumentItems = 100'000;
+
 // Immutable once shared. Machines are sorted by id.
 struct MachineList {
   std::uint64_t sequence = 0;
--- a/src/snapshot/source_documents.h
+++ b/src/snapshot/source_documents.h
@@ -1,6 +1,7 @@
 // Reads the bodies of the platform's two services. Pure; used by readers and `copperlead check`.
 #pragma once
 
+#include <cstdint>
 #include <string_view>
 #include <vector>
 
@@ -14,6 +15,8 @@
 // Largest body taken from the source, in bytes.
 inline constexpr std::size_t kMaxSourceBody = 32 * 1024 * 1024;
 
+inline constexpr std::uint32_t kMaxServiceCapacity = 1'000'000;  // Slots or connections.
+
 // What /v1/configuration held.
 struct ConfigurationDocument {
   Bundle bundle;  // Sealed, resource_epoch 0. Complete only when MissingNames() is empty.
