--- a/src/snapshot/json_document.cc
+++ b/src/snapshot/json_document.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <iterator>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <set>
 #include <utility>
@@ -14,7 +15,6 @@
 namespace {
 
 using nlohmann::json;
-using Pointer = json::json_pointer;
 
 // Iterates over a text and tells, through a shared counter, how much of it was read.
 class CountingIterator {
@@ -56,7 +56,7 @@
 // notes where the value at one pointer begins.
 class ParseGuard {
  public:
-  explicit ParseGuard(const std::size_t* consumed, const Pointer* target = nullptr)
+  explicit ParseGuard(const std::size_t* consumed, const JsonPointer* target = nullptr)
       : consumed_(consumed), target_(target) {}
 
   bool Take(json::parse_event_t event, const json& value) {
@@ -116,7 +116,7 @@
 
   void Compare() {
     if (target_offset_) return;
-    Pointer here;
+    JsonPointer here;
     for (const Level& level : levels_) {
       here.push_back(level.is_array ? std::to_string(level.items - 1) : level.key);
     }
@@ -124,7 +124,7 @@
   }
 
   const std::size_t* consumed_;
-  const Pointer* target_;
+  const JsonPointer* target_;
   std::optional<std::size_t> target_offset_;
   std::size_t values_ = 0;
   std::vector<Level> levels_;
@@ -146,7 +146,7 @@
 }
 
 // Finds where the value at `pointer` stands in a text that was parsed before.
-std::optional<std::size_t> Locate(std::string_view text, const Pointer& pointer) {
+std::optional<std::size_t> Locate(std::string_view text, const JsonPointer& pointer) {
   std::size_t consumed = 0;
   ParseGuard guard(&consumed, &pointer);
   RunParser(text, consumed, guard);
@@ -170,7 +170,7 @@
   std::size_t consumed = 0;
   ParseGuard guard(&consumed);
   try {
-    document.root_ = RunParser(text, consumed, guard);
+    document.root_ = std::make_shared<const json>(RunParser(text, consumed, guard));
   } catch (const GuardFault& fault) {
     return Fail(ErrorKind::kMalformedJson, ToString(PositionAfter(text, consumed)), fault.cause);
   } catch (const json::exception& error) {
@@ -183,21 +183,21 @@
   return document;
 }
 
-boost::leaf::error_id JsonDocument::FailAt(ErrorKind kind, const Pointer& pointer,
+boost::leaf::error_id JsonDocument::FailAt(ErrorKind kind, const JsonPointer& pointer,
                                            const std::string& cause) const {
-  Pointer present = pointer;
-  while (!present.empty() && !root_.contains(present)) present = present.parent_pointer();
+  JsonPointer present = pointer;
+  while (!present.empty() && !root_->contains(present)) present = present.parent_pointer();
   const std::size_t offset = present.empty() ? 1 : Locate(text_, present).value_or(1);
   const std::string name = pointer.empty() ? "the whole body" : Quote(pointer.to_string());
   return Fail(kind, ToString(PositionAfter(text_, offset)) + ": " + name, cause);
 }
 
-Result<const json*> JsonDocument::Get(const Pointer& pointer) const {
-  if (!root_.contains(pointer)) return FailAt(ErrorKind::kMalformedJson, pointer, "is missing");
-  return &root_.at(pointer);
+Result<const json*> JsonDocument::Get(const JsonPointer& pointer) const {
+  if (!root_->contains(pointer)) return FailAt(ErrorKind::kMalformedJson, pointer, "is missing");
+  return &root_->at(pointer);
 }
 
-Result<const json*> JsonDocument::GetObject(const Pointer& pointer) const {
+Result<const json*> JsonDocument::GetObject(const JsonPointer& pointer) const {
   BOOST_LEAF_AUTO(value, Get(pointer));
   if (!value->is_object()) {
     return FailAt(ErrorKind::kMalformedJson, pointer,
@@ -206,7 +206,7 @@
   return value;
 }
 
-Result<const json*> JsonDocument::GetArray(const Pointer& pointer) const {
+Result<const json*> JsonDocument::GetArray(const JsonPointer& pointer) const {
   BOOST_LEAF_AUTO(value, Get(pointer));
   if (!value->is_array()) {
     return FailAt(ErrorKind::kMalformedJson, pointer,
@@ -215,7 +215,7 @@
   return value;
 }
 
-Result<std::string> JsonDocument::GetText(const Pointer& pointer) const {
+Result<std::string> JsonDocument::GetText(const JsonPointer& pointer) const {
   BOOST_LEAF_AUTO(value, Get(pointer));
   if (!value->is_string()) {
     return FailAt(ErrorKind::kMalformedJson, pointer,
@@ -224,7 +224,7 @@
   return value->get<std::string>();
 }
 
-Result<std::uint64_t> JsonDocument::GetNumber(const Pointer& pointer, ErrorKind kind,
+Result<std::uint64_t> JsonDocument::GetNumber(const JsonPointer& pointer, ErrorKind kind,
                                               std::uint64_t minimum, std::uint64_t maximum) const {
   BOOST_LEAF_AUTO(value, Get(pointer));
   const bool whole = value->is_number_unsigned();
--- a/src/snapshot/json_document.h
+++ b/src/snapshot/json_document.h
@@ -3,7 +3,8 @@
 #pragma once
 
 #include <cstdint>
-#include <nlohmann/json.hpp>
+#include <memory>
+#include <nlohmann/json_fwd.hpp>
 #include <string>
 #include <string_view>
 
@@ -11,6 +12,8 @@
 
 namespace copperlead {
 
+using JsonPointer = nlohmann::json_pointer<std::string>;
+
 inline constexpr std::size_t kMaxJsonDepth = 16;
 inline constexpr std::size_t kMaxJsonValues = 2'000'000;
 
@@ -30,25 +33,23 @@
   //         is quoted, as it may hold secrets.
   static Result<JsonDocument> Parse(std::string_view text, std::size_t limit);
 
-  const nlohmann::json& root() const { return root_; }
-
   // @return the error for the value at `pointer` (or, when it is missing, for its nearest parent),
   //         placed as "line 3, byte 57: /services/permit-desk".
-  boost::leaf::error_id FailAt(ErrorKind kind, const nlohmann::json::json_pointer& pointer,
+  boost::leaf::error_id FailAt(ErrorKind kind, const JsonPointer& pointer,
                                const std::string& cause) const;
 
   // Checked getters: kMalformedJson when the value is missing or of another type.
   // @param kind reported for a number that is not whole or outside the bounds.
-  Result<const nlohmann::json*> Get(const nlohmann::json::json_pointer& pointer) const;
-  Result<const nlohmann::json*> GetObject(const nlohmann::json::json_pointer& pointer) const;
-  Result<const nlohmann::json*> GetArray(const nlohmann::json::json_pointer& pointer) const;
-  Result<std::string> GetText(const nlohmann::json::json_pointer& pointer) const;
-  Result<std::uint64_t> GetNumber(const nlohmann::json::json_pointer& pointer, ErrorKind kind,
-                                  std::uint64_t minimum, std::uint64_t maximum) const;
+  Result<const nlohmann::json*> Get(const JsonPointer& pointer) const;
+  Result<const nlohmann::json*> GetObject(const JsonPointer& pointer) const;
+  Result<const nlohmann::json*> GetArray(const JsonPointer& pointer) const;
+  Result<std::string> GetText(const JsonPointer& pointer) const;
+  Result<std::uint64_t> GetNumber(const JsonPointer& pointer, ErrorKind kind, std::uint64_t minimum,
+                                  std::uint64_t maximum) const;
 
  private:
   std::string_view text_;
-  nlohmann::json root_;
+  std::shared_ptr<const nlohmann::json> root_;
 };
 
 }  // namespace copperlead
--- a/src/snapshot/source_documents.cc
+++ b/src/snapshot/source_documents.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <set>
 #include <string>
@@ -14,16 +15,14 @@
 namespace copperlead {
 namespace {
 
-using Pointer = nlohmann::json::json_pointer;
-
 constexpr std::uint64_t kMaxRevision = std::numeric_limits<std::uint64_t>::max();
 
-boost::leaf::error_id TooMany(const JsonDocument& document, const Pointer& pointer) {
+boost::leaf::error_id TooMany(const JsonDocument& document, const JsonPointer& pointer) {
   return document.FailAt(ErrorKind::kOversized, pointer,
                          "at most " + std::to_string(kMaxDocumentItems) + " are allowed");
 }
 
-Result<ServiceSettings> ReadService(const JsonDocument& document, const Pointer& pointer) {
+Result<ServiceSettings> ReadService(const JsonDocument& document, const JsonPointer& pointer) {
   const auto capacity = [&](const char* key) {
     return document.GetNumber(pointer / key, ErrorKind::kBadValue, 1, kMaxServiceCapacity);
   };
@@ -36,7 +35,7 @@
 }
 
 Result<std::map<std::string, ServiceSettings>> ReadServices(const JsonDocument& document) {
-  const Pointer pointer("/services");
+  const JsonPointer pointer("/services");
   BOOST_LEAF_AUTO(object, document.GetObject(pointer));
   if (object->size() > kMaxDocumentItems) return TooMany(document, pointer);
   std::map<std::string, ServiceSettings> services;
@@ -52,7 +51,7 @@
 
 // The value goes into a header field: control characters would end it. The value itself is never
 // part of a message.
-Result<std::string> ReadSecret(const JsonDocument& document, const Pointer& pointer) {
+Result<std::string> ReadSecret(const JsonDocument& document, const JsonPointer& pointer) {
   BOOST_LEAF_AUTO(encoded, document.GetText(pointer));
   auto value = DecodeBase64(encoded);
   if (!value) {
@@ -71,7 +70,7 @@
 }
 
 Result<std::map<std::string, std::string>> ReadSecrets(const JsonDocument& document) {
-  const Pointer pointer("/secrets");
+  const JsonPointer pointer("/secrets");
   BOOST_LEAF_AUTO(object, document.GetObject(pointer));
   if (object->size() > kMaxDocumentItems) return TooMany(document, pointer);
   std::map<std::string, std::string> secrets;
@@ -99,7 +98,7 @@
                                           {"leaving", MachineState::kLeaving}};
 
 template <class Enumeration, std::size_t kSize>
-Result<Enumeration> ReadWord(const JsonDocument& document, const Pointer& pointer,
+Result<Enumeration> ReadWord(const JsonDocument& document, const JsonPointer& pointer,
                              const Word<Enumeration> (&words)[kSize]) {
   BOOST_LEAF_AUTO(text, document.GetText(pointer));
   std::string allowed;
@@ -110,7 +109,7 @@
   return document.FailAt(ErrorKind::kBadValue, pointer, Quote(text) + " must be " + allowed);
 }
 
-Result<std::string> ReadName(const JsonDocument& document, const Pointer& pointer,
+Result<std::string> ReadName(const JsonDocument& document, const JsonPointer& pointer,
                              std::string_view what) {
   BOOST_LEAF_AUTO(text, document.GetText(pointer));
   if (auto fault = CheckName(what, text)) {
@@ -119,7 +118,7 @@
   return text;
 }
 
-Result<SocketAddress> ReadAddress(const JsonDocument& document, const Pointer& pointer) {
+Result<SocketAddress> ReadAddress(const JsonDocument& document, const JsonPointer& pointer) {
   BOOST_LEAF_AUTO(text, document.GetText(pointer));
   const auto address = Resolve([&] { return ParseSocketAddress(text); });
   if (!address.ok()) {
@@ -129,7 +128,7 @@
   return address.value();
 }
 
-Result<Machine> ReadMachine(const JsonDocument& document, const Pointer& pointer) {
+Result<Machine> ReadMachine(const JsonDocument& document, const JsonPointer& pointer) {
   Machine machine;
   BOOST_LEAF_CHECK(document.GetObject(pointer));
   BOOST_LEAF_ASSIGN(machine.id, ReadName(document, pointer / "id", "id"));
@@ -148,12 +147,12 @@
 
 Result<ConfigurationDocument> ParseConfiguration(std::string_view body) {
   BOOST_LEAF_AUTO(document, JsonDocument::Parse(body, kMaxSourceBody));
-  BOOST_LEAF_CHECK(document.GetObject(Pointer()));
+  BOOST_LEAF_CHECK(document.GetObject(JsonPointer()));
   ConfigurationDocument result;
   Bundle& bundle = result.bundle;
-  BOOST_LEAF_ASSIGN(bundle.revision, document.GetNumber(Pointer("/revision"), ErrorKind::kBadValue,
-                                                        1, kMaxRevision));
-  BOOST_LEAF_AUTO(table, document.GetText(Pointer("/table")));
+  BOOST_LEAF_ASSIGN(bundle.revision, document.GetNumber(JsonPointer("/revision"),
+                                                        ErrorKind::kBadValue, 1, kMaxRevision));
+  BOOST_LEAF_AUTO(table, document.GetText(JsonPointer("/table")));
   BOOST_LEAF_ASSIGN(bundle.services, ReadServices(document));
   BOOST_LEAF_ASSIGN(bundle.secrets, ReadSecrets(document));
   result.csv = ParseCsv(table);
@@ -165,11 +164,11 @@
 
 Result<MachineList> ParseMachines(std::string_view body) {
   BOOST_LEAF_AUTO(document, JsonDocument::Parse(body, kMaxSourceBody));
-  BOOST_LEAF_CHECK(document.GetObject(Pointer()));
+  BOOST_LEAF_CHECK(document.GetObject(JsonPointer()));
   MachineList list;
-  BOOST_LEAF_ASSIGN(list.sequence, document.GetNumber(Pointer("/sequence"), ErrorKind::kBadValue, 0,
-                                                      kMaxRevision));
-  const Pointer machines("/machines");
+  BOOST_LEAF_ASSIGN(list.sequence, document.GetNumber(JsonPointer("/sequence"),
+                                                      ErrorKind::kBadValue, 0, kMaxRevision));
+  const JsonPointer machines("/machines");
   BOOST_LEAF_AUTO(entries, document.GetArray(machines));
   if (entries->size() > kMaxDocumentItems) return TooMany(document, machines);
   std::set<std::string> ids;
--- /dev/null
+++ b/tests/snapshot/transfer_test.cc
@@ -0,0 +1,238 @@
+#include "snapshot/transfer.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <random>
+#include <string>
+
+#include "snapshot/compression.h"
+#include "snapshot/document_reader.h"
+#include "snapshot/document_writer.h"
+#include "tests/snapshot/fixtures.h"
+
+namespace copperlead {
+namespace {
+
+constexpr std::size_t kServices = 85;
+constexpr std::size_t kRoutes = 10;
+
+Transfer WithPayload(Transfer transfer, std::string payload) {
+  transfer.payload = std::make_shared<const std::string>(std::move(payload));
+  return transfer;
+}
+
+ErrorKind KindOf(const Transfer& transfer, const Bundle* base) {
+  const auto outcome = Resolve([&] { return DecodeBundle(transfer, base); });
+  return outcome.ok() ? ErrorKind::kCount : outcome.error().kind;
+}
+
+void ExpectSame(const Bundle& actual, const Bundle& expected) {
+  EXPECT_EQ(actual.version, expected.version);
+  EXPECT_EQ(actual.table, expected.table);
+  EXPECT_EQ(actual.services, expected.services);
+  EXPECT_EQ(actual.secrets, expected.secrets);
+  EXPECT_EQ(actual.table_digest, expected.table_digest);
+  EXPECT_EQ(actual.revision, expected.revision);
+  EXPECT_EQ(actual.resource_epoch, expected.resource_epoch);
+}
+
+// The base and a target that differs in rows, services and secrets in all three ways.
+struct Pair {
+  Bundle base = MakeBundle(kServices, kRoutes);
+  Bundle target = base;
+
+  Pair() {
+    target.revision = 8;
+    target.resource_epoch = 1;
+    target.table.rows[0].old_weight = 50;
+    target.table.rows[0].new_weight = 50;
+    target.table.rows.erase(target.table.rows.begin() + 5, target.table.rows.begin() + 8);
+    RouteRow added = target.table.rows[3];
+    added.route = "/added";
+    target.table.rows.push_back(added);
+    target.services["service-1"].slots_per_instance = 9;
+    target.services.erase("service-84");
+    target.services["added"] = {1, 2};
+    target.secrets["token-of-service-1"] = "rotated";
+    target.secrets.erase("token-of-service-84");
+    target.secrets["added"] = "";
+    Seal(target);
+  }
+};
+
+TEST(TransferTest, WholeAndDeltaRebuildTheTarget) {
+  const Pair pair;
+  const auto whole = Resolve([&] { return DecodeBundle(EncodeWhole(pair.target), nullptr); });
+  ASSERT_TRUE(whole.ok()) << ToString(whole.error());
+  ExpectSame(*whole.value(), pair.target);
+  const Transfer delta = EncodeDelta(pair.base, pair.target);
+  EXPECT_FALSE(delta.whole());
+  const auto rebuilt = Resolve([&] { return DecodeBundle(delta, &pair.base); });
+  ASSERT_TRUE(rebuilt.ok()) << ToString(rebuilt.error());
+  ExpectSame(*rebuilt.value(), pair.target);
+}
+
+TEST(TransferTest, DeltaOfOneCellIsSmall) {
+  const Bundle base = MakeBundle(kServices, kRoutes);
+  Bundle target = base;
+  target.revision = 8;
+  target.table.rows[400].old_weight = 0;
+  target.table.rows[400].new_weight = 100;
+  Seal(target);
+  const Transfer delta = EncodeDelta(base, target);
+  RecordProperty("delta_bytes", static_cast<int>(delta.payload->size()));
+  RecordProperty("whole_bytes", static_cast<int>(EncodeWhole(target).payload->size()));
+  EXPECT_LT(delta.payload->size(), 200U);
+  ExpectSame(*Resolve([&] { return DecodeBundle(delta, &base); }).value(), target);
+}
+
+TEST(TransferTest, MachinesTravelWholeAndAsDelta) {
+  const MachineList base = MakeMachines(1000);
+  MachineList target = base;
+  target.sequence = 32;
+  target.machines[7].state = MachineState::kLeaving;
+  target.machines.erase(target.machines.begin() + 20);
+  Machine node;
+  node.id = "node-1";
+  node.kind = MachineKind::kNode;
+  node.address = {"::1", 7001};
+  target.machines.push_back(node);
+  Seal(target);
+  const Transfer delta = EncodeDelta(base, target);
+  EXPECT_LT(delta.payload->size(), 250U);
+  for (const Transfer& transfer : {delta, EncodeWhole(target)}) {
+    const auto decoded = Resolve([&] { return DecodeMachines(transfer, &base); });
+    ASSERT_TRUE(decoded.ok()) << ToString(decoded.error());
+    EXPECT_EQ(decoded.value()->version, target.version);
+    EXPECT_EQ(decoded.value()->machines, target.machines);
+  }
+}
+
+TEST(TransferTest, RefusesAWrongOrMissingBase) {
+  const Pair pair;
+  const Transfer delta = EncodeDelta(pair.base, pair.target);
+  Bundle same_revision_other_content = pair.base;
+  same_revision_other_content.secrets["token-of-service-0"] = "other";
+  Seal(same_revision_other_content);
+  EXPECT_EQ(KindOf(delta, nullptr), ErrorKind::kUnknownBase);
+  EXPECT_EQ(KindOf(delta, &pair.target), ErrorKind::kUnknownBase);
+  EXPECT_EQ(KindOf(delta, &same_revision_other_content), ErrorKind::kUnknownBase);
+}
+
+TEST(TransferTest, RefusesContentThatIsNotWhatTheVersionStates) {
+  const Pair pair;
+  struct Case {
+    const char* name;
+    void (*change)(DocumentVersion&);
+  };
+  const Case cases[] = {
+      {"content", [](DocumentVersion& version) { version.content ^= 1; }},
+      {"content of zero", [](DocumentVersion& version) { version.content = 0; }},
+  };
+  for (const auto& test_case : cases) {
+    for (Transfer transfer : {EncodeWhole(pair.target), EncodeDelta(pair.base, pair.target)}) {
+      test_case.change(transfer.version);
+      EXPECT_EQ(KindOf(transfer, &pair.base), ErrorKind::kDigestMismatch) << test_case.name;
+    }
+  }
+  const Transfer other = WithPayload(EncodeWhole(pair.target), *EncodeWhole(pair.base).payload);
+  EXPECT_EQ(KindOf(other, nullptr), ErrorKind::kDigestMismatch);
+}
+
+TEST(TransferTest, RefusesFaultyPayloads) {
+  const Bundle bundle = MakeBundle(2, 2);
+  const Transfer whole = EncodeWhole(bundle);
+  const std::string plain =
+      Resolve([&] { return Decompress(*whole.payload, kMaxDocumentBytes); }).value();
+  // A huge number at the place of the count of rows, which follows the byte order's flag.
+  const auto with_number = [&](std::size_t offset, std::uint32_t number) {
+    std::string bytes = plain;
+    for (std::size_t index = 0; index < sizeof(number); ++index) {
+      bytes[offset + index] = static_cast<char>(number >> (8 * index));
+    }
+    return Compress(bytes);
+  };
+  struct Case {
+    const char* name;
+    std::string payload;
+    ErrorKind kind;
+  };
+  const Case cases[] = {
+      {"empty", "", ErrorKind::kBadFrame},
+      {"no zstd", "not compressed at all", ErrorKind::kBadFrame},
+      {"cut", whole.payload->substr(0, whole.payload->size() - 3), ErrorKind::kBadFrame},
+      {"two frames", *whole.payload + *whole.payload, ErrorKind::kBadFrame},
+      {"empty document", Compress(""), ErrorKind::kBadFrame},
+      {"document cut", Compress(plain.substr(0, plain.size() - 1)), ErrorKind::kBadFrame},
+      {"bytes left over", Compress(plain + "x"), ErrorKind::kBadFrame},
+      {"most rows", with_number(1, 0xffffffff), ErrorKind::kBadFrame},
+      {"more rows than bytes", with_number(1, 90'000), ErrorKind::kBadFrame},
+      {"longest text", with_number(5, 0xffffffff), ErrorKind::kBadFrame},
+      {"text past the end", with_number(5, static_cast<std::uint32_t>(plain.size())),
+       ErrorKind::kBadFrame},
+      {"too large", Compress(std::string(kMaxDocumentBytes + 1, '\0')), ErrorKind::kOversized},
+  };
+  for (const auto& test_case : cases) {
+    EXPECT_EQ(KindOf(WithPayload(whole, test_case.payload), nullptr), test_case.kind)
+        << test_case.name;
+  }
+  Transfer none = whole;
+  none.payload = nullptr;
+  EXPECT_EQ(KindOf(none, nullptr), ErrorKind::kBadFrame);
+  Transfer machines = whole;
+  machines.stream = StreamKind::kMachines;
+  EXPECT_EQ(KindOf(machines, nullptr), ErrorKind::kBadFrame);
+}
+
+TEST(DecompressTest, ChecksTheStatedSizeBeforeAllocating) {
+  // A frame header of 8 content-size bytes which states nearly 2^64 bytes: allocating would throw.
+  const std::string bomb = std::string("\x28\xb5\x2f\xfd\xe0", 5) + std::string(8, '\xf0');
+  const auto outcome = Resolve([&] { return Decompress(bomb, kMaxDocumentBytes); });
+  ASSERT_FALSE(outcome.ok());
+  EXPECT_EQ(outcome.error().kind, ErrorKind::kOversized);
+}
+
+TEST(DocumentReaderTest, RefusesCountsBeyondTheBytesLeft) {
+  DocumentWriter writer;
+  writer.Number(90'000);
+  const std::string bytes = writer.Take();
+  using Read = void (*)(DocumentReader&);
+  const Read reads[] = {
+      [](DocumentReader& reader) { ReadRows(reader); },
+      [](DocumentReader& reader) { ReadServices(reader); },
+      [](DocumentReader& reader) { ReadSecrets(reader); },
+      [](DocumentReader& reader) { ReadMachines(reader); },
+      [](DocumentReader& reader) { ReadNames(reader); },
+      [](DocumentReader& reader) { reader.Text(); },
+  };
+  for (const Read read : reads) {
+    DocumentReader reader(bytes);
+    EXPECT_THROW(read(reader), BadDocument);
+  }
+}
+
+// Damaged payloads never give another document than the one stated, and never crash.
+TEST(TransferTest, NoDamageGoesUnseen) {
+  constexpr int kRounds = 3000;
+  const Pair pair;
+  const Transfer delta = EncodeDelta(pair.base, pair.target);
+  const std::string plain =
+      Resolve([&] { return Decompress(*delta.payload, kMaxDocumentBytes); }).value();
+  std::mt19937 random(20261202);
+  for (int round = 0; round < kRounds; ++round) {
+    const bool inside = round % 2 == 0;
+    std::string bytes = inside ? plain : *delta.payload;
+    const std::size_t flips = 1 + random() % 3;
+    for (std::size_t flip = 0; flip < flips; ++flip) {
+      bytes[random() % bytes.size()] ^= static_cast<char>(1 + random() % 255);
+    }
+    const Transfer damaged = WithPayload(delta, inside ? Compress(bytes) : bytes);
+    const auto outcome = Resolve([&] { return DecodeBundle(damaged, &pair.base); });
+    if (outcome.ok()) ExpectSame(*outcome.value(), pair.target);
+  }
+}
+
+}  // namespace
+}  // namespace copperlead
