First version of the deciding code: ledger, streams, push tree, repair, polls

Cause: nothing behind src/distribution/agent.h yet. The agent is put together from small parts that are each a pure function or a state machine (reader election, push tree, pusher, repairer, poller, admission, join gate). Offer and LedgerEntry gained the table's digest: without it a conflict (same revision, other table) cannot be told from other secrets under one revision, since a version's content covers both. Ruled out: deciding conflicts by the version's content alone.

--- /dev/null
+++ b/src/distribution/configuration_stream.cc
@@ -0,0 +1,188 @@
+#include "distribution/configuration_stream.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "distribution/version_order.h"
+#include "table/csv.h"
+#include "table/validate.h"
+
+namespace copperlead {
+namespace {
+
+constexpr std::size_t kMaxRefusedRemembered = 16;
+constexpr std::string_view kSourceOrigin = "source";
+constexpr std::string_view kPlace = "configuration";
+
+// The same checks as the reader's, on a table that a peer sent.
+bool HasFaults(const Table& table) { return !ParseCsv(ToCsv(table)).faults.empty(); }
+
+bool SameResources(const Bundle& left, const Bundle& right) {
+  return left.services == right.services && left.secrets == right.secrets;
+}
+
+}  // namespace
+
+bool ConfigurationStream::Wants(const DocumentVersion& version) const {
+  if (!Supersedes(version, running())) return false;
+  if (held_ != nullptr && !Supersedes(version, held_->version)) return false;
+  if (IsNewer(ledger_.floor(), version)) return false;
+  return std::find(refused_.begin(), refused_.end(), version) == refused_.end();
+}
+
+Receipt ConfigurationStream::Receive(Timestamp now, const Transfer& transfer,
+                                     const std::string& origin) {
+  if (!Wants(transfer.version)) return Receipt::kNotTaken;
+  const Bundle* base = transfer.whole() ? nullptr : store_.Find(transfer.base);
+  if (!transfer.whole() && base == nullptr) return Receipt::kUnknownBase;
+  const auto decoded = Resolve([&] { return DecodeBundle(transfer, base); });
+  if (!decoded) {
+    outbox_.ReportOnce(decoded.error().kind, origin, decoded.error().cause);
+    return Receipt::kUnreadable;
+  }
+  const BundlePointer& bundle = decoded.value();
+  const VersionVerdict verdict = OfferBundle(now, origin, bundle, HasFaults(bundle->table));
+  if (verdict != VersionVerdict::kTaken) return Receipt::kNotTaken;
+  store_.Remember(transfer);
+  return Receipt::kTaken;
+}
+
+VersionVerdict ConfigurationStream::OfferBundle(Timestamp now, const std::string& origin,
+                                                const BundlePointer& bundle, bool faulty) {
+  Offer offer;
+  offer.origin = origin;
+  offer.version = bundle->version;
+  offer.table_digest = bundle->table_digest;
+  offer.faulty = faulty;
+  if (!faulty) offer.missing = MissingNames(*bundle);
+  const VersionVerdict verdict = ledger_.Judge(now, offer);
+  Remember(verdict, origin, bundle);
+  if (verdict != VersionVerdict::kTaken) {
+    ReportVerdict(verdict, origin, *bundle);
+    return verdict;
+  }
+  store_.Run(bundle);
+  outbox_.Add(ActivateBundle{bundle});
+  return verdict;
+}
+
+void ConfigurationStream::Remember(VersionVerdict verdict, const std::string& origin,
+                                   const BundlePointer& bundle) {
+  const bool from_peer = origin != kSourceOrigin;
+  switch (verdict) {
+    case VersionVerdict::kTaken:
+      if (held_ != nullptr && !Supersedes(held_->version, bundle->version)) held_.reset();
+      return;
+    case VersionVerdict::kHeldJoining:
+      if (from_peer) held_ = bundle;
+      return;
+    case VersionVerdict::kRefusedConflict:
+    case VersionVerdict::kRefusedFaulty:
+    case VersionVerdict::kHeldIncomplete:
+      if (!from_peer) return;
+      refused_.push_back(bundle->version);
+      if (refused_.size() > kMaxRefusedRemembered) refused_.pop_front();
+      return;
+    default:
+      return;
+  }
+}
+
+BundlePointer ConfigurationStream::BuildFromSource(const Bundle& read) {
+  auto bundle = std::make_shared<Bundle>(read);
+  const BundlePointer& current = store_.running();
+  if (current == nullptr) return bundle;
+  KeepNamedResources(*bundle, *current);
+  const bool same_table =
+      read.revision == current->revision && read.table_digest == current->table_digest;
+  if (same_table) {
+    if (SameResources(*bundle, *current)) return current;
+    bundle->resource_epoch = current->resource_epoch + 1;
+  }
+  Seal(*bundle);
+  return bundle;
+}
+
+SourceFinding ConfigurationStream::ReceiveFromSource(
+    Timestamp now, std::shared_ptr<const ConfigurationDocument> document,
+    const DocumentVersion& running_when_asked) {
+  const Bundle& read = document->bundle;
+  const bool overtaken =
+      read.revision < running().major && read.revision >= running_when_asked.major;
+  if (overtaken) return SourceFinding::kNothingNew;
+  source_document_ = document;
+  if (!document->faults.empty()) {
+    OfferBundle(now, std::string(kSourceOrigin), std::make_shared<Bundle>(read), true);
+    ReportFaults(*document);
+    source_document_.reset();
+    return SourceFinding::kRefused;
+  }
+  const BundlePointer& current = store_.running();
+  const bool same_revision = current != nullptr && current->revision == read.revision;
+  const bool same_table = same_revision && current->table_digest == read.table_digest;
+  if (same_table && compared_ == read.version) return SourceFinding::kNothingNew;
+
+  const BundlePointer bundle = BuildFromSource(read);
+  if (bundle == current) {
+    compared_ = read.version;
+    source_document_.reset();
+    return SourceFinding::kNothingNew;
+  }
+  const VersionVerdict verdict =
+      OfferBundle(now, std::string(kSourceOrigin), bundle, /*faulty=*/false);
+  const bool held =
+      verdict == VersionVerdict::kHeldJoining || verdict == VersionVerdict::kHeldIncomplete;
+  if (held) return SourceFinding::kHeld;
+  source_document_.reset();
+  compared_ = read.version;
+  if (verdict == VersionVerdict::kTaken) return SourceFinding::kTaken;
+  if (verdict == VersionVerdict::kRefusedConflict) return SourceFinding::kRefused;
+  return SourceFinding::kBehind;
+}
+
+SourceFinding ConfigurationStream::OfferHeld(Timestamp now) {
+  if (held_ != nullptr) {
+    const BundlePointer bundle = std::exchange(held_, nullptr);
+    OfferBundle(now, "peer", bundle, /*faulty=*/false);
+  }
+  if (source_document_ == nullptr) return SourceFinding::kNothingNew;
+  return ReceiveFromSource(now, source_document_, DocumentVersion{});
+}
+
+void ConfigurationStream::ReportVerdict(VersionVerdict verdict, const std::string& origin,
+                                        const Bundle& bundle) {
+  const std::string& explanation = ledger_.entries().back().explanation;
+  const std::string place(kPlace);
+  switch (verdict) {
+    case VersionVerdict::kRefusedOlder:
+    case VersionVerdict::kRefusedFloor:
+      // Late messages from peers are everyday; a source that goes back is not.
+      if (origin == kSourceOrigin) {
+        outbox_.ReportOnce(ErrorKind::kRevisionBehind, place, explanation);
+      }
+      return;
+    case VersionVerdict::kRefusedConflict:
+      outbox_.ReportOnce(ErrorKind::kRevisionConflict, place,
+                         explanation + " Its table is " + ToHex(bundle.table_digest) + ".");
+      return;
+    case VersionVerdict::kHeldIncomplete:
+      outbox_.ReportOnce(ErrorKind::kIncomplete, place, explanation);
+      return;
+    case VersionVerdict::kRefusedFaulty:
+      if (origin != kSourceOrigin) outbox_.ReportOnce(ErrorKind::kBadValue, place, explanation);
+      return;
+    default:
+      return;
+  }
+}
+
+void ConfigurationStream::ReportFaults(const ConfigurationDocument& document) {
+  const TableFault& first = document.faults.front();
+  std::string text = "revision " + std::to_string(document.bundle.revision) +
+                     " of the source is refused whole: " + ToString(first);
+  const std::size_t others = document.faults.size() - 1;
+  if (others > 0) text += " (and " + std::to_string(others) + " more faults)";
+  outbox_.ReportOnce(first.kind, std::string(kPlace), text);
+}
+
+}  // namespace copperlead
--- /dev/null
+++ b/src/distribution/machine_stream.h
@@ -0,0 +1,34 @@
+// The platform's list of machines as one node sees it. No route depends on its order, so there is
+// no join to wait for: a higher sequence, or more content at the same one, replaces the list.
+#pragma once
+
+#include "distribution/document_store.h"
+#include "distribution/document_stream.h"
+#include "distribution/outbox.h"
+
+namespace copperlead {
+
+class MachineStream : public DocumentStream {
+ public:
+  MachineStream(std::size_t history_size, Outbox& outbox) : outbox_(outbox), store_(history_size) {}
+
+  StreamKind kind() const override { return StreamKind::kMachines; }
+  DocumentVersion running() const override { return store_.version(); }
+  DocumentVersion previous() const override { return store_.previous(); }
+  bool Wants(const DocumentVersion& version) const override;
+  Transfer TransferFrom(const DocumentVersion& base) override { return store_.TransferFrom(base); }
+  Receipt Receive(Timestamp now, const Transfer& transfer, const std::string& origin) override;
+
+  // Takes what this node itself read. @return true when it replaced the running list.
+  bool ReceiveFromSource(const MachineListPointer& list);
+
+  const MachineListPointer& list() const { return store_.running(); }
+
+ private:
+  void Run(const MachineListPointer& list);
+
+  Outbox& outbox_;
+  DocumentStore<MachineList> store_;
+};
+
+}  // namespace copperlead
--- /dev/null
+++ b/src/distribution/pusher.h
@@ -0,0 +1,73 @@
+// Sends the running version down the push tree of the own zone and to the readers of the others,
+// and repeats what is not acknowledged.
+#pragma once
+
+#include <map>
+#include <optional>
+
+#include "distribution/agent.h"
+#include "distribution/document_stream.h"
+#include "distribution/fleet_view.h"
+#include "distribution/outbox.h"
+#include "distribution/push_tree.h"
+
+namespace copperlead {
+
+class Pusher {
+ public:
+  Pusher(const AgentSettings& settings, const Membership& membership, FleetView& view,
+         DocumentStream& stream, Outbox& outbox);
+
+  // Spreads what runs as the root of the own zone's tree; once per version.
+  void SpreadInZone(Timestamp now);
+  // Also to the reader of each other zone. For the node that read the version from the source.
+  void SpreadEverywhere(Timestamp now);
+  // Hands a received push on to this node's children in the tree of `root`; once per version.
+  void Forward(Timestamp now, const NodeId& root);
+
+  // A member said that it runs `version`: what was pushed to it is acknowledged.
+  void HearVersion(const NodeId& id, const DocumentVersion& version);
+  // Answers a pull of a member that this node has an unacknowledged push for: the push again, from
+  // the version that the member has. @return false when there is no such push.
+  bool RepeatFrom(Timestamp now, const NodeId& id, const DocumentVersion& have);
+
+  // Repeats what is due.
+  void Tick(Timestamp now);
+  Timestamp NextDeadline() const;
+  // Forgets all that is outstanding.
+  void Drop() { outstanding_.clear(); }
+
+ private:
+  // A push without an acknowledgement yet.
+  struct Outstanding {
+    SocketAddress address;
+    NodeId root;
+    std::size_t attempts = 0;
+    Timestamp next_retry{};
+    std::optional<std::size_t> tree_index;  // Set for a child in the own zone's tree.
+    ZoneName zone;                          // Set for the reader of another zone, with its rank.
+    std::size_t reader_rank = 0;
+  };
+
+  void StartVersion();
+  void BuildTree(const NodeId& root);
+  void PushToChildren(Timestamp now, std::size_t index);
+  void PushToReader(Timestamp now, const ZoneName& zone, std::size_t rank);
+  void Send(Timestamp now, Outstanding& push, const DocumentVersion& base);
+  void GiveUp(Timestamp now, const Outstanding& push);
+  DocumentVersion KnownVersion(const NodeId& id) const;
+  DocumentVersion BaseFor(const NodeId& id) const;
+
+  const AgentSettings& settings_;
+  const Membership& membership_;
+  FleetView& view_;
+  DocumentStream& stream_;
+  Outbox& outbox_;
+  DocumentVersion version_;  // Of the outstanding pushes.
+  bool forwarded_ = false;   // Whether version_ went down the own zone's tree from here.
+  std::optional<PushTree> tree_;
+  NodeId tree_root_;
+  std::map<NodeId, Outstanding> outstanding_;
+};
+
+}  // namespace copperlead
--- /dev/null
+++ b/src/distribution/reader_election.h
@@ -0,0 +1,26 @@
+// Who of a zone reads the source: a soft role by rendezvous hashing. Pure.
+//
+// No shared storage can hold a lease, so nothing is agreed on: each node ranks the members that it
+// believes eligible. Different views may give two readers for a while; versions order what they
+// read, only the source's load is higher.
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "membership/member.h"
+
+namespace copperlead {
+
+// Rank 0 reads, rank 1 is its standby.
+inline constexpr std::size_t kReaderRank = 0;
+inline constexpr std::size_t kStandbyRank = 1;
+
+// @return the weight of a member in its zone's ranking; the highest is reader.
+std::uint64_t ReaderScore(const ZoneName& zone, const NodeId& id);
+
+// @param members of one zone, eligible for the role, in any order.
+// @return all of them, the reader first. Independent of the order given.
+std::vector<MemberRecord> RankReaders(const ZoneName& zone, std::vector<MemberRecord> members);
+
+}  // namespace copperlead
--- /dev/null
+++ b/src/distribution/source_poller.cc
@@ -0,0 +1,188 @@
+#include "distribution/source_poller.h"
+
+#include <algorithm>
+
+namespace copperlead {
+namespace {
+
+using std::chrono::seconds;
+
+// A read without an answer for this long is void; the shell's own timeouts are shorter.
+constexpr Duration kReadTimeout = seconds(5);
+// Nodes without a configuration look whether they should read at least this often.
+constexpr Duration kFirstCheckInterval = Milliseconds(500);
+// The member list must not have changed for this long before a first read.
+constexpr Duration kSettleTime = seconds(1);
+// A member list that never settles delays a first read by this at most.
+constexpr Duration kLongestSettleTime = seconds(10);
+// Further wait per rank of a first read: the reader comes first.
+constexpr Duration kFirstReadStep = seconds(1);
+// Members of higher rank never do the first read while they hear the fleet.
+constexpr std::size_t kMaxFirstReadRank = 7;
+// Longest wait for a peer that is ahead but does not deliver.
+constexpr Duration kLongestPeerWait = seconds(30);
+// Each unanswered contact widens the random wait of an isolated node by this.
+constexpr Duration kWaitPerContact = seconds(1);
+// Ranks that poll at all, and by how much slower each is than the one before.
+constexpr std::size_t kMaxPollingRank = 3;
+constexpr std::int64_t kRankSlowdown = 4;
+constexpr std::size_t kMaxBackoffDoublings = 16;
+
+std::size_t IndexOf(StreamKind kind) { return static_cast<std::size_t>(kind); }
+
+Duration RankWait(std::size_t rank) {
+  const std::size_t steps = std::min<std::size_t>(rank, 30);
+  return kFirstReadStep * static_cast<std::int64_t>(steps);
+}
+
+}  // namespace
+
+SourcePoller::SourcePoller(const AgentSettings& settings, std::size_t contact_count,
+                           std::uint64_t seed, Timestamp now)
+    : settings_(settings), random_(seed), started_(now) {
+  const auto uncertainty = static_cast<std::int64_t>(contact_count);
+  isolated_start_ = contact_count == 0 ? now + random_.UpTo(settings.join_wait)
+                                       : now + settings.join_wait +
+                                             random_.UpTo(kWaitPerContact * (uncertainty + 1));
+  own_phase_ = random_.UpTo(settings.source_interval);
+  next_check_ = now + random_.UpTo(kFirstCheckInterval);
+  if (!settings.has_source) next_check_ = Timestamp::max();
+}
+
+std::vector<FetchFromSource> SourcePoller::Check(Timestamp now, const PollSituation& situation) {
+  ExpireOutstanding(now);
+  const bool everyone = settings_.strategy == Strategy::kEveryNodePolls;
+  is_reader_ = situation.role_allowed && (situation.rank == 0 || everyone);
+  UpdateKind();
+  next_check_ = NextSlot(now, situation);
+  std::vector<FetchFromSource> fetches;
+  if (!MayRead(now, situation)) return fetches;
+  // A node that knows nobody asks who there is before it asks for the configuration.
+  const bool knows_nobody = !situation.heard_fleet && !situation.has_machines;
+  const bool machines_first =
+      knows_nobody && !streams_[IndexOf(StreamKind::kMachines)].answered && !everyone;
+  last_read_ = now;
+  for (const StreamKind kind : {StreamKind::kMachines, StreamKind::kConfiguration}) {
+    if (streams_[IndexOf(kind)].outstanding) continue;
+    if (machines_first && kind == StreamKind::kConfiguration) continue;
+    fetches.push_back(Ask(now, kind));
+  }
+  return fetches;
+}
+
+FetchFromSource SourcePoller::Ask(Timestamp now, StreamKind kind) {
+  Stream& stream = streams_[IndexOf(kind)];
+  stream.outstanding = true;
+  stream.void_at = now + kReadTimeout;
+  ++state_.reads;
+  return {kind, stream.etag};
+}
+
+bool SourcePoller::MayRead(Timestamp now, const PollSituation& situation) {
+  if (now < not_before_) return false;
+  if (settings_.strategy == Strategy::kEveryNodePolls) return true;
+  if (!situation.has_document) return MayReadFirst(now, situation);
+  return situation.role_allowed && IsDueByRank(now, situation.rank);
+}
+
+// A herd that starts together must not read together. A node that hears the fleet waits until its
+// view has settled, and the longer the lower it ranks; one that hears nobody waits a random time
+// that grows with the number of contacts it should have heard. Whoever learns of a peer that has
+// a configuration gets it there instead.
+bool SourcePoller::MayReadFirst(Timestamp now, const PollSituation& situation) const {
+  if (situation.peer_ahead && now < started_ + kLongestPeerWait) return false;
+  const Duration rank_wait = RankWait(situation.rank);
+  if (!situation.heard_fleet) return now >= isolated_start_ + rank_wait;
+  if (situation.rank > kMaxFirstReadRank) return false;
+  const Timestamp settled = std::max(situation.view_changed_at, started_) + kSettleTime;
+  const Timestamp latest = started_ + kLongestSettleTime;
+  return now >= std::min(settled, latest) + rank_wait;
+}
+
+bool SourcePoller::IsDueByRank(Timestamp now, std::size_t rank) const {
+  if (rank > kMaxPollingRank) return false;
+  if (rank == 0) return true;
+  std::int64_t slowdown = 1;
+  for (std::size_t step = 0; step < rank; ++step) slowdown *= kRankSlowdown;
+  const Duration period = settings_.source_interval * slowdown;
+  // Checks come once in an interval, a little early or late.
+  return now >= last_read_ + period - settings_.source_interval / 2;
+}
+
+void SourcePoller::ExpireOutstanding(Timestamp now) {
+  for (Stream& stream : streams_) {
+    if (!stream.outstanding || now < stream.void_at) continue;
+    stream.outstanding = false;
+    stream.answered = true;
+    CountFailure(now);
+  }
+}
+
+bool SourcePoller::Accept(Timestamp now, const SourceAnswered& answer) {
+  Stream& stream = streams_[IndexOf(answer.stream)];
+  if (!stream.outstanding) return false;
+  stream.outstanding = false;
+  stream.answered = true;
+  if (answer.status == SourceAnswered::Status::kFailed) {
+    CountFailure(now);
+    UpdateKind();
+    return true;
+  }
+  if (answer.status == SourceAnswered::Status::kNew) stream.etag = answer.etag;
+  failures_in_a_row_ = 0;
+  not_before_ = Timestamp{};
+  state_.last_success = now;
+  UpdateKind();
+  return true;
+}
+
+// Exponential backoff with full jitter: readers that failed together do not return together.
+void SourcePoller::CountFailure(Timestamp now) {
+  ++state_.failures;
+  failures_in_a_row_ = std::min(failures_in_a_row_ + 1, kMaxBackoffDoublings);
+  const std::int64_t factor = std::int64_t{1} << failures_in_a_row_;
+  const Duration limit =
+      std::min(settings_.source_interval * factor, settings_.source_backoff_limit);
+  not_before_ = now + random_.UpTo(limit);
+}
+
+void SourcePoller::SetBehind(std::uint64_t revision) {
+  state_.behind_revision = revision;
+  UpdateKind();
+}
+
+void SourcePoller::UpdateKind() {
+  using Kind = SourceState::Kind;
+  if (failures_in_a_row_ > 0) {
+    state_.kind = Kind::kFailing;
+  } else if (state_.behind_revision != 0) {
+    state_.kind = Kind::kBehind;
+  } else if (!is_reader_) {
+    state_.kind = Kind::kNotReader;
+  } else {
+    state_.kind = state_.last_success == Timestamp{} ? Kind::kNever : Kind::kHealthy;
+  }
+}
+
+void SourcePoller::Drop() {
+  for (Stream& stream : streams_) stream.outstanding = false;
+  is_reader_ = false;
+  UpdateKind();
+}
+
+// Readers of different zones read at different parts of the interval by the wall clock.
+Timestamp SourcePoller::NextSlot(Timestamp now, const PollSituation& situation) const {
+  const bool first = !situation.has_document;
+  const bool by_zone = !first && settings_.strategy != Strategy::kEveryNodePolls;
+  const Duration interval =
+      first ? std::min(settings_.source_interval, kFirstCheckInterval) : settings_.source_interval;
+  const auto zone_index = static_cast<std::int64_t>(situation.zone_index);
+  const auto zone_count = static_cast<std::int64_t>(std::max<std::size_t>(situation.zone_count, 1));
+  const Duration phase = by_zone ? interval * zone_index / zone_count : own_phase_;
+  const Duration wall = now.time_since_epoch() + Milliseconds(settings_.wall_clock_offset_ms);
+  Duration wait = (phase - wall) % interval;
+  if (wait <= Duration::zero()) wait += interval;
+  return now + wait;
+}
+
+}  // namespace copperlead
--- /dev/null
+++ b/src/distribution/source_poller.h
@@ -0,0 +1,86 @@
+// When this node reads the source. Very few nodes should at any time, whatever the fleet's size.
+//
+// A node that runs a configuration polls by its rank in the zone: rank 0 each interval, rank r
+// each interval * 4^r up to rank 3, so that a reader that cannot reach the source is made up for.
+// The polls of different zones are spread over the interval. A node without one first listens for
+// peers; see MayReadFirst.
+#pragma once
+
+#include <array>
+#include <string>
+#include <vector>
+
+#include "distribution/agent.h"
+#include "distribution/random_source.h"
+
+namespace copperlead {
+
+// What the poller must know of the node at a check.
+struct PollSituation {
+  bool role_allowed = true;   // False while joining after a pause, and when leaving.
+  bool heard_fleet = false;   // Some peer was heard since the start.
+  bool has_document = false;  // A configuration runs.
+  bool peer_ahead = false;    // A peer is known that has what this node lacks.
+  bool has_machines = false;  // A list of machines is in use.
+  std::size_t rank = 0;       // In the own zone.
+  std::size_t zone_index = 0;
+  std::size_t zone_count = 1;
+  Timestamp view_changed_at{};
+};
+
+class SourcePoller {
+ public:
+  // @param contact_count first contacts in the settings.
+  SourcePoller(const AgentSettings& settings, std::size_t contact_count, std::uint64_t seed,
+               Timestamp now);
+
+  // True when Check is due; the situation need not be put together before.
+  bool Due(Timestamp now) const { return now >= next_check_; }
+  // @return the streams to ask for now.
+  std::vector<FetchFromSource> Check(Timestamp now, const PollSituation& situation);
+
+  // Takes an answer. @return false when nothing was asked (or what was asked is void): ignore it.
+  bool Accept(Timestamp now, const SourceAnswered& answer);
+
+  // Marks whether the last configuration read was behind the running one.
+  void SetBehind(std::uint64_t revision);
+
+  // Forgets what is outstanding and drops the role.
+  void Drop();
+  Timestamp NextDeadline() const { return next_check_; }
+  bool is_reader() const { return is_reader_; }
+  const SourceState& state() const { return state_; }
+
+ private:
+  // Polling of one stream.
+  struct Stream {
+    std::string etag;
+    bool answered = false;  // Ever, whatever the answer.
+    bool outstanding = false;
+    Timestamp void_at{};  // When an outstanding read counts as failed.
+  };
+
+  bool MayRead(Timestamp now, const PollSituation& situation);
+  bool MayReadFirst(Timestamp now, const PollSituation& situation) const;
+  bool IsDueByRank(Timestamp now, std::size_t rank) const;
+  void ExpireOutstanding(Timestamp now);
+  void CountFailure(Timestamp now);
+  void UpdateKind();
+  Timestamp NextSlot(Timestamp now, const PollSituation& situation) const;
+  FetchFromSource Ask(Timestamp now, StreamKind kind);
+
+  const AgentSettings& settings_;
+  RandomSource random_;
+  Timestamp started_;
+  Timestamp isolated_start_;  // First read of a node that hears no peer.
+  Duration own_phase_;        // Of a node whose polls are not spread by zone.
+  Timestamp next_check_;
+  Timestamp last_read_{};
+  Timestamp not_before_{};  // Backoff after failures.
+  std::size_t failures_in_a_row_ = 0;
+  bool is_reader_ = false;
+  std::array<Stream, kStreamCount> streams_;
+  SourceState state_;
+};
+
+}  // namespace copperlead
--- a/src/distribution/version_ledger.h
+++ b/src/distribution/version_ledger.h
@@ -32,6 +32,7 @@
   Timestamp when{};
   std::string origin;  // "source" or the id of the peer that sent the version.
   DocumentVersion offered;
+  Digest table_digest{};  // Of the offered table; tells a conflict from other secrets.
   bool faulty = false;
   std::vector<std::string> missing;  // Names the offered bundle lacks.
   DocumentVersion running_before;
@@ -47,6 +48,7 @@
   DocumentVersion version;
   bool faulty = false;
   std::vector<std::string> missing;
+  Digest table_digest{};
 };
 
 // Deliberately broken rules, for tests that show the checks can fail. Never set in a daemon.
@@ -85,6 +87,7 @@
   LedgerFaults faults_;
   bool joining_ = true;
   DocumentVersion running_;
+  Digest running_table_{};
   DocumentVersion floor_;
   std::optional<LedgerEntry> waiting_;
   std::optional<LedgerEntry> conflict_;
