--- a/src/transport/frame.h
+++ b/src/transport/frame.h
@@ -16,7 +16,7 @@
 
 namespace copperlead {
 
-inline constexpr std::size_t kMaxFrameBytes = 8 * 1024 * 1024;
+inline constexpr std::size_t kMaxFrameBytes = std::size_t{8} * 1024 * 1024;
 // Frames up to this size travel as one UDP datagram, larger ones over TCP.
 inline constexpr std::size_t kMaxDatagramBytes = 1200;
 
--- a/src/transport/transport.h
+++ b/src/transport/transport.h
@@ -21,11 +21,17 @@
   std::atomic<std::uint64_t> bad_frames{0};       // kBadFrame and kFrameTooLarge.
   std::atomic<std::uint64_t> unsealed_frames{0};  // kUnsealFailed: wrong key or altered.
   std::atomic<std::uint64_t> send_failures{0};
+  // Incoming connections closed because they were slow, silent or too many.
+  std::atomic<std::uint64_t> refused_streams{0};
 };
 
+class Reactor;
+
 class Transport {
  public:
-  // Called from the transport's own threads, one call at a time per thread.
+  // Called from the transport's own threads, one call at a time per thread. `from` is where to
+  // answer: for a message that came over TCP, the address that its sender states. May call Send()
+  // and Stop(), but must not destroy the transport.
   using Receiver = std::function<void(const SocketAddress& from, std::shared_ptr<const Message>)>;
 
   virtual ~Transport() = default;
@@ -40,10 +46,16 @@
   virtual void Stop() = 0;
 };
 
-// Binds UDP and TCP on the same port and starts receiving.
-// @return kAddressInUse naming the address when it cannot be bound.
+// Binds UDP and TCP on the same port and starts receiving, with one thread for everything.
+// @return kBadAddress or kAddressInUse naming the address when it cannot be bound.
 Result<std::unique_ptr<Transport>> StartTransport(const SocketAddress& listen,
                                                   const FleetKeys& keys,
                                                   Transport::Receiver receiver);
 
+// The same on a thread that many transports share; all their receivers are called from it.
+Result<std::unique_ptr<Transport>> StartTransport(const SocketAddress& listen,
+                                                  const FleetKeys& keys,
+                                                  Transport::Receiver receiver,
+                                                  std::shared_ptr<Reactor> reactor);
+
 }  // namespace copperlead
