Decide each request's route, site, back end and outcome

Change: one small policy per pair of files (path and route match, site split, subsetting, choice of a back end, ejection, leaving, load reports, fleet limits, retry budget and policy, deadline); RouterCore holds what requests share behind one mutex, RoutedSession composes the policies for one request. RouteIndex and NormalizePath moved to headers of their own, included by the old one. Headers extended compatibly: SendAttempt.path and keep_connection, AnswerHead.closes_connection, Endpoint.connection_share, FleetShape.zone, a rank for SetLiveNodes, a policy for tests. Ruled out: limits as a token bucket with a burst of one (an idle fleet of 1,000 nodes would save up 1,000 tokens of a limit of 1 a second).

--- a/src/routing/request_router.h
+++ b/src/routing/request_router.h
@@ -14,6 +14,9 @@
 
 namespace copperlead {
 
+class RetryPolicy;
+class RouterCore;
+
 // What is known of a request before it is sent anywhere.
 struct RequestFacts {
   std::string method;
@@ -21,7 +24,9 @@
   std::string request_id;             // The caller's or a generated one; decides the site.
   std::optional<Duration> time_left;  // From `copperlead-deadline-ms`.
   bool already_retried = false;       // From `copperlead-attempt`: a node above has retried.
-  bool body_can_be_resent = true;     // No body, or buffered whole.
+  // No body, or buffered whole. When false the body must stay untouched until the first byte of
+  // the request is written: up to then the request may still go elsewhere.
+  bool body_can_be_resent = true;
 };
 
 // Send the request to this back end.
@@ -32,6 +37,9 @@
   std::uint32_t attempt = 1;            // Goes on as `copperlead-attempt`.
   bool allow_idle_connection = true;    // False: only a new or very recently used connection.
   const std::string* secret = nullptr;  // For `Authorization: Bearer`; lives with the session.
+  const std::string* path = nullptr;    // Normalized; goes on in place of the received one.
+  bool keep_connection = true;  // False: over the share of this back end's connections; close it
+                                // after the answer.
 };
 
 // Pass the back end's answer on to the caller, unchanged.
@@ -63,6 +71,7 @@
   std::optional<std::uint32_t> load_in_flight;  // From `copperlead-load: in_flight/slots`.
   std::optional<std::uint32_t> load_slots;
   std::optional<std::uint32_t> retry_after_seconds;
+  bool closes_connection = false;  // `Connection: close`: with a refusal, a sign of draining.
 };
 
 // One request on its way. Releases what it holds (limits, in-flight slots) when destroyed.
@@ -102,14 +111,20 @@
 // Thread-safe: any thread may call any method.
 class RequestRouter {
  public:
-  RequestRouter(const RouterSettings& settings, std::uint64_t seed);
+  // @param seed of this node's random choices.
+  // @param policy only for tests; null: StandardRetryPolicy.
+  RequestRouter(const RouterSettings& settings, std::uint64_t seed,
+                std::shared_ptr<const RetryPolicy> policy = nullptr);
   ~RequestRouter();
 
   // Swaps the snapshot; sessions begun before keep theirs.
   void Publish(Timestamp now, RoutingSnapshotPointer snapshot);
   RoutingSnapshotPointer snapshot() const;
-  // Fleet limits are divided by this. Shrinking views err low: see docs/DESIGN.md.
-  void SetLiveNodes(Timestamp now, std::size_t live_nodes);
+  // Fleet limits are divided by this. Shrinking views err low: see fleet_share.h.
+  // @param node_rank of this node among live nodes by id, 0 first: nodes with different ranks get
+  //        different parts of a limit that does not divide evenly. Nothing: taken from the seed.
+  void SetLiveNodes(Timestamp now, std::size_t live_nodes,
+                    std::optional<std::size_t> node_rank = std::nullopt);
   // The node drains: new requests are refused with kDraining.
   void SetDraining();
 
@@ -119,8 +134,7 @@
   std::uint64_t in_flight() const;
 
  private:
-  class Implementation;
-  std::shared_ptr<Implementation> implementation_;
+  std::shared_ptr<RouterCore> core_;
 };
 
 }  // namespace copperlead
--- /dev/null
+++ b/src/routing/router_view.cc
@@ -0,0 +1,94 @@
+#include "routing/router_view.h"
+
+#include <utility>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+namespace copperlead {
+namespace {
+
+// How long a back end's state is kept while no snapshot lists it: lists flap.
+constexpr Duration kEndpointMemory = std::chrono::seconds(60);
+
+std::string StateKey(const std::string& service, const Endpoint& endpoint) {
+  return service + '\n' + endpoint.id + '\n' + ToString(endpoint.address);
+}
+
+}  // namespace
+
+const RouteView* RouterView::Match(std::string_view path) const {
+  const int row = snapshot->index.Match(path);
+  return row < 0 ? nullptr : &routes[static_cast<std::size_t>(row)];
+}
+
+RouterViewPointer StateStore::Join(Timestamp now, RoutingSnapshotPointer snapshot) {
+  for (auto& [key, state] : endpoints_) state->listed_live = false;
+  auto view = std::make_shared<RouterView>();
+  view->snapshot = std::move(snapshot);
+  for (const auto& [name, service] : view->snapshot->services) {
+    ServiceView& joined = view->services[name];
+    joined.slots_per_instance = service.settings.slots_per_instance;
+    joined.old_site = JoinSite(now, name, service.old_site);
+    joined.new_site = JoinSite(now, name, service.new_site);
+    if (!joined.old_site.empty() || !joined.new_site.empty()) known_services_[name] = true;
+  }
+  const Bundle& bundle = *view->snapshot->bundle;
+  for (const RouteRow& row : bundle.table.rows) {
+    RouteView route;
+    route.row = &row;
+    const auto service = view->services.find(row.service);
+    if (service != view->services.end()) route.service = &service->second;
+    const auto secret = bundle.secrets.find(row.secret);
+    if (!row.secret.empty() && secret != bundle.secrets.end()) route.secret = &secret->second;
+    route.limits = LimitsOf(row.route);
+    view->routes.push_back(std::move(route));
+  }
+  Forget(now, *view);
+  return view;
+}
+
+std::vector<EndpointSlot> StateStore::JoinSite(Timestamp now, const std::string& service,
+                                               const std::vector<Endpoint>& site) {
+  std::vector<EndpointSlot> slots;
+  slots.reserve(site.size());
+  for (const Endpoint& endpoint : site) {
+    auto& state = endpoints_[StateKey(service, endpoint)];
+    if (!state) {
+      state = std::make_shared<EndpointState>();
+      // All are new to a node that just started: then none of them is.
+      if (known_services_.contains(service)) state->first_seen = now;
+    }
+    state->last_listed = now;
+    state->listed_live = !endpoint.leaving;
+    slots.push_back({&endpoint, state});
+  }
+  return slots;
+}
+
+std::shared_ptr<RouteLimits> StateStore::LimitsOf(const std::string& route) {
+  auto& limits = limits_[route];
+  if (!limits) {
+    limits = std::make_shared<RouteLimits>();
+    limits->path_hash = XXH3_64bits(route.data(), route.size());
+  }
+  return limits;
+}
+
+void StateStore::Forget(Timestamp now, const RouterView& view) {
+  std::erase_if(endpoints_, [&](const auto& entry) {
+    const EndpointState& state = *entry.second;
+    return state.in_flight == 0 && now - state.last_listed > kEndpointMemory;
+  });
+  std::map<std::string, std::shared_ptr<RouteLimits>> kept;
+  for (const RouteView& route : view.routes) kept[route.row->route] = route.limits;
+  // A route that is gone keeps its limits while requests of it are in flight.
+  for (auto& [route, limits] : limits_) {
+    if (limits->in_flight.in_flight() > 0) kept.emplace(route, limits);
+  }
+  limits_ = std::move(kept);
+  std::erase_if(known_services_,
+                [&](const auto& entry) { return !view.services.contains(entry.first); });
+}
+
+}  // namespace copperlead
--- /dev/null
+++ b/src/routing/router_view.h
@@ -0,0 +1,72 @@
+// A snapshot joined with the state that outlives it: what one decision needs, found by index.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "routing/endpoint_state.h"
+#include "routing/in_flight_limiter.h"
+#include "routing/rate_limiter.h"
+#include "routing/routing_snapshot.h"
+
+namespace copperlead {
+
+// Limits of one route. Kept over snapshots by the route's path. Guarded by the RouterCore's mutex.
+struct RouteLimits {
+  RateLimiter rate;
+  InFlightLimiter in_flight;
+  std::uint64_t path_hash = 0;  // Spreads uneven parts of limits: no rank comes first everywhere.
+};
+
+struct ServiceView {
+  std::uint32_t slots_per_instance = 0;
+  std::vector<EndpointSlot> old_site;
+  std::vector<EndpointSlot> new_site;
+
+  const std::vector<EndpointSlot>& At(Site site) const {
+    return site == Site::kOld ? old_site : new_site;
+  }
+};
+
+struct RouteView {
+  const RouteRow* row = nullptr;
+  const ServiceView* service = nullptr;  // Null only for a bundle that was not validated.
+  const std::string* secret = nullptr;   // Null: none.
+  std::shared_ptr<RouteLimits> limits;
+};
+
+// Immutable but for the states it points to.
+struct RouterView {
+  RoutingSnapshotPointer snapshot;
+  std::map<std::string, ServiceView> services;
+  std::vector<RouteView> routes;  // In the order of the table's rows.
+
+  // @return the route of a normalized path; null when there is none.
+  const RouteView* Match(std::string_view path) const;
+};
+using RouterViewPointer = std::shared_ptr<const RouterView>;
+
+// Owns the states and joins them with each new snapshot. Not thread-safe.
+class StateStore {
+ public:
+  // @return the view of `snapshot`. Back ends that appear in a running node are new: their slow
+  //         start begins now. States of back ends that were not listed for a while are dropped.
+  RouterViewPointer Join(Timestamp now, RoutingSnapshotPointer snapshot);
+
+ private:
+  std::vector<EndpointSlot> JoinSite(Timestamp now, const std::string& service,
+                                     const std::vector<Endpoint>& site);
+  std::shared_ptr<RouteLimits> LimitsOf(const std::string& route);
+  void Forget(Timestamp now, const RouterView& view);
+
+  // By service, id and address: an instance that comes back elsewhere is a new one.
+  std::map<std::string, std::shared_ptr<EndpointState>> endpoints_;
+  std::map<std::string, std::shared_ptr<RouteLimits>> limits_;
+  std::map<std::string, bool> known_services_;  // Services that had back ends before.
+};
+
+}  // namespace copperlead
--- a/src/routing/routing_snapshot.h
+++ b/src/routing/routing_snapshot.h
@@ -3,12 +3,14 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <memory>
 #include <string>
-#include <string_view>
 #include <vector>
 
+#include "routing/path_normalizer.h"
+#include "routing/route_index.h"
 #include "snapshot/bundle.h"
 #include "snapshot/machines.h"
 
@@ -21,6 +23,10 @@
   Site site = Site::kOld;
   std::string zone;
   bool leaving = false;  // By the platform's list; the node's own evidence is kept elsewhere.
+  // Connections that this node may keep open to it: its share of the service's
+  // connections_per_instance. Requests beyond it close their connection after the answer. 0: a
+  // spare, used only so.
+  std::uint32_t connection_share = std::numeric_limits<std::uint32_t>::max();
 };
 
 // The back ends of one service, by site, leaving ones included. After subsetting.
@@ -30,46 +36,27 @@
   std::vector<Endpoint> new_site;
 };
 
-// Longest-prefix match over path segments. Immutable; any thread.
-class RouteIndex {
- public:
-  explicit RouteIndex(const Table& table);
-  ~RouteIndex();
-  RouteIndex(RouteIndex&&) noexcept;
-  RouteIndex& operator=(RouteIndex&&) noexcept;
-
-  // @param path normalized (see NormalizePath).
-  // @return the index into table.rows of the longest route that is `path` or a prefix of it ending
-  //         on a segment border; -1 when none is.
-  int Match(std::string_view path) const;
-
- private:
-  struct Node;
-  std::unique_ptr<Node> root_;
+// What subsetting and the choice among equals need to know of the fleet.
+struct FleetShape {
+  std::string node_id;
+  std::size_t live_nodes = 1;  // By this node's membership view.
+  std::size_t node_rank = 0;   // Of this node among live nodes by id, 0 first.
+  std::string zone;            // This node's; empty: no preference.
 };
 
-// Brings a request target's path into the form that routes are matched by: percent-decodes
-// unreserved characters, resolves "." and ".." segments, collapses "//".
-// @return false when the path must be refused: it leaves the root, holds an encoded '/', '\\' or
-//         NUL, or a malformed escape.
-bool NormalizePath(std::string_view path, std::string& normalized);
-
 struct RoutingSnapshot {
   BundlePointer bundle;
   MachineListPointer machines;
   RouteIndex index;
   std::map<std::string, ServiceEndpoints> services;  // Every service of the bundle.
+  FleetShape fleet;
 };
 using RoutingSnapshotPointer = std::shared_ptr<const RoutingSnapshot>;
 
-// What subsetting needs to know of the fleet.
-struct FleetShape {
-  std::string node_id;
-  std::size_t live_nodes = 1;  // By this node's membership view.
-  std::size_t node_rank = 0;   // Of this node among live nodes by id, 0 first.
-};
-
-// Builds the snapshot. `machines` may be null (no endpoints yet).
+// Builds the snapshot; pure. `machines` may be null (no endpoints yet).
+// With more nodes than a back end's connections allow, each node gets a subset of each site (see
+// subsetting.h) that depends on its rank: when ranks move, so may connections. Callers rebuild on
+// a new bundle or machine list at once, on a changed fleet shape at most every few seconds.
 RoutingSnapshotPointer BuildRoutingSnapshot(BundlePointer bundle, MachineListPointer machines,
                                             const FleetShape& fleet);
 
