Membership: split the composition; Eligible() copies again, so that callers may move from it

Ruled out: a second accessor by reference (two ways to ask the same); keeping a cache of record copies (136 bytes a member, twice): a list of pointers, 8 bytes a member, does for the internal choices.

--- a/src/membership/member_list.cc
+++ b/src/membership/member_list.cc
@@ -2,6 +2,7 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace copperlead {
@@ -54,13 +55,12 @@
   self_.state = state;
   self_.incarnation = incarnation;
   hash_ ^= HashOf(self_);
-  EligibilityChanged();
+  ++eligibility_version_;
 }
 
 void MemberList::SetSelfConfiguration(const DocumentVersion& configuration) {
   if (IsNewer(self_.configuration, configuration)) return;
   self_.configuration = configuration;
-  eligible_.PatchConfiguration(self_);
 }
 
 const Member* MemberList::Find(const NodeId& id) const {
@@ -88,7 +88,7 @@
     // What was held came from the platform's list or by gossip; the node itself knows better.
     member.record.zone = summary.record.zone;
     member.record.address = summary.record.address;
-    EligibilityChanged();
+    ++eligibility_version_;
   }
   const bool new_life = result != ApplyResult::kUnchanged;
   if (new_life || IsNewer(summary.machines, member.machines)) member.machines = summary.machines;
@@ -112,7 +112,7 @@
 void MemberList::SetPlatformLeaving(const NodeId& id, bool leaving) {
   const bool changed =
       leaving ? platform_leaving_.insert(id).second : platform_leaving_.erase(id) > 0;
-  if (changed) EligibilityChanged();
+  if (changed) ++eligibility_version_;
 }
 
 std::vector<NodeId> MemberList::ForgetDead(Timestamp now, Duration age) {
@@ -136,12 +136,38 @@
   return count == 0 ? 1 : count;
 }
 
-const std::vector<MemberRecord>& MemberList::Eligible() const {
-  return eligible_.All([this](const auto& visit) { EnumerateEligible(visit); });
+const std::vector<const MemberRecord*>& MemberList::Eligible() const {
+  if (eligible_built_at_ == eligibility_version_) return eligible_;
+  const auto staffed = ZonesWithStayingMembers();
+  const auto is_eligible = [&](const MemberRecord& record) {
+    const bool loses_role = platform_leaving_.contains(record.id) && staffed.contains(record.zone);
+    return IsLive(record.state) && !loses_role;
+  };
+  eligible_.clear();
+  for (const auto& [id, member] : members_) {
+    if (is_eligible(member.record)) eligible_.push_back(&member.record);
+  }
+  if (is_eligible(self_)) {
+    const auto place =
+        std::lower_bound(eligible_.begin(), eligible_.end(), self_.id,
+                         [](const MemberRecord* left, const NodeId& id) { return left->id < id; });
+    eligible_.insert(place, &self_);
+  }
+  eligible_built_at_ = eligibility_version_;
+  return eligible_;
 }
 
-const std::vector<MemberRecord>& MemberList::EligibleInZone(const ZoneName& zone) const {
-  return eligible_.InZone(zone, [this](const auto& visit) { EnumerateEligible(visit); });
+// Only there the platform's word that a node leaves costs it its role.
+std::set<ZoneName> MemberList::ZonesWithStayingMembers() const {
+  std::set<ZoneName> zones;
+  if (platform_leaving_.empty()) return zones;
+  const auto note = [&](const MemberRecord& record) {
+    const bool stays = IsLive(record.state) && !platform_leaving_.contains(record.id);
+    if (stays) zones.insert(record.zone);
+  };
+  note(self_);
+  for (const auto& [id, member] : members_) note(member.record);
+  return zones;
 }
 
 ApplyResult MemberList::Add(Timestamp now, const MemberRecord& statement) {
@@ -150,7 +176,7 @@
   member.state_since = now;
   members_.emplace(statement.id, std::move(member));
   Count(statement);
-  if (IsLive(statement.state)) EligibilityChanged();
+  if (IsLive(statement.state)) ++eligibility_version_;
   return ApplyResult::kAdded;
 }
 
@@ -165,7 +191,7 @@
   Count(member.record);
   if (state_changes) member.state_since = now;
   member.remembered_by_others = false;
-  if (affects_eligibility) EligibilityChanged();
+  if (affects_eligibility) ++eligibility_version_;
   const bool is_dead = statement.state == MemberState::kDead;
   return was_dead && !is_dead ? ApplyResult::kRevived : ApplyResult::kChanged;
 }
@@ -173,7 +199,6 @@
 void MemberList::MergeConfiguration(Member& member, const DocumentVersion& configuration) {
   if (!IsNewer(configuration, member.record.configuration)) return;
   member.record.configuration = configuration;
-  eligible_.PatchConfiguration(member.record);
 }
 
 void MemberList::Count(const MemberRecord& record) {
@@ -194,35 +219,4 @@
   if (IsLive(record.state)) --live_count_;
 }
 
-void MemberList::EligibilityChanged() {
-  ++eligibility_version_;
-  eligible_.Invalidate();
-}
-
-void MemberList::EnumerateEligible(const EligibleCache::Visitor& visit) const {
-  // Zones in which somebody stays: there, the platform's word that a node leaves costs it its role.
-  std::set<ZoneName> staffed;
-  const auto stays = [this](const MemberRecord& record) {
-    return IsLive(record.state) && !platform_leaving_.contains(record.id);
-  };
-  if (stays(self_)) staffed.insert(self_.zone);
-  for (const auto& [id, member] : members_) {
-    if (!platform_leaving_.empty() && stays(member.record)) staffed.insert(member.record.zone);
-  }
-  const auto visit_if_eligible = [&](const MemberRecord& record) {
-    if (!IsLive(record.state)) return;
-    if (platform_leaving_.contains(record.id) && staffed.contains(record.zone)) return;
-    visit(record);
-  };
-  bool self_visited = false;
-  for (const auto& [id, member] : members_) {
-    if (!self_visited && self_.id < id) {
-      visit_if_eligible(self_);
-      self_visited = true;
-    }
-    visit_if_eligible(member.record);
-  }
-  if (!self_visited) visit_if_eligible(self_);
-}
-
 }  // namespace copperlead
--- a/src/membership/member_list.h
+++ b/src/membership/member_list.h
@@ -12,7 +12,6 @@
 #include <vector>
 
 #include "base/time.h"
-#include "membership/eligible_cache.h"
 #include "membership/member.h"
 #include "membership/membership.h"
 
@@ -66,9 +65,8 @@
   // Rises with every change of who is eligible, or of an eligible member's zone or address.
   std::uint64_t eligibility_version() const { return eligibility_version_; }
 
-  // Sorted by id; valid until the next non-const call.
-  const std::vector<MemberRecord>& Eligible() const;
-  const std::vector<MemberRecord>& EligibleInZone(const ZoneName& zone) const;
+  // Sorted by id, this node included; valid until the next non-const call.
+  const std::vector<const MemberRecord*>& Eligible() const;
 
  private:
   ApplyResult Add(Timestamp now, const MemberRecord& statement);
@@ -76,8 +74,7 @@
   void MergeConfiguration(Member& member, const DocumentVersion& configuration);
   void Count(const MemberRecord& record);
   void Uncount(const MemberRecord& record);
-  void EligibilityChanged();
-  void EnumerateEligible(const EligibleCache::Visitor& visit) const;
+  std::set<ZoneName> ZonesWithStayingMembers() const;
 
   MemberRecord self_;
   std::map<NodeId, Member> members_;
@@ -86,7 +83,9 @@
   std::size_t dead_count_ = 0;
   std::size_t live_count_ = 0;  // Other members that are alive or suspect.
   std::uint64_t eligibility_version_ = 1;
-  mutable EligibleCache eligible_;
+  // Built on demand from the version beside it.
+  mutable std::vector<const MemberRecord*> eligible_;
+  mutable std::uint64_t eligible_built_at_ = 0;
 };
 
 }  // namespace copperlead
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -79,9 +79,10 @@
   // All members but this node, by id; includes suspect, leaving and dead ones.
   const std::map<NodeId, Member>& members() const;
   // Members that may hold a role or a place in a tree (alive or suspect), this node included.
-  // Sorted by id. Both are kept until the fleet changes; valid until the next non-const call.
-  const std::vector<MemberRecord>& Eligible() const;
-  const std::vector<MemberRecord>& EligibleInZone(const ZoneName& zone) const;
+  // Sorted by id. Each call copies the records: callers that ask often keep what they made of them
+  // until EligibilityVersion() changes.
+  std::vector<MemberRecord> Eligible() const;
+  std::vector<MemberRecord> EligibleInZone(const ZoneName& zone) const;
   // Rises with every change of who is eligible, or of an eligible member's zone or address.
   std::uint64_t EligibilityVersion() const;
   // Alive or suspect nodes, this one included; at least 1.
--- a/src/membership/prober.cc
+++ b/src/membership/prober.cc
@@ -14,7 +14,8 @@
 
 }  // namespace
 
-std::vector<ProbePeer> PickPeers(RandomEngine& random, const std::vector<MemberRecord>& candidates,
+std::vector<ProbePeer> PickPeers(RandomEngine& random,
+                                 const std::vector<const MemberRecord*>& candidates,
                                  std::size_t count, const std::vector<NodeId>& excluded) {
   // Few of many: draw until enough, with a bound; each draw that hits a taken one is wasted.
   constexpr std::size_t kDrawsPerPick = 8;
@@ -23,7 +24,7 @@
   const std::size_t draws = (count + excluded.size()) * kDrawsPerPick;
   for (std::size_t draw = 0; draw < draws && picked.size() < count; ++draw) {
     if (candidates.empty()) break;
-    const auto& candidate = candidates[RandomBelow(random, candidates.size())];
+    const MemberRecord& candidate = *candidates[RandomBelow(random, candidates.size())];
     if (Contains(taken, candidate.id)) continue;
     taken.push_back(candidate.id);
     picked.push_back({candidate.id, candidate.address});
--- a/src/membership/prober.h
+++ b/src/membership/prober.h
@@ -101,7 +101,8 @@
 };
 
 // @return up to `count` different records of `candidates`, without `excluded`, in random order.
-std::vector<ProbePeer> PickPeers(RandomEngine& random, const std::vector<MemberRecord>& candidates,
+std::vector<ProbePeer> PickPeers(RandomEngine& random,
+                                 const std::vector<const MemberRecord*>& candidates,
                                  std::size_t count, const std::vector<NodeId>& excluded);
 
 }  // namespace copperlead
