Add the proxy's HTTP shell: streaming both ways over real sockets

Ruled out: cpp-httplib's own parsing on either side. It would change answers and open the way for smuggled headers.

Change: httplib::Server listens, accepts and dispatches (process_and_close_socket is overridden, the backlog raised from 5 to 1,024, SO_REUSEPORT off so that a taken address shows). Heads, framing, the connections to back ends and threads on demand are the shell's. Decisions come through RequestDecider, the seam for RequestRouter.

--- /dev/null
+++ b/src/proxy/caller_connection.h
@@ -0,0 +1,26 @@
+// Serves one caller's connection: reads request heads under their limits, one exchange after the
+// other.
+#pragma once
+
+#include "proxy/connection_registry.h"
+#include "proxy/lingering_closer.h"
+#include "proxy/request_exchange.h"
+
+namespace copperlead {
+
+// What a connection needs beside the context. All outlive the connection.
+struct ConnectionServices {
+  ProxyContext& context;
+  ConnectionRegistry& registry;
+  LingeringCloser& closer;
+  int drain_fd;           // Becomes readable when the server drains.
+  Duration& drain_grace;  // How long an idle connection then waits for a last request. Set before.
+};
+
+// Takes over `fd` and serves it until it ends. Runs in the connection's thread.
+void ServeConnection(const ConnectionServices& services, int fd);
+
+// Takes over `fd` and refuses it for want of threads. Does not block.
+void RefuseConnection(const ConnectionServices& services, int fd);
+
+}  // namespace copperlead
--- /dev/null
+++ b/src/proxy/proxy_server.cc
@@ -0,0 +1,223 @@
+#include "proxy/proxy_server.h"
+
+#include <fcntl.h>
+#include <httplib.h>
+#include <sys/eventfd.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <atomic>
+#include <mutex>
+#include <thread>
+#include <utility>
+
+#include "base/logging.h"
+#include "proxy/caller_connection.h"
+#include "proxy/connection_threads.h"
+#include "proxy/start_proxy_server.h"
+
+namespace copperlead {
+namespace {
+
+constexpr int kListenBacklog = 1024;  // The library asks for 5, which drops a storm's connections.
+constexpr int kStopCheckMicroseconds = 100'000;
+constexpr Duration kMaxDrainGrace = std::chrono::milliseconds(500);
+constexpr Duration kEvictableWait = std::chrono::seconds(1);
+
+// Set in the accepting thread while it runs a connection that no thread is left for.
+thread_local bool refusing_connection = false;
+
+// A node holds two descriptors a request; the usual soft limit of 1,024 is too low for that.
+void RaiseDescriptorLimit() {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0) return;
+  limit.rlim_cur = limit.rlim_max;
+  setrlimit(RLIMIT_NOFILE, &limit);
+}
+
+// The library's listener; connections are served by the shell's own code.
+class Listener : public httplib::Server {
+ public:
+  using Handler = std::function<void(int fd)>;
+
+  explicit Listener(Handler handler) : handler_(std::move(handler)) {
+    set_socket_options([this](socket_t fd) {
+      // Not SO_REUSEPORT, the library's default: it would hide that the address is in use.
+      const int on = 1;
+      setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+      bound_fd_ = fd;
+    });
+    set_idle_interval(0, kStopCheckMicroseconds);
+  }
+
+  // @return the port; -1 when the address cannot be bound.
+  int Bind(const SocketAddress& address) {
+    int port = address.port;
+    if (port == 0) {
+      port = bind_to_any_port(address.ip);
+    } else if (!bind_to_port(address.ip, port)) {
+      port = -1;
+    }
+    if (port <= 0 || ::listen(bound_fd_, kListenBacklog) != 0) return -1;
+    return port;
+  }
+
+  // Accepts until StopAccepting(). The library gives up on errors that pass (ECONNABORTED among
+  // them), and closes its descriptor then; so it gets a copy and is started again.
+  void Accept() {
+    while (!stopping_) {
+      svr_sock_ = dup(bound_fd_);
+      if (stopping_) break;
+      listen_after_bind();
+    }
+    const int left = svr_sock_.exchange(INVALID_SOCKET);
+    if (left >= 0) close(left);
+  }
+
+  // Accept() returns soon after; connections that wait in the backlog stay there.
+  void StopAccepting() {
+    stopping_ = true;
+    const int fd = svr_sock_.exchange(INVALID_SOCKET);
+    if (fd >= 0) stopped_fd_ = fd;
+  }
+
+  // Serves what is left in the backlog and closes the listening socket. After Accept().
+  void CloseListener(const Handler& serve) {
+    fcntl(bound_fd_, F_SETFL, fcntl(bound_fd_, F_GETFL, 0) | O_NONBLOCK);
+    for (;;) {
+      const int fd = accept4(bound_fd_, nullptr, nullptr, SOCK_CLOEXEC);
+      if (fd < 0) break;
+      serve(fd);
+    }
+    if (stopped_fd_ >= 0) close(stopped_fd_);
+    close(bound_fd_);
+  }
+
+ private:
+  bool process_and_close_socket(socket_t fd) override {
+    handler_(fd);
+    return true;
+  }
+
+  Handler handler_;
+  int bound_fd_ = -1;
+  int stopped_fd_ = -1;
+  std::atomic<bool> stopping_ = false;
+};
+
+// Hands the library's connections to the shell's threads.
+class ConnectionQueue : public httplib::TaskQueue {
+ public:
+  ConnectionQueue(std::function<void(const std::function<void()>&)> run,
+                  std::function<void()> on_quiet)
+      : run_(std::move(run)), on_quiet_(std::move(on_quiet)) {}
+
+  void enqueue(std::function<void()> job) override { run_(job); }
+  void shutdown() override {}
+  void on_idle() override { on_quiet_(); }
+
+ private:
+  std::function<void(const std::function<void()>&)> run_;
+  std::function<void()> on_quiet_;
+};
+
+class HttplibProxyServer : public ProxyServer {
+ public:
+  HttplibProxyServer(const ProxySettings& settings, RequestDecider decider)
+      : context_(settings, std::move(decider)),
+        address_(settings.listen),
+        drain_fd_(eventfd(0, EFD_CLOEXEC)),
+        listener_([this](int fd) { Serve(fd); }),
+        threads_(settings.max_connections) {
+    listener_.new_task_queue = [this] {
+      return new ConnectionQueue([this](const ConnectionThreads::Job& job) { Run(job); },
+                                 [this] { context_.pool.CloseExpired(SteadyClock().Now()); });
+    };
+  }
+
+  ~HttplibProxyServer() override {
+    if (accepting_.joinable()) HttplibProxyServer::Drain(Duration::zero());
+    close(drain_fd_);
+  }
+
+  bool Start() {
+    const int port = listener_.Bind(address_);
+    if (port <= 0) return false;
+    address_.port = static_cast<std::uint16_t>(port);
+    accepting_ = std::thread([this] { listener_.Accept(); });
+    return true;
+  }
+
+  SocketAddress local_address() const override { return address_; }
+
+  ProxyCounters counters() const override {
+    return {registry_.size(), context_.answered, context_.pool.open_connections()};
+  }
+
+  bool Drain(Duration limit) override {
+    const std::lock_guard lock(drain_mutex_);
+    if (!accepting_.joinable()) return true;
+    const Timestamp end = SteadyClock().Now() + limit;
+    drain_grace_ = std::min(limit / 2, kMaxDrainGrace);
+    context_.draining = true;
+    listener_.StopAccepting();
+    accepting_.join();
+    listener_.CloseListener([this](int fd) { Run([this, fd] { Serve(fd); }); });
+    eventfd_write(drain_fd_, 1);
+    const Duration left = std::max(end - SteadyClock().Now(), Duration::zero());
+    const bool ended = threads_.WaitUntilIdle(left);
+    const std::size_t cut = ended ? 0 : registry_.CutAll();
+    if (cut > 0) LogError(LogLevel::kWarning, ErrorKind::kDraining, "proxy", "requests were cut");
+    while (!threads_.WaitUntilIdle(kMaxDrainGrace)) registry_.CutAll();
+    context_.pool.CloseIdle();
+    return cut == 0;
+  }
+
+ private:
+  ConnectionServices services() { return {context_, registry_, closer_, drain_fd_, drain_grace_}; }
+
+  void Serve(int fd) {
+    if (refusing_connection) {
+      RefuseConnection(services(), fd);
+    } else {
+      ServeConnection(services(), fd);
+    }
+  }
+
+  // Runs a connection in a thread, or refuses it in the calling one.
+  void Run(const ConnectionThreads::Job& job) {
+    context_.pool.CloseExpired(SteadyClock().Now());
+    if (threads_.Run(job)) return;
+    if (registry_.EvictWaiting(kEvictableWait) && threads_.Run(job, true)) return;
+    refusing_connection = true;
+    job();
+    refusing_connection = false;
+  }
+
+  ProxyContext context_;
+  SocketAddress address_;
+  const int drain_fd_;
+  Duration drain_grace_{};  // Set before drain_fd_ is.
+  ConnectionRegistry registry_;
+  LingeringCloser closer_;
+  Listener listener_;
+  std::thread accepting_;
+  std::mutex drain_mutex_;
+  ConnectionThreads threads_;  // Ends first: its threads use all of the above.
+};
+
+}  // namespace
+
+Result<std::unique_ptr<ProxyServer>> StartProxyServerWith(const ProxySettings& settings,
+                                                          RequestDecider decider) {
+  RaiseDescriptorLimit();
+  auto server = std::make_unique<HttplibProxyServer>(settings, std::move(decider));
+  if (!server->Start()) {
+    return Fail(ErrorKind::kAddressInUse, ToString(settings.listen), "cannot listen there");
+  }
+  return std::unique_ptr<ProxyServer>(std::move(server));
+}
+
+}  // namespace copperlead
--- a/src/proxy/proxy_server.h
+++ b/src/proxy/proxy_server.h
@@ -2,6 +2,7 @@
 // decision is RequestRouter's.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -18,7 +19,7 @@
   Duration header_timeout = std::chrono::seconds(10);  // For a whole request head.
   Duration idle_timeout = std::chrono::seconds(30);    // Between requests of one connection.
   Duration connect_timeout = std::chrono::seconds(1);  // To a back end.
-  std::size_t buffer_limit = 64 * 1024;                // Largest body held whole, in bytes.
+  std::size_t buffer_limit = std::size_t{64} * 1024;   // Largest body held whole, in bytes.
 };
 
 // Latency and traffic of the data path, for metrics; any thread.
--- /dev/null
+++ b/tests/proxy/exchange_test.cc
@@ -0,0 +1,426 @@
+// Whole answers, true refusals and failures that show: one request through the shell.
+#include <future>
+
+#include "tests/proxy/proxy_fixture.h"
+
+namespace copperlead {
+namespace {
+
+using testing::Test;
+
+std::string Echo(const RawMessage& request) {
+  const auto line = request.head.substr(0, request.head.find("\r\n"));
+  return Ok(line + "\n" + request.body);
+}
+
+TEST_F(ProxyTest, PassesEveryMethodWithItsBody) {
+  RawServer backend(Answering(Echo));
+  StartProxy({{backend.address()}});
+  RawSocket caller = Call();
+  for (const std::string method : {"GET", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"}) {
+    caller.Send(method + " /permits//7?a=%2F..&b HTTP/1.1\r\nHost: test\r\nContent-Length: 4\r\n" +
+                "\r\nbody");
+    const RawMessage answer = caller.Read();
+    EXPECT_EQ(answer.status(), 200);
+    EXPECT_EQ(answer.body, method + " /permits/7?a=%2F..&b HTTP/1.1\nbody");
+  }
+  EXPECT_EQ(backend.connections(), 1) << "the connection to the back end is kept";
+  EXPECT_EQ(proxy_->counters().answered, 6U);
+  EXPECT_EQ(proxy_->counters().upstream_connections, 1U);
+}
+
+TEST_F(ProxyTest, PassesHeadersUnchanged) {
+  const std::string fields =
+      "ETag: \"a%41%0d%0ax: y\"\r\nX-Empty: \r\nSet-Cookie: a=1\r\nSet-Cookie: b=2\r\n";
+  RawMessage seen;
+  RawServer backend(Answering([&](const RawMessage& request) {
+    seen = request;
+    return Ok("", fields);
+  }));
+  StartProxy({{backend.address()}});
+  const RawMessage answer = Ask(Get("/", "X-Note: a%0d%0aInjected: 1\r\nX-Empty: \r\n"));
+  EXPECT_NE(answer.head.find(fields), std::string::npos) << answer.head;
+  EXPECT_EQ(seen.Header("x-note"), "a%0d%0aInjected: 1");
+  EXPECT_EQ(seen.Header("injected"), "");
+  EXPECT_NE(seen.head.find("X-Empty: \r\n"), std::string::npos);
+}
+
+struct HeaderCase {
+  const char* sent;
+  const char* name;
+  const char* expected;  // At the other side; "" when it must not go on.
+};
+
+TEST_F(ProxyTest, StopsHopByHopAndForgedHeaders) {
+  const HeaderCase kCases[] = {
+      {"Connection: close, X-Secret\r\nX-Secret: 1\r\n", "x-secret", ""},
+      {"Connection: Keep-Alive\r\n", "connection", ""},
+      {"Keep-Alive: timeout=5\r\n", "keep-alive", ""},
+      {"TE: trailers\r\n", "te", ""},
+      {"Trailer: X\r\n", "trailer", ""},
+      {"Upgrade: websocket\r\n", "upgrade", ""},
+      {"Proxy-Authorization: Basic x\r\n", "proxy-authorization", ""},
+      {"Proxy-Connection: close\r\n", "proxy-connection", ""},
+      {"Expect: 100-continue\r\n", "expect", ""},
+      {"copperlead-outcome: not-run\r\n", "copperlead-outcome", ""},
+      {"Copperlead-Anything: 1\r\n", "copperlead-anything", ""},
+      {"Authorization: Bearer forged\r\n", "authorization", "Bearer the-secret"},
+      {"copperlead-attempt: 2\r\n", "copperlead-attempt", "2"},
+      {"copperlead-request-id: r-1\r\n", "copperlead-request-id", "r-1"},
+      {"x-request-id: r-2\r\n", "copperlead-request-id", "r-2"},
+      {"X-Plain: kept\r\n", "x-plain", "kept"},
+  };
+  RawMessage seen;
+  RawServer backend(Answering([&](const RawMessage& request) {
+    seen = request;
+    return Ok("",
+              "Keep-Alive: timeout=9\r\nProxy-Authenticate: x\r\nConnection: X-Hop\r\n"
+              "X-Hop: 1\r\nX-Kept: 1\r\n");
+  }));
+  DeciderScript script{{backend.address()}};
+  script.secret = "the-secret";
+  StartProxy(script);
+  for (const auto& row : kCases) {
+    const RawMessage answer = Ask(Get("/", row.sent));
+    EXPECT_EQ(answer.status(), 200) << row.sent;
+    EXPECT_EQ(seen.Header(row.name), row.expected) << row.sent;
+    EXPECT_EQ(answer.Header("keep-alive") + answer.Header("x-hop"), "") << answer.head;
+    EXPECT_EQ(answer.Header("proxy-authenticate"), "");
+    EXPECT_EQ(answer.Header("x-kept"), "1");
+  }
+}
+
+TEST_F(ProxyTest, PassesTheDeadlineThatIsLeft) {
+  RawMessage seen;
+  RawServer backend(Answering([&](const RawMessage& request) {
+    seen = request;
+    return Ok("");
+  }));
+  StartProxy({{backend.address()}});
+  Ask(Get("/", "copperlead-deadline-ms: 30000\r\ncopperlead-attempt: 2\r\n"));
+  EXPECT_LE(std::stoi(seen.Header("copperlead-deadline-ms")), 30000);
+  EXPECT_GT(std::stoi(seen.Header("copperlead-deadline-ms")), 10000);
+  EXPECT_TRUE(record_->last_facts().already_retried);
+  Ask(Get("/"));
+  EXPECT_EQ(seen.Header("copperlead-deadline-ms"), "");
+}
+
+// How a back end ends the first connection, and what the caller then gets.
+struct FaultCase {
+  const char* name;
+  RawServer::Serve first;
+  int status;  // 0: no head at all.
+  bool whole;
+  const char* outcome;
+  const char* event;
+};
+
+TEST_F(ProxyTest, TellsTheTruthAboutEveryFailure) {
+  const auto reset = [](RawSocket& socket) { socket.Reset(); };
+  const FaultCase kCases[] = {
+      {"closed after the request", [](RawSocket& socket, int) { socket.Read(); }, 502, true,
+       "unknown", "failed:2"},
+      {"reset after the request",
+       [&](RawSocket& socket, int) {
+         socket.Read();
+         reset(socket);
+       },
+       502, true, "unknown", "failed:2"},
+      {"closed after half the head",
+       [](RawSocket& socket, int) {
+         socket.Read();
+         socket.Send("HTTP/1.1 200 OK\r\nContent-Le");
+       },
+       502, true, "unknown", "failed:2"},
+      {"answer that is no HTTP",
+       [](RawSocket& socket, int) {
+         socket.Read();
+         socket.Send("220 smtp ready\r\n\r\n");
+       },
+       502, true, "unknown", "failed:2"},
+      {"answer with two framings",
+       [](RawSocket& socket, int) {
+         socket.Read();
+         socket.Send("HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n");
+       },
+       502, true, "unknown", "failed:2"},
+      {"unasked switch of protocols",
+       [](RawSocket& socket, int) {
+         socket.Read();
+         socket.Send("HTTP/1.1 101 Switching Protocols\r\n\r\n");
+       },
+       502, true, "unknown", "failed:2"},
+      {"closed after half the answer",
+       [](RawSocket& socket, int) {
+         socket.Read();
+         socket.Send("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf-");
+       },
+       200, false, "", "finished:cut"},
+      {"closed within the chunks",
+       [](RawSocket& socket, int) {
+         socket.Read();
+         socket.Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhalf-\r\n");
+       },
+       200, false, "", "finished:cut"},
+      {"bad chunk in the answer",
+       [](RawSocket& socket, int) {
+         socket.Read();
+         socket.Send(
+             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nhalf-\r\n0\r\n\r\n");
+       },
+       200, false, "", "finished:cut"},
+      {"reset within an answer without a length",
+       [&](RawSocket& socket, int) {
+         socket.Read();
+         socket.Send("HTTP/1.1 200 OK\r\n\r\nhalf-");
+         socket.ReadToEnd(1);  // Until the caller was served the half and left.
+         reset(socket);
+       },
+       200, false, "", "finished:cut"},
+      {"silent after the request",
+       [](RawSocket& socket, int) {
+         socket.Read();
+         socket.AwaitClosed();
+       },
+       504, true, "unknown", "failed:3"},
+      {"silent after half the answer",
+       [](RawSocket& socket, int) {
+         socket.Read();
+         socket.Send("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf-");
+         socket.AwaitClosed();
+       },
+       200, false, "", "finished:cut"},
+  };
+  for (const auto& row : kCases) {
+    SCOPED_TRACE(row.name);
+    record_ = std::make_shared<DeciderRecord>();
+    RawServer backend(row.first);
+    DeciderScript script{{backend.address()}, 3};
+    script.progress_timeout = std::chrono::milliseconds(300);
+    StartProxy(script);
+    const RawMessage answer = Ask(Post("/buy", "one permit"));
+    EXPECT_EQ(answer.status(), row.status);
+    EXPECT_EQ(answer.whole, row.whole);
+    EXPECT_EQ(answer.Header("copperlead-outcome"), row.outcome);
+    EXPECT_TRUE(Eventually([&] { return record_->Holds("released"); }));
+    EXPECT_TRUE(record_->Holds(row.event));
+    EXPECT_EQ(backend.connections(), 1) << "a purchase is sent at most once";
+    proxy_.reset();
+  }
+}
+
+TEST_F(ProxyTest, SaysNotRunWhenNothingWasWritten) {
+  StartProxy({{RefusingAddress()}});
+  const RawMessage answer = Ask(Post("/buy", "one permit"));
+  EXPECT_EQ(answer.status(), 503);
+  EXPECT_EQ(answer.Header("copperlead-outcome"), "not-run");
+  EXPECT_EQ(answer.Header("retry-after"), "1");
+  EXPECT_EQ(answer.body, "{\"cause\":\"scripted\",\"error\":\"connect_failed\"}\n");
+  EXPECT_TRUE(record_->Holds("failed:0"));
+}
+
+TEST_F(ProxyTest, SendsTheWholeBodyAgainOnARetry) {
+  RawServer shedding(Answering([](const RawMessage&) {
+    return "HTTP/1.1 503 Busy\r\ncopperlead-outcome: not-run\r\nContent-Length: 4\r\n\r\nbusy";
+  }));
+  RawServer good(Answering(Echo));
+  StartProxy({{RefusingAddress(), shedding.address(), good.address()}, 3});
+  const RawMessage answer = Ask(Post("/buy", "one permit"));
+  EXPECT_EQ(answer.body, "POST /buy HTTP/1.1\none permit");
+  EXPECT_TRUE(record_->last_facts().body_can_be_resent);
+}
+
+TEST_F(ProxyTest, LateAnswersNeverCross) {
+  std::atomic<int> served = 0;
+  RawServer backend([&](RawSocket& socket, int) {
+    for (;;) {
+      const RawMessage request = socket.Read();
+      if (!request.whole) return;
+      const bool late = served++ == 0;
+      if (late) std::this_thread::sleep_for(std::chrono::milliseconds(400));
+      if (!socket.Send(Echo(request))) return;
+    }
+  });
+  DeciderScript script{{backend.address()}};
+  script.progress_timeout = std::chrono::milliseconds(150);
+  StartProxy(script);
+  RawSocket caller = Call();
+  caller.Send(Get("/first"));
+  EXPECT_EQ(caller.Read().status(), 504);
+  script.progress_timeout = std::chrono::seconds(10);
+  for (int request = 0; request < 50; ++request) {
+    const std::string path = "/next-" + std::to_string(request);
+    caller.Send(Get(path));
+    EXPECT_EQ(caller.Read().body, "GET " + path + " HTTP/1.1\n");
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+}
+
+TEST_F(ProxyTest, NeverPoolsAConnectionWithSomethingLeftOver) {
+  RawServer backend(Answering([](const RawMessage& request) {
+    return Echo(request) + Ok("an answer that nobody asked for");
+  }));
+  StartProxy({{backend.address()}});
+  RawSocket caller = Call();
+  for (const std::string path : {"/a", "/b", "/c"}) {
+    caller.Send(Get(path));
+    EXPECT_EQ(caller.Read().body, "GET " + path + " HTTP/1.1\n");
+  }
+}
+
+TEST_F(ProxyTest, TakesAFreshConnectionWhenThePooledOneWasClosed) {
+  RawServer backend([](RawSocket& socket, int) {
+    socket.Send(Echo(socket.Read()));  // Then closes, without having said so.
+  });
+  StartProxy({{backend.address()}});
+  for (int request = 0; request < 5; ++request) {
+    EXPECT_EQ(Ask(Post("/buy", "one")).status(), 200);
+    EXPECT_TRUE(Eventually([&] { return backend.connections() == request + 1; }));
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+}
+
+struct BodylessCase {
+  const char* request;
+  const char* answer;
+  const char* length;  // Of the relayed answer.
+};
+
+TEST_F(ProxyTest, KeepsAnswersWithoutBodyRight) {
+  const BodylessCase kCases[] = {
+      {"HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n", "1000"},
+      {"HEAD", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", ""},
+      {"GET", "HTTP/1.1 204 No Content\r\n\r\n", ""},
+      {"GET", "HTTP/1.1 304 Not Modified\r\nContent-Length: 55\r\n\r\n", "55"},
+      {"GET", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "0"},
+      {"GET", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n", ""},
+  };
+  for (const auto& row : kCases) {
+    SCOPED_TRACE(row.answer);
+    RawServer backend(Answering([&](const RawMessage&) { return std::string(row.answer); }));
+    StartProxy({{backend.address()}});
+    RawSocket caller = Call();
+    for (int request = 0; request < 3; ++request) {
+      caller.Send(std::string(row.request) + " / HTTP/1.1\r\nHost: test\r\n\r\n");
+      const RawMessage answer = caller.Read(std::string_view(row.request) == "HEAD");
+      EXPECT_NE(answer.status(), 0);
+      EXPECT_EQ(answer.Header("content-length"), row.length);
+      EXPECT_EQ(answer.Header("transfer-encoding"), "");
+    }
+    EXPECT_EQ(backend.connections(), 1);
+    proxy_.reset();
+  }
+}
+
+TEST_F(ProxyTest, AnswersPipelinedRequestsInOrder) {
+  RawServer backend(Answering(Echo));
+  StartProxy({{backend.address()}});
+  RawSocket caller = Call();
+  caller.Send(Post("/1", "x") + Get("/2") + Post("/3", "yyy") + Get("/4"));
+  for (const std::string expected :
+       {"POST /1 HTTP/1.1\nx", "GET /2 HTTP/1.1\n", "POST /3 HTTP/1.1\nyyy", "GET /4 HTTP/1.1\n"}) {
+    EXPECT_EQ(caller.Read().body, expected);
+  }
+}
+
+TEST_F(ProxyTest, StreamsChunksBothWays) {
+  const std::string chunked_answer =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "3;x=y\r\nabc\r\n2\r\nde\r\n0\r\nX-Trailer: 1\r\n\r\n";
+  RawMessage seen;
+  RawServer backend(Answering([&](const RawMessage& request) {
+    seen = request;
+    return chunked_answer;
+  }));
+  StartProxy({{backend.address()}});
+  RawSocket caller = Call();
+  for (int request = 0; request < 3; ++request) {
+    caller.Send("PUT /plate HTTP/1.1\r\nHost: test\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nnigh");
+    caller.Send("\r\n1\r\nt\r\n0\r\n\r\n");
+    const RawMessage answer = caller.Read();
+    EXPECT_EQ(seen.body, "night");
+    EXPECT_EQ(answer.body, "abcde");
+    EXPECT_TRUE(answer.whole);
+  }
+  EXPECT_EQ(backend.connections(), 1);
+  EXPECT_FALSE(record_->last_facts().body_can_be_resent);
+  const RawMessage old = Ask("GET / HTTP/1.0\r\n\r\n");
+  EXPECT_EQ(old.body, "abcde") << "an HTTP/1.0 caller gets no chunks";
+  EXPECT_EQ(old.Header("transfer-encoding") + old.Header("connection"), "close");
+}
+
+TEST_F(ProxyTest, PassesAnAnswerThatEndsWithTheConnection) {
+  RawServer backend([](RawSocket& socket, int) {
+    socket.Read();
+    socket.Send("HTTP/1.1 200 OK\r\n\r\nall of it");
+  });
+  StartProxy({{backend.address()}});
+  const RawMessage answer = Ask(Get("/"));
+  EXPECT_EQ(answer.body, "all of it");
+  EXPECT_TRUE(answer.whole);
+}
+
+TEST_F(ProxyTest, ContinuesWhenTheCallerWaitsForIt) {
+  RawServer backend(Answering(Echo));
+  settings_.buffer_limit = 8;
+  StartProxy({{backend.address()}});
+  for (const std::string body : {"small", "larger than the buffer"}) {
+    RawSocket caller = Call();
+    caller.Send("PUT / HTTP/1.1\r\nHost: test\r\nExpect: 100-continue\r\nContent-Length: " +
+                std::to_string(body.size()) + "\r\n\r\n");
+    EXPECT_EQ(caller.Read().status(), 100);
+    caller.Send(body);
+    EXPECT_EQ(caller.Read().body, "PUT / HTTP/1.1\n" + body);
+  }
+}
+
+TEST_F(ProxyTest, PassesAnEarlyAnswerToAnUpload) {
+  RawServer backend([](RawSocket& socket, int) {
+    std::size_t read = socket.ReadToEnd(1).size();
+    socket.Send("HTTP/1.1 100 Continue\r\n\r\n");
+    while (read < 50'000) read += socket.ReadToEnd(1).size();
+    socket.Send("HTTP/1.1 413 Too Large\r\nContent-Length: 5\r\n\r\nlarge");
+    socket.AwaitClosed();
+  });
+  StartProxy({{backend.address()}});
+  RawSocket caller = Call();
+  caller.Send("PUT / HTTP/1.1\r\nHost: test\r\nContent-Length: 100000000\r\n\r\n" +
+              std::string(60'000, 'x'));
+  const RawMessage answer = caller.Read();
+  EXPECT_EQ(answer.status(), 413);
+  EXPECT_EQ(answer.body, "large");
+  EXPECT_EQ(answer.Header("connection"), "close");
+  EXPECT_TRUE(caller.AwaitClosed());
+}
+
+TEST_F(ProxyTest, CallerThatLeavesEndsTheUpstreamCall) {
+  std::promise<void> closed;
+  RawServer backend([&](RawSocket& socket, int) {
+    socket.Read();
+    if (socket.AwaitClosed()) closed.set_value();
+  });
+  StartProxy({{backend.address()}});
+  RawSocket caller = Call();
+  caller.Send(Get("/"));
+  EXPECT_TRUE(Eventually([&] { return backend.connections() == 1; }));
+  caller.Close();
+  EXPECT_EQ(closed.get_future().wait_for(std::chrono::seconds(20)), std::future_status::ready);
+  EXPECT_TRUE(Eventually([&] { return record_->Holds("failed:5"); }));
+}
+
+TEST_F(ProxyTest, CallerThatLeavesWithinItsUploadEndsTheUpstreamCall) {
+  std::promise<void> closed;
+  RawServer backend([&](RawSocket& socket, int) {
+    if (!socket.Read().whole) closed.set_value();
+  });
+  StartProxy({{backend.address()}});
+  RawSocket caller = Call();
+  caller.Send("PUT / HTTP/1.1\r\nHost: test\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n");
+  EXPECT_TRUE(Eventually([&] { return backend.connections() == 1; }));
+  caller.Close();
+  EXPECT_EQ(closed.get_future().wait_for(std::chrono::seconds(20)), std::future_status::ready);
+  EXPECT_TRUE(Eventually([&] { return record_->Holds("failed:5"); }));
+}
+
+}  // namespace
+}  // namespace copperlead
