Demo of the whole path: fleet, requests, an edit, a bad edit, an outage, a drain

The thin whole path needs one command that shows it on a fresh machine, where neither bash scripts with curl nor a test harness can be assumed. Not run yet against copperlead-node, which is not there yet.

--- a/src/standin/command.h
+++ b/src/standin/command.h
@@ -20,5 +20,6 @@
 int RunSource(const std::vector<std::string>& arguments);
 int RunBackend(const std::vector<std::string>& arguments);
 int RunFaultProxy(const std::vector<std::string>& arguments);
+int RunDemo(const std::vector<std::string>& arguments);
 
 }  // namespace copperlead::standin
--- a/src/standin/commands.cc
+++ b/src/standin/commands.cc
@@ -7,6 +7,7 @@
       {"source", "the platform's configuration service and machine list", RunSource},
       {"backend", "a back end with slots, a journal of runs and failure modes", RunBackend},
       {"fault-proxy", "a TCP and UDP forwarder that injects network faults", RunFaultProxy},
+      {"demo", "a fleet on loopback: requests, an edit, a bad edit, an outage, a drain", RunDemo},
   };
   return commands;
 }
