Read the platform's services with bounds on time and bytes

Cause: readers need the configuration and the machine list; the source may hang, drip or flood. Ruled out: one thread for both documents (a hang of one delays the other).

--- a/src/platform/source_client.h
+++ b/src/platform/source_client.h
@@ -18,16 +18,18 @@
 
 class SourceClient {
  public:
-  // Called from the client's own thread with the answer to each Fetch.
+  // Called from the client's own threads (one per stream) with the answer to each Fetch; not after
+  // Stop().
   using Receiver = std::function<void(SourceAnswered)>;
 
   virtual ~SourceClient() = default;
   // Starts one conditional GET; the answer goes to the receiver. Any thread; never blocks.
   virtual void Fetch(const FetchFromSource& request) = 0;
+  // Cuts what is under way and ends the threads. Idempotent; not from the receiver.
   virtual void Stop() = 0;
 };
 
-// Starts the client's thread. Faulty bodies come back as kFailed (kMalformedJson, kOversized,
+// Starts the client's threads. Faulty bodies come back as kFailed (kMalformedJson, kOversized,
 // kSourceBadAnswer, kSourceTimeout, kSourceUnreachable) with place and cause; a readable document
 // whose table has faults comes back as kNew with its faults, so that they can be shown.
 std::unique_ptr<SourceClient> StartSourceClient(const SourceClientSettings& settings,
