--- a/tests/proxy/raw_socket.cc
+++ b/tests/proxy/raw_socket.cc
@@ -79,6 +79,7 @@
 }
 
 bool RawSocket::Fill() {
+  if (fd_ < 0) return false;
   pollfd descriptor{fd_, POLLIN, 0};
   if (poll(&descriptor, 1, kGenerousMilliseconds) <= 0) return false;
   std::array<char, 65536> bytes;
--- a/tests/proxy/raw_socket.h
+++ b/tests/proxy/raw_socket.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <string_view>
 #include <thread>
+#include <utility>
 
 #include "base/address.h"
 
@@ -34,6 +35,11 @@
   RawSocket(RawSocket&& other) noexcept : fd_(other.fd_), buffer_(std::move(other.buffer_)) {
     other.fd_ = -1;
   }
+  RawSocket& operator=(RawSocket&& other) noexcept {
+    std::swap(fd_, other.fd_);
+    std::swap(buffer_, other.buffer_);
+    return *this;
+  }
   ~RawSocket() { Close(); }
 
   // @return false when the peer is gone.
