--- a/src/routing/endpoint_picker.h
+++ b/src/routing/endpoint_picker.h
@@ -4,7 +4,8 @@
 #include <cstdint>
 #include <optional>
 #include <random>
-#include <string>
+#include <span>
+#include <string_view>
 #include <vector>
 
 #include "base/time.h"
@@ -14,12 +15,12 @@
 
 // What the choice depends on beside the back ends.
 struct PickFacts {
-  std::uint32_t slots_per_instance = 0;     // Most in flight at one of them; 0: no bound.
-  std::string zone;                         // Of this node; decides between equals.
-  Duration load_freshness{};                // See RouterSettings.
-  Duration slow_start{};                    // See RouterSettings.
-  std::vector<const EndpointState*> tried;  // By this request.
-  bool may_return = false;                  // A tried one may be tried again.
+  std::uint32_t slots_per_instance = 0;         // Most in flight at one of them; 0: no bound.
+  std::string_view zone;                        // Of this node; decides between equals.
+  Duration load_freshness{};                    // See RouterSettings.
+  Duration slow_start{};                        // See RouterSettings.
+  std::span<const EndpointState* const> tried;  // By this request.
+  bool may_return = false;                      // A tried one may be tried again.
 };
 
 struct PickedEndpoint {
--- a/src/routing/request_session.cc
+++ b/src/routing/request_session.cc
@@ -138,7 +138,7 @@
   facts.repeatable = repeatable_;
   facts.body_can_be_resent = facts_.body_can_be_resent;
   facts.already_retried = facts_.already_retried;
-  facts.earlier_unknown = earlier_unknown_;
+  facts.doubt = doubt_;
   facts.retries_left = allowed - std::min(allowed, attempts_ - 1);
   return facts;
 }
@@ -169,12 +169,12 @@
                                            const RetryVerdict& verdict, const AnswerHead* head) {
   const ChosenEndpoint ended = *std::exchange(chosen_, std::nullopt);
   if (head != nullptr) core_->FreeSlot(ended);
-  earlier_unknown_ = earlier_unknown_ || verdict.outcome_unknown;
+  if (verdict.outcome_unknown && !doubt_) doubt_ = verdict.kind;
   std::string cause = CauseOf(end, ended.slot.endpoint->id);
   if (verdict.step != RetryStep::kRetry) return GiveUp(verdict, std::move(cause), head);
   if (deadline_.Over(now)) {
     RetryVerdict over = verdict;
-    over.kind = earlier_unknown_ ? ErrorKind::kDeadlineAfterSend : ErrorKind::kDeadlineBeforeSend;
+    over.kind = doubt_ ? ErrorKind::kDeadlineAfterSend : ErrorKind::kDeadlineBeforeSend;
     return GiveUp(over, cause + "; the caller's deadline has passed", nullptr);
   }
   // A back end that refuses or takes no connection is not asked again by the same request.
--- a/src/routing/request_session.h
+++ b/src/routing/request_session.h
@@ -54,7 +54,7 @@
   ChoiceFacts choice_;
   bool holds_limits_ = false;
   bool repeatable_ = false;
-  bool earlier_unknown_ = false;
+  std::optional<ErrorKind> doubt_;  // See RetryFacts.
   bool reconnected_ = false;
   bool idle_connection_allowed_ = false;
   std::uint32_t attempts_ = 0;
--- a/src/routing/retry_policy.cc
+++ b/src/routing/retry_policy.cc
@@ -64,12 +64,11 @@
   }
   if (MayRetry(rule, facts)) {
     verdict.step = RetryStep::kRetry;
-  } else if (end == AttemptEnd::kAnsweredNotRun && !facts.earlier_unknown) {
+  } else if (end == AttemptEnd::kAnsweredNotRun && !facts.doubt) {
     verdict.step = RetryStep::kRelay;
   }
   // Another attempt's "not run" says nothing about the earlier one.
-  if (facts.earlier_unknown && rule.proof == Proof::kNotRun)
-    verdict.kind = ErrorKind::kConnectionLost;
+  if (facts.doubt && rule.proof == Proof::kNotRun) verdict.kind = *facts.doubt;
   return verdict;
 }
 
--- a/src/routing/retry_policy.h
+++ b/src/routing/retry_policy.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
 #include "base/error.h"
@@ -28,7 +29,8 @@
   bool repeatable = false;         // See IsRepeatable().
   bool body_can_be_resent = true;  // No body, or buffered whole.
   bool already_retried = false;    // A node above has retried: never at two layers.
-  bool earlier_unknown = false;    // An earlier attempt of this request may have been run.
+  // An earlier attempt of this request may have been run: the kind by which it ended.
+  std::optional<ErrorKind> doubt;
   std::uint32_t retries_left = 0;  // Of the row's max_retries.
 };
 
--- /dev/null
+++ b/tests/routing/fleet_limits_test.cc
@@ -0,0 +1,176 @@
+// Fleet limits divided over nodes: the parts add up to the limit, and a smaller view errs low.
+#include <gtest/gtest.h>
+
+#include <random>
+#include <vector>
+
+#include "routing/fleet_share.h"
+#include "routing/in_flight_limiter.h"
+#include "routing/rate_limiter.h"
+#include "tests/routing/fleet.h"
+
+namespace copperlead {
+namespace {
+
+using routing_test::kStart;
+
+constexpr std::size_t kNodes = 1000;
+
+TEST(RateLimiterTest, PartsOfAThousandNodesAddUpToTheLimit) {
+  for (const std::uint32_t limit : {1U, 7U, 999U, 1000U, 1001U, 1500U, 2999U}) {
+    std::vector<RateLimiter> nodes(kNodes);
+    constexpr std::uint64_t kSeconds = 20;
+    std::uint64_t total = 0;
+    for (std::uint64_t second = 0; second < kSeconds; ++second) {
+      std::uint64_t passed = 0;
+      for (std::size_t rank = 0; rank < kNodes; ++rank) {
+        // More than any node's part, from every node.
+        for (std::uint32_t call = 0; call <= limit / kNodes + 1; ++call) {
+          const Timestamp now = kStart + std::chrono::seconds(second) + Milliseconds(call);
+          passed += nodes[rank].TryTake(now, limit, {kNodes, rank}) ? 1 : 0;
+        }
+      }
+      // The first second also finds the tokens of the ten seconds before it.
+      if (second > 0) {
+        EXPECT_EQ(passed, limit) << "second " << second;
+      }
+      total += passed;
+    }
+    EXPECT_LE(total, limit * (kSeconds + RateLimiter::kTokenLifeSeconds)) << limit;
+  }
+}
+
+TEST(RateLimiterTest, AnIdleFleetSavesUpLittle) {
+  for (const std::uint32_t limit : {1U, 50U, 2000U}) {
+    std::vector<RateLimiter> nodes(kNodes);
+    std::uint64_t passed = 0;
+    for (std::size_t rank = 0; rank < kNodes; ++rank) {
+      for (int call = 0; call < 20; ++call) {
+        passed +=
+            nodes[rank].TryTake(kStart + std::chrono::hours(1), limit, {kNodes, rank}) ? 1 : 0;
+      }
+    }
+    EXPECT_GE(passed, limit);
+    EXPECT_LE(passed, limit < kNodes ? limit * RateLimiter::kTokenLifeSeconds : limit);
+  }
+}
+
+TEST(RateLimiterTest, RareRequestsFindTokensAndStayBelowTheLimit) {
+  constexpr std::uint32_t kLimit = 100;
+  std::mt19937_64 random(3);
+  std::vector<RateLimiter> nodes(kNodes);
+  std::vector<std::uint64_t> passed_by_second(120);
+  for (std::size_t second = 0; second < passed_by_second.size(); ++second) {
+    for (int call = 0; call < 300; ++call) {
+      const std::size_t rank = random() % kNodes;
+      const Timestamp now = kStart + std::chrono::seconds(second) + Milliseconds(3 * call);
+      passed_by_second[second] += nodes[rank].TryTake(now, kLimit, {kNodes, rank}) ? 1 : 0;
+    }
+  }
+  std::uint64_t total = 0;
+  for (std::size_t first = 0; first < passed_by_second.size(); ++first) {
+    std::uint64_t in_window = 0;
+    for (std::size_t last = first; last < passed_by_second.size(); ++last) {
+      in_window += passed_by_second[last];
+      EXPECT_LE(in_window, kLimit * (last - first + 1 + RateLimiter::kTokenLifeSeconds));
+    }
+    total += passed_by_second[first];
+  }
+  // Three times the limit was asked for: most of it passes.
+  EXPECT_GE(total, passed_by_second.size() * kLimit * 8 / 10);
+}
+
+TEST(InFlightLimiterTest, PartsAddUpToTheLimitAndAreGivenBack) {
+  for (const std::uint32_t limit : {1U, 10U, 999U, 1000U, 1500U}) {
+    std::vector<InFlightLimiter> nodes(kNodes);
+    std::uint64_t held = 0;
+    for (std::size_t rank = 0; rank < kNodes; ++rank) {
+      while (nodes[rank].TryAcquire(limit, {kNodes, rank})) ++held;
+      // The in-flight requests of a larger share are not cut, but no new one passes.
+      EXPECT_FALSE(nodes[rank].TryAcquire(limit, {2 * kNodes, rank}) && limit < kNodes);
+    }
+    EXPECT_EQ(held, limit);
+    nodes[0].Release();
+    EXPECT_TRUE(nodes[0].TryAcquire(limit, {kNodes, 0}));
+    EXPECT_FALSE(nodes[0].TryAcquire(limit, {kNodes, 0}));
+  }
+}
+
+TEST(FleetDivisorTest, RisesAtOnceAndFallsLate) {
+  FleetDivisor divisor;
+  divisor.Observe(kStart, 1000);
+  EXPECT_EQ(divisor.Value(kStart), 1000U);
+  // A partition: half the fleet looks dead.
+  divisor.Observe(kStart, 500);
+  EXPECT_EQ(divisor.Value(kStart + FleetDivisor::kHold), 1000U);
+  const Timestamp later = kStart + FleetDivisor::kHold + std::chrono::minutes(1);
+  EXPECT_EQ(divisor.Value(later), 900U);
+  // It heals: the full view counts again at once, and the hold begins anew.
+  divisor.Observe(later, 1000);
+  EXPECT_EQ(divisor.Value(later), 1000U);
+  divisor.Observe(later, 500);
+  EXPECT_EQ(divisor.Value(later + FleetDivisor::kHold), 1000U);
+  // A fleet that really shrank gets its whole limit back in the end.
+  EXPECT_EQ(divisor.Value(later + std::chrono::hours(2)), 500U);
+  divisor.Observe(later + std::chrono::hours(2), 2000);
+  EXPECT_EQ(divisor.Value(later + std::chrono::hours(2)), 2000U);
+}
+
+// Both halves of a partition together stay at the limit, by the hold and by the platform's list.
+TEST(FleetLimitsTest, APartitionedFleetPassesNoMoreThanTheLimit) {
+  constexpr std::size_t kFleet = 4;
+  RouteRow row = routing_test::MakeRow();
+  row.requests_per_second = 400;
+  MachineList list = routing_test::MakeMachines(40);
+  for (std::size_t node = 0; node < kFleet; ++node) {
+    Machine machine;
+    machine.id = "node-" + std::to_string(node);
+    machine.kind = MachineKind::kNode;
+    list.machines.push_back(machine);
+  }
+  for (const bool listed : {true, false}) {
+    if (!listed) list.machines.resize(list.machines.size() - kFleet);
+    std::vector<std::unique_ptr<RequestRouter>> nodes;
+    for (std::size_t node = 0; node < kFleet; ++node) {
+      nodes.push_back(std::make_unique<RequestRouter>(RouterSettings{}, node));
+      nodes[node]->Publish(kStart, routing_test::MakeSnapshot({row}, list));
+      nodes[node]->SetLiveNodes(kStart, kFleet, node);
+      nodes[node]->SetLiveNodes(kStart, kFleet / 2, node % 2);
+    }
+    // The list is the platform's word: with it the divisor does not fall at all.
+    const Timestamp now = kStart + (listed ? std::chrono::hours(3) : FleetDivisor::kHold);
+    int passed = 0;
+    for (const auto& node : nodes) {
+      for (int call = 0; call < 400; ++call) {
+        const auto session = node->Begin(routing_test::MakeRequest());
+        if (!routing_test::TargetOf(session->Start(now)).empty()) ++passed;
+      }
+    }
+    EXPECT_EQ(passed, 400) << listed;
+  }
+}
+
+TEST(FleetLimitsTest, LimitsAreGivenBackWhenTheSessionEnds) {
+  RouteRow row = routing_test::MakeRow();
+  row.max_in_flight = 2;
+  RequestRouter router({}, 1);
+  const auto snapshot = routing_test::MakeSnapshot({row}, routing_test::MakeMachines(3));
+  router.Publish(kStart, snapshot);
+  const auto first = router.Begin(routing_test::MakeRequest());
+  ASSERT_FALSE(routing_test::TargetOf(first->Start(kStart)).empty());
+  auto second = router.Begin(routing_test::MakeRequest());
+  ASSERT_FALSE(routing_test::TargetOf(second->Start(kStart)).empty());
+  router.Publish(kStart, snapshot);  // A new table does not forget what is in flight.
+  const auto refused = router.Begin(routing_test::MakeRequest());
+  EXPECT_EQ(routing_test::KindOf(refused->Start(kStart)), ErrorKind::kInFlightLimited);
+  EXPECT_TRUE(std::holds_alternative<RelayAnswer>(first->OnAnswer(kStart, {})));
+  EXPECT_EQ(router.in_flight(), 2U);  // Until the answer is relayed.
+  first->OnFinished(kStart, true);
+  second.reset();  // Abandoned.
+  EXPECT_EQ(router.in_flight(), 0U);
+  const auto third = router.Begin(routing_test::MakeRequest());
+  EXPECT_FALSE(routing_test::TargetOf(third->Start(kStart)).empty());
+}
+
+}  // namespace
+}  // namespace copperlead
