--- a/src/membership/suspicion.cc
+++ b/src/membership/suspicion.cc
@@ -11,6 +11,8 @@
 constexpr std::size_t kMaxDampingFactor = 4;
 // Refutations count against later suspicions for this many timeouts after the last one.
 constexpr int kRefutationMemory = 15;
+// Histories kept before old ones are dropped.
+constexpr std::size_t kMaxHistories = 64;
 
 }  // namespace
 
@@ -28,6 +30,11 @@
 void SuspicionTable::Stop(const NodeId& id) { timers_.erase(id); }
 
 void SuspicionTable::NoteRefutation(Timestamp now, const NodeId& id) {
+  if (refutations_.size() >= kMaxHistories) {
+    std::erase_if(refutations_, [&](const auto& entry) {
+      return now - entry.second.last > timeout_ * kRefutationMemory;
+    });
+  }
   auto& history = refutations_[id];
   if (now - history.last > timeout_ * kRefutationMemory) history.count = 0;
   history.count = std::min(history.count + 1, kMaxDampingFactor - 1);
--- a/src/membership/update_queue.h
+++ b/src/membership/update_queue.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <set>
+#include <tuple>
 #include <vector>
 
 #include "membership/member.h"
@@ -35,7 +36,9 @@
     std::uint64_t age = 0;  // Falls with each Add, so newer ones sort first.
     NodeId id;
 
-    auto operator<=>(const Place&) const = default;
+    bool operator<(const Place& other) const {
+      return std::tie(sends, age, id) < std::tie(other.sends, other.age, other.id);
+    }
   };
 
   std::uint64_t next_age_ = UINT64_MAX;
--- a/tests/membership/fleet_test.cc
+++ b/tests/membership/fleet_test.cc
@@ -8,6 +8,8 @@
 
 using std::chrono::seconds;
 
+double ToSeconds(Duration duration) { return static_cast<double>(duration.count()) / 1e6; }
+
 TEST(FleetTest, HerdStartEndsWithOneViewAndTheQuietFleetSendsOnePingPerInterval) {
   VirtualNetwork fleet({}, {});
   fleet.StartFleet(100, 5);
@@ -39,7 +41,7 @@
       fleet.RunUntil([&] { return fleet.StateAt(0, 3) == MemberState::kDead; }, GetParam().limit);
   const auto rest = fleet.RunUntil([&] { return fleet.DeadEverywhere(3); }, GetParam().limit);
   std::printf("%zu nodes: dead at one node after %.1f s, at all after %.1f s\n", GetParam().nodes,
-              first.count() / 1e6, (first + rest).count() / 1e6);
+              ToSeconds(first), ToSeconds(first + rest));
   EXPECT_LT(first + rest, GetParam().limit);
   EXPECT_EQ(fleet.FalseDeaths(), 0u);
 }
@@ -74,8 +76,7 @@
   const auto healed =
       fleet.RunUntil([&] { return fleet.AllAlive(50) && fleet.HashesAgree(); }, seconds(90));
   EXPECT_LT(healed, seconds(90));
-  std::printf("cut seen after %.1f s, healed after %.1f s\n", apart.count() / 1e6,
-              healed.count() / 1e6);
+  std::printf("cut seen after %.1f s, healed after %.1f s\n", ToSeconds(apart), ToSeconds(healed));
 }
 
 TEST(FleetTest, PausedNodeIsDeadAndWakesWithoutKillingOthers) {
@@ -97,5 +98,102 @@
   EXPECT_TRUE(fleet.AllAlive(30));
 }
 
+struct OneWayCase {
+  const char* name;
+  bool can_send;
+  bool can_receive;
+};
+
+class OneWayTest : public ::testing::TestWithParam<OneWayCase> {};
+
+// A node cut in one direction is dead for the others, and neither kills nor flaps them.
+TEST_P(OneWayTest, FleetStaysQuietAndRecovers) {
+  constexpr std::size_t kCut = 7;
+  constexpr std::size_t kNodes = 50;
+  VirtualNetwork fleet({}, {});
+  fleet.StartFleet(kNodes, 5);
+  fleet.RunFor(seconds(40));
+  const auto incarnations = fleet.IncarnationSum() - fleet.at(kCut).self().incarnation;
+  fleet.SetCut([](std::size_t from, std::size_t to) {
+    if (from == kCut) return !GetParam().can_send;
+    return to == kCut && !GetParam().can_receive;
+  });
+  const auto noticed = fleet.RunUntil([&] { return fleet.DeadEverywhere(kCut); }, seconds(60));
+  EXPECT_LT(noticed, seconds(60));
+  std::size_t false_deaths = 0;
+  std::size_t revivals = 0;
+  for (int second = 0; second < 300; ++second) {
+    fleet.RunFor(seconds(1));
+    false_deaths += fleet.FalseDeaths(kCut);
+    if (!fleet.DeadEverywhere(kCut)) ++revivals;
+  }
+  const auto refutations =
+      fleet.IncarnationSum() - fleet.at(kCut).self().incarnation - incarnations;
+  std::printf("%s: dead everywhere after %.1f s; refutations of others %u, false deaths %zu\n",
+              GetParam().name, ToSeconds(noticed), refutations, false_deaths);
+  EXPECT_EQ(false_deaths, 0u);
+  EXPECT_EQ(revivals, 0u);
+  EXPECT_LE(refutations, 8u);
+  fleet.SetCut(nullptr);
+  EXPECT_LT(
+      fleet.RunUntil([&] { return fleet.AllAlive(kNodes) && fleet.HashesAgree(); }, seconds(90)),
+      seconds(90));
+  const auto after = fleet.IncarnationSum() - fleet.at(kCut).self().incarnation - incarnations;
+  EXPECT_LE(after, 8u);
+}
+
+INSTANTIATE_TEST_SUITE_P(Directions, OneWayTest,
+                         ::testing::Values(OneWayCase{"sends only", true, false},
+                                           OneWayCase{"receives only", false, true},
+                                           OneWayCase{"cut off", false, false}));
+
+TEST(FleetTest, HerdRestartKeepsFloorsThatSurvivorsRemember) {
+  VirtualNetwork fleet({}, {.loss = 0.01});
+  fleet.StartFleet(60, 5);
+  for (std::size_t index = 0; index < 60; ++index) {
+    fleet.at(index).SetVersions({index % 2 == 0 ? 9u : 5u, 0, 1}, {});
+  }
+  fleet.RunFor(seconds(120));
+  for (std::size_t index = 0; index < 60; index += 2) fleet.Crash(index);
+  fleet.RunFor(seconds(60));
+  for (std::size_t index = 0; index < 60; index += 2) fleet.Start(index, 2);
+  fleet.RunFor(seconds(10));
+  for (std::size_t index = 0; index < 60; index += 2) {
+    EXPECT_TRUE(fleet.at(index).HeardFleet()) << index;
+    EXPECT_EQ(fleet.at(index).HighestHeard().major, 9u) << index;
+  }
+  EXPECT_LT(fleet.RunUntil([&] { return fleet.AllAlive(60) && fleet.HashesAgree(); }, seconds(90)),
+            seconds(90));
+}
+
+TEST(FleetTest, ViewsAgreeAfterChurnWithLoss) {
+  VirtualNetwork fleet({}, {.loss = 0.01, .duplication = 0.01, .seed = 3});
+  fleet.StartFleet(60, 5);
+  std::uint32_t incarnation = 2;
+  for (std::size_t round = 0; round < 60; ++round) {
+    const std::size_t victim = round * 7 % 60;
+    if (fleet.running(victim)) fleet.Crash(victim);
+    fleet.RunFor(seconds(round % 9));
+    fleet.Start(victim, incarnation++);
+  }
+  EXPECT_LT(fleet.RunUntil([&] { return fleet.AllAlive(60) && fleet.HashesAgree(); }, seconds(90)),
+            seconds(90));
+}
+
+TEST(FleetTest, LeavingIsKnownEverywhereBeforeTheNodeStops) {
+  VirtualNetwork fleet({}, {});
+  fleet.StartFleet(50, 5);
+  fleet.RunFor(seconds(40));
+  fleet.Leave(4);
+  fleet.RunFor(seconds(10));
+  for (std::size_t index = 0; index < 50; ++index) {
+    if (index == 4) continue;
+    EXPECT_EQ(fleet.StateAt(index, 4), MemberState::kLeaving);
+    EXPECT_EQ(fleet.at(index).Eligible().size(), 49u);
+  }
+  fleet.Crash(4);
+  EXPECT_LT(fleet.RunUntil([&] { return fleet.DeadEverywhere(4); }, seconds(30)), seconds(30));
+}
+
 }  // namespace
 }  // namespace copperlead
--- a/tests/membership/virtual_network.cc
+++ b/tests/membership/virtual_network.cc
@@ -1,6 +1,7 @@
 #include "tests/membership/virtual_network.h"
 
 #include <cstdio>
+#include <set>
 #include <utility>
 
 namespace copperlead {
@@ -102,14 +103,9 @@
     message->sender = node.membership->Summary();
     message->body = outgoing.body;
     ++messages_sent_;
-    ++node.messages_sent;
     bytes_sent_ += kHeaderBytes + kSummaryBytes;
     if (const auto* records = std::visit(RecordsOf{}, message->body)) {
       bytes_sent_ += kRecordBytes * records->size();
-      const bool is_list = std::holds_alternative<JoinReply>(message->body);
-      for (const auto& record : *records) {
-        if (!is_list && record.state == MemberState::kSuspect) ++suspicions_spread_;
-      }
     }
     const auto to = by_address_.find(outgoing.to);
     if (to == by_address_.end()) continue;
@@ -171,8 +167,6 @@
   return now_ - start;
 }
 
-MemberRecord VirtualNetwork::IdentityOf(std::size_t index) const { return nodes_[index].identity; }
-
 MemberState VirtualNetwork::StateAt(std::size_t observer, std::size_t subject) {
   const auto& members = at(observer).members();
   const auto found = members.find(nodes_[subject].identity.id);
@@ -192,18 +186,11 @@
 }
 
 bool VirtualNetwork::HashesAgree() {
-  const std::uint64_t* first = nullptr;
-  std::uint64_t value = 0;
-  for (std::size_t index = 0; index < size(); ++index) {
-    if (!running(index)) continue;
-    const auto hash = at(index).Summary().membership_hash;
-    if (first == nullptr) {
-      value = hash;
-      first = &value;
-    }
-    if (hash != value) return false;
+  std::set<std::uint64_t> hashes;
+  for (const auto& node : nodes_) {
+    if (node.membership) hashes.insert(node.membership->Summary().membership_hash);
   }
-  return true;
+  return hashes.size() <= 1;
 }
 
 bool VirtualNetwork::DeadEverywhere(std::size_t subject) {
@@ -214,23 +201,29 @@
   return true;
 }
 
-std::size_t VirtualNetwork::FalseDeaths() {
+std::size_t VirtualNetwork::FalseDeaths(std::size_t excluded) {
   std::size_t count = 0;
   for (std::size_t observer = 0; observer < size(); ++observer) {
-    if (!running(observer)) continue;
+    if (!running(observer) || observer == excluded) continue;
     for (std::size_t subject = 0; subject < size(); ++subject) {
-      if (subject == observer || !running(subject)) continue;
+      if (subject == observer || subject == excluded || !running(subject)) continue;
       if (StateAt(observer, subject) == MemberState::kDead) ++count;
     }
   }
   return count;
 }
 
+std::uint32_t VirtualNetwork::IncarnationSum() {
+  std::uint32_t sum = 0;
+  for (const auto& node : nodes_) {
+    if (node.membership) sum += node.membership->self().incarnation;
+  }
+  return sum;
+}
+
 void VirtualNetwork::ResetCounters() {
   messages_sent_ = 0;
   bytes_sent_ = 0;
-  suspicions_spread_ = 0;
-  for (auto& node : nodes_) node.messages_sent = 0;
 }
 
 }  // namespace copperlead
--- a/tests/membership/virtual_network.h
+++ b/tests/membership/virtual_network.h
@@ -51,7 +51,6 @@
   std::size_t size() const { return nodes_.size(); }
   bool running(std::size_t index) const { return nodes_[index].membership != nullptr; }
   Membership& at(std::size_t index) { return *nodes_[index].membership; }
-  MemberRecord IdentityOf(std::size_t index) const;
 
   // Node `observer`'s view of node `subject`; kDead when unknown.
   MemberState StateAt(std::size_t observer, std::size_t subject);
@@ -61,13 +60,13 @@
   bool HashesAgree();
   // True when every running node holds `subject` dead.
   bool DeadEverywhere(std::size_t subject);
-  // Records each (observer, subject) pair in which a running, connected subject is held dead.
-  std::size_t FalseDeaths();
+  // Number of pairs in which one running node holds another dead, without those of `excluded`.
+  std::size_t FalseDeaths(std::size_t excluded = SIZE_MAX);
+  // Sum of the incarnations of the running nodes.
+  std::uint32_t IncarnationSum();
 
   std::uint64_t messages_sent() const { return messages_sent_; }
   std::uint64_t bytes_sent() const { return bytes_sent_; }
-  std::uint64_t messages_sent(std::size_t index) const { return nodes_[index].messages_sent; }
-  std::uint64_t suspicions_spread() const { return suspicions_spread_; }
   void ResetCounters();
 
  private:
@@ -78,7 +77,6 @@
     std::uint64_t life = 0;  // Changes with each start, so old timers are void.
     bool paused = false;
     std::vector<std::pair<SocketAddress, std::shared_ptr<const Message>>> waiting;
-    std::uint64_t messages_sent = 0;
   };
   struct Event {
     Timestamp when{};
@@ -111,7 +109,6 @@
   Cut cut_;
   std::uint64_t messages_sent_ = 0;
   std::uint64_t bytes_sent_ = 0;
-  std::uint64_t suspicions_spread_ = 0;
 };
 
 }  // namespace copperlead
