--- a/tests/routing/request_router_test.cc
+++ b/tests/routing/request_router_test.cc
@@ -2,6 +2,10 @@
 
 #include <gtest/gtest.h>
 
+#include <string>
+#include <thread>
+#include <vector>
+
 #include "tests/routing/fleet.h"
 
 namespace copperlead {
@@ -38,5 +42,34 @@
   EXPECT_EQ(KindOf(router.Begin(facts)->Start(kStart)), ErrorKind::kDeadlineBeforeSend);
 }
 
+// Sessions of several threads while tables are swapped: for the thread sanitizer, and nothing
+// leaks.
+TEST(RequestRouterTest, ThreadsShareItWhileTablesAreSwapped) {
+  constexpr int kThreads = 4;
+  constexpr int kSessions = 1000;
+  RequestRouter router({}, 1);
+  router.Publish(kStart, MakeSnapshot({MakeRow()}, MakeMachines(4)));
+  std::vector<std::thread> threads;
+  for (int thread = 0; thread < kThreads; ++thread) {
+    threads.emplace_back([&, thread] {
+      for (int number = 0; number < kSessions; ++number) {
+        const Timestamp now = kStart + Milliseconds(number);
+        const auto session = router.Begin(MakeRequest("GET", std::to_string(number)));
+        if (!std::holds_alternative<SendAttempt>(session->Start(now))) continue;
+        if (number % 3 == thread % 3) session->OnFailure(now, AttemptFailure::kLostAfterWrite);
+        if (number % 3 == 1) session->OnAnswer(now, {});
+      }
+    });
+  }
+  for (int swap = 0; swap < 100; ++swap) {
+    const Timestamp now = kStart + Milliseconds(swap * 10);
+    router.Publish(now, MakeSnapshot({MakeRow()}, MakeMachines(2 + swap % 5)));
+    router.SetLiveNodes(now, 1 + swap % 3);
+  }
+  for (std::thread& thread : threads) thread.join();
+  EXPECT_EQ(router.in_flight(), 0U);
+  EXPECT_EQ(router.counters().requests, static_cast<std::uint64_t>(kThreads * kSessions));
+}
+
 }  // namespace
 }  // namespace copperlead
