--- a/src/admin/node_status.cc
+++ b/src/admin/node_status.cc
@@ -67,7 +67,7 @@
 std::optional<LedgerEntry> LastRefused(const VersionLedger& ledger) {
   const auto& entries = ledger.entries();
   const auto found = std::find_if(entries.rbegin(), entries.rend(), [&](const LedgerEntry& entry) {
-    return IsRefusal(entry.verdict) && !IsNewer(ledger.running(), entry.offered);
+    return IsRefusal(entry.verdict) && !IsNewer(ledger.running(), entry.offer.version);
   });
   if (found == entries.rend()) return std::nullopt;
   return *found;
--- a/src/admin/status_json.cc
+++ b/src/admin/status_json.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <nlohmann/json.hpp>
 
 #include "admin/node_status.h"
@@ -21,15 +22,25 @@
       {"revision", version.major}, {"resource_epoch", version.minor}, {"content", version.content}};
 }
 
+Json ToJson(const Offer& offer) {
+  return {{"origin", offer.origin},
+          {"version", ToJson(offer.version)},
+          {"faulty", offer.faulty},
+          {"missing", offer.missing},
+          {"table_digest", ToHex(offer.table_digest)}};
+}
+
+Json ToJson(const LedgerState& state) {
+  return {{"joining", state.joining},
+          {"running", ToJson(state.running)},
+          {"running_table", ToHex(state.running_table)},
+          {"floor", ToJson(state.floor)}};
+}
+
 Json ToJson(const LedgerEntry& entry) {
   return {{"when_us", entry.when.time_since_epoch().count()},
-          {"origin", entry.origin},
-          {"offered", ToJson(entry.offered)},
-          {"faulty", entry.faulty},
-          {"missing", entry.missing},
-          {"running_before", ToJson(entry.running_before)},
-          {"floor", ToJson(entry.floor)},
-          {"joining", entry.joining},
+          {"offer", ToJson(entry.offer)},
+          {"before", ToJson(entry.before)},
           {"verdict", Name(entry.verdict)},
           {"explanation", entry.explanation}};
 }
@@ -37,10 +48,10 @@
 // What `status` shows of a version that is not run.
 Json Summary(const std::optional<LedgerEntry>& entry) {
   if (!entry) return nullptr;
-  return {{"revision", entry->offered.major},
-          {"origin", entry->origin},
+  return {{"revision", entry->offer.version.major},
+          {"origin", entry->offer.origin},
           {"verdict", Name(entry->verdict)},
-          {"missing", entry->missing},
+          {"missing", entry->offer.missing},
           {"explanation", entry->explanation}};
 }
 
@@ -70,24 +81,56 @@
           json.at("content").get<std::uint64_t>()};
 }
 
-// Throws nlohmann's exceptions on a missing or mistyped field.
-LedgerEntry EntryFrom(const Json& json) {
-  LedgerEntry entry;
-  entry.when = Timestamp(Duration(json.at("when_us").get<std::int64_t>()));
-  entry.origin = json.at("origin").get<std::string>();
-  entry.offered = VersionFrom(json.at("offered"));
-  entry.faulty = json.at("faulty").get<bool>();
-  entry.missing = json.at("missing").get<std::vector<std::string>>();
-  entry.running_before = VersionFrom(json.at("running_before"));
-  entry.floor = VersionFrom(json.at("floor"));
-  entry.joining = json.at("joining").get<bool>();
-  entry.explanation = json.at("explanation").get<std::string>();
-  const auto name = json.at("verdict").get<std::string>();
+// Reads 64 hexadecimal digits, as ToHex writes them.
+Digest DigestFrom(const Json& json) {
+  constexpr int kHexadecimal = 16;
+  const auto text = json.get<std::string>();
+  Digest digest{};
+  if (text.size() != digest.size() * 2) throw std::invalid_argument("a digest has 64 digits");
+  for (std::size_t index = 0; index < digest.size(); ++index) {
+    const char* const first = text.data() + index * 2;
+    const auto [end, code] = std::from_chars(first, first + 2, digest[index], kHexadecimal);
+    if (code != std::errc() || end != first + 2) throw std::invalid_argument("not a digest");
+  }
+  return digest;
+}
+
+Offer OfferFrom(const Json& json) {
+  Offer offer;
+  offer.origin = json.at("origin").get<std::string>();
+  offer.version = VersionFrom(json.at("version"));
+  offer.faulty = json.at("faulty").get<bool>();
+  offer.missing = json.at("missing").get<std::vector<std::string>>();
+  offer.table_digest = DigestFrom(json.at("table_digest"));
+  return offer;
+}
+
+LedgerState StateFrom(const Json& json) {
+  LedgerState state;
+  state.joining = json.at("joining").get<bool>();
+  state.running = VersionFrom(json.at("running"));
+  state.running_table = DigestFrom(json.at("running_table"));
+  state.floor = VersionFrom(json.at("floor"));
+  return state;
+}
+
+VersionVerdict VerdictFrom(const Json& json) {
+  const auto name = json.get<std::string>();
   const auto* const found =
       std::find_if(kVerdicts.begin(), kVerdicts.end(),
                    [&](VersionVerdict verdict) { return Name(verdict) == name; });
   if (found == kVerdicts.end()) throw std::invalid_argument("unknown verdict \"" + name + "\"");
-  entry.verdict = *found;
+  return *found;
+}
+
+// Throws nlohmann's exceptions or std::invalid_argument on a missing or mistyped field.
+LedgerEntry EntryFrom(const Json& json) {
+  LedgerEntry entry;
+  entry.when = Timestamp(Duration(json.at("when_us").get<std::int64_t>()));
+  entry.offer = OfferFrom(json.at("offer"));
+  entry.before = StateFrom(json.at("before"));
+  entry.verdict = VerdictFrom(json.at("verdict"));
+  entry.explanation = json.at("explanation").get<std::string>();
   return entry;
 }
 
--- a/src/distribution/version_ledger.cc
+++ b/src/distribution/version_ledger.cc
@@ -16,18 +16,18 @@
   return text;
 }
 
-// One sentence for an operator about why `entry.offered` was judged so.
+// One sentence for an operator about why `entry.offer.version` was judged so.
 std::string Explain(const LedgerEntry& entry) {
-  const std::string offered = ToString(entry.offered);
-  const std::string running = ToString(entry.running_before);
-  const std::string from = " from " + entry.origin;
+  const std::string offered = ToString(entry.offer.version);
+  const std::string running = ToString(entry.before.running);
+  const std::string from = " from " + entry.offer.origin;
   switch (entry.verdict) {
     case VersionVerdict::kTaken:
       return "Version " + offered + from + " replaces version " + running + ".";
     case VersionVerdict::kAlreadyRunning:
       return "Version " + offered + from + " is the one that runs.";
     case VersionVerdict::kHeldIncomplete:
-      return "Version " + offered + from + " waits: its table names " + Join(entry.missing) +
+      return "Version " + offered + from + " waits: its table names " + Join(entry.offer.missing) +
              ", which is not there; version " + running + " stays.";
     case VersionVerdict::kHeldJoining:
       return "Version " + offered + from +
@@ -39,7 +39,7 @@
       return "Version " + offered + from +
              " is refused: peers run, or remember this node to have "
              "run, version " +
-             ToString(entry.floor) + "; publish a higher revision.";
+             ToString(entry.before.floor) + "; publish a higher revision.";
     case VersionVerdict::kRefusedConflict:
       return "Version " + offered + from + " is refused: version " + running +
              " runs with another table under the same revision; publish a higher revision.";
@@ -74,64 +74,57 @@
   return "unknown";
 }
 
+VersionVerdict DecideVersion(const LedgerState& state, const Offer& offer,
+                             const LedgerFaults& faults) {
+  const bool runs = !state.running.none();
+  if (runs && offer.version == state.running) return VersionVerdict::kAlreadyRunning;
+  const bool same_revision = runs && offer.version.major == state.running.major;
+  if (same_revision && offer.table_digest != state.running_table) {
+    if (!faults.replace_on_conflict) return VersionVerdict::kRefusedConflict;
+  } else if (runs && !Supersedes(offer.version, state.running) && !faults.accept_older) {
+    return VersionVerdict::kRefusedOlder;
+  }
+  if (IsNewer(state.floor, offer.version) && !faults.ignore_floor) {
+    return VersionVerdict::kRefusedFloor;
+  }
+  if (offer.faulty && !faults.accept_faulty) return VersionVerdict::kRefusedFaulty;
+  if (!offer.missing.empty() && !faults.accept_incomplete) return VersionVerdict::kHeldIncomplete;
+  if (state.joining) return VersionVerdict::kHeldJoining;
+  return VersionVerdict::kTaken;
+}
+
 VersionLedger::VersionLedger(const LedgerFaults& faults) : faults_(faults) {}
 
 VersionVerdict VersionLedger::Judge(Timestamp now, const Offer& offer) {
-  const VersionVerdict verdict = Decide(offer);
+  const VersionVerdict verdict = DecideVersion(state_, offer, faults_);
   Record(now, offer, verdict);
   if (verdict == VersionVerdict::kTaken) {
-    running_ = offer.version;
-    running_table_ = offer.table_digest;
+    state_.running = offer.version;
+    state_.running_table = offer.table_digest;
   }
   return verdict;
 }
 
 void VersionLedger::RaiseFloor(const DocumentVersion& floor) {
-  if (IsNewer(floor, floor_)) floor_ = floor;
+  if (IsNewer(floor, state_.floor)) state_.floor = floor;
 }
 
-void VersionLedger::SetJoining(bool joining) { joining_ = joining; }
-
-VersionVerdict VersionLedger::Decide(const Offer& offer) const {
-  const bool runs = !running_.none();
-  if (runs && offer.version == running_) return VersionVerdict::kAlreadyRunning;
-  const bool same_revision = runs && offer.version.major == running_.major;
-  if (same_revision && offer.table_digest != running_table_) {
-    if (!faults_.replace_on_conflict) return VersionVerdict::kRefusedConflict;
-  } else if (runs && !Supersedes(offer.version, running_) && !faults_.accept_older) {
-    return VersionVerdict::kRefusedOlder;
-  }
-  if (IsNewer(floor_, offer.version) && !faults_.ignore_floor) return VersionVerdict::kRefusedFloor;
-  if (offer.faulty && !faults_.accept_faulty) return VersionVerdict::kRefusedFaulty;
-  if (!offer.missing.empty() && !faults_.accept_incomplete) return VersionVerdict::kHeldIncomplete;
-  if (joining_) return VersionVerdict::kHeldJoining;
-  return VersionVerdict::kTaken;
-}
+void VersionLedger::SetJoining(bool joining) { state_.joining = joining; }
 
 void VersionLedger::Record(Timestamp now, const Offer& offer, VersionVerdict verdict) {
-  LedgerEntry entry;
-  entry.when = now;
-  entry.origin = offer.origin;
-  entry.offered = offer.version;
-  entry.table_digest = offer.table_digest;
-  entry.faulty = offer.faulty;
-  entry.missing = offer.missing;
-  entry.running_before = running_;
-  entry.floor = floor_;
-  entry.joining = joining_;
-  entry.verdict = verdict;
+  LedgerEntry entry{now, offer, state_, verdict, ""};
   entry.explanation = Explain(entry);
 
   const bool held =
       verdict == VersionVerdict::kHeldIncomplete || verdict == VersionVerdict::kHeldJoining;
   const bool taken = verdict == VersionVerdict::kTaken;
   // What waits is the newest version that was held and has not been overtaken since.
-  if (held && !(waiting_ && IsNewer(waiting_->offered, offer.version))) waiting_ = entry;
-  const bool judged_anew = waiting_ && waiting_->offered == offer.version;
+  if (held && !(waiting_ && IsNewer(waiting_->offer.version, offer.version))) waiting_ = entry;
+  const bool judged_anew = waiting_ && waiting_->offer.version == offer.version;
   if (!held && judged_anew) waiting_.reset();
-  if (taken && waiting_ && !IsNewer(waiting_->offered, offer.version)) waiting_.reset();
+  if (taken && waiting_ && !IsNewer(waiting_->offer.version, offer.version)) waiting_.reset();
   if (verdict == VersionVerdict::kRefusedConflict) conflict_ = entry;
-  if (taken && conflict_ && offer.version.major > conflict_->offered.major) conflict_.reset();
+  if (taken && conflict_ && offer.version.major > conflict_->offer.version.major) conflict_.reset();
 
   entries_.push_back(std::move(entry));
   if (entries_.size() > kMaxLedgerEntries) entries_.pop_front();
--- a/src/distribution/version_ledger.h
+++ b/src/distribution/version_ledger.h
@@ -27,28 +27,30 @@
 };
 std::string_view Name(VersionVerdict verdict);
 
-// One decision, as the journal and `status` show it. Holds no secret.
-struct LedgerEntry {
-  Timestamp when{};
+// A version offered to this node.
+struct Offer {
   std::string origin;  // "source" or the id of the peer that sent the version.
-  DocumentVersion offered;
-  Digest table_digest{};  // Of the offered table; tells a conflict from other secrets.
+  DocumentVersion version;
   bool faulty = false;
-  std::vector<std::string> missing;  // Names the offered bundle lacks.
-  DocumentVersion running_before;
+  std::vector<std::string> missing;  // Names that the offered bundle lacks.
+  Digest table_digest{};             // Tells a conflict from other secrets.
+};
+
+// What a verdict rests on besides the offer.
+struct LedgerState {
+  bool joining = true;  // While joining (at start, after a pause) nothing is taken.
+  DocumentVersion running;
+  Digest running_table{};
   DocumentVersion floor;
-  bool joining = false;
-  VersionVerdict verdict = VersionVerdict::kTaken;
-  std::string explanation;  // One sentence for an operator.
 };
 
-// The facts that a verdict rests on.
-struct Offer {
-  std::string origin;
-  DocumentVersion version;
-  bool faulty = false;
-  std::vector<std::string> missing;
-  Digest table_digest{};
+// One decision, as the journal and `status` show it. Holds no secret.
+struct LedgerEntry {
+  Timestamp when{};
+  Offer offer;
+  LedgerState before;
+  VersionVerdict verdict = VersionVerdict::kTaken;
+  std::string explanation;  // One sentence for an operator.
 };
 
 // Deliberately broken rules, for tests that show the checks can fail. Never set in a daemon.
@@ -60,6 +62,10 @@
   bool replace_on_conflict = false;
 };
 
+// The rule itself: the same state and offer always get the same verdict.
+VersionVerdict DecideVersion(const LedgerState& state, const Offer& offer,
+                             const LedgerFaults& faults = {});
+
 class VersionLedger {
  public:
   explicit VersionLedger(const LedgerFaults& faults = {});
@@ -69,26 +75,21 @@
 
   // Raises the floor to what a peer remembers or runs; never lowers it.
   void RaiseFloor(const DocumentVersion& floor);
-  // While joining (at start, after a pause) nothing is taken.
   void SetJoining(bool joining);
 
-  bool joining() const { return joining_; }
-  const DocumentVersion& running() const { return running_; }
-  const DocumentVersion& floor() const { return floor_; }
+  bool joining() const { return state_.joining; }
+  const DocumentVersion& running() const { return state_.running; }
+  const DocumentVersion& floor() const { return state_.floor; }
   // The version that waits for a resource, and the one that conflicts with the running one.
   const std::optional<LedgerEntry>& waiting() const { return waiting_; }
   const std::optional<LedgerEntry>& conflict() const { return conflict_; }
   const std::deque<LedgerEntry>& entries() const { return entries_; }
 
  private:
-  VersionVerdict Decide(const Offer& offer) const;
   void Record(Timestamp now, const Offer& offer, VersionVerdict verdict);
 
   LedgerFaults faults_;
-  bool joining_ = true;
-  DocumentVersion running_;
-  Digest running_table_{};
-  DocumentVersion floor_;
+  LedgerState state_;
   std::optional<LedgerEntry> waiting_;
   std::optional<LedgerEntry> conflict_;
   std::deque<LedgerEntry> entries_;  // At most kMaxLedgerEntries, oldest first.
--- a/tests/admin/journal_test.cc
+++ b/tests/admin/journal_test.cc
@@ -9,12 +9,10 @@
 LedgerEntry SomeEntry() {
   LedgerEntry entry;
   entry.when = Timestamp(Duration(1234567));
-  entry.origin = "node-2";
-  entry.offered = {8, 1, 0xFFFFFFFFFFFFFFFFU};
-  entry.missing = {"secret permit-token"};
-  entry.running_before = {7, 0, 42};
-  entry.floor = {6, 0, 41};
-  entry.joining = true;
+  entry.offer = {"node-2", {8, 1, 0xFFFFFFFFFFFFFFFFU}, true, {"secret permit-token"}, {}};
+  entry.offer.table_digest.fill(0xAB);
+  entry.before = {true, {7, 0, 42}, {}, {6, 0, 41}};
+  entry.before.running_table.fill(0x0F);
   entry.verdict = VersionVerdict::kHeldIncomplete;
   entry.explanation = "waits for \"permit-token\"\n";
   return entry;
@@ -27,12 +25,15 @@
   ASSERT_EQ(read.value().size(), 2U);
   const auto& entry = read.value()[0];
   EXPECT_EQ(entry.when, entries[0].when);
-  EXPECT_EQ(entry.origin, entries[0].origin);
-  EXPECT_EQ(entry.offered, entries[0].offered);
-  EXPECT_EQ(entry.missing, entries[0].missing);
-  EXPECT_EQ(entry.running_before, entries[0].running_before);
-  EXPECT_EQ(entry.floor, entries[0].floor);
-  EXPECT_EQ(entry.joining, entries[0].joining);
+  EXPECT_EQ(entry.offer.origin, entries[0].offer.origin);
+  EXPECT_EQ(entry.offer.version, entries[0].offer.version);
+  EXPECT_EQ(entry.offer.faulty, entries[0].offer.faulty);
+  EXPECT_EQ(entry.offer.missing, entries[0].offer.missing);
+  EXPECT_EQ(entry.offer.table_digest, entries[0].offer.table_digest);
+  EXPECT_EQ(entry.before.running, entries[0].before.running);
+  EXPECT_EQ(entry.before.running_table, entries[0].before.running_table);
+  EXPECT_EQ(entry.before.floor, entries[0].before.floor);
+  EXPECT_EQ(entry.before.joining, entries[0].before.joining);
   EXPECT_EQ(entry.verdict, entries[0].verdict);
   EXPECT_EQ(entry.explanation, entries[0].explanation);
 }
