Proxy: make the grace of a drain a constant

Cause: the thread sanitizer saw connection threads read the grace that Drain() had written; the eventfd between them is no order it knows.

Change: a constant of 500 ms in place of the shared value; a limit below it cuts idle connections only.

--- a/src/proxy/caller_connection.cc
+++ b/src/proxy/caller_connection.cc
@@ -25,8 +25,7 @@
   limits.watched_events = POLLIN;
   const IoStatus status = stream.AwaitReadable(limits);
   if (status != IoStatus::kWatched) return status == IoStatus::kOk;
-  // A request may be under way. Its answer will say that the connection closes.
-  return stream.AwaitReadable({services.drain_grace, std::nullopt}) == IoStatus::kOk;
+  return stream.AwaitReadable({kDrainGrace, std::nullopt}) == IoStatus::kOk;
 }
 
 HeadStep ReadHead(const ProxySettings& settings, SocketStream& stream, RequestHead& head,
--- a/src/proxy/caller_connection.h
+++ b/src/proxy/caller_connection.h
@@ -8,13 +8,16 @@
 
 namespace copperlead {
 
+// How long an idle connection waits for a last request when the server drains: one may be on its
+// way, and its answer says that the connection closes.
+inline constexpr Duration kDrainGrace = std::chrono::milliseconds(500);
+
 // What a connection needs beside the context. All outlive the connection.
 struct ConnectionServices {
   ProxyContext& context;
   ConnectionRegistry& registry;
   LingeringCloser& closer;
-  int drain_fd;           // Becomes readable when the server drains.
-  Duration& drain_grace;  // How long an idle connection then waits for a last request. Set before.
+  int drain_fd;  // Becomes readable when the server drains.
 };
 
 // Takes over `fd` and serves it until it ends. Runs in the connection's thread.
--- a/src/proxy/proxy_server.cc
+++ b/src/proxy/proxy_server.cc
@@ -23,7 +23,7 @@
 
 constexpr int kListenBacklog = 1024;  // The library asks for 5, which drops a storm's connections.
 constexpr int kStopCheckMicroseconds = 100'000;
-constexpr Duration kMaxDrainGrace = std::chrono::milliseconds(500);
+constexpr Duration kCutRound = std::chrono::milliseconds(100);  // Between looks after a cut.
 constexpr Duration kEvictableWait = std::chrono::seconds(1);
 
 // Set in the accepting thread while it runs a connection that no thread is left for.
@@ -160,7 +160,6 @@
     const std::lock_guard lock(drain_mutex_);
     if (!accepting_.joinable()) return true;
     const Timestamp end = SteadyClock().Now() + limit;
-    drain_grace_ = std::min(limit / 2, kMaxDrainGrace);
     context_.draining = true;
     listener_.StopAccepting();
     accepting_.join();
@@ -170,13 +169,13 @@
     const bool ended = threads_.WaitUntilIdle(left);
     const std::size_t cut = ended ? 0 : registry_.CutAll();
     if (cut > 0) LogError(LogLevel::kWarning, ErrorKind::kDraining, "proxy", "requests were cut");
-    while (!threads_.WaitUntilIdle(kMaxDrainGrace)) registry_.CutAll();
+    while (!threads_.WaitUntilIdle(kCutRound)) registry_.CutAll();
     context_.pool.CloseIdle();
     return cut == 0;
   }
 
  private:
-  ConnectionServices services() { return {context_, registry_, closer_, drain_fd_, drain_grace_}; }
+  ConnectionServices services() { return {context_, registry_, closer_, drain_fd_}; }
 
   void Serve(int fd) {
     if (refusing_connection) {
@@ -199,7 +198,6 @@
   ProxyContext context_;
   SocketAddress address_;
   const int drain_fd_;
-  Duration drain_grace_{};  // Set before drain_fd_ is.
   ConnectionRegistry registry_;
   LingeringCloser closer_;
   Listener listener_;
