Write CSV without a copy of each cell

Cause: sealing a bundle writes its table, and each node seals each version it gets. Change: cells are visited as views instead of collected as strings, and a plain loop finds the few characters that need quotes.

--- a/src/table/csv_writer.cc
+++ b/src/table/csv_writer.cc
@@ -1,5 +1,6 @@
 #include <csv.h>
 
+#include <algorithm>
 #include <string>
 #include <string_view>
 
@@ -12,9 +13,13 @@
 
 constexpr std::size_t kTypicalRowBytes = 96;
 
+bool NeedsQuotes(char character) {
+  return character == ',' || character == '"' || character == '\r' || character == '\n';
+}
+
 // Quoted only where RFC 4180 needs it, so that the table stays readable.
 void AppendCell(std::string& out, std::string_view cell) {
-  if (cell.find_first_of(",\"\r\n") == std::string_view::npos) {
+  if (std::ranges::none_of(cell, NeedsQuotes)) {
     out += cell;
     return;
   }
@@ -24,40 +29,23 @@
   csv_write(out.data() + begin, size, cell.data(), cell.size());
 }
 
-void AppendRow(std::string& out, const RowCells& cells) {
-  bool first = true;
-  for (const auto& cell : cells) {
-    if (!first) out += ',';
-    first = false;
-    AppendCell(out, cell);
-  }
-  out += '\n';
-}
-
 }  // namespace
 
-RowCells CellsOf(const RouteRow& row) {
-  return {row.service,
-          row.route,
-          std::to_string(row.old_weight),
-          std::to_string(row.new_weight),
-          std::to_string(row.timeout_ms),
-          std::to_string(row.requests_per_second),
-          std::to_string(row.max_in_flight),
-          std::to_string(row.max_retries),
-          std::string(Name(row.repeatable)),
-          row.secret};
-}
-
 std::string ToCsv(const Table& table) {
   std::string out;
   out.reserve((table.rows.size() + 1) * kTypicalRowBytes);
-  RowCells header;
-  for (std::size_t column = 0; column < kColumnCount; ++column) {
-    header[column] = kColumnNames[column];
+  for (const auto column : kColumnNames) {
+    out += column;
+    out += ',';
+  }
+  out.back() = '\n';
+  for (const auto& row : table.rows) {
+    VisitCells(row, [&](std::string_view cell) {
+      AppendCell(out, cell);
+      out += ',';
+    });
+    out.back() = '\n';
   }
-  AppendRow(out, header);
-  for (const auto& row : table.rows) AppendRow(out, CellsOf(row));
   return out;
 }
 
--- a/src/table/diff.cc
+++ b/src/table/diff.cc
@@ -1,19 +1,22 @@
 #include "table/diff.h"
 
+#include <string>
+#include <string_view>
+#include <vector>
+
 #include "table/row_cells.h"
 
 namespace copperlead {
 namespace {
 
 std::vector<CellChange> DiffCells(const RouteRow& before, const RouteRow& after) {
-  const RowCells before_cells = CellsOf(before);
-  const RowCells after_cells = CellsOf(after);
   std::vector<CellChange> changes;
-  for (std::size_t column = 0; column < kColumnCount; ++column) {
-    if (before_cells[column] == after_cells[column]) continue;
-    changes.push_back(
-        {std::string(kColumnNames[column]), before_cells[column], after_cells[column]});
-  }
+  VisitCells(before, [&](std::string_view cell) {
+    changes.push_back({std::string(kColumnNames[changes.size()]), std::string(cell), {}});
+  });
+  std::size_t column = 0;
+  VisitCells(after, [&](std::string_view cell) { changes[column++].after = cell; });
+  std::erase_if(changes, [](const CellChange& cell) { return cell.before == cell.after; });
   return changes;
 }
 
--- a/src/table/row_cells.h
+++ b/src/table/row_cells.h
@@ -1,10 +1,13 @@
 // The one place that maps a typed row to its cells in canonical column order. Internal to table/.
 #pragma once
 
-#include <array>
+#include <charconv>
 #include <cstddef>
-#include <string>
+#include <cstdint>
+#include <limits>
+#include <string_view>
 
+#include "table/cell.h"
 #include "table/csv.h"
 
 namespace copperlead {
@@ -25,9 +28,25 @@
   kSecretColumn,
 };
 
-using RowCells = std::array<std::string, kColumnCount>;
-
-// @return the cells of a row as text, in canonical order.
-RowCells CellsOf(const RouteRow& row);
+// Calls visit(std::string_view) with each cell of a row as text, in canonical order. The text lives
+// until visit returns.
+template <class Visitor>
+void VisitCells(const RouteRow& row, Visitor&& visit) {
+  const auto visit_number = [&](std::uint32_t number) {
+    char digits[std::numeric_limits<std::uint32_t>::digits10 + 1];
+    const auto end = std::to_chars(digits, digits + sizeof(digits), number).ptr;
+    visit(std::string_view(digits, static_cast<std::size_t>(end - digits)));
+  };
+  visit(std::string_view(row.service));
+  visit(std::string_view(row.route));
+  visit_number(row.old_weight);
+  visit_number(row.new_weight);
+  visit_number(row.timeout_ms);
+  visit_number(row.requests_per_second);
+  visit_number(row.max_in_flight);
+  visit_number(row.max_retries);
+  visit(Name(row.repeatable));
+  visit(std::string_view(row.secret));
+}
 
 }  // namespace copperlead
