--- a/src/snapshot/source_documents.h
+++ b/src/snapshot/source_documents.h
@@ -13,7 +13,7 @@
 namespace copperlead {
 
 // Largest body taken from the source, in bytes.
-inline constexpr std::size_t kMaxSourceBody = 32 * 1024 * 1024;
+inline constexpr std::size_t kMaxSourceBody = std::size_t{32} * 1024 * 1024;
 
 inline constexpr std::uint32_t kMaxServiceCapacity = 1'000'000;  // Slots or connections.
 
--- a/src/snapshot/transfer.h
+++ b/src/snapshot/transfer.h
@@ -14,7 +14,7 @@
 namespace copperlead {
 
 // Largest payload after decompression, in bytes; checked before anything is allocated.
-inline constexpr std::size_t kMaxDocumentBytes = 32 * 1024 * 1024;
+inline constexpr std::size_t kMaxDocumentBytes = std::size_t{32} * 1024 * 1024;
 
 // One version of one document, ready to send. Cheap to copy: the payload is shared.
 struct Transfer {
--- a/src/table/csv.h
+++ b/src/table/csv.h
@@ -36,7 +36,7 @@
     "max_in_flight", "max_retries", "repeatable", "secret"};
 
 // Bounds on one table.
-inline constexpr std::size_t kMaxTableBytes = 16 * 1024 * 1024;
+inline constexpr std::size_t kMaxTableBytes = std::size_t{16} * 1024 * 1024;
 inline constexpr std::size_t kMaxTableRows = 100'000;
 inline constexpr std::size_t kMaxNameLength = 200;    // Service and secret names, in bytes.
 inline constexpr std::size_t kMaxRouteLength = 1024;  // In bytes.
