Add the commands check, diff and plan

Cause: operators need every fault, the changed cells and a safe way of weights before they publish. The planning is a pure function: routes of a service move in proportion, so a site's need lies between that of the first and the last table; the need counts the worst split of the load that the routes' limits allow. Ruled out: an even split of the load over a service's routes, which would call a step safe that one busy route overloads.

--- a/src/snapshot/json_document.h
+++ b/src/snapshot/json_document.h
@@ -1,5 +1,5 @@
 // A JSON body from outside, read with bounds and without duplicate keys, whose values are fetched
-// by checked getters that report the place of a fault. Internal to snapshot/.
+// by checked getters that report the place of a fault. Used by snapshot/ and the toolbox.
 #pragma once
 
 #include <cstdint>
--- a/src/toolbox/commands.cc
+++ b/src/toolbox/commands.cc
@@ -4,6 +4,9 @@
 
 const std::vector<Command>& AllCommands() {
   static const std::vector<Command> commands = {
+      {"check", "every fault of a table or configuration", RunCheck},
+      {"diff", "the cells that differ between two tables", RunDiff},
+      {"plan", "weight steps that both sites' slots can carry", RunPlan},
       {"status", "revisions by zone, and who is behind", RunStatus},
       {"stepback", "the table of an earlier revision, to publish again", RunStepback},
   };
--- a/tests/snapshot/transfer_test.cc
+++ b/tests/snapshot/transfer_test.cc
@@ -211,6 +211,9 @@
     DocumentReader reader(bytes);
     EXPECT_THROW(read(reader), BadDocument);
   }
+  // The count itself is refused, before any item is allocated or read.
+  DocumentReader reader(bytes);
+  EXPECT_THROW(reader.Count(1), BadDocument);
 }
 
 // Damaged payloads never give another document than the one stated, and never crash.
