Let agents share one decoder of transfers

Cause: 1,000 agents in one process would each decode, check and keep every version: about 160 KB a bundle and 400 KB a machine list, times 16 kept versions, is over 8 GB (estimated from the sizes of rows, not measured). Change: decoding and checking stand behind TransferDecoder; AgentSettings may name one to share. The simulator's decodes each payload once and holds each version once; a daemon's decodes each transfer as before. Ruled out: sharing after activation, since each agent holds its own pointers.

--- a/src/distribution/agent.cc
+++ b/src/distribution/agent.cc
@@ -23,6 +23,10 @@
 // Distinct streams of random numbers from one seed.
 enum SeedSalt : std::uint64_t { kMembershipSeed = 1, kPollerSeed, kRepairSeed };
 
+TransferDecoder& DecoderOf(const AgentSettings& settings) {
+  return settings.decoder ? *settings.decoder : TransferDecoder::Plain();
+}
+
 MemberRecord WithoutVersion(MemberRecord record) {
   record.configuration = {};
   return record;
@@ -38,8 +42,8 @@
         membership_(settings_.membership, WithoutVersion(std::move(self)), seed + kMembershipSeed,
                     now),
         view_(membership_),
-        configuration_(settings_.faults, settings_.history_size, outbox_),
-        machines_(settings_.history_size, outbox_),
+        configuration_(settings_.faults, settings_.history_size, outbox_, DecoderOf(settings_)),
+        machines_(settings_.history_size, outbox_, DecoderOf(settings_)),
         configuration_pusher_(settings_, membership_, view_, configuration_, outbox_),
         machine_pusher_(settings_, membership_, view_, machines_, outbox_),
         configuration_repairer_(settings_, membership_, view_, configuration_, outbox_,
--- a/src/distribution/agent.h
+++ b/src/distribution/agent.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "distribution/event.h"
+#include "distribution/transfer_decoder.h"
 #include "distribution/version_ledger.h"
 #include "membership/membership.h"
 
@@ -42,6 +43,8 @@
   Duration pause_threshold = std::chrono::seconds(2);  // A later timer means the process slept.
   MembershipSettings membership;
   LedgerFaults faults;
+  // Shared between agents of one thread by the simulator; null: each transfer is decoded anew.
+  std::shared_ptr<TransferDecoder> decoder;
   // Offset of the wall clock's millisecond of day against `now`, for spreading polls over the
   // interval. Wrong clocks only spread them worse.
   std::int64_t wall_clock_offset_ms = 0;
--- a/src/distribution/configuration_stream.cc
+++ b/src/distribution/configuration_stream.cc
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "distribution/version_order.h"
-#include "table/csv.h"
 #include "table/validate.h"
 
 namespace copperlead {
@@ -14,9 +13,6 @@
 constexpr std::string_view kSourceOrigin = "source";
 constexpr std::string_view kPlace = "configuration";
 
-// The same checks as the reader's, on a table that a peer sent.
-bool HasFaults(const Table& table) { return !ParseCsv(ToCsv(table)).faults.empty(); }
-
 bool SameResources(const Bundle& left, const Bundle& right) {
   return left.services == right.services && left.secrets == right.secrets;
 }
@@ -35,13 +31,13 @@
   if (!Wants(transfer.version)) return Receipt::kNotTaken;
   const Bundle* base = transfer.whole() ? nullptr : store_.Find(transfer.base);
   if (!transfer.whole() && base == nullptr) return Receipt::kUnknownBase;
-  const auto decoded = Resolve([&] { return DecodeBundle(transfer, base); });
+  const auto decoded = Resolve([&] { return decoder_.Configuration(transfer, base); });
   if (!decoded) {
     outbox_.ReportOnce(decoded.error().kind, origin, decoded.error().cause);
     return Receipt::kUnreadable;
   }
-  const BundlePointer& bundle = decoded.value();
-  const VersionVerdict verdict = OfferBundle(now, origin, bundle, HasFaults(bundle->table));
+  const DecodedBundle& received = decoded.value();
+  const VersionVerdict verdict = OfferBundle(now, origin, received.bundle, received.faulty);
   if (verdict != VersionVerdict::kTaken) return Receipt::kNotTaken;
   store_.Remember(transfer);
   return Receipt::kTaken;
--- a/src/distribution/configuration_stream.h
+++ b/src/distribution/configuration_stream.h
@@ -11,6 +11,7 @@
 #include "distribution/document_store.h"
 #include "distribution/document_stream.h"
 #include "distribution/outbox.h"
+#include "distribution/transfer_decoder.h"
 #include "distribution/version_ledger.h"
 #include "snapshot/source_documents.h"
 
@@ -27,8 +28,9 @@
 
 class ConfigurationStream : public DocumentStream {
  public:
-  ConfigurationStream(const LedgerFaults& faults, std::size_t history_size, Outbox& outbox)
-      : outbox_(outbox), ledger_(faults), store_(history_size) {}
+  ConfigurationStream(const LedgerFaults& faults, std::size_t history_size, Outbox& outbox,
+                      TransferDecoder& decoder = TransferDecoder::Plain())
+      : outbox_(outbox), decoder_(decoder), ledger_(faults), store_(history_size) {}
 
   StreamKind kind() const override { return StreamKind::kConfiguration; }
   DocumentVersion running() const override { return store_.version(); }
@@ -61,6 +63,7 @@
   void ReportFaults(const ConfigurationDocument& document);
 
   Outbox& outbox_;
+  TransferDecoder& decoder_;
   VersionLedger ledger_;
   DocumentStore<Bundle> store_;
   BundlePointer held_;                   // From a peer, until the join ends.
--- a/src/distribution/machine_stream.cc
+++ b/src/distribution/machine_stream.cc
@@ -13,7 +13,7 @@
   if (!Wants(transfer.version)) return Receipt::kNotTaken;
   const MachineList* base = transfer.whole() ? nullptr : store_.Find(transfer.base);
   if (!transfer.whole() && base == nullptr) return Receipt::kUnknownBase;
-  const auto decoded = Resolve([&] { return DecodeMachines(transfer, base); });
+  const auto decoded = Resolve([&] { return decoder_.Machines(transfer, base); });
   if (!decoded) {
     outbox_.ReportOnce(decoded.error().kind, origin, decoded.error().cause);
     return Receipt::kUnreadable;
--- a/src/distribution/machine_stream.h
+++ b/src/distribution/machine_stream.h
@@ -5,12 +5,15 @@
 #include "distribution/document_store.h"
 #include "distribution/document_stream.h"
 #include "distribution/outbox.h"
+#include "distribution/transfer_decoder.h"
 
 namespace copperlead {
 
 class MachineStream : public DocumentStream {
  public:
-  MachineStream(std::size_t history_size, Outbox& outbox) : outbox_(outbox), store_(history_size) {}
+  MachineStream(std::size_t history_size, Outbox& outbox,
+                TransferDecoder& decoder = TransferDecoder::Plain())
+      : outbox_(outbox), decoder_(decoder), store_(history_size) {}
 
   StreamKind kind() const override { return StreamKind::kMachines; }
   DocumentVersion running() const override { return store_.version(); }
@@ -28,6 +31,7 @@
   void Run(const MachineListPointer& list);
 
   Outbox& outbox_;
+  TransferDecoder& decoder_;
   DocumentStore<MachineList> store_;
 };
 
--- a/src/simulation/options.cc
+++ b/src/simulation/options.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <array>
 
+#include "distribution/profiles.h"
+
 namespace copperlead::simulation {
 namespace {
 
@@ -92,7 +94,8 @@
 }
 
 AgentSettings AgentSettingsFor(const SimulationOptions& options) {
-  AgentSettings settings;
+  AgentSettings settings =
+      options.profile == NetworkProfile::kFerraris ? FerrarisProfile() : AvlakProfile();
   settings.strategy = options.strategy;
   if (options.broken.every_node_reads) settings.strategy = Strategy::kEveryNodePolls;
   if (options.broken.no_repair) settings.strategy = Strategy::kTreeOnly;
--- a/src/simulation/simulator.cc
+++ b/src/simulation/simulator.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "simulation/shared_decoder.h"
+
 namespace copperlead::simulation {
 namespace {
 
@@ -68,7 +70,9 @@
       traffic_(options.nodes),
       convergence_(options.nodes),
       machine_convergence_(options.nodes),
-      nodes_(options.nodes) {}
+      nodes_(options.nodes) {
+  agent_settings_.decoder = std::make_shared<SharedDecoder>();
+}
 
 Duration Simulator::elapsed() const { return now_ - kOrigin; }
 
