--- /dev/null
+++ b/tests/simulation/scenarios_test.cc
@@ -0,0 +1,83 @@
+// Every scenario keeps every rule, at 20 nodes in 5 zones and with several seeds.
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "simulation/report.h"
+#include "simulation/scenario.h"
+
+namespace copperlead::simulation {
+namespace {
+
+SimulationReport Run(const SimulationOptions& options) {
+  auto report = Resolve([&] { return RunSimulation(options); });
+  EXPECT_TRUE(report) << ToString(report.error());
+  return report.value();
+}
+
+SimulationOptions SmallFleet(std::string_view scenario, std::uint64_t seed) {
+  SimulationOptions options;
+  options.nodes = 20;
+  options.services = 8;
+  options.scenario = scenario;
+  options.seed = seed;
+  return options;
+}
+
+class ScenariosTest : public ::testing::TestWithParam<std::string_view> {};
+
+TEST_P(ScenariosTest, KeepsEveryRule) {
+  for (const std::uint64_t seed : {1, 2, 3}) {
+    const SimulationReport report = Run(SmallFleet(GetParam(), seed));
+    EXPECT_EQ(report.violation_count, 0u) << ToText(report, 0);
+    EXPECT_GT(report.checked_steps, 1000u);
+  }
+}
+
+std::vector<std::string_view> ScenarioNames() {
+  std::vector<std::string_view> names;
+  for (const Scenario& scenario : AllScenarios()) names.push_back(scenario.name);
+  return names;
+}
+
+INSTANTIATE_TEST_SUITE_P(All, ScenariosTest, ::testing::ValuesIn(ScenarioNames()),
+                         [](const auto& test) {
+                           std::string name(test.param);
+                           std::replace(name.begin(), name.end(), '-', '_');
+                           return name;
+                         });
+
+TEST(SimulationTest, SameSeedGivesTheSameReport) {
+  for (const std::string_view scenario : {"loss-1-percent", "chaos"}) {
+    const SimulationOptions options = SmallFleet(scenario, 5);
+    EXPECT_EQ(ToJson(Run(options), 0), ToJson(Run(options), 0));
+  }
+}
+
+TEST(SimulationTest, OtherSeedsGiveOtherRuns) {
+  const SimulationReport one = Run(SmallFleet("one-edit", 1));
+  const SimulationReport two = Run(SmallFleet("one-edit", 2));
+  EXPECT_NE(one.convergence_ms.p50, two.convergence_ms.p50);
+}
+
+TEST(SimulationTest, RefusesOptionsThatMakeNoSense) {
+  struct Case {
+    std::size_t nodes, zones, regions;
+    std::string scenario;
+  };
+  for (const Case& test : {Case{0, 1, 1, "quiet"}, Case{4, 5, 1, "quiet"}, Case{10, 2, 3, "quiet"},
+                           Case{10, 5, 2, "no-such-scenario"}}) {
+    SimulationOptions options;
+    options.nodes = test.nodes;
+    options.zones = test.zones;
+    options.regions = test.regions;
+    options.scenario = test.scenario;
+    const auto report = Resolve([&] { return RunSimulation(options); });
+    ASSERT_FALSE(report) << test.scenario;
+    EXPECT_EQ(report.error().kind, ErrorKind::kUsage);
+  }
+}
+
+}  // namespace
+}  // namespace copperlead::simulation
