--- a/src/distribution/agent.cc
+++ b/src/distribution/agent.cc
@@ -160,7 +160,6 @@
 }
 
 void Agent::Implementation::UpdateGate(Timestamp now) {
-  if (gate_.AskAgain(now)) outbox_.Send(membership_.Join(now));
   if (!gate_.Update(now)) return;
   configuration_.ledger().SetJoining(false);
   const SourceFinding finding = configuration_.OfferHeld(now);
@@ -172,6 +171,9 @@
   view_.Refresh(now);
   PollSituation situation;
   situation.has_document = !configuration_.running().none();
+  if (!situation.has_document && Repairs(StreamKind::kConfiguration)) {
+    configuration_repairer_.Seek(now);
+  }
   situation.role_allowed = !gate_.waiting();
   situation.heard_fleet = gate_.heard_fleet();
   situation.peer_ahead = configuration_repairer_.wanted();
@@ -179,6 +181,7 @@
   situation.rank = view_.own_rank();
   situation.zone_index = view_.zone_index();
   situation.zone_count = view_.zone_count();
+  situation.live_count = membership_.LiveCount();
   situation.view_changed_at = view_.changed_at();
   for (FetchFromSource& fetch : poller_.Check(now, situation)) {
     if (fetch.stream == StreamKind::kConfiguration) asked_at_ = configuration_.running();
--- a/src/distribution/fleet_view.h
+++ b/src/distribution/fleet_view.h
@@ -1,5 +1,5 @@
-// What the deciding code derives from the member list: zones, ranks, the own zone's members.
-// Rebuilt only when the list changed, since it costs O(n log n).
+// What the deciding code derives from the member list: each zone's readers and this node's rank.
+// Rebuilt only when eligibility changed, since that looks at every member.
 #pragma once
 
 #include <map>
@@ -17,23 +17,21 @@
   // Rebuilds the view when membership changed since. Cheap otherwise.
   void Refresh(Timestamp now);
 
-  // Eligible members by zone, ranked: the reader first.
-  const std::map<ZoneName, std::vector<MemberRecord>>& ranked_by_zone() const { return ranked_; }
-  // Eligible members of the own zone, ranked; this node among them unless it leaves.
-  const std::vector<MemberRecord>& own_zone() const;
+  // Reader and standby of each zone that has an eligible member.
+  const std::map<ZoneName, std::vector<MemberRecord>>& readers() const { return readers_; }
   // Rank of this node in its zone; the zone's size when it is not eligible.
   std::size_t own_rank() const { return own_rank_; }
   // Place of the own zone among the zones in order of name, for spreading polls over time.
   std::size_t zone_index() const { return zone_index_; }
-  std::size_t zone_count() const { return ranked_.empty() ? 1 : ranked_.size(); }
+  std::size_t zone_count() const { return readers_.empty() ? 1 : readers_.size(); }
+  // When Refresh last found another fleet than before.
   Timestamp changed_at() const { return changed_at_; }
 
  private:
   const Membership& membership_;
   bool built_ = false;
-  std::uint64_t membership_hash_ = 0;
-  std::size_t live_count_ = 0;
-  std::map<ZoneName, std::vector<MemberRecord>> ranked_;
+  std::uint64_t eligibility_version_ = 0;
+  std::map<ZoneName, std::vector<MemberRecord>> readers_;
   std::size_t own_rank_ = 0;
   std::size_t zone_index_ = 0;
   Timestamp changed_at_{};
--- a/src/distribution/join_gate.h
+++ b/src/distribution/join_gate.h
@@ -1,7 +1,7 @@
 // The bounded wait for peers before a node activates anything: at start and after a pause.
+// Membership asks them, and asks again; this only counts who answered.
 #pragma once
 
-#include <algorithm>
 #include <cstddef>
 #include <set>
 
@@ -19,7 +19,6 @@
   void Begin(Timestamp now) {
     waiting_ = true;
     started_ = now;
-    next_ask_ = now + kAskInterval;
     answered_.clear();
     heard_fleet_ = false;
   }
@@ -40,32 +39,20 @@
     return true;
   }
 
-  // @return true when it is time to ask peers again; then not before the next interval.
-  bool AskAgain(Timestamp now) {
-    if (!waiting_ || now < next_ask_) return false;
-    next_ask_ = now + kAskInterval;
-    return true;
-  }
-
   bool waiting() const { return waiting_; }
   // True once any peer was heard since Begin.
   bool heard_fleet() const { return heard_fleet_; }
   // True when the last wait ended without any answer.
   bool unverified() const { return unverified_; }
-  Timestamp NextDeadline() const {
-    return waiting_ ? std::min(started_ + wait_, next_ask_) : Timestamp::max();
-  }
+  Timestamp NextDeadline() const { return waiting_ ? started_ + wait_ : Timestamp::max(); }
 
  private:
-  static constexpr Duration kAskInterval = Milliseconds(700);
-
   Duration wait_;
   std::size_t quorum_;
   bool waiting_ = false;
   bool unverified_ = false;
   bool heard_fleet_ = false;
   Timestamp started_{};
-  Timestamp next_ask_{};
   std::set<NodeId> answered_;
 };
 
--- a/src/distribution/pusher.cc
+++ b/src/distribution/pusher.cc
@@ -16,23 +16,32 @@
   if (version_ == stream_.running()) return;
   version_ = stream_.running();
   forwarded_ = false;
+  started_ = false;
   tree_.reset();
   outstanding_.clear();
 }
 
-void Pusher::BuildTree(const NodeId& root) {
-  // A flat push is a tree in which all others are the root's children.
+void Pusher::BuildTree() {
+  if (tree_) return;
+  // In a flat push all members are heads.
   const bool flat = settings_.strategy == Strategy::kFlatPush;
-  const std::size_t fan_out = flat ? view_.own_zone().size() + 1 : settings_.fan_out;
-  tree_.emplace(version_, root, fan_out, view_.own_zone());
-  tree_root_ = root;
+  const std::vector<MemberRecord>& zone = membership_.EligibleInZone(membership_.self().zone);
+  tree_.emplace(version_, flat ? zone.size() : settings_.fan_out, zone);
 }
 
-void Pusher::SpreadInZone(Timestamp now) { Forward(now, membership_.self().id); }
+void Pusher::SpreadInZone(Timestamp now) {
+  StartVersion();
+  if (started_ || version_.none()) return;
+  started_ = true;
+  root_ = membership_.self().id;
+  BuildTree();
+  PushTo(now, tree_->Heads());
+  PushToOwnChildren(now);
+}
 
 void Pusher::SpreadEverywhere(Timestamp now) {
   SpreadInZone(now);
-  for (const auto& [zone, ranked] : view_.ranked_by_zone()) {
+  for (const auto& [zone, readers] : view_.readers()) {
     if (zone != membership_.self().zone) PushToReader(now, zone, kReaderRank);
   }
 }
@@ -40,29 +49,34 @@
 void Pusher::Forward(Timestamp now, const NodeId& root) {
   StartVersion();
   if (forwarded_ || version_.none()) return;
+  root_ = root;
+  BuildTree();
+  PushToOwnChildren(now);
+}
+
+void Pusher::PushToOwnChildren(Timestamp now) {
+  if (forwarded_) return;
   forwarded_ = true;
-  view_.Refresh(now);
-  BuildTree(root);
-  const std::optional<std::size_t> own_index = tree_->IndexOf(membership_.self().id);
-  if (own_index) PushToChildren(now, *own_index);
+  const std::optional<std::size_t> own_place = tree_->IndexOf(membership_.self().id);
+  if (own_place) PushTo(now, tree_->ChildrenOf(*own_place));
 }
 
-void Pusher::PushToChildren(Timestamp now, std::size_t index) {
-  for (const std::size_t child : tree_->ChildrenOf(index)) {
-    const MemberRecord& member = tree_->order()[child];
-    if (member.id == membership_.self().id) continue;
+void Pusher::PushTo(Timestamp now, const std::vector<std::size_t>& places) {
+  for (const std::size_t place : places) {
+    const MemberRecord& member = tree_->order()[place];
+    if (member.id == membership_.self().id || outstanding_.contains(member.id)) continue;
     Outstanding push;
     push.address = member.address;
-    push.root = tree_root_;
-    push.tree_index = child;
+    push.root = root_;
+    push.tree_index = place;
     Send(now, push, BaseFor(member.id));
     outstanding_[member.id] = std::move(push);
   }
 }
 
 void Pusher::PushToReader(Timestamp now, const ZoneName& zone, std::size_t rank) {
-  const auto found = view_.ranked_by_zone().find(zone);
-  if (found == view_.ranked_by_zone().end() || rank >= found->second.size()) return;
+  const auto found = view_.readers().find(zone);
+  if (found == view_.readers().end() || rank >= found->second.size()) return;
   const MemberRecord& reader = found->second[rank];
   const DocumentVersion known = KnownVersion(reader.id);
   if (known == version_ || IsNewer(known, version_)) return;
@@ -115,7 +129,7 @@
 
 void Pusher::GiveUp(Timestamp now, const Outstanding& push) {
   if (push.tree_index) {
-    PushToChildren(now, *push.tree_index);
+    PushTo(now, tree_->ChildrenOf(*push.tree_index));
   } else if (push.reader_rank < kStandbyRank) {
     PushToReader(now, push.zone, push.reader_rank + 1);
   }
--- a/src/distribution/pusher.h
+++ b/src/distribution/pusher.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <optional>
+#include <vector>
 
 #include "distribution/agent.h"
 #include "distribution/document_stream.h"
@@ -18,11 +19,12 @@
   Pusher(const AgentSettings& settings, const Membership& membership, FleetView& view,
          DocumentStream& stream, Outbox& outbox);
 
-  // Spreads what runs as the root of the own zone's tree; once per version.
+  // Starts what runs in the own zone: to the heads and this node's own children; once per version.
   void SpreadInZone(Timestamp now);
   // Also to the reader of each other zone. For the node that read the version from the source.
   void SpreadEverywhere(Timestamp now);
-  // Hands a received push on to this node's children in the tree of `root`; once per version.
+  // Hands a received push on to this node's children; once per version.
+  // @param root node that started the push in this zone, repeated in what is handed on.
   void Forward(Timestamp now, const NodeId& root);
 
   // A member said that it runs `version`: what was pushed to it is acknowledged.
@@ -44,14 +46,15 @@
     NodeId root;
     std::size_t attempts = 0;
     Timestamp next_retry{};
-    std::optional<std::size_t> tree_index;  // Set for a child in the own zone's tree.
+    std::optional<std::size_t> tree_index;  // Set for a member of the own zone.
     ZoneName zone;                          // Set for the reader of another zone, with its rank.
     std::size_t reader_rank = 0;
   };
 
   void StartVersion();
-  void BuildTree(const NodeId& root);
-  void PushToChildren(Timestamp now, std::size_t index);
+  void BuildTree();
+  void PushToOwnChildren(Timestamp now);
+  void PushTo(Timestamp now, const std::vector<std::size_t>& places);
   void PushToReader(Timestamp now, const ZoneName& zone, std::size_t rank);
   void Send(Timestamp now, Outstanding& push, const DocumentVersion& base);
   void GiveUp(Timestamp now, const Outstanding& push);
@@ -64,9 +67,10 @@
   DocumentStream& stream_;
   Outbox& outbox_;
   DocumentVersion version_;  // Of the outstanding pushes.
-  bool forwarded_ = false;   // Whether version_ went down the own zone's tree from here.
+  bool forwarded_ = false;   // Whether this node's children were pushed version_.
+  bool started_ = false;     // Whether this node started version_ in its zone.
   std::optional<PushTree> tree_;
-  NodeId tree_root_;
+  NodeId root_;
   std::map<NodeId, Outstanding> outstanding_;
 };
 
--- a/src/distribution/reader_election.cc
+++ b/src/distribution/reader_election.cc
@@ -3,30 +3,59 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <utility>
 
 namespace copperlead {
+namespace {
+
+struct Candidate {
+  std::uint64_t score;
+  const MemberRecord* member;
+};
+
+bool RanksBefore(const Candidate& left, const Candidate& right) {
+  if (left.score != right.score) return left.score > right.score;
+  return left.member->id < right.member->id;
+}
+
+std::vector<Candidate> Score(const ZoneName& zone,
+                             const std::vector<const MemberRecord*>& members) {
+  std::vector<Candidate> candidates;
+  candidates.reserve(members.size());
+  for (const MemberRecord* member : members) {
+    candidates.push_back({ReaderScore(zone, member->id), member});
+  }
+  return candidates;
+}
+
+}  // namespace
 
 std::uint64_t ReaderScore(const ZoneName& zone, const NodeId& id) {
   const std::uint64_t zone_hash = XXH3_64bits(zone.data(), zone.size());
   return XXH3_64bits_withSeed(id.data(), id.size(), zone_hash);
 }
 
-std::vector<MemberRecord> RankReaders(const ZoneName& zone, std::vector<MemberRecord> members) {
-  using Scored = std::pair<std::uint64_t, std::size_t>;
-  std::vector<Scored> scores;
-  scores.reserve(members.size());
-  for (std::size_t index = 0; index < members.size(); ++index) {
-    scores.emplace_back(ReaderScore(zone, members[index].id), index);
-  }
-  std::sort(scores.begin(), scores.end(), [&](const Scored& left, const Scored& right) {
-    if (left.first != right.first) return left.first > right.first;
-    return members[left.second].id < members[right.second].id;
-  });
-  std::vector<MemberRecord> ranked;
-  ranked.reserve(members.size());
-  for (const Scored& scored : scores) ranked.push_back(std::move(members[scored.second]));
-  return ranked;
+std::vector<MemberRecord> ElectReaders(const ZoneName& zone,
+                                       const std::vector<const MemberRecord*>& members,
+                                       std::size_t count) {
+  std::vector<Candidate> candidates = Score(zone, members);
+  const std::size_t elected = std::min(count, candidates.size());
+  const auto end = candidates.begin() + static_cast<std::ptrdiff_t>(elected);
+  std::partial_sort(candidates.begin(), end, candidates.end(), RanksBefore);
+  std::vector<MemberRecord> readers;
+  for (std::size_t rank = 0; rank < elected; ++rank) readers.push_back(*candidates[rank].member);
+  return readers;
+}
+
+std::size_t ReaderRank(const ZoneName& zone, const std::vector<const MemberRecord*>& members,
+                       const NodeId& id) {
+  const std::vector<Candidate> candidates = Score(zone, members);
+  const auto is_asked = [&](const Candidate& candidate) { return candidate.member->id == id; };
+  const auto asked = std::find_if(candidates.begin(), candidates.end(), is_asked);
+  if (asked == candidates.end()) return members.size();
+  const auto ahead =
+      std::count_if(candidates.begin(), candidates.end(),
+                    [&](const Candidate& candidate) { return RanksBefore(candidate, *asked); });
+  return static_cast<std::size_t>(ahead);
 }
 
 }  // namespace copperlead
--- a/src/distribution/reader_election.h
+++ b/src/distribution/reader_election.h
@@ -5,6 +5,7 @@
 // read, only the source's load is higher.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
@@ -19,8 +20,14 @@
 // @return the weight of a member in its zone's ranking; the highest is reader.
 std::uint64_t ReaderScore(const ZoneName& zone, const NodeId& id);
 
-// @param members of one zone, eligible for the role, in any order.
-// @return all of them, the reader first. Independent of the order given.
-std::vector<MemberRecord> RankReaders(const ZoneName& zone, std::vector<MemberRecord> members);
+// @param members of one zone, eligible for the role, in any order; none null.
+// @return the first `count` of the ranking, the reader first; fewer when there are fewer.
+std::vector<MemberRecord> ElectReaders(const ZoneName& zone,
+                                       const std::vector<const MemberRecord*>& members,
+                                       std::size_t count);
+
+// @return the place of `id` in the ranking; the number of members when it is not among them.
+std::size_t ReaderRank(const ZoneName& zone, const std::vector<const MemberRecord*>& members,
+                       const NodeId& id);
 
 }  // namespace copperlead
--- a/src/distribution/repairer.cc
+++ b/src/distribution/repairer.cc
@@ -52,6 +52,12 @@
   if (nearer || newer) source_ = heard;
 }
 
+void Repairer::Seek(Timestamp now) {
+  if (source_) return;
+  ChooseAnother();
+  if (source_) not_before_ = std::max(not_before_, now);
+}
+
 void Repairer::PullFrom(Timestamp now, const MemberRecord& peer, const DocumentVersion& version,
                         const DocumentVersion& have) {
   source_ = Peer{peer.id, peer.zone, peer.address, version};
--- a/src/distribution/repairer.h
+++ b/src/distribution/repairer.h
@@ -19,6 +19,9 @@
 
   // A peer said that it runs `version`.
   void Hear(Timestamp now, const MemberRecord& peer, const DocumentVersion& version);
+  // Looks through the member list for a peer that is ahead, unless one is known. Costs O(n): for
+  // nodes that run nothing yet.
+  void Seek(Timestamp now);
   // A peer's push could not be applied: ask it for what can be.
   // @param have the base it should start from; none: the whole document.
   void PullFrom(Timestamp now, const MemberRecord& peer, const DocumentVersion& version,
--- a/src/distribution/source_poller.cc
+++ b/src/distribution/source_poller.cc
@@ -13,10 +13,20 @@
 constexpr Duration kFirstCheckInterval = Milliseconds(500);
 // The member list must not have changed for this long before a first read.
 constexpr Duration kSettleTime = seconds(1);
-// A member list that never settles delays a first read by this at most.
-constexpr Duration kLongestSettleTime = seconds(10);
+// After this long without a change the list is taken to be whole, and no random wait is added.
+constexpr Duration kCertainTime = seconds(3);
+// The random wait grows with the members known, up to a limit: in a large fleet lists are still
+// partial when they seem settled, and many nodes take themselves for the reader.
+constexpr Duration kWaitPerMember = Milliseconds(20);
+constexpr Duration kLongestRandomWait = seconds(10);
+constexpr std::uint64_t kPerMille = 1000;
+// A member list that does not settle delays a first read by this and twice the random wait.
+constexpr Duration kUnsettledWait = seconds(2);
+// A node that runs a configuration polls once its list has been settled for kCertainTime, or this
+// long after its start: before, many nodes of a fleet that starts take themselves for the reader.
+constexpr Duration kUnsettledRoleWait = seconds(10);
 // Further wait per rank of a first read: the reader comes first.
-constexpr Duration kFirstReadStep = seconds(1);
+constexpr Duration kFirstReadStep = seconds(2);
 // Members of higher rank never do the first read while they hear the fleet.
 constexpr std::size_t kMaxFirstReadRank = 7;
 // Longest wait for a peer that is ahead but does not deliver.
@@ -44,6 +54,7 @@
   isolated_start_ = contact_count == 0 ? now + random_.UpTo(settings.join_wait)
                                        : now + settings.join_wait +
                                              random_.UpTo(kWaitPerContact * (uncertainty + 1));
+  first_read_draw_ = random_.Below(kPerMille + 1);
   own_phase_ = random_.UpTo(settings.source_interval);
   next_check_ = now + random_.UpTo(kFirstCheckInterval);
   if (!settings.has_source) next_check_ = Timestamp::max();
@@ -52,7 +63,10 @@
 std::vector<FetchFromSource> SourcePoller::Check(Timestamp now, const PollSituation& situation) {
   ExpireOutstanding(now);
   const bool everyone = settings_.strategy == Strategy::kEveryNodePolls;
-  is_reader_ = situation.role_allowed && (situation.rank == 0 || everyone);
+  const bool settled =
+      now >= std::min(situation.view_changed_at + kCertainTime, started_ + kUnsettledRoleWait);
+  may_poll_ = situation.role_allowed && (settled || everyone);
+  is_reader_ = may_poll_ && (situation.rank == 0 || everyone);
   UpdateKind();
   next_check_ = NextSlot(now, situation);
   std::vector<FetchFromSource> fetches;
@@ -82,7 +96,7 @@
   if (now < not_before_) return false;
   if (settings_.strategy == Strategy::kEveryNodePolls) return true;
   if (!situation.has_document) return MayReadFirst(now, situation);
-  return situation.role_allowed && IsDueByRank(now, situation.rank);
+  return may_poll_ && IsDueByRank(now, situation.rank);
 }
 
 // A herd that starts together must not read together. A node that hears the fleet waits until its
@@ -94,8 +108,13 @@
   const Duration rank_wait = RankWait(situation.rank);
   if (!situation.heard_fleet) return now >= isolated_start_ + rank_wait;
   if (situation.rank > kMaxFirstReadRank) return false;
-  const Timestamp settled = std::max(situation.view_changed_at, started_) + kSettleTime;
-  const Timestamp latest = started_ + kLongestSettleTime;
+  const auto live_count = static_cast<std::int64_t>(situation.live_count);
+  const Duration random_wait = std::min(kWaitPerMember * live_count, kLongestRandomWait) *
+                               static_cast<std::int64_t>(first_read_draw_) /
+                               static_cast<std::int64_t>(kPerMille);
+  const Timestamp changed = std::max(situation.view_changed_at, started_);
+  const Timestamp settled = changed + std::min(kSettleTime + random_wait, kCertainTime);
+  const Timestamp latest = started_ + kUnsettledWait + 2 * random_wait;
   return now >= std::min(settled, latest) + rank_wait;
 }
 
@@ -166,11 +185,13 @@
 
 void SourcePoller::Drop() {
   for (Stream& stream : streams_) stream.outstanding = false;
+  may_poll_ = false;
   is_reader_ = false;
   UpdateKind();
 }
 
-// Readers of different zones read at different parts of the interval by the wall clock.
+// Readers of different zones, and of different rank, read at different parts of the interval by the
+// wall clock.
 Timestamp SourcePoller::NextSlot(Timestamp now, const PollSituation& situation) const {
   const bool first = !situation.has_document;
   const bool by_zone = !first && settings_.strategy != Strategy::kEveryNodePolls;
@@ -178,7 +199,10 @@
       first ? std::min(settings_.source_interval, kFirstCheckInterval) : settings_.source_interval;
   const auto zone_index = static_cast<std::int64_t>(situation.zone_index);
   const auto zone_count = static_cast<std::int64_t>(std::max<std::size_t>(situation.zone_count, 1));
-  const Duration phase = by_zone ? interval * zone_index / zone_count : own_phase_;
+  const Duration zone_share = interval / zone_count;
+  const auto rank = static_cast<std::int64_t>(std::min(situation.rank, kMaxPollingRank));
+  const Duration rank_shift = zone_share * rank / static_cast<std::int64_t>(kMaxPollingRank + 1);
+  const Duration phase = by_zone ? zone_share * zone_index + rank_shift : own_phase_;
   const Duration wall = now.time_since_epoch() + Milliseconds(settings_.wall_clock_offset_ms);
   Duration wait = (phase - wall) % interval;
   if (wait <= Duration::zero()) wait += interval;
--- a/src/distribution/source_poller.h
+++ b/src/distribution/source_poller.h
@@ -25,6 +25,7 @@
   std::size_t rank = 0;       // In the own zone.
   std::size_t zone_index = 0;
   std::size_t zone_count = 1;
+  std::size_t live_count = 1;  // Members believed alive, this node included.
   Timestamp view_changed_at{};
 };
 
@@ -72,13 +73,15 @@
   const AgentSettings& settings_;
   RandomSource random_;
   Timestamp started_;
-  Timestamp isolated_start_;  // First read of a node that hears no peer.
-  Duration own_phase_;        // Of a node whose polls are not spread by zone.
+  Timestamp isolated_start_;       // First read of a node that hears no peer.
+  std::uint64_t first_read_draw_;  // Place of the first read in the random wait, per mille.
+  Duration own_phase_;             // Of a node whose polls are not spread by zone.
   Timestamp next_check_;
   Timestamp last_read_{};
   Timestamp not_before_{};  // Backoff after failures.
   std::size_t failures_in_a_row_ = 0;
-  bool is_reader_ = false;
+  bool may_poll_ = false;   // Whether the last check found this node fit to poll.
+  bool is_reader_ = false;  // Whether it did so, and at rank 0.
   std::array<Stream, kStreamCount> streams_;
   SourceState state_;
 };
--- /dev/null
+++ b/tests/distribution/agent_test.cc
@@ -0,0 +1,356 @@
+// Promises of the deciding code, each on a small fleet in virtual time with faults.
+#include "distribution/agent.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include "distribution/reader_election.h"
+#include "test_fleet.h"
+
+namespace copperlead {
+namespace {
+
+using std::chrono::seconds;
+using testing::IsEmpty;
+
+AgentSettings Fast() { return AgentSettings{}; }
+
+AgentSettings WithoutSource() {
+  AgentSettings settings;
+  settings.has_source = false;
+  return settings;
+}
+
+std::string ReaderOf(TestFleet& fleet, const std::string& zone, std::size_t rank = kReaderRank) {
+  const Membership& membership = fleet.nodes().begin()->second->agent->membership();
+  std::vector<const MemberRecord*> members;
+  for (const MemberRecord& member : membership.EligibleInZone(zone)) members.push_back(&member);
+  return ElectReaders(zone, members, rank + 1).at(rank).id;
+}
+
+// A fleet of 30 nodes in 3 zones that runs revision 1.
+class SettledFleet {
+ public:
+  explicit SettledFleet(std::uint64_t seed = 1, const AgentSettings& settings = Fast())
+      : fleet(seed) {
+    fleet.Publish({.revision = 1});
+    fleet.Fill(3, 10, settings);
+    EXPECT_TRUE(fleet.RunUntil([&] { return fleet.AllRun(1); }, seconds(30)));
+    fleet.RunFor(seconds(10));
+    fleet.total_reads = 0;
+  }
+  ~SettledFleet() { EXPECT_THAT(fleet.violations, IsEmpty()); }
+
+  TestFleet fleet;
+};
+
+TEST(AgentTest, ASingleNodeActivatesAfterTheWaitWithItsFloorUnverified) {
+  TestFleet fleet(1);
+  fleet.Publish({.revision = 7});
+  const Agent& agent = *fleet.Add("zone-a", Fast()).agent;
+  EXPECT_FALSE(fleet.RunUntil([&] { return agent.running() != nullptr; }, Milliseconds(2900)));
+  EXPECT_TRUE(fleet.RunUntil([&] { return agent.ready(); }, seconds(2)));
+  EXPECT_TRUE(agent.floor_unverified());
+  EXPECT_EQ(agent.running()->revision, 7U);
+}
+
+TEST(AgentTest, ANodeWithoutSourceGetsTheBundleFromItsPeer) {
+  for (const bool same_zone : {true, false}) {
+    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+      TestFleet fleet(seed);
+      fleet.Publish({.revision = 7});
+      fleet.Add("zone-a", seed % 2 == 0 ? Fast() : WithoutSource());
+      fleet.Add(same_zone ? "zone-a" : "zone-b", seed % 2 == 0 ? WithoutSource() : Fast());
+      EXPECT_TRUE(fleet.RunUntil([&] { return fleet.AllRun(7); }, seconds(15)));
+      fleet.Publish({.revision = 8, .new_weight = 10});
+      EXPECT_TRUE(fleet.RunUntil([&] { return fleet.AllRun(8); }, seconds(15)));
+    }
+  }
+}
+
+TEST(AgentTest, OneEditReachesAllWithinAPollDespiteLoss) {
+  SettledFleet settled;
+  TestFleet& fleet = settled.fleet;
+  fleet.loss = 0.05;
+  fleet.duplicates = 0.05;
+  for (std::uint64_t revision = 2; revision <= 8; ++revision) {
+    fleet.Publish({.revision = revision, .new_weight = static_cast<int>(revision)});
+    EXPECT_TRUE(fleet.RunUntil([&] { return fleet.AllRun(revision); }, seconds(3))) << revision;
+  }
+}
+
+TEST(AgentTest, FewNodesReadTheSourceHoweverMany) {
+  for (const std::size_t nodes_per_zone : {2U, 10U, 25U}) {
+    TestFleet fleet(nodes_per_zone);
+    fleet.Publish({.revision = 1});
+    fleet.Fill(2, nodes_per_zone, Fast());
+    EXPECT_TRUE(fleet.RunUntil([&] { return fleet.AllRun(1); }, seconds(30)));
+    EXPECT_LE(fleet.total_reads, 16U) << nodes_per_zone;
+    fleet.RunFor(seconds(5));
+    fleet.total_reads = 0;
+    fleet.RunFor(seconds(60));
+    // Two readers each second, and their standbys at a quarter and a sixteenth of that.
+    EXPECT_LE(fleet.total_reads, 170U) << nodes_per_zone;
+    EXPECT_GE(fleet.total_reads, 115U) << nodes_per_zone;
+  }
+}
+
+TEST(AgentTest, AnEditAtTheDeathOfAZonesReaderStillReachesAll) {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    SettledFleet settled(seed);
+    TestFleet& fleet = settled.fleet;
+    const std::string reader = ReaderOf(fleet, "zone-b");
+    ASSERT_TRUE(fleet.node(reader).agent->is_reader());
+    fleet.Kill(reader);
+    fleet.Publish({.revision = 2, .new_weight = 5});
+    EXPECT_TRUE(fleet.RunUntil([&] { return fleet.AllRun(2); }, seconds(5)));
+  }
+}
+
+TEST(AgentTest, ASourceBackInTimeIsRefusedLoudlyOnce) {
+  SettledFleet settled;
+  TestFleet& fleet = settled.fleet;
+  fleet.Publish({.revision = 5, .new_weight = 5});
+  ASSERT_TRUE(fleet.RunUntil([&] { return fleet.AllRun(5); }, seconds(5)));
+  EXPECT_EQ(fleet.CountReports(ErrorKind::kRevisionBehind), 0U);
+  fleet.Publish({.revision = 3, .new_weight = 3});
+  fleet.RunFor(seconds(10));
+  EXPECT_TRUE(fleet.AllRun(5));
+  const TestNode& reader = fleet.node(ReaderOf(fleet, "zone-a"));
+  EXPECT_EQ(reader.agent->source().kind, SourceState::Kind::kBehind);
+  EXPECT_EQ(reader.agent->source().behind_revision, 3U);
+  const std::size_t reports = fleet.CountReports(ErrorKind::kRevisionBehind);
+  EXPECT_GE(reports, 3U);
+  fleet.Publish({.revision = 3, .new_weight = 3});  // Another ETag, the same content.
+  fleet.RunFor(seconds(10));
+  EXPECT_EQ(fleet.CountReports(ErrorKind::kRevisionBehind), reports);
+  fleet.Publish({.revision = 6, .new_weight = 3});
+  EXPECT_TRUE(fleet.RunUntil([&] { return fleet.AllRun(6); }, seconds(5)));
+  fleet.RunFor(seconds(2));  // Until this reader itself has polled again.
+  EXPECT_EQ(reader.agent->source().kind, SourceState::Kind::kHealthy);
+}
+
+TEST(AgentTest, AConflictIsShownOnBothSidesAndEndedByAHigherRevision) {
+  SettledFleet settled;
+  TestFleet& fleet = settled.fleet;
+  const auto side = [](const std::string& id) { return id.substr(0, 6) == "zone-a"; };
+  fleet.link = [&](const std::string& from, const std::string& to) {
+    return side(from) == side(to);
+  };
+  fleet.Publish({.revision = 2, .new_weight = 10});
+  const auto side_runs = [&](bool left) {
+    for (const auto& [id, node] : fleet.nodes()) {
+      if (side(id) == left && node->agent->running()->revision != 2) return false;
+    }
+    return true;
+  };
+  for (const auto& [id, node] : fleet.nodes()) {
+    if (!side(id)) fleet.without_source.insert(id);
+  }
+  ASSERT_TRUE(fleet.RunUntil([&] { return side_runs(true); }, seconds(5)));
+  fleet.without_source.clear();
+  fleet.Publish({.revision = 2, .new_weight = 20});
+  ASSERT_TRUE(fleet.RunUntil([&] { return side_runs(false); }, seconds(40)));
+  fleet.link = [](const auto&, const auto&) { return true; };
+  std::size_t pulls = 0;
+  fleet.tap = [&](const TestNode&, const SocketAddress&, const Message& message) {
+    pulls += std::holds_alternative<Pull>(message.body) ? 1 : 0;
+  };
+  fleet.RunFor(seconds(30));
+  EXPECT_GE(fleet.CountReports(ErrorKind::kRevisionConflict), 1U);
+  EXPECT_LE(pulls, fleet.nodes().size());  // Each at most once, not again and again.
+  for (const auto& [id, node] : fleet.nodes()) {
+    EXPECT_EQ(node->agent->running()->table.rows[0].new_weight, side(id) ? 10U : 20U) << id;
+  }
+  fleet.Publish({.revision = 3, .new_weight = 30});
+  EXPECT_TRUE(fleet.RunUntil([&] { return fleet.AllRun(3); }, seconds(5)));
+  for (const auto& [id, node] : fleet.nodes()) {
+    EXPECT_FALSE(node->agent->ledger().conflict().has_value()) << id;
+  }
+}
+
+TEST(AgentTest, AnIncompleteTableWaitsAndAFaultyOneIsRefusedNamingItsPlace) {
+  SettledFleet settled;
+  TestFleet& fleet = settled.fleet;
+  // The secret vanishes: the running table still names it, so it is kept.
+  fleet.Publish({.revision = 2, .new_weight = 5, .secret = ""});
+  EXPECT_TRUE(fleet.RunUntil([&] { return fleet.AllRun(2); }, seconds(5)));
+  fleet.Publish({.revision = 3, .new_weight = 6, .faulty = true});
+  fleet.RunFor(seconds(5));
+  EXPECT_TRUE(fleet.AllRun(2));
+  const TestNode& reader = fleet.node(ReaderOf(fleet, "zone-a"));
+  EXPECT_THAT(reader.reports.back().text, testing::HasSubstr("row 2"));
+
+  TestFleet fresh(2);
+  fresh.Publish({.revision = 7, .secret = ""});
+  fresh.Fill(2, 2, Fast());
+  fresh.RunFor(seconds(20));
+  std::size_t waiting = 0;
+  for (const auto& [id, node] : fresh.nodes()) {
+    EXPECT_EQ(node->agent->running(), nullptr);
+    waiting += node->agent->ledger().waiting().has_value() ? 1 : 0;
+  }
+  EXPECT_GE(waiting, 1U);
+  EXPECT_GE(fresh.CountReports(ErrorKind::kIncomplete), 1U);
+  fresh.Publish({.revision = 7});
+  EXPECT_TRUE(fresh.RunUntil([&] { return fresh.AllRun(7); }, seconds(10)));
+  EXPECT_THAT(fresh.violations, IsEmpty());
+}
+
+TEST(AgentTest, ChangedSecretsRaiseTheEpochOnceForTheWholeFleet) {
+  SettledFleet settled;
+  TestFleet& fleet = settled.fleet;
+  fleet.Publish({.revision = 1, .secret = "second"});
+  const auto all_have = [&] {
+    for (const auto& [id, node] : fleet.nodes()) {
+      if (node->agent->running()->secrets.at("permit-token") != "second") return false;
+    }
+    return true;
+  };
+  EXPECT_TRUE(fleet.RunUntil(all_have, seconds(5)));
+  fleet.RunFor(seconds(20));
+  for (const auto& [id, node] : fleet.nodes()) {
+    EXPECT_EQ(node->agent->running()->resource_epoch, 1U) << id;
+  }
+}
+
+TEST(AgentTest, ARestartedNodeRefusesWhatLiesBelowItsFloor) {
+  SettledFleet settled;
+  TestFleet& fleet = settled.fleet;
+  fleet.Publish({.revision = 5, .new_weight = 5});
+  ASSERT_TRUE(fleet.RunUntil([&] { return fleet.AllRun(5); }, seconds(5)));
+  fleet.RunFor(seconds(5));
+  const std::string id = ReaderOf(fleet, "zone-a");
+  // Peers answer its join but hand it nothing; the source went back in time.
+  fleet.Publish({.revision = 4, .new_weight = 4});
+  fleet.without_source.clear();
+  fleet.Restart(id);
+  const auto cut = [&](const std::string& from, const std::string& to) {
+    return from != id && to != id;
+  };
+  fleet.RunFor(seconds(1));
+  fleet.link = cut;
+  fleet.RunFor(seconds(60));
+  const Agent& agent = *fleet.node(id).agent;
+  EXPECT_EQ(agent.ledger().floor().major, 5U);
+  EXPECT_TRUE(agent.running() == nullptr || agent.running()->revision >= 5);
+  fleet.link = [](const auto&, const auto&) { return true; };
+  EXPECT_TRUE(fleet.RunUntil([&] { return fleet.AllRun(5); }, seconds(60)));
+}
+
+TEST(AgentTest, LateRepeatedAndReorderedPushesNeverLowerAVersion) {
+  SettledFleet settled;
+  TestFleet& fleet = settled.fleet;
+  std::vector<std::pair<SocketAddress, std::shared_ptr<const Message>>> pushes;
+  fleet.tap = [&](const TestNode& from, const SocketAddress&, const Message& message) {
+    const bool push = std::holds_alternative<Push>(message.body);
+    if (push) pushes.emplace_back(from.address, std::make_shared<Message>(message));
+  };
+  fleet.max_delay = seconds(2);
+  for (std::uint64_t revision = 2; revision <= 6; ++revision) {
+    fleet.Publish({.revision = revision, .new_weight = static_cast<int>(revision)});
+    fleet.RunFor(Milliseconds(1500));
+  }
+  EXPECT_TRUE(fleet.RunUntil([&] { return fleet.AllRun(6); }, seconds(30)));
+  fleet.tap = nullptr;
+  ASSERT_FALSE(pushes.empty());
+  for (const auto& [from, message] : pushes) {
+    for (auto& [id, node] : fleet.nodes()) fleet.Deliver(id, MessageReceived{from, message});
+  }
+  fleet.RunFor(seconds(10));
+  EXPECT_TRUE(fleet.AllRun(6));
+}
+
+TEST(AgentTest, BusyPeersSpreadAHerdOfJoiningNodes) {
+  AgentSettings settings = Fast();
+  settings.whole_transfers_per_second = 1;
+  SettledFleet settled(3, settings);
+  TestFleet& fleet = settled.fleet;
+  std::size_t busy = 0;
+  fleet.tap = [&](const TestNode&, const SocketAddress&, const Message& message) {
+    busy += std::holds_alternative<Busy>(message.body) ? 1 : 0;
+  };
+  const std::string survivor = fleet.nodes().begin()->first;
+  for (auto& [id, node] : fleet.nodes()) {
+    if (id != survivor) fleet.Restart(id);
+  }
+  EXPECT_TRUE(fleet.RunUntil([&] { return fleet.AllRun(1); }, seconds(40)));
+  EXPECT_GE(busy, 1U);
+}
+
+TEST(AgentTest, APausedReaderHoldsNoRoleAndTakesNothingUntilItHeardTheFleet) {
+  SettledFleet settled;
+  TestFleet& fleet = settled.fleet;
+  const std::string id = ReaderOf(fleet, "zone-a");
+  const Agent& agent = *fleet.node(id).agent;
+  fleet.Publish({.revision = 2, .new_weight = 2});
+  ASSERT_TRUE(fleet.RunUntil([&] { return fleet.AllRun(2); }, seconds(5)));
+  fleet.Pause(id);
+  fleet.RunFor(seconds(60));
+  fleet.Publish({.revision = 3, .new_weight = 3});
+  fleet.RunFor(seconds(5));
+  fleet.link = [&](const std::string& from, const std::string& to) {
+    return from != id && to != id;
+  };
+  const std::uint64_t reads = fleet.node(id).source_reads;
+  fleet.Resume(id);
+  EXPECT_TRUE(agent.ledger().joining());
+  EXPECT_FALSE(agent.is_reader());
+  EXPECT_TRUE(agent.ready());
+  fleet.RunFor(seconds(2));
+  EXPECT_EQ(fleet.node(id).source_reads, reads);
+  EXPECT_EQ(agent.running()->revision, 2U);
+  fleet.link = [](const auto&, const auto&) { return true; };
+  EXPECT_TRUE(fleet.RunUntil([&] { return fleet.AllRun(3); }, seconds(20)));
+  EXPECT_FALSE(agent.ledger().joining());
+}
+
+TEST(AgentTest, AReaderThatLeavesHandsItsRoleOn) {
+  SettledFleet settled;
+  TestFleet& fleet = settled.fleet;
+  const std::string id = ReaderOf(fleet, "zone-a");
+  const std::string standby = ReaderOf(fleet, "zone-a", kStandbyRank);
+  fleet.Deliver(id, StopRequested{});
+  EXPECT_FALSE(fleet.node(id).agent->is_reader());
+  EXPECT_TRUE(fleet.RunUntil([&] { return fleet.node(standby).agent->is_reader(); }, seconds(3)));
+  fleet.Kill(id);
+  fleet.Publish({.revision = 2, .new_weight = 2});
+  EXPECT_TRUE(fleet.RunUntil([&] { return fleet.AllRun(2); }, seconds(3)));
+}
+
+TEST(AgentTest, ReadersBackOffDuringAnOutageAndReturnWithoutAStorm) {
+  SettledFleet settled;
+  TestFleet& fleet = settled.fleet;
+  fleet.source_down = true;
+  fleet.RunFor(seconds(300));
+  EXPECT_LE(fleet.total_reads, 300U);  // Ten nodes may ever read; without backoff 1,200 and more.
+  fleet.source_down = false;
+  fleet.total_reads = 0;
+  fleet.Publish({.revision = 2, .new_weight = 2});
+  EXPECT_TRUE(fleet.RunUntil([&] { return fleet.AllRun(2); }, seconds(30)));
+  EXPECT_LE(fleet.total_reads, 20U);
+}
+
+TEST(AgentTest, StatusAsksOnlyMembersThatMayLag) {
+  SettledFleet settled;
+  TestFleet& fleet = settled.fleet;
+  const std::string id = fleet.nodes().begin()->first;
+  std::size_t queries = 0;
+  fleet.tap = [&](const TestNode&, const SocketAddress&, const Message& message) {
+    queries += std::holds_alternative<StatusQuery>(message.body) ? 1 : 0;
+  };
+  fleet.RunFor(seconds(30));
+  fleet.Deliver(id, StatusRequested{});
+  EXPECT_EQ(queries, 0U);
+  fleet.Publish({.revision = 2, .new_weight = 2});
+  ASSERT_TRUE(fleet.RunUntil([&] { return fleet.AllRun(2); }, seconds(3)));
+  fleet.Deliver(id, StatusRequested{});
+  EXPECT_GE(queries, 1U);
+  fleet.RunFor(seconds(1));
+  queries = 0;
+  fleet.Deliver(id, StatusRequested{});
+  EXPECT_EQ(queries, 0U);
+}
+
+}  // namespace
+}  // namespace copperlead
--- /dev/null
+++ b/tests/distribution/test_fleet.h
@@ -0,0 +1,127 @@
+// A small fleet of Agents in virtual time: lossy, slow links that can be cut, one source, and a
+// check after every activation. For up to some tens of nodes.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "distribution/agent.h"
+#include "distribution/random_source.h"
+
+namespace copperlead {
+
+inline constexpr std::string_view kTestHeader =
+    "service,route,old_weight,new_weight,timeout_ms,requests_per_second,max_in_flight,max_retries,"
+    "repeatable,secret\n";
+
+// A configuration as the source would show it: one route, its weight and its secret's value.
+struct TestEdit {
+  std::uint64_t revision = 1;
+  int new_weight = 0;
+  std::string secret = "first";  // Empty: the source lacks the secret that the table names.
+  bool faulty = false;           // Weights that do not sum to 100.
+};
+std::shared_ptr<const ConfigurationDocument> MakeDocument(const TestEdit& edit);
+
+// One node's life.
+struct TestNode {
+  std::string id;
+  std::string zone;
+  SocketAddress address;
+  std::vector<SocketAddress> contacts;
+  AgentSettings settings;
+  std::unique_ptr<Agent> agent;
+  std::uint64_t life = 0;  // Of the current agent; events of earlier lives are dropped.
+  Timestamp timer{};       // When the next TimerFired is due.
+  bool paused = false;
+  std::vector<Event> backlog;              // Arrived during the pause.
+  std::vector<BundlePointer> activations;  // Of this life.
+  std::vector<Report> reports;
+  std::uint64_t source_reads = 0;
+};
+
+class TestFleet {
+ public:
+  explicit TestFleet(std::uint64_t seed) : random_(seed), seed_(seed) {}
+
+  // Adds a node "zone/number" with the first nodes added as contacts, and starts it.
+  TestNode& Add(const std::string& zone, const AgentSettings& settings);
+  void Fill(std::size_t zones, std::size_t nodes_per_zone, const AgentSettings& settings);
+  // Starts a node anew with nothing remembered.
+  void Restart(const std::string& id);
+  void Kill(const std::string& id);
+  void Pause(const std::string& id);
+  void Resume(const std::string& id);
+  // Hands an event to a node now.
+  void Deliver(const std::string& id, const Event& event);
+
+  void Publish(const TestEdit& edit) { Publish(MakeDocument(edit)); }
+  void Publish(std::shared_ptr<const ConfigurationDocument> document);
+
+  void RunFor(Duration duration);
+  // @return true when the condition came to hold within the limit.
+  bool RunUntil(const std::function<bool()>& condition, Duration limit);
+  bool AllRun(std::uint64_t revision) const;
+  std::vector<std::string> IdsOf(const std::string& zone) const;
+  TestNode& node(const std::string& id) { return *nodes_.at(id); }
+  std::map<std::string, std::unique_ptr<TestNode>>& nodes() { return nodes_; }
+  Timestamp now() const { return now_; }
+  std::size_t CountReports(ErrorKind kind) const;
+
+  // --- Faults ---
+  double loss = 0.0;
+  Duration max_delay = Milliseconds(5);  // Delays are random up to this: messages overtake.
+  double duplicates = 0.0;
+  bool source_down = false;
+  std::set<std::string> without_source;  // Nodes whose reads fail.
+  // True when a message may pass. By node id.
+  std::function<bool(const std::string&, const std::string&)> link = [](const auto&, const auto&) {
+    return true;
+  };
+  // Sees every message that is sent.
+  std::function<void(const TestNode& from, const SocketAddress& to, const Message&)> tap;
+
+  std::uint64_t total_reads = 0;        // Of the configuration.
+  std::vector<std::string> violations;  // Of the rules that must always hold.
+
+ private:
+  struct Scheduled {
+    Timestamp when;
+    std::uint64_t order;
+    std::string node;
+    std::uint64_t life;
+    std::function<Event()> make;  // Null: a timer.
+    bool operator<(const Scheduled& other) const {
+      return when != other.when ? when > other.when : order > other.order;
+    }
+  };
+
+  void Start(TestNode& node);
+  void Schedule(Timestamp when, const TestNode& node, std::function<Event()> make);
+  void Step(TestNode& node, const Event& event);
+  void Carry(TestNode& node, const Action& action);
+  void Transmit(const TestNode& from, const SendMessage& send);
+  void Fetch(TestNode& node, const FetchFromSource& fetch);
+  void CheckActivation(TestNode& node, const BundlePointer& bundle);
+  bool RunNext(Timestamp limit);
+  SourceAnswered Answer(const std::string& id, const FetchFromSource& fetch) const;
+
+  RandomSource random_;
+  std::uint64_t seed_;
+  Timestamp now_ = Timestamp(std::chrono::hours(1));
+  std::uint64_t order_ = 0;
+  std::priority_queue<Scheduled> queue_;
+  std::map<std::string, std::unique_ptr<TestNode>> nodes_;
+  std::map<SocketAddress, std::string> by_address_;
+  std::vector<SocketAddress> first_contacts_;
+  std::shared_ptr<const ConfigurationDocument> document_;
+  std::string etag_;
+  std::uint64_t publications_ = 0;
+};
+
+}  // namespace copperlead
