--- a/src/distribution/fleet_view.cc
+++ b/src/distribution/fleet_view.cc
@@ -12,7 +12,8 @@
   changed_at_ = now;
 
   std::map<ZoneName, std::vector<const MemberRecord*>> by_zone;
-  for (const MemberRecord& member : membership_.Eligible()) {
+  const std::vector<MemberRecord> eligible = membership_.Eligible();
+  for (const MemberRecord& member : eligible) {
     by_zone[member.zone].push_back(&member);
   }
   const MemberRecord& self = membership_.self();
--- a/src/distribution/pusher.cc
+++ b/src/distribution/pusher.cc
@@ -25,7 +25,7 @@
   if (tree_) return;
   // In a flat push all members are heads.
   const bool flat = settings_.strategy == Strategy::kFlatPush;
-  const std::vector<MemberRecord>& zone = membership_.EligibleInZone(membership_.self().zone);
+  const std::vector<MemberRecord> zone = membership_.EligibleInZone(membership_.self().zone);
   tree_.emplace(version_, flat ? zone.size() : settings_.fan_out, zone);
 }
 
--- a/tests/distribution/agent_test.cc
+++ b/tests/distribution/agent_test.cc
@@ -23,8 +23,9 @@
 
 std::string ReaderOf(TestFleet& fleet, const std::string& zone, std::size_t rank = kReaderRank) {
   const Membership& membership = fleet.nodes().begin()->second->agent->membership();
+  const std::vector<MemberRecord> eligible = membership.EligibleInZone(zone);
   std::vector<const MemberRecord*> members;
-  for (const MemberRecord& member : membership.EligibleInZone(zone)) members.push_back(&member);
+  for (const MemberRecord& member : eligible) members.push_back(&member);
   return ElectReaders(zone, members, rank + 1).at(rank).id;
 }
 
