--- a/src/distribution/agent.h
+++ b/src/distribution/agent.h
@@ -62,8 +62,8 @@
  public:
   // @param self this node's identity; incarnation should rise between lives (e.g. wall-clock
   //        seconds at start).
-  Agent(const AgentSettings& settings, MemberRecord self, std::vector<SocketAddress> contacts,
-        std::uint64_t seed, Timestamp now);
+  Agent(const AgentSettings& settings, MemberRecord self,
+        const std::vector<SocketAddress>& contacts, std::uint64_t seed, Timestamp now);
   ~Agent();
   Agent(const Agent&) = delete;
   Agent& operator=(const Agent&) = delete;
--- /dev/null
+++ b/src/distribution/agent_implementation.cc
@@ -0,0 +1,231 @@
+#include "distribution/agent_implementation.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace copperlead {
+namespace {
+
+// Distinct streams of random numbers from one seed.
+enum SeedSalt : std::uint64_t {
+  kMembershipSeed = 1,
+  kPollerSeed,
+  kConfigurationRepairSeed,
+  kMachineRepairSeed,
+  kSeedsPerNode,
+};
+
+std::uint64_t Salted(std::uint64_t seed, SeedSalt salt) { return seed * kSeedsPerNode + salt; }
+
+MemberRecord WithoutVersion(MemberRecord record) {
+  record.configuration = {};
+  return record;
+}
+
+}  // namespace
+
+Agent::Implementation::Implementation(const AgentSettings& settings, MemberRecord self,
+                                      const std::vector<SocketAddress>& contacts,
+                                      std::uint64_t seed, Timestamp now)
+    : settings_(settings),
+      membership_(settings_.membership, WithoutVersion(std::move(self)),
+                  Salted(seed, kMembershipSeed), now),
+      view_(membership_),
+      configuration_(settings_.faults, settings_.history_size, outbox_),
+      machines_(settings_.history_size, outbox_),
+      configuration_pusher_(settings_, membership_, view_, configuration_, outbox_),
+      machine_pusher_(settings_, membership_, view_, machines_, outbox_),
+      configuration_repairer_(settings_, membership_, view_, configuration_, outbox_,
+                              Salted(seed, kConfigurationRepairSeed)),
+      machine_repairer_(settings_, membership_, view_, machines_, outbox_,
+                        Salted(seed, kMachineRepairSeed)),
+      poller_(settings_, contacts.size(), Salted(seed, kPollerSeed), now),
+      admission_(settings_.whole_transfers_per_second),
+      gate_(settings_.join_wait, settings_.join_quorum),
+      deadline_(now) {
+  membership_.AddContacts(contacts);
+}
+
+std::vector<Action> Agent::Implementation::Step(Timestamp now, const Event& event) {
+  if (!started_) {
+    Start(now);
+  } else if (now > deadline_ + settings_.pause_threshold) {
+    WakeFromPause(now);
+  }
+  std::visit([&](const auto& typed) { On(now, typed); }, event);
+  Pursue(now);
+  membership_.SetVersions(configuration_.running(), machines_.running());
+  UpdateDeadline(now);
+  return outbox_.has_messages() ? outbox_.Take(membership_.Summary()) : outbox_.Take();
+}
+
+void Agent::Implementation::Start(Timestamp now) {
+  started_ = true;
+  BeginJoin(now);
+}
+
+void Agent::Implementation::BeginJoin(Timestamp now) {
+  configuration_.ledger().SetJoining(true);
+  gate_.Begin(now);
+  outbox_.Send(membership_.Join(now));
+}
+
+// The process did not run for a while: what it believed of the fleet is old. It keeps running the
+// version it runs, but holds no role and takes nothing until it has heard the fleet again.
+void Agent::Implementation::WakeFromPause(Timestamp now) {
+  poller_.Drop();
+  configuration_pusher_.Drop();
+  machine_pusher_.Drop();
+  configuration_repairer_.Drop();
+  machine_repairer_.Drop();
+  if (!leaving_) BeginJoin(now);
+}
+
+void Agent::Implementation::On(Timestamp now, const TimerFired& /*event*/) {
+  if (now >= membership_.NextDeadline()) outbox_.Send(membership_.Tick(now));
+}
+
+// What is due after any event.
+void Agent::Implementation::Pursue(Timestamp now) {
+  UpdateGate(now);
+  configuration_pusher_.Tick(now);
+  machine_pusher_.Tick(now);
+  configuration_repairer_.Tick(now);
+  machine_repairer_.Tick(now);
+  PollSource(now);
+}
+
+void Agent::Implementation::UpdateGate(Timestamp now) {
+  if (!gate_.Update(now)) return;
+  configuration_.ledger().SetJoining(false);
+  const SourceFinding finding = configuration_.OfferHeld(now);
+  if (finding == SourceFinding::kTaken) SpreadFromSource(now, configuration_pusher_);
+}
+
+void Agent::Implementation::PollSource(Timestamp now) {
+  if (leaving_ || !poller_.Due(now)) return;
+  view_.Refresh(now);
+  PollSituation situation;
+  situation.has_document = !configuration_.running().none();
+  if (!situation.has_document && Repairs(StreamKind::kConfiguration)) {
+    configuration_repairer_.Seek(now);
+  }
+  situation.role_allowed = !gate_.waiting();
+  situation.heard_fleet = gate_.heard_fleet();
+  situation.peer_ahead = configuration_repairer_.wanted();
+  situation.has_machines = !machines_.running().none();
+  situation.rank = view_.own_rank();
+  situation.zone_index = view_.zone_index();
+  situation.zone_count = view_.zone_count();
+  situation.live_count = membership_.LiveCount();
+  situation.view_changed_at = view_.changed_at();
+  for (FetchFromSource& fetch : poller_.Check(now, situation)) {
+    if (fetch.stream == StreamKind::kConfiguration) asked_at_ = configuration_.running();
+    outbox_.Add(std::move(fetch));
+  }
+}
+
+void Agent::Implementation::On(Timestamp now, const SourceAnswered& event) {
+  const AnswerUse use = poller_.Accept(now, event);
+  if (use == AnswerUse::kReportFailure) {
+    outbox_.Add(Report{event.error.kind, event.error.place, event.error.cause});
+  }
+  if (use != AnswerUse::kTake) return;
+  if (event.status == SourceAnswered::Status::kNotModified) return;
+  if (event.stream == StreamKind::kMachines) {
+    if (!machines_.ReceiveFromSource(event.machines)) return;
+    SeedMembership(now);
+    SpreadFromSource(now, machine_pusher_);
+    return;
+  }
+  if (event.configuration == nullptr) return;
+  const SourceFinding finding =
+      configuration_.ReceiveFromSource(now, event.configuration, asked_at_);
+  const bool behind = finding == SourceFinding::kBehind;
+  poller_.SetBehind(behind ? event.configuration->bundle.revision : 0);
+  if (finding == SourceFinding::kTaken) SpreadFromSource(now, configuration_pusher_);
+}
+
+void Agent::Implementation::SpreadFromSource(Timestamp now, Pusher& pusher) {
+  if (!Pushes()) return;
+  view_.Refresh(now);
+  pusher.SpreadEverywhere(now);
+}
+
+void Agent::Implementation::On(Timestamp now, const StopRequested& /*event*/) {
+  if (leaving_) return;
+  leaving_ = true;
+  poller_.Drop();
+  outbox_.Send(membership_.Leave(now));
+}
+
+void Agent::Implementation::SeedMembership(Timestamp now) {
+  std::vector<MemberRecord> seeds;
+  for (const Machine& machine : machines_.list()->machines) {
+    if (machine.kind != MachineKind::kNode || machine.id == membership_.self().id) continue;
+    MemberRecord record;
+    record.id = machine.id;
+    record.zone = machine.zone;
+    record.address = machine.address;
+    const bool leaves = machine.state == MachineState::kLeaving;
+    record.state = leaves ? MemberState::kLeaving : MemberState::kAlive;
+    seeds.push_back(std::move(record));
+  }
+  membership_.AddSeeds(now, seeds);
+  if (!seeds.empty()) RejoinForSeeds(now);
+}
+
+// The list named nodes while nobody had been heard: they are asked before anything is activated.
+void Agent::Implementation::RejoinForSeeds(Timestamp now) {
+  const bool pointless = gate_.heard_fleet() || !configuration_.running().none();
+  if (pointless || rejoined_for_seeds_) return;
+  rejoined_for_seeds_ = true;
+  BeginJoin(now);
+}
+
+void Agent::Implementation::UpdateDeadline(Timestamp now) {
+  Timestamp deadline = membership_.NextDeadline();
+  deadline = std::min(deadline, gate_.NextDeadline());
+  deadline = std::min(deadline, configuration_pusher_.NextDeadline());
+  deadline = std::min(deadline, machine_pusher_.NextDeadline());
+  deadline = std::min(deadline, configuration_repairer_.NextDeadline());
+  deadline = std::min(deadline, machine_repairer_.NextDeadline());
+  if (!leaving_) deadline = std::min(deadline, poller_.NextDeadline());
+  deadline_ = std::max(deadline, now);
+}
+
+DocumentStream& Agent::Implementation::StreamOf(StreamKind kind) {
+  if (kind == StreamKind::kConfiguration) return configuration_;
+  return machines_;
+}
+
+Pusher& Agent::Implementation::PusherOf(StreamKind kind) {
+  return kind == StreamKind::kConfiguration ? configuration_pusher_ : machine_pusher_;
+}
+
+Repairer& Agent::Implementation::RepairerOf(StreamKind kind) {
+  return kind == StreamKind::kConfiguration ? configuration_repairer_ : machine_repairer_;
+}
+
+bool Agent::Implementation::Pushes() const {
+  return settings_.strategy != Strategy::kGossipOnly &&
+         settings_.strategy != Strategy::kEveryNodePolls;
+}
+
+// The baselines without repair still hand a node that has nothing its first document.
+bool Agent::Implementation::Repairs(StreamKind kind) {
+  switch (settings_.strategy) {
+    case Strategy::kFull:
+    case Strategy::kGossipOnly:
+      return true;
+    case Strategy::kEveryNodePolls:
+      return false;
+    case Strategy::kFlatPush:
+    case Strategy::kTreeOnly:
+      return StreamOf(kind).running().none();
+  }
+  return true;
+}
+
+}  // namespace copperlead
--- /dev/null
+++ b/src/distribution/agent_implementation.h
@@ -0,0 +1,86 @@
+// The parts of an Agent and how events reach them. Private to the distribution module.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "distribution/admission.h"
+#include "distribution/agent.h"
+#include "distribution/configuration_stream.h"
+#include "distribution/fleet_view.h"
+#include "distribution/join_gate.h"
+#include "distribution/machine_stream.h"
+#include "distribution/outbox.h"
+#include "distribution/pusher.h"
+#include "distribution/repairer.h"
+#include "distribution/source_poller.h"
+
+namespace copperlead {
+
+class Agent::Implementation {
+ public:
+  Implementation(const AgentSettings& settings, MemberRecord self,
+                 const std::vector<SocketAddress>& contacts, std::uint64_t seed, Timestamp now);
+
+  std::vector<Action> Step(Timestamp now, const Event& event);
+
+  AgentSettings settings_;
+  Outbox outbox_;
+  Membership membership_;
+  FleetView view_;
+  ConfigurationStream configuration_;
+  MachineStream machines_;
+  Pusher configuration_pusher_;
+  Pusher machine_pusher_;
+  Repairer configuration_repairer_;
+  Repairer machine_repairer_;
+  SourcePoller poller_;
+  Admission admission_;
+  JoinGate gate_;
+  Timestamp deadline_;  // The last one given out.
+  bool started_ = false;
+  bool leaving_ = false;
+  bool rejoined_for_seeds_ = false;
+  DocumentVersion asked_at_;  // What ran when the source was last asked.
+  NodeId status_cursor_;      // Last member that was queried.
+
+ private:
+  void On(Timestamp now, const TimerFired& event);
+  void On(Timestamp now, const MessageReceived& event);
+  void On(Timestamp now, const SourceAnswered& event);
+  void On(Timestamp now, const StopRequested& event);
+  void On(Timestamp now, const StatusRequested& event);
+
+  void OnBody(Timestamp now, const MemberRecord& sender, const Push& push);
+  void OnBody(Timestamp now, const MemberRecord& sender, const PushAck& acknowledgement);
+  void OnBody(Timestamp now, const MemberRecord& sender, const Pull& pull);
+  void OnBody(Timestamp now, const MemberRecord& sender, const Busy& busy);
+  void OnBody(Timestamp now, const MemberRecord& sender, const JoinReply& reply);
+  void OnBody(Timestamp now, const MemberRecord& sender, const StatusQuery& query);
+  template <class Other>
+  void OnBody(Timestamp /*now*/, const MemberRecord& /*sender*/, const Other& /*body*/) {}
+
+  void AskForReadable(Timestamp now, const MemberRecord& sender, const Transfer& transfer,
+                      Receipt receipt);
+  void HandOn(Timestamp now, const MemberRecord& sender, const Push& push, bool taken);
+
+  void Start(Timestamp now);
+  void WakeFromPause(Timestamp now);
+  void BeginJoin(Timestamp now);
+  void UpdateGate(Timestamp now);
+  void HearSummary(Timestamp now, const NodeSummary& sender);
+  void Pursue(Timestamp now);
+  void PollSource(Timestamp now);
+  void SpreadFromSource(Timestamp now, Pusher& pusher);
+  void SeedMembership(Timestamp now);
+  void RejoinForSeeds(Timestamp now);
+  void UpdateDeadline(Timestamp now);
+
+  DocumentStream& StreamOf(StreamKind kind);
+  Pusher& PusherOf(StreamKind kind);
+  Repairer& RepairerOf(StreamKind kind);
+  bool Pushes() const;
+  bool Repairs(StreamKind kind);
+};
+
+}  // namespace copperlead
--- /dev/null
+++ b/src/distribution/agent_messages.cc
@@ -0,0 +1,136 @@
+// How an Agent takes messages of peers and answers operators' questions about them.
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "distribution/agent_implementation.h"
+#include "distribution/version_order.h"
+
+namespace copperlead {
+namespace {
+
+// Members asked for their summary per StatusRequested.
+constexpr std::size_t kMaxStatusQueries = 50;
+
+}  // namespace
+
+void Agent::Implementation::On(Timestamp now, const MessageReceived& event) {
+  const Message& message = *event.message;
+  outbox_.Send(membership_.Handle(now, event.from, message));
+  MemberRecord sender = message.sender.record;
+  if (sender.id == membership_.self().id) return;
+  gate_.HearMessage();
+  HearSummary(now, message.sender);
+  std::visit([&](const auto& body) { OnBody(now, sender, body); }, message.body);
+}
+
+void Agent::Implementation::HearSummary(Timestamp now, const NodeSummary& sender) {
+  const MemberRecord& record = sender.record;
+  if (gate_.waiting()) configuration_.ledger().RaiseFloor(record.configuration);
+  configuration_pusher_.HearVersion(record.id, record.configuration);
+  machine_pusher_.HearVersion(record.id, sender.machines);
+  if (Repairs(StreamKind::kConfiguration)) {
+    configuration_repairer_.Hear(now, record, record.configuration);
+  }
+  if (Repairs(StreamKind::kMachines)) machine_repairer_.Hear(now, record, sender.machines);
+}
+
+void Agent::Implementation::OnBody(Timestamp /*now*/, const MemberRecord& sender,
+                                   const JoinReply& reply) {
+  gate_.HearReply(sender.id);
+  configuration_.ledger().RaiseFloor(reply.remembered);
+  configuration_.ledger().RaiseFloor(membership_.HighestHeard());
+}
+
+void Agent::Implementation::OnBody(Timestamp now, const MemberRecord& sender, const Push& push) {
+  const StreamKind kind = push.transfer.stream;
+  DocumentStream& stream = StreamOf(kind);
+  const Receipt receipt = stream.Receive(now, push.transfer, sender.id);
+  if (receipt == Receipt::kUnknownBase || receipt == Receipt::kUnreadable) {
+    AskForReadable(now, sender, push.transfer, receipt);
+    return;
+  }
+  RepairerOf(kind).HearAnswer(sender.id);
+  const bool taken = receipt == Receipt::kTaken;
+  if (taken && kind == StreamKind::kMachines) SeedMembership(now);
+  const bool settled = !IsNewer(push.transfer.version, stream.running());
+  if (settled) outbox_.Send(sender.address, PushAck{kind, stream.running()});
+  if (stream.running() == push.transfer.version) HandOn(now, sender, push, taken);
+}
+
+void Agent::Implementation::AskForReadable(Timestamp now, const MemberRecord& sender,
+                                           const Transfer& transfer, Receipt receipt) {
+  Repairer& repairer = RepairerOf(transfer.stream);
+  if (transfer.whole()) {
+    repairer.HearUnreadable(now);
+    return;
+  }
+  const bool lacks_base = receipt == Receipt::kUnknownBase;
+  const DocumentVersion have = lacks_base ? StreamOf(transfer.stream).running() : DocumentVersion{};
+  repairer.PullFrom(now, sender, transfer.version, have);
+}
+
+// Spreads what a peer sent. A version that came from another zone is started here: by whoever was
+// chosen for it there, or by the reader when it had to pull it.
+void Agent::Implementation::HandOn(Timestamp now, const MemberRecord& sender, const Push& push,
+                                   bool taken) {
+  if (!Pushes() || leaving_) return;
+  Pusher& pusher = PusherOf(push.transfer.stream);
+  const bool from_other_zone = sender.zone != membership_.self().zone;
+  const bool pulled = push.root.empty();
+  if (pulled) {
+    if (taken && from_other_zone && poller_.is_reader()) pusher.SpreadInZone(now);
+  } else if (from_other_zone) {
+    pusher.SpreadInZone(now);
+  } else {
+    pusher.Forward(now, push.root);
+  }
+}
+
+void Agent::Implementation::OnBody(Timestamp /*now*/, const MemberRecord& sender,
+                                   const PushAck& acknowledgement) {
+  PusherOf(acknowledgement.stream).HearVersion(sender.id, acknowledgement.version);
+}
+
+void Agent::Implementation::OnBody(Timestamp now, const MemberRecord& sender, const Pull& pull) {
+  DocumentStream& stream = StreamOf(pull.stream);
+  if (!Supersedes(stream.running(), pull.have)) return;
+  if (PusherOf(pull.stream).RepeatFrom(now, sender.id, pull.have)) return;
+  Transfer transfer = stream.TransferFrom(pull.have);
+  if (transfer.whole() && !admission_.Admit(now)) {
+    const auto wait = std::chrono::ceil<Milliseconds>(admission_.Promise(now));
+    outbox_.Send(sender.address, Busy{pull.stream, static_cast<std::uint32_t>(wait.count())});
+    return;
+  }
+  outbox_.Send(sender.address, Push{std::move(transfer), {}});
+}
+
+void Agent::Implementation::OnBody(Timestamp now, const MemberRecord& sender, const Busy& busy) {
+  RepairerOf(busy.stream).HearBusy(now, sender.id, Milliseconds(busy.retry_after_ms));
+}
+
+void Agent::Implementation::OnBody(Timestamp /*now*/, const MemberRecord& sender,
+                                   const StatusQuery& /*query*/) {
+  outbox_.Send(sender.address, StatusReply{});
+}
+
+// Asks members that may lag for their summary, a bounded number at a time in turn. One that is
+// known to run the newest version need not be asked: it never falls below.
+void Agent::Implementation::On(Timestamp /*now*/, const StatusRequested& /*event*/) {
+  const std::map<NodeId, Member>& members = membership_.members();
+  auto next = members.upper_bound(status_cursor_);
+  std::size_t asked = 0;
+  for (std::size_t seen = 0; seen < members.size() && asked < kMaxStatusQueries; ++seen) {
+    if (next == members.end()) next = members.begin();
+    const MemberRecord& record = next->second.record;
+    const bool live = record.state != MemberState::kDead;
+    if (live && IsNewer(configuration_.running(), record.configuration)) {
+      outbox_.Send(record.address, StatusQuery{});
+      status_cursor_ = record.id;
+      ++asked;
+    }
+    ++next;
+  }
+}
+
+}  // namespace copperlead
--- a/src/distribution/configuration_stream.cc
+++ b/src/distribution/configuration_stream.cc
@@ -27,14 +27,24 @@
   if (!Supersedes(version, running())) return false;
   if (held_ != nullptr && !Supersedes(version, held_->version)) return false;
   if (IsNewer(ledger_.floor(), version)) return false;
-  return std::find(refused_.begin(), refused_.end(), version) == refused_.end();
+  return !WasJudged(version);
+}
+
+// A late push of an older version is judged (and refused) by the ledger like any other; only one
+// that the ledger has decided on already is not shown to it again.
+bool ConfigurationStream::WasJudged(const DocumentVersion& version) const {
+  if (version == running()) return true;
+  if (held_ != nullptr && held_->version == version) return true;
+  return std::find(refused_.begin(), refused_.end(), version) != refused_.end();
 }
 
 Receipt ConfigurationStream::Receive(Timestamp now, const Transfer& transfer,
                                      const std::string& origin) {
-  if (!Wants(transfer.version)) return Receipt::kNotTaken;
+  if (WasJudged(transfer.version)) return Receipt::kNotTaken;
   const Bundle* base = transfer.whole() ? nullptr : store_.Find(transfer.base);
-  if (!transfer.whole() && base == nullptr) return Receipt::kUnknownBase;
+  if (!transfer.whole() && base == nullptr) {
+    return Wants(transfer.version) ? Receipt::kUnknownBase : Receipt::kNotTaken;
+  }
   const auto decoded = Resolve([&] { return DecodeBundle(transfer, base); });
   if (!decoded) {
     outbox_.ReportOnce(decoded.error().kind, origin, decoded.error().cause);
@@ -74,8 +84,11 @@
       if (held_ != nullptr && !Supersedes(held_->version, bundle->version)) held_.reset();
       return;
     case VersionVerdict::kHeldJoining:
-      if (from_peer) held_ = bundle;
+      if (!from_peer) return;
+      held_ = bundle;
+      held_origin_ = origin;
       return;
+    case VersionVerdict::kRefusedOlder:
     case VersionVerdict::kRefusedConflict:
     case VersionVerdict::kRefusedFaulty:
     case VersionVerdict::kHeldIncomplete:
@@ -104,7 +117,7 @@
 }
 
 SourceFinding ConfigurationStream::ReceiveFromSource(
-    Timestamp now, std::shared_ptr<const ConfigurationDocument> document,
+    Timestamp now, const std::shared_ptr<const ConfigurationDocument>& document,
     const DocumentVersion& running_when_asked) {
   const Bundle& read = document->bundle;
   const bool overtaken =
@@ -143,7 +156,7 @@
 SourceFinding ConfigurationStream::OfferHeld(Timestamp now) {
   if (held_ != nullptr) {
     const BundlePointer bundle = std::exchange(held_, nullptr);
-    OfferBundle(now, "peer", bundle, /*faulty=*/false);
+    OfferBundle(now, held_origin_, bundle, /*faulty=*/false);
   }
   if (source_document_ == nullptr) return SourceFinding::kNothingNew;
   return ReceiveFromSource(now, source_document_, DocumentVersion{});
--- a/src/distribution/configuration_stream.h
+++ b/src/distribution/configuration_stream.h
@@ -41,7 +41,7 @@
   // @param running_when_asked what ran when the source was asked: an answer that was overtaken by
   //        a peer's newer version on its way is no sign of a source that went back.
   SourceFinding ReceiveFromSource(Timestamp now,
-                                  std::shared_ptr<const ConfigurationDocument> document,
+                                  const std::shared_ptr<const ConfigurationDocument>& document,
                                   const DocumentVersion& running_when_asked);
 
   // Judges again what was held while joining. Call after the ledger's joining ended.
@@ -53,6 +53,7 @@
   const DocumentStore<Bundle>& store() const { return store_; }
 
  private:
+  bool WasJudged(const DocumentVersion& version) const;
   VersionVerdict OfferBundle(Timestamp now, const std::string& origin, const BundlePointer& bundle,
                              bool faulty);
   void Remember(VersionVerdict verdict, const std::string& origin, const BundlePointer& bundle);
@@ -63,7 +64,8 @@
   Outbox& outbox_;
   VersionLedger ledger_;
   DocumentStore<Bundle> store_;
-  BundlePointer held_;                   // From a peer, until the join ends.
+  BundlePointer held_;  // From a peer, until the join ends.
+  std::string held_origin_;
   std::deque<DocumentVersion> refused_;  // Not asked for again; oldest first.
   // Read from the source and not yet run, kept to be judged again.
   std::shared_ptr<const ConfigurationDocument> source_document_;
--- a/src/distribution/repairer.cc
+++ b/src/distribution/repairer.cc
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr Duration kPullTimeout = Milliseconds(600);
+// After a whole document that did not decode.
+constexpr Duration kUnreadableWait = std::chrono::seconds(5);
 // Nodes that only know of a peer ahead in another zone spread their pulls over this time, so that
 // most of them find the version in their own zone by then.
 constexpr Duration kOtherZoneSpread = Milliseconds(1000);
@@ -71,6 +73,12 @@
   ChooseAnother();
 }
 
+void Repairer::HearUnreadable(Timestamp now) {
+  pull_.reset();
+  not_before_ = now + kUnreadableWait;
+  ChooseAnother();
+}
+
 void Repairer::HearAnswer(const NodeId& from) {
   if (pull_ && pull_->asked == from) pull_.reset();
   ForgetIfDone();
--- a/src/distribution/repairer.h
+++ b/src/distribution/repairer.h
@@ -28,6 +28,8 @@
                 const DocumentVersion& have);
   // The peer that was asked wants to be asked later.
   void HearBusy(Timestamp now, const NodeId& from, Duration retry_after);
+  // What the peer sent whole did not decode: ask another, not at once.
+  void HearUnreadable(Timestamp now);
   // Any answer to a pull arrived: the next one may go out.
   void HearAnswer(const NodeId& from);
 
--- a/src/distribution/source_poller.cc
+++ b/src/distribution/source_poller.cc
@@ -77,7 +77,8 @@
       knows_nobody && !streams_[IndexOf(StreamKind::kMachines)].answered && !everyone;
   last_read_ = now;
   for (const StreamKind kind : {StreamKind::kMachines, StreamKind::kConfiguration}) {
-    if (streams_[IndexOf(kind)].outstanding) continue;
+    const Stream& stream = streams_[IndexOf(kind)];
+    if (stream.outstanding || now < stream.not_before) continue;
     if (machines_first && kind == StreamKind::kConfiguration) continue;
     fetches.push_back(Ask(now, kind));
   }
@@ -93,7 +94,6 @@
 }
 
 bool SourcePoller::MayRead(Timestamp now, const PollSituation& situation) {
-  if (now < not_before_) return false;
   if (settings_.strategy == Strategy::kEveryNodePolls) return true;
   if (!situation.has_document) return MayReadFirst(now, situation);
   return may_poll_ && IsDueByRank(now, situation.rank);
@@ -133,36 +133,36 @@
     if (!stream.outstanding || now < stream.void_at) continue;
     stream.outstanding = false;
     stream.answered = true;
-    CountFailure(now);
+    CountFailure(now, stream);
   }
 }
 
-bool SourcePoller::Accept(Timestamp now, const SourceAnswered& answer) {
+AnswerUse SourcePoller::Accept(Timestamp now, const SourceAnswered& answer) {
   Stream& stream = streams_[IndexOf(answer.stream)];
-  if (!stream.outstanding) return false;
+  if (!stream.outstanding) return AnswerUse::kIgnore;
   stream.outstanding = false;
   stream.answered = true;
   if (answer.status == SourceAnswered::Status::kFailed) {
-    CountFailure(now);
+    CountFailure(now, stream);
     UpdateKind();
-    return true;
+    return stream.failures_in_a_row == 1 ? AnswerUse::kReportFailure : AnswerUse::kIgnore;
   }
   if (answer.status == SourceAnswered::Status::kNew) stream.etag = answer.etag;
-  failures_in_a_row_ = 0;
-  not_before_ = Timestamp{};
-  state_.last_success = now;
+  stream.failures_in_a_row = 0;
+  stream.not_before = Timestamp{};
+  if (answer.stream == StreamKind::kConfiguration) state_.last_success = now;
   UpdateKind();
-  return true;
+  return AnswerUse::kTake;
 }
 
 // Exponential backoff with full jitter: readers that failed together do not return together.
-void SourcePoller::CountFailure(Timestamp now) {
+void SourcePoller::CountFailure(Timestamp now, Stream& stream) {
   ++state_.failures;
-  failures_in_a_row_ = std::min(failures_in_a_row_ + 1, kMaxBackoffDoublings);
-  const std::int64_t factor = std::int64_t{1} << failures_in_a_row_;
+  stream.failures_in_a_row = std::min(stream.failures_in_a_row + 1, kMaxBackoffDoublings);
+  const std::int64_t factor = std::int64_t{1} << stream.failures_in_a_row;
   const Duration limit =
       std::min(settings_.source_interval * factor, settings_.source_backoff_limit);
-  not_before_ = now + random_.UpTo(limit);
+  stream.not_before = now + random_.UpTo(limit);
 }
 
 void SourcePoller::SetBehind(std::uint64_t revision) {
@@ -172,7 +172,7 @@
 
 void SourcePoller::UpdateKind() {
   using Kind = SourceState::Kind;
-  if (failures_in_a_row_ > 0) {
+  if (streams_[IndexOf(StreamKind::kConfiguration)].failures_in_a_row > 0) {
     state_.kind = Kind::kFailing;
   } else if (state_.behind_revision != 0) {
     state_.kind = Kind::kBehind;
--- a/src/distribution/source_poller.h
+++ b/src/distribution/source_poller.h
@@ -29,6 +29,13 @@
   Timestamp view_changed_at{};
 };
 
+// What to do with an answer of the source.
+enum class AnswerUse {
+  kIgnore,         // Nothing was asked, or what was asked is void; or it failed again.
+  kReportFailure,  // Reads of this stream began to fail.
+  kTake,           // New or not modified.
+};
+
 class SourcePoller {
  public:
   // @param contact_count first contacts in the settings.
@@ -40,8 +47,7 @@
   // @return the streams to ask for now.
   std::vector<FetchFromSource> Check(Timestamp now, const PollSituation& situation);
 
-  // Takes an answer. @return false when nothing was asked (or what was asked is void): ignore it.
-  bool Accept(Timestamp now, const SourceAnswered& answer);
+  AnswerUse Accept(Timestamp now, const SourceAnswered& answer);
 
   // Marks whether the last configuration read was behind the running one.
   void SetBehind(std::uint64_t revision);
@@ -59,13 +65,15 @@
     bool answered = false;  // Ever, whatever the answer.
     bool outstanding = false;
     Timestamp void_at{};  // When an outstanding read counts as failed.
+    std::size_t failures_in_a_row = 0;
+    Timestamp not_before{};  // Backoff after failures.
   };
 
   bool MayRead(Timestamp now, const PollSituation& situation);
   bool MayReadFirst(Timestamp now, const PollSituation& situation) const;
   bool IsDueByRank(Timestamp now, std::size_t rank) const;
   void ExpireOutstanding(Timestamp now);
-  void CountFailure(Timestamp now);
+  void CountFailure(Timestamp now, Stream& stream);
   void UpdateKind();
   Timestamp NextSlot(Timestamp now, const PollSituation& situation) const;
   FetchFromSource Ask(Timestamp now, StreamKind kind);
@@ -78,8 +86,6 @@
   Duration own_phase_;             // Of a node whose polls are not spread by zone.
   Timestamp next_check_;
   Timestamp last_read_{};
-  Timestamp not_before_{};  // Backoff after failures.
-  std::size_t failures_in_a_row_ = 0;
   bool may_poll_ = false;   // Whether the last check found this node fit to poll.
   bool is_reader_ = false;  // Whether it did so, and at rank 0.
   std::array<Stream, kStreamCount> streams_;
