--- /dev/null
+++ b/src/distribution/pusher.cc
@@ -0,0 +1,156 @@
+#include "distribution/pusher.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "distribution/reader_election.h"
+
+namespace copperlead {
+
+Pusher::Pusher(const AgentSettings& settings, const Membership& membership, FleetView& view,
+               DocumentStream& stream, Outbox& outbox)
+    : settings_(settings), membership_(membership), view_(view), stream_(stream), outbox_(outbox) {}
+
+void Pusher::StartVersion() {
+  if (version_ == stream_.running()) return;
+  version_ = stream_.running();
+  forwarded_ = false;
+  started_ = false;
+  tree_.reset();
+  outstanding_.clear();
+}
+
+void Pusher::BuildTree() {
+  if (tree_) return;
+  // In a flat push all members are heads.
+  const bool flat = settings_.strategy == Strategy::kFlatPush;
+  const std::vector<MemberRecord> zone = membership_.EligibleInZone(membership_.self().zone);
+  tree_.emplace(version_, flat ? zone.size() : settings_.fan_out, zone);
+}
+
+void Pusher::SpreadInZone(Timestamp now) {
+  StartVersion();
+  if (started_ || version_.none()) return;
+  started_ = true;
+  root_ = membership_.self().id;
+  BuildTree();
+  PushTo(now, tree_->Heads());
+  PushToOwnChildren(now);
+}
+
+void Pusher::SpreadEverywhere(Timestamp now) {
+  SpreadInZone(now);
+  for (const auto& [zone, readers] : view_.readers()) {
+    if (zone != membership_.self().zone) PushToReader(now, zone, kReaderRank);
+  }
+}
+
+void Pusher::Forward(Timestamp now, const NodeId& root) {
+  StartVersion();
+  if (forwarded_ || version_.none()) return;
+  root_ = root;
+  BuildTree();
+  PushToOwnChildren(now);
+}
+
+void Pusher::PushToOwnChildren(Timestamp now) {
+  if (forwarded_) return;
+  forwarded_ = true;
+  const std::optional<std::size_t> own_place = tree_->IndexOf(membership_.self().id);
+  if (own_place) PushTo(now, tree_->ChildrenOf(*own_place));
+}
+
+void Pusher::PushTo(Timestamp now, const std::vector<std::size_t>& places) {
+  for (const std::size_t place : places) {
+    const MemberRecord& member = tree_->order()[place];
+    if (member.id == membership_.self().id || outstanding_.contains(member.id)) continue;
+    Outstanding push;
+    push.address = member.address;
+    push.root = root_;
+    push.tree_index = place;
+    Send(now, push, BaseFor(member.id));
+    outstanding_[member.id] = std::move(push);
+  }
+}
+
+void Pusher::PushToReader(Timestamp now, const ZoneName& zone, std::size_t rank) {
+  const auto found = view_.readers().find(zone);
+  if (found == view_.readers().end() || rank >= found->second.size()) return;
+  const MemberRecord& reader = found->second[rank];
+  const DocumentVersion known = KnownVersion(reader.id);
+  if (known == version_ || IsNewer(known, version_)) return;
+  Outstanding push;
+  push.address = reader.address;
+  push.root = membership_.self().id;
+  push.zone = zone;
+  push.reader_rank = rank;
+  Send(now, push, BaseFor(reader.id));
+  outstanding_[reader.id] = std::move(push);
+}
+
+void Pusher::Send(Timestamp now, Outstanding& push, const DocumentVersion& base) {
+  ++push.attempts;
+  push.next_retry = now + settings_.push_retry;
+  outbox_.Send(push.address, Push{stream_.TransferFrom(base), push.root});
+}
+
+void Pusher::HearVersion(const NodeId& id, const DocumentVersion& version) {
+  const auto found = outstanding_.find(id);
+  if (found == outstanding_.end()) return;
+  if (!IsNewer(version_, version)) outstanding_.erase(found);
+}
+
+bool Pusher::RepeatFrom(Timestamp now, const NodeId& id, const DocumentVersion& have) {
+  const auto found = outstanding_.find(id);
+  if (found == outstanding_.end() || version_ != stream_.running()) return false;
+  Send(now, found->second, have);
+  return true;
+}
+
+void Pusher::Tick(Timestamp now) {
+  if (version_ != stream_.running()) outstanding_.clear();
+  std::vector<NodeId> due;
+  for (const auto& [id, push] : outstanding_) {
+    if (push.next_retry <= now) due.push_back(id);
+  }
+  for (const NodeId& id : due) {
+    const auto found = outstanding_.find(id);
+    if (found == outstanding_.end()) continue;
+    if (found->second.attempts < settings_.push_attempts) {
+      Send(now, found->second, BaseFor(id));
+      continue;
+    }
+    const Outstanding lost = std::move(found->second);
+    outstanding_.erase(found);
+    GiveUp(now, lost);
+  }
+}
+
+void Pusher::GiveUp(Timestamp now, const Outstanding& push) {
+  if (push.tree_index) {
+    PushTo(now, tree_->ChildrenOf(*push.tree_index));
+  } else if (push.reader_rank < kStandbyRank) {
+    PushToReader(now, push.zone, push.reader_rank + 1);
+  }
+}
+
+Timestamp Pusher::NextDeadline() const {
+  Timestamp deadline = Timestamp::max();
+  for (const auto& [id, push] : outstanding_) deadline = std::min(deadline, push.next_retry);
+  return deadline;
+}
+
+DocumentVersion Pusher::KnownVersion(const NodeId& id) const {
+  const auto found = membership_.members().find(id);
+  if (found == membership_.members().end()) return {};
+  const bool configuration = stream_.kind() == StreamKind::kConfiguration;
+  return configuration ? found->second.record.configuration : found->second.machines;
+}
+
+DocumentVersion Pusher::BaseFor(const NodeId& id) const {
+  const DocumentVersion known = KnownVersion(id);
+  return known.none() ? stream_.previous() : known;
+}
+
+}  // namespace copperlead
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -35,6 +35,8 @@
   DocumentVersion machines;  // Last heard directly.
   Timestamp last_heard{};    // Direct evidence only; the epoch when never.
   Timestamp state_since{};
+  // A dead member learned from another node's list; not listed on, so that it ends being known.
+  bool remembered_by_others = false;
 };
 
 class Membership {
@@ -77,8 +79,12 @@
   // All members but this node, by id; includes suspect, leaving and dead ones.
   const std::map<NodeId, Member>& members() const;
   // Members that may hold a role or a place in a tree (alive or suspect), this node included.
+  // Sorted by id. Each call copies the records: callers that ask often keep what they made of them
+  // until EligibilityVersion() changes.
   std::vector<MemberRecord> Eligible() const;
   std::vector<MemberRecord> EligibleInZone(const ZoneName& zone) const;
+  // Rises with every change of who is eligible, or of an eligible member's zone or address.
+  std::uint64_t EligibilityVersion() const;
   // Alive or suspect nodes, this one included; at least 1.
   std::size_t LiveCount() const;
 
