Standbys read the source in turns of their own

The standbys (ranks 1 to 3 of each zone) read when their period had passed since their own last read, so that all ranks of all zones fell into the same interval at start and again after every change of view. Ruled out: a larger bound (40 is already zones x ranks x documents); a random phase per rank (they would still meet). Change: intervals are numbered by the wall clock; rank r reads in interval n when n mod 4^r = r, so at most one standby of a zone reads in any interval.

--- a/src/distribution/source_poller.cc
+++ b/src/distribution/source_poller.cc
@@ -75,7 +75,6 @@
   const bool knows_nobody = !situation.heard_fleet && !situation.has_machines;
   const bool machines_first =
       knows_nobody && !streams_[IndexOf(StreamKind::kMachines)].answered && !everyone;
-  last_read_ = now;
   for (const StreamKind kind : {StreamKind::kMachines, StreamKind::kConfiguration}) {
     const Stream& stream = streams_[IndexOf(kind)];
     if (stream.outstanding || now < stream.not_before) continue;
@@ -96,7 +95,7 @@
 bool SourcePoller::MayRead(Timestamp now, const PollSituation& situation) {
   if (settings_.strategy == Strategy::kEveryNodePolls) return true;
   if (!situation.has_document) return MayReadFirst(now, situation);
-  return may_poll_ && IsDueByRank(now, situation.rank);
+  return may_poll_ && IsDueByRank(now, situation);
 }
 
 // A herd that starts together must not read together. A node that hears the fleet waits until its
@@ -118,14 +117,18 @@
   return now >= std::min(settled, latest) + rank_wait;
 }
 
-bool SourcePoller::IsDueByRank(Timestamp now, std::size_t rank) const {
-  if (rank > kMaxPollingRank) return false;
-  if (rank == 0) return true;
+// Standbys look at the source too, each rank kRankSlowdown times less often than the one before, in
+// case the reader cannot. Intervals are numbered by the wall clock and each rank has turns of its
+// own among them, so that at most one standby of a zone reads in an interval.
+bool SourcePoller::IsDueByRank(Timestamp now, const PollSituation& situation) const {
+  if (situation.rank > kMaxPollingRank) return false;
+  if (situation.rank == 0) return true;
+  const auto rank = static_cast<std::int64_t>(situation.rank);
   std::int64_t slowdown = 1;
-  for (std::size_t step = 0; step < rank; ++step) slowdown *= kRankSlowdown;
-  const Duration period = settings_.source_interval * slowdown;
-  // Checks come once in an interval, a little early or late.
-  return now >= last_read_ + period - settings_.source_interval / 2;
+  for (std::int64_t step = 0; step < rank; ++step) slowdown *= kRankSlowdown;
+  const Duration since_phase = WallTime(now) - ZonePhase(situation);
+  const std::int64_t interval_number = since_phase / settings_.source_interval;
+  return interval_number % slowdown == rank;
 }
 
 void SourcePoller::ExpireOutstanding(Timestamp now) {
@@ -190,21 +193,28 @@
   UpdateKind();
 }
 
+Duration SourcePoller::WallTime(Timestamp now) const {
+  return now.time_since_epoch() + Milliseconds(settings_.wall_clock_offset_ms);
+}
+
 // Readers of different zones, and of different rank, read at different parts of the interval by the
 // wall clock.
+Duration SourcePoller::ZonePhase(const PollSituation& situation) const {
+  const auto zone_index = static_cast<std::int64_t>(situation.zone_index);
+  const auto zone_count = static_cast<std::int64_t>(std::max<std::size_t>(situation.zone_count, 1));
+  const Duration zone_share = settings_.source_interval / zone_count;
+  const auto rank = static_cast<std::int64_t>(std::min(situation.rank, kMaxPollingRank));
+  const Duration rank_shift = zone_share * rank / static_cast<std::int64_t>(kMaxPollingRank + 1);
+  return zone_share * zone_index + rank_shift;
+}
+
 Timestamp SourcePoller::NextSlot(Timestamp now, const PollSituation& situation) const {
   const bool first = !situation.has_document;
   const bool by_zone = !first && settings_.strategy != Strategy::kEveryNodePolls;
   const Duration interval =
       first ? std::min(settings_.source_interval, kFirstCheckInterval) : settings_.source_interval;
-  const auto zone_index = static_cast<std::int64_t>(situation.zone_index);
-  const auto zone_count = static_cast<std::int64_t>(std::max<std::size_t>(situation.zone_count, 1));
-  const Duration zone_share = interval / zone_count;
-  const auto rank = static_cast<std::int64_t>(std::min(situation.rank, kMaxPollingRank));
-  const Duration rank_shift = zone_share * rank / static_cast<std::int64_t>(kMaxPollingRank + 1);
-  const Duration phase = by_zone ? zone_share * zone_index + rank_shift : own_phase_;
-  const Duration wall = now.time_since_epoch() + Milliseconds(settings_.wall_clock_offset_ms);
-  Duration wait = (phase - wall) % interval;
+  const Duration phase = by_zone ? ZonePhase(situation) : own_phase_;
+  Duration wait = (phase - WallTime(now)) % interval;
   if (wait <= Duration::zero()) wait += interval;
   return now + wait;
 }
--- a/src/distribution/source_poller.h
+++ b/src/distribution/source_poller.h
@@ -71,10 +71,12 @@
 
   bool MayRead(Timestamp now, const PollSituation& situation);
   bool MayReadFirst(Timestamp now, const PollSituation& situation) const;
-  bool IsDueByRank(Timestamp now, std::size_t rank) const;
+  bool IsDueByRank(Timestamp now, const PollSituation& situation) const;
   void ExpireOutstanding(Timestamp now);
   void CountFailure(Timestamp now, Stream& stream);
   void UpdateKind();
+  Duration WallTime(Timestamp now) const;
+  Duration ZonePhase(const PollSituation& situation) const;
   Timestamp NextSlot(Timestamp now, const PollSituation& situation) const;
   FetchFromSource Ask(Timestamp now, StreamKind kind);
 
@@ -85,7 +87,6 @@
   std::uint64_t first_read_draw_;  // Place of the first read in the random wait, per mille.
   Duration own_phase_;             // Of a node whose polls are not spread by zone.
   Timestamp next_check_;
-  Timestamp last_read_{};
   bool may_poll_ = false;   // Whether the last check found this node fit to poll.
   bool is_reader_ = false;  // Whether it did so, and at rank 0.
   std::array<Stream, kStreamCount> streams_;
