Lint of the table commands

Cause: clang-tidy named a vector filled without a reserve in bundle.cc, and read a moved list out of a template in plan_inputs.cc as uninitialised.

--- a/src/snapshot/bundle.cc
+++ b/src/snapshot/bundle.cc
@@ -42,6 +42,7 @@
     if (!row.secret.empty() && !bundle.secrets.contains(row.secret)) secrets.insert(row.secret);
   }
   std::vector<std::string> missing;
+  missing.reserve(services.size() + secrets.size());
   for (const auto& name : services) missing.push_back("service " + name);
   for (const auto& name : secrets) missing.push_back("secret " + name);
   return missing;
--- a/src/toolbox/plan_inputs.cc
+++ b/src/toolbox/plan_inputs.cc
@@ -18,14 +18,11 @@
 constexpr std::size_t kMaxLoadBytes = std::size_t{1024} * 1024;
 constexpr std::uint64_t kMaxLoad = 1'000'000'000;
 
-// Reads a file and parses it; what is wrong inside is bad input, named with the file.
-template <class Parse>
-auto ReadAndParse(const std::string& path, std::size_t limit, Parse parse)
-    -> decltype(parse(std::string_view())) {
-  BOOST_LEAF_AUTO(content, ReadInputFile(path, limit));
-  auto outcome = Resolve([&] { return parse(std::string_view(content)); });
+// What is wrong inside a file is bad input, named with the file.
+template <class Value>
+Result<Done> CheckParsed(const std::string& path, const Outcome<Value>& outcome) {
   if (!outcome) return Fail(ErrorKind::kUsage, path, ToString(outcome.error()));
-  return std::move(outcome.value());
+  return Done{};
 }
 
 Result<std::uint32_t> ReadMaxStep(const std::string& text) {
@@ -43,9 +40,10 @@
 Result<Services> FindServices(const PlanOptions& options, const TableFile& from,
                               const TableFile& to) {
   if (!options.configuration.empty()) {
-    BOOST_LEAF_AUTO(document,
-                    ReadAndParse(options.configuration, kMaxSourceBody, ParseConfiguration));
-    return std::move(document.bundle.services);
+    BOOST_LEAF_AUTO(content, ReadInputFile(options.configuration, kMaxSourceBody));
+    const auto document = Resolve([&] { return ParseConfiguration(content); });
+    BOOST_LEAF_CHECK(CheckParsed(options.configuration, document));
+    return document.value().bundle.services;
   }
   if (from.configuration && to.configuration) {
     Services services = to.configuration->services;
@@ -71,6 +69,21 @@
   return slots;
 }
 
+Result<std::map<std::string, SiteSlots>> ReadSlots(const std::string& path,
+                                                   const Services& services) {
+  BOOST_LEAF_AUTO(content, ReadInputFile(path, kMaxSourceBody));
+  const auto machines = Resolve([&] { return ParseMachines(content); });
+  BOOST_LEAF_CHECK(CheckParsed(path, machines));
+  return CountSlots(machines.value(), services);
+}
+
+Result<std::map<std::string, std::uint64_t>> ReadLoad(const std::string& path) {
+  BOOST_LEAF_AUTO(content, ReadInputFile(path, kMaxLoadBytes));
+  const auto load = Resolve([&] { return ParseLoad(content); });
+  BOOST_LEAF_CHECK(CheckParsed(path, load));
+  return load.value();
+}
+
 Result<Done> CheckServicesKnown(const Table& table, const Services& services) {
   for (const auto& row : table.rows) {
     if (services.contains(row.service)) continue;
@@ -111,10 +124,9 @@
   }
   BOOST_LEAF_AUTO(services, FindServices(options, from, to));
   BOOST_LEAF_CHECK(CheckServicesKnown(request.to, services));
-  BOOST_LEAF_AUTO(machines, ReadAndParse(options.machines, kMaxSourceBody, ParseMachines));
-  request.slots = CountSlots(machines, services);
+  BOOST_LEAF_ASSIGN(request.slots, ReadSlots(options.machines, services));
   if (!options.load.empty()) {
-    BOOST_LEAF_ASSIGN(request.load, ReadAndParse(options.load, kMaxLoadBytes, ParseLoad));
+    BOOST_LEAF_ASSIGN(request.load, ReadLoad(options.load));
   }
   return request;
 }
