Plan: one rounding less, and no trust in limits that do not hold

Cause: a broken variant without the rounding towards the last weight passed every test. A measured load above the sum of the routes' limits now falls wholly on the heaviest route; before, the limits still bounded their share.

--- a/src/toolbox/weight_plan.cc
+++ b/src/toolbox/weight_plan.cc
@@ -22,11 +22,10 @@
 
 // How a route's weight goes its way.
 enum class Pace {
-  kProportionDown,  // In proportion, rounded towards the first weight.
-  kProportionUp,    // In proportion, rounded towards the last weight.
-  kFullSpeed,       // max_step points per step until it is there.
+  kProportion,  // In proportion to its whole way, rounded towards the first weight.
+  kFullSpeed,   // max_step points per step until it is there.
 };
-constexpr Pace kPaces[] = {Pace::kProportionDown, Pace::kProportionUp, Pace::kFullSpeed};
+constexpr Pace kPaces[] = {Pace::kProportion, Pace::kFullSpeed};
 
 struct ServiceWay {
   std::string service;
@@ -34,7 +33,7 @@
   std::uint64_t load = 0;
   SiteSlots available;
   std::uint32_t steps = 0;
-  Pace pace = Pace::kProportionDown;
+  Pace pace = Pace::kProportion;
 };
 
 std::uint32_t DivideUp(std::uint32_t dividend, std::uint32_t divisor) {
@@ -46,9 +45,7 @@
                              Pace pace, std::uint32_t max_step) {
   std::uint32_t gone = way.Length();
   if (step < steps) {
-    const std::uint32_t product = way.Length() * step;
-    if (pace == Pace::kProportionDown) gone = product / steps;
-    if (pace == Pace::kProportionUp) gone = DivideUp(product, steps);
+    if (pace == Pace::kProportion) gone = way.Length() * step / steps;
     if (pace == Pace::kFullSpeed) gone = std::min(way.Length(), max_step * step);
   }
   return way.first > way.last ? way.first - gone : way.first + gone;
@@ -71,7 +68,7 @@
     left -= share;
   }
   // More than all limits together was measured: the limits do not hold, so they bound nothing.
-  if (left > 0 && !routes.empty()) hundredths += left * routes.front().weight;
+  if (left > 0 && !routes.empty()) hundredths = load * routes.front().weight;
   return (hundredths + kWholeWeight - 1) / kWholeWeight;
 }
 
--- a/tests/toolbox/weight_plan_test.cc
+++ b/tests/toolbox/weight_plan_test.cc
@@ -125,6 +125,9 @@
   const auto plan = Plan(request);
   ASSERT_TRUE(plan.ok()) << ToString(plan.error());
   EXPECT_EQ(plan.value().steps.at(0).use.at(0).needed, (SiteSlots{4, 6}));
+  request.load = {{"hub", 11}};  // More than the limits allow: they cannot be trusted.
+  EXPECT_EQ(Plan(request).error().kind, ErrorKind::kImpossiblePlan);
+  request.load.clear();
   request.from.rows[1].max_in_flight = 0;
   request.to.rows[1].max_in_flight = 0;
   const auto unknown = Plan(request);
