Membership: a death that follows a firm suspicion is firm

Cause: a node that briefly had four failed probes in a row kept every death to itself that fell due then, also of members it had suspected, and told others of, before. In a zone cut off with most probes failing that happens all the time. Change: a death is provisional exactly when its suspicion was.

--- a/src/membership/membership_implementation.h
+++ b/src/membership/membership_implementation.h
@@ -65,7 +65,7 @@
 
   // --- Verdicts of this node ---
   void ProbeFailed(Timestamp now, const NodeId& id, OutgoingMessages& out);
-  void Declare(Timestamp now, const MemberRecord& statement);
+  void Declare(Timestamp now, const MemberRecord& statement, bool provisional);
   void ProbeAnswered(Timestamp now);
 
   // --- Statements of others ---
--- a/src/membership/membership_timers.cc
+++ b/src/membership/membership_timers.cc
@@ -52,7 +52,7 @@
     if (member == nullptr || member->record.state == MemberState::kDead) continue;
     MemberRecord statement = member->record;
     statement.state = MemberState::kDead;
-    Declare(now, statement);
+    Declare(now, statement, provisional_.contains(id));
   }
 }
 
@@ -95,16 +95,15 @@
   if (member->record.state == MemberState::kAlive) {
     MemberRecord statement = member->record;
     statement.state = MemberState::kSuspect;
-    Declare(now, statement);
+    Declare(now, statement, prober_.failures_in_a_row() >= kFailuresToDoubtItself);
   }
   suspicions_.Start(now, id, /*own_probe=*/true);
   if (!provisional_.contains(id)) out.push_back(PingTo(id, member->record.address));
 }
 
-// Takes and spreads a verdict; keeps it to itself while this node doubts its own connection.
-void Membership::Implementation::Declare(Timestamp now, const MemberRecord& statement) {
-  const bool doubts_itself = prober_.failures_in_a_row() >= kFailuresToDoubtItself;
-  const bool provisional = doubts_itself || provisional_.contains(statement.id);
+// Takes a verdict, and spreads it unless it is provisional.
+void Membership::Implementation::Declare(Timestamp now, const MemberRecord& statement,
+                                         bool provisional) {
   const auto result = members_.Apply(now, statement);
   FollowChange(now, statement.id, result, /*was_doubted=*/false);
   if (!provisional) return;
