Add copperlead hollow: many nodes on real sockets in one process

Cause: cost per node and convergence at 1,000 nodes have to be measured on real sockets too. Change: hollow nodes run the daemon's Agent and transport, many on each reactor thread, without a proxy; the report gives CPU, memory, bytes and messages per node and the spread of each revision.

--- a/src/toolbox/commands.cc
+++ b/src/toolbox/commands.cc
@@ -10,6 +10,7 @@
       {"status", "revisions by zone, and who is behind", RunStatus},
       {"replay", "a journal run again: why each version was taken or not", RunReplay},
       {"stepback", "the table of an earlier revision, to publish again", RunStepback},
+      {"hollow", "many nodes without proxies on real sockets, and what they cost", RunHollow},
   };
   return commands;
 }
