--- a/src/distribution/configuration_stream.h
+++ b/src/distribution/configuration_stream.h
@@ -11,6 +11,7 @@
 #include "distribution/document_store.h"
 #include "distribution/document_stream.h"
 #include "distribution/outbox.h"
+#include "distribution/transfer_decoder.h"
 #include "distribution/version_ledger.h"
 #include "snapshot/source_documents.h"
 
@@ -27,8 +28,9 @@
 
 class ConfigurationStream : public DocumentStream {
  public:
-  ConfigurationStream(const LedgerFaults& faults, std::size_t history_size, Outbox& outbox)
-      : outbox_(outbox), ledger_(faults), store_(history_size) {}
+  ConfigurationStream(const LedgerFaults& faults, std::size_t history_size, Outbox& outbox,
+                      TransferDecoder& decoder = TransferDecoder::Plain())
+      : outbox_(outbox), decoder_(decoder), ledger_(faults), store_(history_size) {}
 
   StreamKind kind() const override { return StreamKind::kConfiguration; }
   DocumentVersion running() const override { return store_.version(); }
@@ -41,7 +43,7 @@
   // @param running_when_asked what ran when the source was asked: an answer that was overtaken by
   //        a peer's newer version on its way is no sign of a source that went back.
   SourceFinding ReceiveFromSource(Timestamp now,
-                                  std::shared_ptr<const ConfigurationDocument> document,
+                                  const std::shared_ptr<const ConfigurationDocument>& document,
                                   const DocumentVersion& running_when_asked);
 
   // Judges again what was held while joining. Call after the ledger's joining ended.
@@ -53,6 +55,7 @@
   const DocumentStore<Bundle>& store() const { return store_; }
 
  private:
+  bool WasJudged(const DocumentVersion& version) const;
   VersionVerdict OfferBundle(Timestamp now, const std::string& origin, const BundlePointer& bundle,
                              bool faulty);
   void Remember(VersionVerdict verdict, const std::string& origin, const BundlePointer& bundle);
@@ -61,9 +64,11 @@
   void ReportFaults(const ConfigurationDocument& document);
 
   Outbox& outbox_;
+  TransferDecoder& decoder_;
   VersionLedger ledger_;
   DocumentStore<Bundle> store_;
-  BundlePointer held_;                   // From a peer, until the join ends.
+  BundlePointer held_;  // From a peer, until the join ends.
+  std::string held_origin_;
   std::deque<DocumentVersion> refused_;  // Not asked for again; oldest first.
   // Read from the source and not yet run, kept to be judged again.
   std::shared_ptr<const ConfigurationDocument> source_document_;
