Load: warm connections up first, and a back end that only answers

Cause: a stand-in back end showed p90 1.17 ms by itself at 95 requests a second on one connection (0.31 at 50, 0.32 at 190): cpp-httplib's server sleeps 1 ms in each 10 ms of a connection's idle time. And a run's first requests measured connecting, not the path.

--- a/src/toolbox/load.cc
+++ b/src/toolbox/load.cc
@@ -8,6 +8,7 @@
 #include "toolbox/command.h"
 #include "toolbox/command_options.h"
 #include "toolbox/load_report.h"
+#include "toolbox/load_responder.h"
 
 namespace copperlead {
 namespace {
@@ -20,13 +21,13 @@
 constexpr std::size_t kMaxBodyBytes = std::size_t{1} << 30;
 // Back ends have few connections; the direct side shares no limit with the node.
 constexpr std::size_t kMaxDirectConnections = 16;
-constexpr Duration kStartDelay = std::chrono::milliseconds(200);  // For the threads to start.
 
 CommandDescription Describe() {
   CommandDescription description;
   description.usage =
       "copperlead load --target IP:PORT --rate N --duration-s N [--connections N] [--path P] "
-      "[--method M] [--body-bytes N] [--direct IP:PORT] [--watch-pid PID] [--json]";
+      "[--method M] [--body-bytes N] [--direct IP:PORT] [--watch-pid PID] [--json]\n"
+      "       copperlead load --respond IP:PORT";
   description.purpose =
       "Sends requests at a fixed rate, whatever the answers do, and measures latency from the\n"
       "moment each was due. With --direct, sends the same schedule to a back end beside it.\n"
@@ -42,7 +43,10 @@
       "method", options::value<std::string>()->default_value("GET"), "")(
       "body-bytes", options::value<std::size_t>()->default_value(0), "size of each body")(
       "direct", options::value<std::string>(), "IP:PORT of a back end, for comparison")(
+      "respond", options::value<std::string>(),
+      "answer requests on this IP:PORT instead, as a back end to measure with")(
       "watch-pid", options::value<int>(), "report CPU and memory of this process")(
+      "new-connections", options::bool_switch(), "one connection for each request")(
       "json", options::bool_switch(), "one JSON object");
   return description;
 }
@@ -64,6 +68,7 @@
   BOOST_LEAF_ASSIGN(plan.connections,
                     InRange<std::size_t>(options, "connections", 1, kMaxConnections));
   BOOST_LEAF_ASSIGN(plan.body_bytes, InRange<std::size_t>(options, "body-bytes", 0, kMaxBodyBytes));
+  plan.keep_alive = !options.values["new-connections"].as<bool>();
   plan.path = options.Text("path");
   plan.method = options.Text("method");
   if (plan.path.empty() || plan.path[0] != '/') {
@@ -74,8 +79,9 @@
 
 // Runs the target's schedule, and the direct one beside it, shifted by half an interval so that
 // the two do not send at the same moments.
-void Measure(const LoadPlan& plan, const std::optional<SocketAddress>& direct, LoadReport& report) {
-  const Timestamp start = SteadyClock().Now() + kStartDelay;
+void Measure(const LoadPlan& plan, const std::optional<SocketAddress>& direct, int pid,
+             LoadReport& report) {
+  const Timestamp start = SteadyClock().Now() + WarmUpTime(plan);
   std::thread beside;
   if (direct) {
     LoadPlan direct_plan = plan;
@@ -86,7 +92,11 @@
     beside = std::thread(
         [&report, direct_plan, shifted] { report.direct = RunLoad(direct_plan, shifted); });
   }
-  report.target = RunLoad(plan, start);
+  std::thread through([&] { report.target = RunLoad(plan, start); });
+  std::this_thread::sleep_until(start);
+  if (pid > 0) report.before = ReadProcessUsage(pid);
+  through.join();
+  if (pid > 0) report.after = ReadProcessUsage(pid);
   if (beside.joinable()) beside.join();
 }
 
@@ -98,6 +108,10 @@
 Result<int> Run(const std::vector<std::string>& arguments) {
   BOOST_LEAF_AUTO(options, ReadCommandOptions(Describe(), arguments));
   if (options.help_shown) return kExitGood;
+  if (options.Has("respond")) {
+    BOOST_LEAF_AUTO(listen, RequiredAddress(options, "respond"));
+    return RunResponder(listen);
+  }
   LoadReport report;
   BOOST_LEAF_ASSIGN(report.plan, ReadPlan(options));
   std::optional<SocketAddress> direct;
@@ -105,9 +119,7 @@
     BOOST_LEAF_ASSIGN(direct, RequiredAddress(options, "direct"));
   }
   const int pid = options.Has("watch-pid") ? options.values["watch-pid"].as<int>() : 0;
-  if (pid > 0) report.before = ReadProcessUsage(pid);
-  Measure(report.plan, direct, report);
-  if (pid > 0) report.after = ReadProcessUsage(pid);
+  Measure(report.plan, direct, pid, report);
   std::cout << (options.values["json"].as<bool>() ? ToJsonText(report) : ToText(report));
   return ExitCodeOf(report.target);
 }
--- a/src/toolbox/load_report.cc
+++ b/src/toolbox/load_report.cc
@@ -33,6 +33,9 @@
             {"p99", quantile(kNinetyNine)},
             {"p999", quantile(kThreeNines)},
             {"max", ToMilliseconds(result.latency.max())}}},
+          {"first_latency_ms",
+           {{"p50", ToMilliseconds(result.first_latency.Quantile(kHalf))},
+            {"p99", ToMilliseconds(result.first_latency.Quantile(kNinetyNine))}}},
           {"by_status", result.by_status},
           {"by_outcome", result.by_outcome},
           {"errors", result.errors}};
@@ -61,6 +64,7 @@
                {"rate", report.plan.rate},
                {"duration_s", report.plan.duration.count()},
                {"connections", report.plan.connections},
+               {"keep_alive", report.plan.keep_alive},
                {"method", report.plan.method},
                {"path", report.plan.path},
                {"body_bytes", report.plan.body_bytes}};
--- a/src/toolbox/load_run.cc
+++ b/src/toolbox/load_run.cc
@@ -10,6 +10,9 @@
 namespace copperlead {
 namespace {
 
+constexpr Duration kWarmUpInterval = std::chrono::milliseconds(1);  // Between connections.
+constexpr Duration kWarmUpMargin = std::chrono::milliseconds(500);  // For the last one's answer.
+
 Timestamp Now() { return SteadyClock().Now(); }
 
 // Shared by the workers of one run.
@@ -26,7 +29,7 @@
 };
 
 void SetUpClient(httplib::Client& client, const LoadPlan& plan) {
-  client.set_keep_alive(true);
+  client.set_keep_alive(plan.keep_alive);
   client.set_tcp_nodelay(true);
   client.set_url_encode(false);
   client.set_decompress(false);
@@ -59,11 +62,13 @@
 }
 
 // One connection: takes the next request that is due, waits for its time, sends it.
-void Work(Schedule& schedule, LoadResult& result) {
+void Work(Schedule& schedule, Timestamp first_use, LoadResult& result) {
   prctl(PR_SET_TIMERSLACK, 1);  // Nanosecond: else the system may wake it 50 us late.
   httplib::Client client(schedule.plan.target.ip, schedule.plan.target.port);
   SetUpClient(client, schedule.plan);
   const httplib::Request request = MakeRequest(schedule.plan);
+  std::this_thread::sleep_until(first_use);
+  if (client.send(request)) result.first_latency.Add(Now() - first_use);
   for (;;) {
     const std::uint64_t index = schedule.next.fetch_add(1);
     if (index >= schedule.total) return;
@@ -81,6 +86,7 @@
 
 void Merge(LoadResult& total, const LoadResult& part) {
   total.latency.Merge(part.latency);
+  total.first_latency.Merge(part.first_latency);
   total.sent += part.sent;
   AddTo(total.by_status, part.by_status);
   AddTo(total.by_outcome, part.by_outcome);
@@ -95,14 +101,20 @@
   return total;
 }
 
+Duration WarmUpTime(const LoadPlan& plan) {
+  return kWarmUpMargin + kWarmUpInterval * static_cast<Duration::rep>(plan.connections);
+}
+
 LoadResult RunLoad(const LoadPlan& plan, Timestamp start) {
   const double total = plan.rate * static_cast<double>(plan.duration.count());
   Schedule schedule{plan, start, static_cast<std::uint64_t>(total)};
   std::vector<LoadResult> results(plan.connections);
   std::vector<std::thread> workers;
   workers.reserve(plan.connections);
+  Timestamp first_use = start - WarmUpTime(plan);
   for (auto& result : results) {
-    workers.emplace_back([&schedule, &result] { Work(schedule, result); });
+    workers.emplace_back([&schedule, &result, first_use] { Work(schedule, first_use, result); });
+    first_use += kWarmUpInterval;
   }
   for (auto& worker : workers) worker.join();
   LoadResult merged;
--- a/src/toolbox/load_run.h
+++ b/src/toolbox/load_run.h
@@ -21,12 +21,14 @@
   std::string method = "GET";
   std::size_t body_bytes = 0;
   Duration timeout = std::chrono::seconds(10);  // Of one request, without progress.
+  bool keep_alive = true;                       // False: a new connection for each request.
 };
 
 // What came back. Latency counts from the moment a request was meant to be sent, so a stall counts
 // for all requests that were due in it, not for the one that met it (no coordinated omission).
 struct LoadResult {
-  LoadHistogram latency;  // Of every answer, whatever its status.
+  LoadHistogram latency;        // Of every answer, whatever its status.
+  LoadHistogram first_latency;  // Of each connection's first answer, connecting included.
   std::uint64_t sent = 0;
   std::map<std::string, std::uint64_t> by_status;   // "200": answers.
   std::map<std::string, std::uint64_t> by_outcome;  // By `copperlead-outcome`; answers with one.
@@ -36,6 +38,10 @@
   std::uint64_t error_count() const;
 };
 
+// The time that RunLoad() needs before its start, to open the connections of the plan: each sends
+// one request, counted in `first_latency` only.
+Duration WarmUpTime(const LoadPlan& plan);
+
 // Runs the plan from `start` on in threads of its own; returns when the last answer is there.
 // Requests that are due when all connections are busy are sent late and counted from when they
 // were due; the run ends with what was due within `duration`.
