Proxy: keep 16 threads waiting ahead of need

Cause: a new connection waited for a thread that was just started; the scheduler makes such a thread wait for its turn when the cores are busy.

Change: ConnectionThreads starts spare threads after it hands one out.

--- a/src/proxy/connection_threads.cc
+++ b/src/proxy/connection_threads.cc
@@ -14,6 +14,7 @@
 constexpr std::size_t kStackBytes =
     std::size_t{256} * 1024;  // Reserved; only touched pages are resident.
 constexpr std::chrono::seconds kIdleLimit{10};
+constexpr std::size_t kSpareThreads = 16;
 
 void RunGuarded(const ConnectionThreads::Job& job) {
   try {
@@ -25,6 +26,11 @@
 
 }  // namespace
 
+ConnectionThreads::ConnectionThreads(std::size_t max_threads) : max_threads_(max_threads) {
+  const std::lock_guard lock(mutex_);
+  StartSpareThreads();
+}
+
 ConnectionThreads::~ConnectionThreads() {
   std::unique_lock lock(mutex_);
   stopping_ = true;
@@ -40,6 +46,7 @@
   }
   jobs_.push_back(job);
   job_added_.notify_one();
+  StartSpareThreads();
   return true;
 }
 
@@ -49,6 +56,13 @@
                              [this] { return jobs_.empty() && idle_threads_ == threads_; });
 }
 
+// The lock is held.
+void ConnectionThreads::StartSpareThreads() {
+  while (idle_threads_ < jobs_.size() + kSpareThreads && threads_ < max_threads_) {
+    if (!StartThread()) return;
+  }
+}
+
 // The lock is held. The new thread counts as idle until it takes a job.
 bool ConnectionThreads::StartThread() {
   pthread_attr_t attributes;
@@ -74,7 +88,11 @@
   for (;;) {
     const bool woken =
         job_added_.wait_for(lock, kIdleLimit, [this] { return stopping_ || !jobs_.empty(); });
-    if (!woken || jobs_.empty()) break;
+    if (jobs_.empty()) {
+      const bool spare = !woken && idle_threads_ <= kSpareThreads;
+      if (spare && !stopping_) continue;
+      break;
+    }
     Job job = std::move(jobs_.front());
     jobs_.pop_front();
     --idle_threads_;
--- a/src/proxy/connection_threads.h
+++ b/src/proxy/connection_threads.h
@@ -1,4 +1,5 @@
-// Threads on demand: one for each open connection, kept for a while for the next one. Stacks are
+// Threads on demand: one for each open connection, kept for a while for the next one. Some wait
+// ahead of need, as the system may let a thread that was just started wait for a core. Stacks are
 // small, as a node holds a thousand of them.
 #pragma once
 
@@ -17,7 +18,7 @@
  public:
   using Job = std::function<void()>;
 
-  explicit ConnectionThreads(std::size_t max_threads) : max_threads_(max_threads) {}
+  explicit ConnectionThreads(std::size_t max_threads);
   // Waits for all jobs to end.
   ~ConnectionThreads();
   ConnectionThreads(const ConnectionThreads&) = delete;
@@ -34,6 +35,7 @@
   static void* ThreadMain(void* self);
   void Work();
   bool StartThread();
+  void StartSpareThreads();
 
   const std::size_t max_threads_;
   std::mutex mutex_;  // Guards what follows.
