Probe a site that is out of use, rarely, and take it back at once

Cause: a refusal with free slots counts as draining. Back ends may refuse so while they shed or start cold, and a site of which all did was left out for 5 to 60 s after it had recovered. Change: where no back end of a site is in use, a request's first attempt may probe one, at most one in 250 ms each; success ends the suspicion, or the ejection. Leaving by the platform's list is never probed. Exclusions after a drain refusal end at 20 s (60 s before). Ruled out: not believing the refusals (a draining back end would be asked until the list says so). Found by the new test: an ejected back end was drawn for a probe like a cold one, a twentieth of the time; it is now drawn like any other.

--- a/src/routing/ejection.h
+++ b/src/routing/ejection.h
@@ -1,6 +1,7 @@
 // Passive ejection: a back end that keeps failing gets nothing for a while.
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 
@@ -19,6 +20,8 @@
     ejected_until_ = until;
     failures_ = 0;
   }
+  // A probe succeeded.
+  void EndEjection(Timestamp now) { ejected_until_ = std::min(ejected_until_, now); }
   bool Ejected(Timestamp now) const { return now < ejected_until_; }
   // The end of the last ejection; Timestamp::min() when there was none.
   Timestamp ejected_until() const { return ejected_until_; }
--- a/src/routing/endpoint_picker.cc
+++ b/src/routing/endpoint_picker.cc
@@ -39,7 +39,7 @@
 double WarmShare(const EndpointState& state, Timestamp now, Duration slow_start) {
   const Timestamp start = std::max(state.first_seen, state.failures.ejected_until());
   if (start == Timestamp::min() || now >= start + slow_start) return 1;
-  if (now <= start) return kLeastWarmShare;
+  if (now < start) return 1;  // Ejected: only a probe gets here, which is drawn like any other.
   const double share = std::chrono::duration<double>(now - start) / slow_start;
   return std::max(kLeastWarmShare, share);
 }
@@ -47,10 +47,10 @@
 EndpointPicker::Tier EndpointPicker::TierOf(Timestamp now, const EndpointSlot& slot,
                                             const PickFacts& facts) {
   const EndpointState& state = *slot.state;
-  if (!state.listed_live || state.leaving.Draining(now)) return Tier::kNever;
+  if (!state.listed_live) return Tier::kNever;
   const bool tried = WasTried(&state, facts);
-  if (state.leaving.Unreachable(now) || state.failures.Ejected(now)) {
-    return state.in_flight == 0 && !tried ? Tier::kProbe : Tier::kNever;
+  if (state.leaving.Leaving(now) || state.failures.Ejected(now)) {
+    return facts.tried.empty() && now >= state.next_probe ? Tier::kProbe : Tier::kNever;
   }
   if (state.in_flight >= InFlightBound(now, state, facts)) return Tier::kFull;
   if (tried) return facts.may_return ? Tier::kTried : Tier::kNever;
--- a/src/routing/endpoint_picker.h
+++ b/src/routing/endpoint_picker.h
@@ -34,9 +34,11 @@
 
 // Tiers, best first; within a tier the less loaded of two, cold ones drawn less often:
 //   1. within the node's share of connections, 2. over it (the connection is closed afterwards),
-//   3. shedding load, 4. tried before by this request, 5. as a probe, one request at a time:
-//   ejected or unreachable, only where no back end is in use at all.
-// Never chosen: leaving by the list, draining by own evidence, or at the in-flight bound.
+//   3. shedding load, 4. tried before by this request,
+//   5. as a probe: ejected, or leaving by own evidence; only a request's first attempt, only where
+//   no back end is in use at all, and rarely (see EndpointState::next_probe). Own evidence may
+//   mislead: when all back ends shed for a moment, this finds their return without a long wait.
+// Never chosen: leaving by the list, or at the in-flight bound.
 // Not thread-safe (scratch space).
 class EndpointPicker {
  public:
--- a/src/routing/endpoint_state.h
+++ b/src/routing/endpoint_state.h
@@ -22,6 +22,8 @@
   bool listed_live = true;
   // When it began to get requests; Timestamp::min(): before this node began to look.
   Timestamp first_seen = Timestamp::min();
+  // A back end out of use gets one request to find out no sooner than this.
+  Timestamp next_probe = Timestamp::min();
   LoadReport load;
   FailureStreak failures;
   LeavingEvidence leaving;
--- a/src/routing/leaving_evidence.cc
+++ b/src/routing/leaving_evidence.cc
@@ -11,7 +11,7 @@
 }
 
 void LeavingEvidence::RecordAnswer(Timestamp now, bool tried_anew) {
-  if (!draining_.Running(now)) draining_.Clear();
+  if (tried_anew || !draining_.Running(now)) draining_.Clear();
   if (tried_anew || !unreachable_.Running(now)) unreachable_.Clear();
 }
 
--- a/src/routing/leaving_evidence.h
+++ b/src/routing/leaving_evidence.h
@@ -24,13 +24,10 @@
   void RecordAnswer(Timestamp now, bool tried_anew);
 
   // Nothing new goes to it.
-  bool Leaving(Timestamp now) const { return draining_.Running(now) || Unreachable(now); }
-  // It takes no connections; a request may try it when nothing else is left.
-  bool Unreachable(Timestamp now) const { return unreachable_.Running(now); }
-  bool Draining(Timestamp now) const { return draining_.Running(now); }
+  bool Leaving(Timestamp now) const { return draining_.Running(now) || unreachable_.Running(now); }
 
  private:
-  Backoff draining_{std::chrono::seconds(5), std::chrono::seconds(60)};
+  Backoff draining_{std::chrono::seconds(5), std::chrono::seconds(20)};
   Backoff unreachable_{std::chrono::seconds(1), std::chrono::seconds(15)};
 };
 
--- a/src/routing/router_core.cc
+++ b/src/routing/router_core.cc
@@ -8,6 +8,9 @@
 namespace copperlead {
 namespace {
 
+// Between two requests that find out whether a back end out of use is back.
+constexpr Duration kProbeInterval = Milliseconds(250);
+
 // Live nodes by the platform's list, which a partition between nodes does not shorten.
 std::size_t CountListedNodes(const RoutingSnapshot& snapshot) {
   if (!snapshot.machines) return 0;
@@ -130,12 +133,13 @@
   const SiteAvailability available = {AnyMayGetNewWork(service.old_site, now),
                                       AnyMayGetNewWork(service.new_site, now)};
   auto site = ChooseSite(*facts.route->row, facts.split_share, available);
-  // Without any usable back end an unreachable one may be probed, at the request's own site.
+  // Without any usable back end one may be probed, at the request's own site.
   if (!site) site = ChooseSite(*facts.route->row, facts.split_share, {true, true});
   if (!site) return std::nullopt;
   const auto picked = picker_.Pick(now, service.At(*site), pick_facts);
   if (!picked) return std::nullopt;
   ++picked->slot->state->in_flight;
+  if (picked->probe) picked->slot->state->next_probe = now + kProbeInterval;
   return ChosenEndpoint{*picked->slot, &service.At(*site), picked->keep_connection, picked->probe};
 }
 
@@ -182,6 +186,7 @@
     RecordFailure(now, chosen);
   } else {
     state.failures.RecordSuccess();
+    if (chosen.probe) state.failures.EndEjection(now);
   }
 }
 
--- a/tests/routing/back_end_choice_test.cc
+++ b/tests/routing/back_end_choice_test.cc
@@ -209,6 +209,23 @@
   EXPECT_FALSE(MayEject(3, 2, 1.0)) << "one always stays";
 }
 
+// One is ejected, the other can't be reached: a probe that succeeds brings the ejected one back.
+TEST_F(BackEndChoiceTest, ASuccessfulProbeEndsAnEjection) {
+  Publish(kStart, MakeMachines(2));
+  FailAt(kStart, "old-100", 5, AttemptFailure::kTimeoutAfterWrite);
+  ASSERT_EQ(router_.counters().ejections, 1U);
+  FailAt(kStart, "old-101", 1, AttemptFailure::kConnectFailed);
+  std::string target;
+  for (int request = 0; request < 10 && target != "old-100"; ++request) {
+    const auto session = router_.Begin(MakeRequest());
+    target = TargetOf(session->Start(kStart + Milliseconds(260 * request)));
+    if (target == "old-101") session->OnFailure(kStart, AttemptFailure::kConnectFailed);
+    if (target == "old-100") session->OnAnswer(kStart, {});
+  }
+  ASSERT_EQ(target, "old-100");
+  EXPECT_EQ(Send(kStart + Milliseconds(100)), "old-100");
+}
+
 // Whether or not a back end reports its load with the refusal.
 TEST_F(BackEndChoiceTest, SheddingIsNoFailureButOthersComeFirst) {
   Publish(kStart, MakeMachines(2));
@@ -296,14 +313,34 @@
             ErrorKind::kConnectFailed);
 }
 
-TEST_F(BackEndChoiceTest, TheOnlyBackEndIsProbedByOneRequestAtATime) {
-  Publish(kStart, MakeMachines(1));
-  FailAt(kStart, "old-100", 1, AttemptFailure::kConnectFailed);
-  const auto probe = router_.Begin(MakeRequest());
-  EXPECT_EQ(TargetOf(probe->Start(kStart)), "old-100");
-  EXPECT_EQ(Send(kStart), "") << "while the probe runs";
-  probe->OnAnswer(kStart, {});
-  EXPECT_EQ(Send(kStart), "old-100");
+// Where nothing else is left, one request now and then finds out whether a back end is back.
+TEST_F(BackEndChoiceTest, ASiteOutOfUseIsProbedRarelyAndReturnsAtOnce) {
+  AnswerHead refusal = NotRunHead();
+  refusal.load_in_flight = 0;
+  refusal.load_slots = 6;
+  for (const bool draining : {false, true}) {
+    RequestRouter router({}, 3);
+    router.Publish(kStart, MakeSnapshot({MakeRow()}, MakeMachines(1)));
+    int sent = 0;
+    for (int request = 0; request < 700; ++request) {
+      const Timestamp now = kStart + Milliseconds(request);
+      const auto session = router.Begin(MakeRequest());
+      if (TargetOf(session->Start(now)).empty()) continue;
+      ++sent;
+      const RequestAction next = draining ? session->OnAnswer(now, refusal)
+                                          : session->OnFailure(now, AttemptFailure::kConnectFailed);
+      EXPECT_EQ(TargetOf(next), "");
+    }
+    EXPECT_EQ(sent, 4) << "the first, and a probe each 250 ms";
+    const Timestamp back = kStart + Milliseconds(760);
+    const auto probe = router.Begin(MakeRequest());
+    EXPECT_EQ(TargetOf(probe->Start(back)), "old-100");
+    const auto early = router.Begin(MakeRequest());
+    EXPECT_EQ(TargetOf(early->Start(back)), "") << "while the probe runs";
+    probe->OnAnswer(back, {});
+    const auto later = router.Begin(MakeRequest());
+    EXPECT_EQ(TargetOf(later->Start(back)), "old-100");
+  }
 }
 
 TEST_F(BackEndChoiceTest, OverItsShareOfConnectionsANodeKeepsNone) {
