--- a/tests/membership/contract_test.cc
+++ b/tests/membership/contract_test.cc
@@ -65,9 +65,9 @@
 TEST_F(ContractTest, StatementsAreOrderedByIncarnationThenState) {
   struct Case {
     MemberState held;
-    std::uint32_t held_incarnation;
+    std::uint8_t held_incarnation;
     MemberState stated;
-    std::uint32_t stated_incarnation;
+    std::uint8_t stated_incarnation;
     bool taken;
   };
   const Case cases[] = {
@@ -95,16 +95,16 @@
 
 TEST_F(ContractTest, ANodeRefutesWhatIsNotSoAboutItself) {
   struct Case {
-    MemberState stated;
     std::uint32_t incarnation;
-    bool same_address;
     std::uint32_t expected;
+    MemberState stated;
+    bool same_address;
   };
   const Case cases[] = {
-      {kAlive, 5, true, 5},    {kSuspect, 4, true, 5}, {kDead, 4, true, 5},
-      {kSuspect, 5, true, 6},  {kDead, 5, true, 6},    {kLeaving, 5, true, 6},
-      {kDead, 9, true, 10},    {kAlive, 9, true, 10},  {kAlive, 9, false, 5},
-      {kSuspect, 9, false, 5}, {kDead, 9, false, 10},  {kDead, UINT32_MAX, true, 5},
+      {5, 5, kAlive, true},    {4, 5, kSuspect, true}, {4, 5, kDead, true},
+      {5, 6, kSuspect, true},  {5, 6, kDead, true},    {5, 6, kLeaving, true},
+      {9, 10, kDead, true},    {9, 10, kAlive, true},  {9, 5, kAlive, false},
+      {9, 5, kSuspect, false}, {9, 10, kDead, false},  {UINT32_MAX, 5, kDead, true},
   };
   for (const auto& row : cases) {
     auto stated = Record("self", row.stated, row.incarnation);
