--- a/tests/integration/control_plane_test.cc
+++ b/tests/integration/control_plane_test.cc
@@ -35,7 +35,7 @@
     fleet_ = nullptr;
   }
   static void AddNode(const std::string& id, const std::string& zone, bool reads_source) {
-    fleet_->AddNode(id, zone, reads_source).plan.arguments = QuickNodeFlags();
+    fleet_->AddNode(id, zone, reads_source).plan.arguments = PollEvery(200);
   }
 
   void SetUp() override {
--- a/tests/integration/process_harness.h
+++ b/tests/integration/process_harness.h
@@ -19,9 +19,8 @@
 }
 
 // Flags that make tests quick; nothing else differs from a deployment.
-inline const std::vector<std::string>& QuickNodeFlags() {
-  static const std::vector<std::string> flags = {"--source-interval-ms", "200"};
-  return flags;
+inline std::vector<std::string> PollEvery(int milliseconds) {
+  return {"--source-interval-ms", std::to_string(milliseconds)};
 }
 
 inline void Kill(LocalNode& node) {
