Setting peer-advertise: the address by which other nodes reach this one

A node told its peers the address it listens on, so nothing could stand between two nodes: neither a forwarder of a site nor the fault proxies that the partition tests need. Default unchanged. Shown by the partition tests, where every node is reached through a fault proxy.

--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -42,7 +42,7 @@
   MemberRecord record;
   record.id = settings.id;
   record.zone = settings.zone;
-  record.address = peer_address;
+  record.address = settings.peer_advertise.value_or(peer_address);
   record.incarnation = static_cast<std::uint32_t>(WallClockMilliseconds() / 1000);
   return record;
 }
--- a/src/node/settings.cc
+++ b/src/node/settings.cc
@@ -30,6 +30,8 @@
       ("admin", text(), "IP:PORT for operators: /status /metrics /journal /history /healthz /readyz "
                         "(required)")
       ("peer-listen", text(), "IP:PORT for other nodes, UDP and TCP; not a wildcard (required)")
+      ("peer-advertise", text(),
+       "IP:PORT by which other nodes reach this one, when that is not peer-listen")
       ("peer", options::value<std::vector<std::string>>()->composing(),
        "IP:PORT of a first contact; may be repeated")
       ("source", text(), "http://IP:PORT of the platform's configuration service")
@@ -129,6 +131,10 @@
   BOOST_LEAF_ASSIGN(settings.listen, AddressOf("listen", values.Text("listen")));
   BOOST_LEAF_ASSIGN(settings.admin, AddressOf("admin", values.Text("admin")));
   BOOST_LEAF_ASSIGN(settings.peer_listen, PeerAddressOf("peer-listen", values.Text("peer-listen")));
+  if (values.Has("peer-advertise")) {
+    BOOST_LEAF_AUTO(advertised, PeerAddressOf("peer-advertise", values.Text("peer-advertise")));
+    settings.peer_advertise = advertised;
+  }
   for (const auto& peer : values.List("peer")) {
     BOOST_LEAF_AUTO(address, PeerAddressOf("peer", peer));
     settings.peers.push_back(address);
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -23,6 +23,7 @@
   SocketAddress listen;       // Callers.
   SocketAddress admin;        // Operators.
   SocketAddress peer_listen;  // Other nodes; UDP and TCP. Told to peers, so never a wildcard.
+  std::optional<SocketAddress> peer_advertise;  // By which others reach it; none: peer_listen.
   std::vector<SocketAddress> peers;
   std::optional<SocketAddress> source;
   std::optional<Milliseconds> source_interval;  // Of one zone's reader; none: the profile's.
