--- a/src/standin/fault.h
+++ b/src/standin/fault.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdint>
 #include <mutex>
+#include <string>
 
 namespace copperlead::standin {
 
@@ -31,6 +32,14 @@
   std::uint64_t times = UINT64_MAX;  // Connections that kReset ends; later ones pass.
   std::uint32_t percent = 0;
   bool gentle = false;  // kReset ends connections by FIN, not by RST.
+  // Senders (IP) of the datagrams that the fault is for; empty: all. TCP shows no sender that could
+  // be told by its IP on loopback: the fault is for all of it.
+  std::string only_from;
+  std::string except_from;
+
+  bool CoversSender(const std::string& ip) const {
+    return (only_from.empty() || ip == only_from) && (except_from.empty() || ip != except_from);
+  }
 
   bool Covers(FaultDirection way) const {
     return direction == FaultDirection::kBoth || direction == way;
--- a/src/standin/fault_proxy.cc
+++ b/src/standin/fault_proxy.cc
@@ -40,7 +40,8 @@
     response.status = 400;
     response.set_content(
         "fault: none, cut, freeze, delay, reset, drop, refuse or stop-accepting; "
-        "direction: both, forward or backward; after, times, ms, percent, gentle: numbers\n",
+        "direction: both, forward or backward; after, times, ms, percent, gentle: numbers; "
+        "only_from, except_from: IPs of senders of datagrams\n",
         "text/plain");
     return;
   }
@@ -52,6 +53,8 @@
   fault.times = NumberParameter(request, "times", UINT64_MAX);
   fault.percent = static_cast<std::uint32_t>(NumberParameter(request, "percent", 0));
   fault.gentle = NumberParameter(request, "gentle", 0) != 0;
+  fault.only_from = request.get_param_value("only_from");
+  fault.except_from = request.get_param_value("except_from");
   board.Set(fault);
 }
 
--- a/src/standin/local_fleet.cc
+++ b/src/standin/local_fleet.cc
@@ -6,8 +6,8 @@
 namespace copperlead::standin {
 namespace {
 
-// Networks (see Workplace::NewAddress) of the nodes.
-constexpr int kNodeNetwork = 1;
+// Network (see Workplace::NewAddress) of the first zone's nodes.
+constexpr int kFirstZoneNetwork = 1;
 
 template <class Range, class Matches>
 auto& Find(Range& range, const std::string& id, Matches matches) {
@@ -56,19 +56,38 @@
                                          "--configuration", configuration, "--machines", machines});
 }
 
-LocalNode& LocalFleet::AddNode(const std::string& id, const std::string& zone, bool reads_source) {
+int LocalFleet::NetworkOf(const std::string& zone) {
+  const auto found = std::find(zones_.begin(), zones_.end(), zone);
+  const auto index = found - zones_.begin();
+  if (found == zones_.end()) zones_.push_back(zone);
+  return kFirstZoneNetwork + static_cast<int>(index);
+}
+
+std::string LocalFleet::ZoneIp(const std::string& zone) {
+  return workplace_.NewAddress(NetworkOf(zone)).ip;
+}
+
+LocalNode& LocalFleet::AddNode(const std::string& id, const std::string& zone, bool reads_source,
+                               bool behind_proxy) {
+  const int network = NetworkOf(zone);
   LocalNode node;
   node.plan.id = id;
   node.plan.zone = zone;
-  node.plan.listen = workplace_.NewAddress(kNodeNetwork);
-  node.plan.admin = workplace_.NewAddress(kNodeNetwork);
-  node.plan.peer_listen = workplace_.NewAddress(kNodeNetwork);
+  node.plan.listen = workplace_.NewAddress(network);
+  node.plan.admin = workplace_.NewAddress(network);
+  node.plan.peer_listen = workplace_.NewAddress(network);
   if (reads_source) node.plan.source = source_address_;
+  if (behind_proxy) {
+    node.proxy = workplace_.StartStandin(
+        id + "-proxy", {"fault-proxy", "--udp", "--listen", ToString(workplace_.NewAddress()),
+                        "--to", ToString(node.plan.peer_listen)});
+    node.plan.peer_advertise = node.proxy.listen;
+  }
   for (auto& other : nodes_) {
-    node.plan.peers.push_back(other.plan.peer_listen);
-    other.plan.peers.push_back(node.plan.peer_listen);
+    node.plan.peers.push_back(other.peer_address());
+    other.plan.peers.push_back(node.peer_address());
   }
-  machines_.machines.push_back({id, "node", "", "", zone, ToString(node.plan.peer_listen), "live"});
+  machines_.machines.push_back({id, "node", "", "", zone, ToString(node.peer_address()), "live"});
   nodes_.push_back(std::move(node));
   return nodes_.back();
 }
--- a/src/standin/local_fleet.h
+++ b/src/standin/local_fleet.h
@@ -18,6 +18,12 @@
 struct LocalNode {
   NodePlan plan;
   std::unique_ptr<ChildProcess> process;
+  StandinProcess proxy;  // Before its peer address; its process is null without one.
+
+  // Where other nodes reach it.
+  const SocketAddress& peer_address() const {
+    return plan.peer_advertise.empty() ? plan.peer_listen : plan.peer_advertise;
+  }
 };
 
 // A back end. Callers reach it at `address`: its own, or that of the fault proxy before it.
@@ -48,13 +54,19 @@
   LocalFleet& operator=(const LocalFleet&) = delete;
 
   Workplace& workplace() { return workplace_; }
+  // Where the source listens, also before it is started.
+  const SocketAddress& source_address() const { return source_address_; }
 
   // Starts a back end and adds it to machines().
   LocalBackend& AddBackend(const BackendPlan& plan);
   // Starts the source with configuration() and machines() as they are now.
   void StartSource();
   // Plans a node of `zone` and adds it to machines(); all planned nodes are each other's contacts.
-  LocalNode& AddNode(const std::string& id, const std::string& zone, bool reads_source);
+  // The nodes of one zone share an IP. `behind_proxy` lets peers reach it through a fault proxy.
+  LocalNode& AddNode(const std::string& id, const std::string& zone, bool reads_source,
+                     bool behind_proxy = false);
+  // The IP of a zone's nodes.
+  std::string ZoneIp(const std::string& zone);
   // Starts the nodes that are down.
   void StartNodes();
 
@@ -82,6 +94,8 @@
   double SumOfMetric(const std::string& name) const;
 
  private:
+  int NetworkOf(const std::string& zone);
+
   Workplace workplace_;
   std::string key_file_;
   SocketAddress source_address_;
@@ -90,6 +104,7 @@
   StandinProcess source_;
   std::vector<std::unique_ptr<LocalBackend>> backends_;
   std::vector<LocalNode> nodes_;
+  std::vector<std::string> zones_;
 };
 
 }  // namespace copperlead::standin
--- a/src/standin/socket_address.cc
+++ b/src/standin/socket_address.cc
@@ -26,6 +26,16 @@
   return system;
 }
 
+std::string IpOf(const SystemAddress& address) {
+  char text[INET6_ADDRSTRLEN] = "";
+  const bool is_ipv4 = address.storage.ss_family == AF_INET;
+  const void* ip = is_ipv4 ? static_cast<const void*>(
+                                 &reinterpret_cast<const sockaddr_in&>(address.storage).sin_addr)
+                           : &reinterpret_cast<const sockaddr_in6&>(address.storage).sin6_addr;
+  inet_ntop(address.storage.ss_family, ip, text, sizeof(text));
+  return text;
+}
+
 std::uint16_t BoundPort(int socket) {
   SystemAddress address;
   if (getsockname(socket, address.get(), &address.length) != 0) return 0;
--- a/src/standin/socket_address.h
+++ b/src/standin/socket_address.h
@@ -18,6 +18,9 @@
 // @param address numeric, as ParseSocketAddress gives it.
 SystemAddress ToSystem(const SocketAddress& address);
 
+// @return the IP as text.
+std::string IpOf(const SystemAddress& address);
+
 // @return the port that a bound socket has.
 std::uint16_t BoundPort(int socket);
 
--- a/src/standin/udp_forwarder.cc
+++ b/src/standin/udp_forwarder.cc
@@ -20,6 +20,7 @@
 // One sender's way through the proxy: a socket of its own towards the target.
 struct Session {
   SystemAddress sender;
+  std::string sender_ip;
   int to_target = -1;
 };
 
@@ -73,14 +74,15 @@
     if (is_new) {
       const int to_target = socket(target_.storage.ss_family, SOCK_DGRAM | SOCK_CLOEXEC, 0);
       (void)connect(to_target, target_.get(), target_.length);
-      sessions_.push_back({sender, to_target});
+      sessions_.push_back({sender, IpOf(sender), to_target});
     }
     return found->second;
   }
 
   void Take(std::size_t session, FaultDirection way, std::string content) {
     ++board_.datagrams;
-    const auto fault = board_.Get().fault;
+    auto fault = board_.Get().fault;
+    if (!fault.CoversSender(sessions_[session].sender_ip)) fault = Fault{};
     const bool dropped = fault.kind == FaultKind::kDrop && board_.TakeDrop(fault.percent);
     if (dropped || fault.CutsBoth() || fault.Stops(way)) {
       ++board_.lost_datagrams;
--- a/src/standin/workplace.cc
+++ b/src/standin/workplace.cc
@@ -130,6 +130,9 @@
   for (const auto& peer : plan.peers) {
     command.insert(command.end(), {"--peer", ToString(peer)});
   }
+  if (!plan.peer_advertise.empty()) {
+    command.insert(command.end(), {"--peer-advertise", ToString(plan.peer_advertise)});
+  }
   if (!plan.source.empty()) {
     command.insert(command.end(), {"--source", "http://" + ToString(plan.source)});
   }
--- a/src/standin/workplace.h
+++ b/src/standin/workplace.h
@@ -34,6 +34,7 @@
   SocketAddress listen;
   SocketAddress admin;
   SocketAddress peer_listen;
+  SocketAddress peer_advertise;  // Empty: peer_listen.
   std::vector<SocketAddress> peers;
   SocketAddress source;                // Empty: none.
   std::vector<std::string> arguments;  // Further flags.
