--- a/src/simulation/report.cc
+++ b/src/simulation/report.cc
@@ -42,6 +42,7 @@
 
 Json StartUp(const SimulationReport& report) {
   return {{"time_ms", ToMilliseconds(report.start_up_time)},
+          {"views_agree_ms", ToMilliseconds(report.views_agree_time)},
           {"bytes_per_node", Rounded(report.start_up_bytes_per_node)},
           {"source_reads", report.start_up_load.reads},
           {"source_peak_per_second", report.start_up_load.peak_per_second}};
--- a/src/simulation/runner.cc
+++ b/src/simulation/runner.cc
@@ -10,6 +10,8 @@
 constexpr Duration kSecond = std::chrono::seconds(1);
 constexpr Duration kStartSpread = kSecond;
 constexpr Duration kStartUpLimit = 60 * kSecond;
+// The views of the members agree some time after the first version runs everywhere.
+constexpr Duration kViewsAgreeLimit = 180 * kSecond;
 constexpr Duration kCalmBeforeQuiet = 10 * kSecond;
 constexpr Duration kQuietWindow = 20 * kSecond;
 
@@ -37,6 +39,17 @@
   return true;
 }
 
+bool ViewsAgree(const Simulator& simulator) {
+  const std::size_t nodes = simulator.topology().node_count();
+  const auto hash_of = [&](NodeIndex node) {
+    return simulator.node(node).agent->membership().Summary().membership_hash;
+  };
+  for (NodeIndex node = 1; node < nodes; ++node) {
+    if (hash_of(node) != hash_of(0)) return false;
+  }
+  return true;
+}
+
 void StartFleet(Simulator& simulator) {
   simulator.PublishEdit(simulator.documents().NextEdit());
   simulator.PublishMachines(simulator.documents().NextMachines());
@@ -56,6 +69,10 @@
   StartFleet(simulator);
   report.start_up_time = simulator.elapsed();
   report.start_up_load = simulator.source().load();
+  while (!ViewsAgree(simulator) && simulator.elapsed() < kViewsAgreeLimit) {
+    simulator.RunFor(kSecond);
+  }
+  report.views_agree_time = simulator.elapsed();
   report.start_up_bytes_per_node = static_cast<double>(simulator.traffic().totals().all()) /
                                    static_cast<double>(report.options.nodes);
   simulator.RunFor(kCalmBeforeQuiet);
--- a/src/simulation/runner.h
+++ b/src/simulation/runner.h
@@ -19,9 +19,10 @@
   Duration origin{};        // Of `Violation::when`, to subtract.
   Duration virtual_time{};  // Of the whole run.
   // Start-up: all nodes start within a second and the source is read for the first time.
-  Duration start_up_time{};  // Until every node runs the first version and knows the fleet.
+  Duration start_up_time{};     // Until every node runs the first version and knows the fleet.
+  Duration views_agree_time{};  // Until all views of the members are the same.
   SourceLoad start_up_load;
-  double start_up_bytes_per_node = 0;
+  double start_up_bytes_per_node = 0;  // Until the views agree.
   // Quiet window, nothing happening.
   double quiet_bytes_per_node_per_second = 0;
   // The scenario, healing and grace included.
