--- a/src/distribution/source_poller.cc
+++ b/src/distribution/source_poller.cc
@@ -11,20 +11,21 @@
 constexpr Duration kReadTimeout = seconds(5);
 // Nodes without a configuration look whether they should read at least this often.
 constexpr Duration kFirstCheckInterval = Milliseconds(500);
+// Times in probe intervals, in which member lists are completed.
 // The member list must not have changed for this long before a first read.
-constexpr Duration kSettleTime = seconds(1);
+constexpr std::int64_t kSettleProbes = 1;
 // After this long without a change the list is taken to be whole, and no random wait is added.
-constexpr Duration kCertainTime = seconds(3);
+constexpr std::int64_t kCertainProbes = 3;
+// A member list that does not settle delays a first read by this and twice the random wait.
+constexpr std::int64_t kUnsettledProbes = 2;
+// A node that runs a configuration polls once its list has been certain, or this long after its
+// start: before, many nodes of a fleet that starts take themselves for the reader.
+constexpr std::int64_t kUnsettledRoleProbes = 10;
 // The random wait grows with the members known, up to a limit: in a large fleet lists are still
 // partial when they seem settled, and many nodes take themselves for the reader.
 constexpr Duration kWaitPerMember = Milliseconds(20);
 constexpr Duration kLongestRandomWait = seconds(10);
 constexpr std::uint64_t kPerMille = 1000;
-// A member list that does not settle delays a first read by this and twice the random wait.
-constexpr Duration kUnsettledWait = seconds(2);
-// A node that runs a configuration polls once its list has been settled for kCertainTime, or this
-// long after its start: before, many nodes of a fleet that starts take themselves for the reader.
-constexpr Duration kUnsettledRoleWait = seconds(10);
 // Further wait per rank of a first read: the reader comes first.
 constexpr Duration kFirstReadStep = seconds(2);
 // Members of higher rank never do the first read while they hear the fleet.
@@ -63,8 +64,8 @@
 std::vector<FetchFromSource> SourcePoller::Check(Timestamp now, const PollSituation& situation) {
   ExpireOutstanding(now);
   const bool everyone = settings_.strategy == Strategy::kEveryNodePolls;
-  const bool settled =
-      now >= std::min(situation.view_changed_at + kCertainTime, started_ + kUnsettledRoleWait);
+  const bool settled = now >= std::min(situation.view_changed_at + Probes(kCertainProbes),
+                                       started_ + Probes(kUnsettledRoleProbes));
   may_poll_ = situation.role_allowed && (settled || everyone);
   is_reader_ = may_poll_ && (situation.rank == 0 || everyone);
   UpdateKind();
@@ -113,11 +114,16 @@
                                static_cast<std::int64_t>(first_read_draw_) /
                                static_cast<std::int64_t>(kPerMille);
   const Timestamp changed = std::max(situation.view_changed_at, started_);
-  const Timestamp settled = changed + std::min(kSettleTime + random_wait, kCertainTime);
-  const Timestamp latest = started_ + kUnsettledWait + 2 * random_wait;
+  const Timestamp settled =
+      changed + std::min(Probes(kSettleProbes) + random_wait, Probes(kCertainProbes));
+  const Timestamp latest = started_ + Probes(kUnsettledProbes) + 2 * random_wait;
   return now >= std::min(settled, latest) + rank_wait;
 }
 
+Duration SourcePoller::Probes(std::int64_t count) const {
+  return settings_.membership.probe_interval * count;
+}
+
 bool SourcePoller::IsDueByRank(Timestamp now, std::size_t rank) const {
   if (rank > kMaxPollingRank) return false;
   if (rank == 0) return true;
--- a/src/distribution/source_poller.h
+++ b/src/distribution/source_poller.h
@@ -71,6 +71,7 @@
 
   bool MayRead(Timestamp now, const PollSituation& situation);
   bool MayReadFirst(Timestamp now, const PollSituation& situation) const;
+  Duration Probes(std::int64_t count) const;
   bool IsDueByRank(Timestamp now, std::size_t rank) const;
   void ExpireOutstanding(Timestamp now);
   void CountFailure(Timestamp now, Stream& stream);
--- a/tests/distribution/agent_test.cc
+++ b/tests/distribution/agent_test.cc
@@ -25,6 +25,7 @@
   const Membership& membership = fleet.nodes().begin()->second->agent->membership();
   const std::vector<MemberRecord> eligible = membership.EligibleInZone(zone);
   std::vector<const MemberRecord*> members;
+  members.reserve(eligible.size());
   for (const MemberRecord& member : eligible) members.push_back(&member);
   return ElectReaders(zone, members, rank + 1).at(rank).id;
 }
@@ -222,7 +223,7 @@
   fleet.Publish({.revision = 5, .new_weight = 5});
   EXPECT_TRUE(fleet.RunUntil([&] { return fleet.AllRun(5); }, seconds(5)));
   fleet.RunFor(seconds(5));
-  const std::string id = ReaderOf(fleet, "zone-a");
+  std::string id = ReaderOf(fleet, "zone-a");
   fleet.Publish({.revision = 4, .new_weight = 4});
   fleet.pass = [id](const std::string& from, const std::string& to, const Message& message) {
     const bool joins = std::holds_alternative<JoinRequest>(message.body) ||
--- a/tests/distribution/election_and_tree_test.cc
+++ b/tests/distribution/election_and_tree_test.cc
@@ -23,6 +23,7 @@
 
 std::vector<const MemberRecord*> PointersTo(const std::vector<MemberRecord>& members) {
   std::vector<const MemberRecord*> pointers;
+  pointers.reserve(members.size());
   for (const MemberRecord& member : members) pointers.push_back(&member);
   return pointers;
 }
