--- a/src/distribution/agent_implementation.cc
+++ b/src/distribution/agent_implementation.cc
@@ -18,6 +18,10 @@
 
 std::uint64_t Salted(std::uint64_t seed, SeedSalt salt) { return seed * kSeedsPerNode + salt; }
 
+TransferDecoder& DecoderOf(const AgentSettings& settings) {
+  return settings.decoder ? *settings.decoder : TransferDecoder::Plain();
+}
+
 MemberRecord WithoutVersion(MemberRecord record) {
   record.configuration = {};
   return record;
@@ -32,8 +36,8 @@
       membership_(settings_.membership, WithoutVersion(std::move(self)),
                   Salted(seed, kMembershipSeed), now),
       view_(membership_),
-      configuration_(settings_.faults, settings_.history_size, outbox_),
-      machines_(settings_.history_size, outbox_),
+      configuration_(settings_.faults, settings_.history_size, outbox_, DecoderOf(settings_)),
+      machines_(settings_.history_size, outbox_, DecoderOf(settings_)),
       configuration_pusher_(settings_, membership_, view_, configuration_, outbox_),
       machine_pusher_(settings_, membership_, view_, machines_, outbox_),
       configuration_repairer_(settings_, membership_, view_, configuration_, outbox_,
