The data path uses the fleet's shape: rank, zone, and connections over the share are closed

Cause: the router offers deterministic parts of fleet limits by node rank and a share of each back end's connections, but the node told it no rank and the proxy kept every connection; parts taken from a random seed can collide and then exceed a limit. Ruled out: checking the view every second (a rank change moves subsets and with them connections). Change: routing feed passes rank and zone and looks every 3 s; the proxy closes a connection over the share after its answer and tells the router of `Connection: close`.

--- a/src/node/routing_feed.cc
+++ b/src/node/routing_feed.cc
@@ -9,6 +9,7 @@
 FleetShape ShapeOf(const Membership& membership) {
   FleetShape shape;
   shape.node_id = membership.self().id;
+  shape.zone = membership.self().zone;
   const auto eligible = membership.Eligible();
   shape.live_nodes = std::max<std::size_t>(1, eligible.size());
   shape.node_rank = static_cast<std::size_t>(
@@ -34,9 +35,10 @@
 void RoutingFeed::OnMembership(Timestamp now, const Membership& membership) {
   if (last_check_ && now - *last_check_ < kFleetCheckInterval) return;
   last_check_ = now;
-  router_->SetLiveNodes(now, membership.LiveCount());
   auto shape = ShapeOf(membership);
-  const bool same = shape.live_nodes == fleet_.live_nodes && shape.node_rank == fleet_.node_rank;
+  router_->SetLiveNodes(now, membership.LiveCount(), shape.node_rank);
+  const bool same = shape.live_nodes == fleet_.live_nodes && shape.node_rank == fleet_.node_rank &&
+                    shape.zone == fleet_.zone;
   fleet_ = std::move(shape);
   if (!same) Publish(now);
 }
--- a/src/node/routing_feed.h
+++ b/src/node/routing_feed.h
@@ -31,6 +31,8 @@
   std::optional<Timestamp> last_check_;
 };
 
-inline constexpr Duration kFleetCheckInterval = std::chrono::seconds(1);
+// A change of rank may move the subset of back ends that this node keeps connections to, so the
+// view is followed at a walk.
+inline constexpr Duration kFleetCheckInterval = std::chrono::seconds(3);
 
 }  // namespace copperlead
--- a/src/proxy/forwarded_headers.cc
+++ b/src/proxy/forwarded_headers.cc
@@ -185,6 +185,7 @@
 AnswerHead ReadAnswerHead(const ResponseHead& head) {
   AnswerHead answer;
   answer.status = head.status;
+  answer.closes_connection = ListHolds(head.fields, "Connection", "close");
   for (const auto& field : head.fields) {
     if (EqualsIgnoringCase(field.name, kOutcomeHeader)) {
       answer.says_not_run = EqualsIgnoringCase(field.value, Name(RequestOutcome::kNotRun));
--- a/src/proxy/request_exchange.cc
+++ b/src/proxy/request_exchange.cc
@@ -122,6 +122,7 @@
   const Timestamp now = Now();
   RecycleConnection();
   address_ = action.endpoint.address;
+  keep_connection_ = action.keep_connection;
   progress_timeout_ = action.progress_timeout;
   deadline_.reset();
   if (action.time_left) deadline_ = now + *action.time_left;
@@ -158,7 +159,7 @@
 }
 
 bool RequestExchange::ConnectionIsReusable() const {
-  return attempt_.request_sent_whole && attempt_.head.minor_version > 0 &&
+  return keep_connection_ && attempt_.request_sent_whole && attempt_.head.minor_version > 0 &&
          attempt_.framing.kind != BodyKind::kUntilClose &&
          !ListHolds(attempt_.head.fields, "Connection", "close");
 }
--- a/src/proxy/request_exchange.h
+++ b/src/proxy/request_exchange.h
@@ -86,6 +86,7 @@
   // Of the attempt that runs or was answered.
   AttemptResult attempt_;
   SocketAddress address_;
+  bool keep_connection_ = true;  // Whether the back end's connection may be kept afterwards.
   Duration progress_timeout_{};
   std::optional<Timestamp> deadline_;
 };
