Proxy: test that an HTTP/1.0 caller sees a cut; load streams its bodies

Cause: a broken variant that ends a cut answer in order passed all tests, as none had a caller that knows the end by the connection's alone. Uploads of load were held whole in memory.

Change: the test; bodies of load come from a 64 KB piece.

--- a/src/toolbox/load.cc
+++ b/src/toolbox/load.cc
@@ -18,7 +18,7 @@
 constexpr double kMaxRate = 1e6;
 constexpr std::size_t kMaxConnections = 10'000;
 constexpr std::int64_t kMaxSeconds = 86'400;
-constexpr std::size_t kMaxBodyBytes = std::size_t{1} << 30;
+constexpr std::size_t kMaxBodyBytes = std::size_t{1} << 34;
 // Back ends have few connections; the direct side shares no limit with the node.
 constexpr std::size_t kMaxDirectConnections = 16;
 
--- a/src/toolbox/load_run.cc
+++ b/src/toolbox/load_run.cc
@@ -3,6 +3,7 @@
 #include <httplib.h>
 #include <sys/prctl.h>
 
+#include <algorithm>
 #include <atomic>
 #include <thread>
 #include <vector>
@@ -13,6 +14,8 @@
 constexpr Duration kWarmUpInterval = std::chrono::milliseconds(1);  // Between connections.
 constexpr Duration kWarmUpMargin = std::chrono::milliseconds(500);  // For the last one's answer.
 
+constexpr std::size_t kBodyPieceBytes = std::size_t{64} * 1024;
+
 Timestamp Now() { return SteadyClock().Now(); }
 
 // Shared by the workers of one run.
@@ -38,12 +41,19 @@
   client.set_write_timeout(plan.timeout);
 }
 
+// Large bodies are never held whole.
+bool WriteBodyPiece(std::size_t /*offset*/, std::size_t length, httplib::DataSink& sink) {
+  static const std::string piece(kBodyPieceBytes, 'x');
+  return sink.write(piece.data(), std::min(length, piece.size()));
+}
+
 httplib::Request MakeRequest(const LoadPlan& plan) {
   httplib::Request request;
   request.method = plan.method;
   request.path = plan.path;
   if (plan.body_bytes > 0) {
-    request.body.assign(plan.body_bytes, 'x');
+    request.content_length_ = plan.body_bytes;
+    request.content_provider_ = WriteBodyPiece;
     request.set_header("Content-Type", "application/octet-stream");
   }
   return request;
--- a/tests/proxy/exchange_test.cc
+++ b/tests/proxy/exchange_test.cc
@@ -367,6 +367,19 @@
   EXPECT_TRUE(answer.whole);
 }
 
+// Without chunks or a length, an orderly end would pass a half for the whole.
+TEST_F(ProxyTest, ResetsAnOldCallerWhoseAnswerWasCut) {
+  RawServer backend([](RawSocket& socket, int) {
+    socket.Read();
+    socket.Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhalf-\r\n");
+  });
+  StartProxy({{backend.address()}});
+  RawSocket caller = Call();
+  caller.Send("GET / HTTP/1.0\r\n\r\n");
+  caller.Read();
+  EXPECT_TRUE(caller.was_reset());
+}
+
 TEST_F(ProxyTest, ContinuesWhenTheCallerWaitsForIt) {
   RawServer backend(Answering(Echo));
   settings_.buffer_limit = 8;
--- a/tests/proxy/raw_socket.cc
+++ b/tests/proxy/raw_socket.cc
@@ -84,6 +84,7 @@
   if (poll(&descriptor, 1, kGenerousMilliseconds) <= 0) return false;
   std::array<char, 65536> bytes;
   const ssize_t count = recv(fd_, bytes.data(), bytes.size(), 0);
+  was_reset_ = count < 0;
   if (count <= 0) return false;
   buffer_.append(bytes.data(), static_cast<std::size_t>(count));
   return true;
--- a/tests/proxy/raw_socket.h
+++ b/tests/proxy/raw_socket.h
@@ -50,6 +50,8 @@
   std::string ReadToEnd(std::size_t limit = SIZE_MAX);
   // @return true when the peer closed in order or by a reset (within a generous bound).
   bool AwaitClosed() const;
+  // The last read found a reset in place of an orderly end.
+  bool was_reset() const { return was_reset_; }
   void Reset();
   void Close();
 
@@ -60,6 +62,7 @@
 
   int fd_;
   std::string buffer_;
+  bool was_reset_ = false;
 };
 
 // A listener that runs `serve` in a thread for each connection; its end ends them all.
