Report hollow activations on the monotonic clock

Cause: the wall clock of the measuring machine went back by 3.4 s within a run of two minutes (edits seemed to take force before they were published), and processes have to be compared. Change: first_monotonic_ms in place of first_unix_ms; the machine's monotonic clock is shared by its processes.

--- a/src/toolbox/hollow.cc
+++ b/src/toolbox/hollow.cc
@@ -18,7 +18,7 @@
 constexpr std::size_t kMaxNodes = 5000;
 constexpr std::size_t kMaxZones = 100;
 constexpr std::size_t kMaxThreads = 64;
-constexpr std::size_t kMaxSeconds = 24 * 3600;
+constexpr std::size_t kMaxSeconds = 86'400;
 constexpr std::size_t kMaxWindows = 1000;
 constexpr std::size_t kHighestPort = 65535;
 constexpr std::string_view kSourceScheme = "http://";
@@ -111,14 +111,7 @@
   return settings;
 }
 
-std::int64_t WallClockOffset() {
-  const auto wall = std::chrono::system_clock::now().time_since_epoch();
-  const auto steady = SteadyClock().Now().time_since_epoch();
-  return std::chrono::duration_cast<Milliseconds>(wall - steady).count();
-}
-
 void MeasureWindow(HollowFleet& fleet, std::size_t duration_s, HollowReport& report) {
-  report.wall_clock_offset_ms = WallClockOffset();
   fleet.activations().Begin();
   report.before = fleet.Costs();
   std::this_thread::sleep_for(std::chrono::seconds(duration_s));
--- a/src/toolbox/hollow_report.cc
+++ b/src/toolbox/hollow_report.cc
@@ -47,16 +47,11 @@
   return static_cast<double>(report.outcome.resident_bytes) / kBytesPerKilobyte / nodes;
 }
 
-std::int64_t UnixMilliseconds(const HollowReport& report, Timestamp when) {
-  return report.wall_clock_offset_ms +
-         std::chrono::duration_cast<Milliseconds>(when.time_since_epoch()).count();
-}
-
-nlohmann::json SpreadToJson(const HollowReport& report, const VersionSpread& spread) {
+nlohmann::json SpreadToJson(const VersionSpread& spread) {
   return {{"revision", spread.revision},
           {"resource_epoch", spread.resource_epoch},
           {"nodes", spread.nodes},
-          {"first_unix_ms", UnixMilliseconds(report, spread.first)},
+          {"first_monotonic_ms", ToMilliseconds(spread.first.time_since_epoch())},
           {"p50_ms", ToMilliseconds(spread.median)},
           {"p99_ms", ToMilliseconds(spread.p99)},
           {"last_ms", ToMilliseconds(spread.last)}};
@@ -67,7 +62,7 @@
 std::string ToJsonText(const HollowReport& report) {
   const NodeRates rates = RatesOf(report);
   nlohmann::json versions = nlohmann::json::array();
-  for (const auto& spread : report.spreads) versions.push_back(SpreadToJson(report, spread));
+  for (const auto& spread : report.spreads) versions.push_back(SpreadToJson(spread));
   const nlohmann::json object = {
       {"nodes", report.nodes},
       {"zones", report.zones},
--- a/src/toolbox/hollow_report.h
+++ b/src/toolbox/hollow_report.h
@@ -15,10 +15,10 @@
   HollowCosts after;
   HollowOutcome outcome;
   std::vector<VersionSpread> spreads;
-  std::int64_t wall_clock_offset_ms = 0;  // Added to a Timestamp: milliseconds since 1970.
 };
 
-// @return one JSON object with a line end.
+// @return one JSON object with a line end. Times of activations are those of the machine's
+//         monotonic clock, which all processes share and nobody sets.
 std::string ToJsonText(const HollowReport& report);
 // @return the same for people.
 std::string ToText(const HollowReport& report);
