--- a/src/simulation/invariants.h
+++ b/src/simulation/invariants.h
@@ -67,6 +67,7 @@
  private:
   struct NodeHistory {
     BundlePointer active;                // After the last step.
+    DocumentVersion lost;                // Last activation reported as lost.
     DocumentVersion floor;               // By the peers that answered its joins in this life.
     std::vector<DocumentVersion> heard;  // Highest version heard directly, by sending node.
   };
@@ -79,6 +80,7 @@
   const Topology& topology_;
   const SourceModel& source_;
   std::size_t read_bound_;
+  std::size_t read_peak_ = 0;
   std::vector<NodeHistory> nodes_;
   BundlePointer last_good_;  // Content found good last; most nodes share their bundle.
   std::vector<Violation> violations_;
--- a/src/standin/workplace.cc
+++ b/src/standin/workplace.cc
@@ -1,5 +1,6 @@
 #include "standin/workplace.h"
 
+#include <signal.h>
 #include <unistd.h>
 
 #include <array>
@@ -63,6 +64,7 @@
       network_prefix_("127." + std::to_string(RandomNumber(1, 254)) + "." +
                       std::to_string(RandomNumber(0, 254)) + "."),
       next_port_(kFirstPort) {
+  signal(SIGPIPE, SIG_IGN);  // A broken connection is an answer here, not an end.
   auto pattern = (std::filesystem::temp_directory_path() / "copperlead-XXXXXX").string();
   if (mkdtemp(pattern.data()) == nullptr) throw std::runtime_error("no temporary folder");
   folder_ = pattern;
@@ -128,6 +130,9 @@
   for (const auto& peer : plan.peers) {
     command.insert(command.end(), {"--peer", ToString(peer)});
   }
+  if (!plan.peer_advertise.empty()) {
+    command.insert(command.end(), {"--peer-advertise", ToString(plan.peer_advertise)});
+  }
   if (!plan.source.empty()) {
     command.insert(command.end(), {"--source", "http://" + ToString(plan.source)});
   }
--- a/src/standin/workplace.h
+++ b/src/standin/workplace.h
@@ -34,6 +34,7 @@
   SocketAddress listen;
   SocketAddress admin;
   SocketAddress peer_listen;
+  SocketAddress peer_advertise;  // Empty: peer_listen.
   std::vector<SocketAddress> peers;
   SocketAddress source;                // Empty: none.
   std::vector<std::string> arguments;  // Further flags.
@@ -41,7 +42,7 @@
 
 class Workplace {
  public:
-  // @param binaries folder of the programs.
+  // Makes this process ignore SIGPIPE. @param binaries folder of the programs.
   explicit Workplace(std::string binaries);
   // Removes the folder, unless the environment has COPPERLEAD_KEEP_LOGS.
   ~Workplace();
