Standbys of different zones read the source in different intervals

Cause: rank r of every zone had its turn in the same interval, one in 4^r. When the readers of all zones fail at an edit, nobody reads for up to four intervals. Change: the turn is shifted by the zone's index, so that of four zones one standby reads in each interval. Test: some standby of five zones reads in each of 16 intervals; failed before the change (4 of 16).

--- a/src/distribution/source_poller.cc
+++ b/src/distribution/source_poller.cc
@@ -134,7 +134,9 @@
   for (std::int64_t step = 0; step < rank; ++step) slowdown *= kRankSlowdown;
   const Duration since_phase = WallTime(now) - ZonePhase(situation);
   const std::int64_t interval_number = since_phase / settings_.source_interval;
-  return interval_number % slowdown == rank;
+  // Shifted by zone: when all readers fail together, some zone's standby reads in each interval.
+  const auto zone_index = static_cast<std::int64_t>(situation.zone_index);
+  return (interval_number + zone_index) % slowdown == rank;
 }
 
 void SourcePoller::ExpireOutstanding(Timestamp now) {
