A rumour of death makes nobody a reader

Cause: when a cut heals, the other side's word that members of a zone are dead spreads in that zone until each has refuted it. Change: a member believed dead still counts in the ranking for ten probe intervals after it was last among the first four; one that said itself that it leaves counts no more. Pushes go by the present view as before. Ruled out: a rank that may only get better after a wait (trial: it also delayed the handover by a reader that leaves, which AgentTest.AReaderThatLeavesHandsItsRoleOn forbids); a larger bound.

--- a/src/distribution/agent_implementation.cc
+++ b/src/distribution/agent_implementation.cc
@@ -7,6 +7,10 @@
 namespace copperlead {
 namespace {
 
+// Probe intervals for which a member believed dead still counts in the ranking of readers: enough
+// for it to hear of the rumour and to refute it. Its standbys make up for it meanwhile.
+constexpr std::int64_t kLeaderMemoryProbes = 10;
+
 // Distinct streams of random numbers from one seed.
 enum SeedSalt : std::uint64_t {
   kMembershipSeed = 1,
@@ -35,7 +39,7 @@
     : settings_(settings),
       membership_(settings_.membership, WithoutVersion(std::move(self)),
                   Salted(seed, kMembershipSeed), now),
-      view_(membership_),
+      view_(membership_, settings_.membership.probe_interval * kLeaderMemoryProbes),
       configuration_(settings_.faults, settings_.history_size, outbox_, DecoderOf(settings_)),
       machines_(settings_.history_size, outbox_, DecoderOf(settings_)),
       configuration_pusher_(settings_, membership_, view_, configuration_, outbox_),
@@ -119,7 +123,9 @@
   situation.heard_fleet = gate_.heard_fleet();
   situation.peer_ahead = configuration_repairer_.wanted();
   situation.has_machines = !machines_.running().none();
-  situation.rank = view_.own_rank();
+  // A node that starts goes by its view alone: it has seen no other.
+  const std::size_t lasting_rank = view_.LastingRank(now);
+  situation.rank = situation.has_document ? lasting_rank : view_.own_rank();
   situation.zone_index = view_.zone_index();
   situation.zone_count = view_.zone_count();
   situation.live_count = membership_.LiveCount();
--- a/src/distribution/fleet_view.cc
+++ b/src/distribution/fleet_view.cc
@@ -20,11 +20,23 @@
   readers_.clear();
   zone_index_ = 0;
   own_rank_ = 0;
+  first_in_zone_.clear();
   for (const auto& [zone, members] : by_zone) {
     readers_[zone] = ElectReaders(zone, members, kStandbyRank + 1);
     if (zone < self.zone) ++zone_index_;
-    if (zone == self.zone) own_rank_ = ReaderRank(zone, members, self.id);
+    if (zone != self.zone) continue;
+    own_rank_ = ReaderRank(zone, members, self.id);
+    first_in_zone_ = ElectReaders(zone, members, kPollingRanks);
   }
 }
 
+std::size_t FleetView::LastingRank(Timestamp now) {
+  const auto leaving = [&](const NodeId& id) {
+    const auto found = membership_.members().find(id);
+    return found != membership_.members().end() &&
+           found->second.record.state == MemberState::kLeaving;
+  };
+  return leading_members_.LastingRank(now, membership_.self(), own_rank_, first_in_zone_, leaving);
+}
+
 }  // namespace copperlead
--- a/src/distribution/reader_election.cc
+++ b/src/distribution/reader_election.cc
@@ -34,6 +34,13 @@
   return XXH3_64bits_withSeed(id.data(), id.size(), zone_hash);
 }
 
+bool RanksAhead(const ZoneName& zone, const NodeId& left, const NodeId& right) {
+  const std::uint64_t left_score = ReaderScore(zone, left);
+  const std::uint64_t right_score = ReaderScore(zone, right);
+  if (left_score != right_score) return left_score > right_score;
+  return left < right;
+}
+
 std::vector<MemberRecord> ElectReaders(const ZoneName& zone,
                                        const std::vector<const MemberRecord*>& members,
                                        std::size_t count) {
--- a/src/distribution/reader_election.h
+++ b/src/distribution/reader_election.h
@@ -16,10 +16,15 @@
 // Rank 0 reads, rank 1 is its standby.
 inline constexpr std::size_t kReaderRank = 0;
 inline constexpr std::size_t kStandbyRank = 1;
+// Members below this rank look at the source at all.
+inline constexpr std::size_t kPollingRanks = 4;
 
 // @return the weight of a member in its zone's ranking; the highest is reader.
 std::uint64_t ReaderScore(const ZoneName& zone, const NodeId& id);
 
+// @return true when `left` ranks ahead of `right` in the zone.
+bool RanksAhead(const ZoneName& zone, const NodeId& left, const NodeId& right);
+
 // @param members of one zone, eligible for the role, in any order; none null.
 // @return the first `count` of the ranking, the reader first; fewer when there are fewer.
 std::vector<MemberRecord> ElectReaders(const ZoneName& zone,
--- a/src/distribution/source_poller.cc
+++ b/src/distribution/source_poller.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "distribution/reader_election.h"
+
 namespace copperlead {
 namespace {
 
@@ -35,7 +37,7 @@
 // Each unanswered contact widens the random wait of an isolated node by this.
 constexpr Duration kWaitPerContact = seconds(1);
 // Ranks that poll at all, and by how much slower each is than the one before.
-constexpr std::size_t kMaxPollingRank = 3;
+constexpr std::size_t kMaxPollingRank = kPollingRanks - 1;
 constexpr std::int64_t kRankSlowdown = 4;
 constexpr std::size_t kMaxBackoffDoublings = 16;
 
