A version's ETag travels with it, so that one reader fetches it and not twenty

Change: Push carries the ETag of the answer that its version was made of; who runs that version asks the source with it and gets 304. A 304 under the running version's tag also ends the state 'behind'. Extends the frame of Push. Ruled out: leaving standbys out (they make up for a reader that cannot reach the source).

--- a/src/distribution/agent_implementation.cc
+++ b/src/distribution/agent_implementation.cc
@@ -142,9 +142,15 @@
     outbox_.Add(Report{event.error.kind, event.error.place, event.error.cause});
   }
   if (use != AnswerUse::kTake) return;
-  if (event.status == SourceAnswered::Status::kNotModified) return;
+  if (event.status == SourceAnswered::Status::kNotModified) {
+    const std::string& tag = poller_.tag(StreamKind::kConfiguration);
+    const bool shows_running = !tag.empty() && tag == configuration_.source_tag();
+    if (event.stream == StreamKind::kConfiguration && shows_running) poller_.SetBehind(0);
+    return;
+  }
   if (event.stream == StreamKind::kMachines) {
     if (!machines_.ReceiveFromSource(event.machines)) return;
+    machines_.SetSourceTag(event.etag);
     SeedMembership(now);
     SpreadFromSource(now, machine_pusher_);
     return;
@@ -154,7 +160,9 @@
       configuration_.ReceiveFromSource(now, event.configuration, asked_at_);
   const bool behind = finding == SourceFinding::kBehind;
   poller_.SetBehind(behind ? event.configuration->bundle.revision : 0);
-  if (finding == SourceFinding::kTaken) SpreadFromSource(now, configuration_pusher_);
+  if (finding != SourceFinding::kTaken) return;
+  configuration_.SetSourceTag(event.etag);
+  SpreadFromSource(now, configuration_pusher_);
 }
 
 void Agent::Implementation::SpreadFromSource(Timestamp now, Pusher& pusher) {
--- a/src/distribution/agent_messages.cc
+++ b/src/distribution/agent_messages.cc
@@ -55,7 +55,12 @@
   if (taken && kind == StreamKind::kMachines) SeedMembership(now);
   const bool settled = !IsNewer(push.transfer.version, stream.running());
   if (settled) outbox_.Send(sender.address, PushAck{kind, stream.running()});
-  if (stream.running() == push.transfer.version) HandOn(now, sender, push, taken);
+  if (stream.running() != push.transfer.version) return;
+  if (!push.source_tag.empty()) {
+    stream.SetSourceTag(push.source_tag);
+    poller_.AdoptTag(kind, push.source_tag);
+  }
+  HandOn(now, sender, push, taken);
 }
 
 void Agent::Implementation::AskForReadable(Timestamp now, const MemberRecord& sender,
@@ -102,7 +107,7 @@
     outbox_.Send(sender.address, Busy{pull.stream, static_cast<std::uint32_t>(wait.count())});
     return;
   }
-  outbox_.Send(sender.address, Push{std::move(transfer), {}});
+  outbox_.Send(sender.address, Push{std::move(transfer), {}, stream.source_tag()});
 }
 
 void Agent::Implementation::OnBody(Timestamp now, const MemberRecord& sender, const Busy& busy) {
--- a/src/distribution/configuration_stream.h
+++ b/src/distribution/configuration_stream.h
@@ -37,6 +37,9 @@
   DocumentVersion previous() const override { return store_.previous(); }
   bool Wants(const DocumentVersion& version) const override;
   Transfer TransferFrom(const DocumentVersion& base) override { return store_.TransferFrom(base); }
+  bool Holds(const DocumentVersion& version) const override {
+    return store_.Find(version) != nullptr;
+  }
   Receipt Receive(Timestamp now, const Transfer& transfer, const std::string& origin) override;
 
   // Takes what this node itself read from the source.
--- a/src/distribution/document_stream.h
+++ b/src/distribution/document_stream.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "base/time.h"
+#include "membership/message.h"
 #include "snapshot/transfer.h"
 
 namespace copperlead {
@@ -31,9 +32,27 @@
   // @return the running document as the difference to `base` if that is held, else whole. Only
   //         while something runs.
   virtual Transfer TransferFrom(const DocumentVersion& base) = 0;
+  // True when the document of this version is held, so that a difference to it can be made.
+  virtual bool Holds(const DocumentVersion& version) const = 0;
   // Decodes, checks and judges a transfer.
   // @param origin id of the sending node.
   virtual Receipt Receive(Timestamp now, const Transfer& transfer, const std::string& origin) = 0;
+
+  // Notes the ETag of the source's answer that the running document was made of. One that is too
+  // long to be passed on is not kept.
+  void SetSourceTag(const std::string& tag) {
+    if (tag.size() > kMaxSourceTagBytes) return;
+    tagged_version_ = running();
+    source_tag_ = tag;
+  }
+  // @return that ETag for the running document; empty when not known.
+  std::string source_tag() const {
+    return tagged_version_ == running() ? source_tag_ : std::string();
+  }
+
+ private:
+  DocumentVersion tagged_version_;
+  std::string source_tag_;
 };
 
 }  // namespace copperlead
--- a/src/distribution/machine_stream.h
+++ b/src/distribution/machine_stream.h
@@ -20,6 +20,9 @@
   DocumentVersion previous() const override { return store_.previous(); }
   bool Wants(const DocumentVersion& version) const override;
   Transfer TransferFrom(const DocumentVersion& base) override { return store_.TransferFrom(base); }
+  bool Holds(const DocumentVersion& version) const override {
+    return store_.Find(version) != nullptr;
+  }
   Receipt Receive(Timestamp now, const Transfer& transfer, const std::string& origin) override;
 
   // Takes what this node itself read. @return true when it replaced the running list.
--- a/src/distribution/pusher.cc
+++ b/src/distribution/pusher.cc
@@ -92,7 +92,7 @@
 void Pusher::Send(Timestamp now, Outstanding& push, const DocumentVersion& base) {
   ++push.attempts;
   push.next_retry = now + settings_.push_retry;
-  outbox_.Send(push.address, Push{stream_.TransferFrom(base), push.root});
+  outbox_.Send(push.address, Push{stream_.TransferFrom(base), push.root, stream_.source_tag()});
 }
 
 void Pusher::HearVersion(const NodeId& id, const DocumentVersion& version) {
--- a/src/distribution/source_poller.cc
+++ b/src/distribution/source_poller.cc
@@ -178,6 +178,12 @@
   stream.not_before = now + random_.UpTo(limit);
 }
 
+void SourcePoller::AdoptTag(StreamKind kind, const std::string& etag) {
+  Stream& stream = streams_[IndexOf(kind)];
+  // An answer under way is about the tag that was asked with.
+  if (!stream.outstanding) stream.etag = etag;
+}
+
 void SourcePoller::SetBehind(std::uint64_t revision) {
   state_.behind_revision = revision;
   UpdateKind();
--- a/src/distribution/source_poller.h
+++ b/src/distribution/source_poller.h
@@ -49,6 +49,14 @@
 
   AnswerUse Accept(Timestamp now, const SourceAnswered& answer);
 
+  // A peer read the document that now runs here, under this ETag: what the source still shows under
+  // it need not be fetched.
+  void AdoptTag(StreamKind kind, const std::string& etag);
+  // The ETag that the source is asked with.
+  const std::string& tag(StreamKind kind) const {
+    return streams_[static_cast<std::size_t>(kind)].etag;
+  }
+
   // Marks whether the last configuration read was behind the running one.
   void SetBehind(std::uint64_t revision);
 
--- a/src/membership/message.h
+++ b/src/membership/message.h
@@ -48,7 +48,11 @@
   Transfer transfer;
   // Node at the root of the tree this push belongs to; empty: an answer to a Pull, not forwarded.
   NodeId root;
+  // ETag of the source's answer that this version was made of, so that other readers need not
+  // fetch it too; empty when not known. At most kMaxSourceTagBytes.
+  std::string source_tag;
 };
+inline constexpr std::size_t kMaxSourceTagBytes = 128;
 
 // "I run this version, or a newer one."
 struct PushAck {
--- a/src/simulation/documents.cc
+++ b/src/simulation/documents.cc
@@ -14,6 +14,7 @@
 constexpr std::size_t kMinBackends = 20;
 constexpr std::size_t kMaxBackends = 1000;
 constexpr std::size_t kMachineEntryBytes = 150;  // One entry of the JSON list, on average.
+constexpr std::size_t kTagDigits = 16;
 constexpr std::uint16_t kBackendPort = 9000;
 constexpr std::string_view kMissingSecret = "late-secret";
 
@@ -170,7 +171,7 @@
       parsed.value().faults.empty() && MissingNames(parsed.value().bundle).empty();
   published.document = std::make_shared<const ConfigurationDocument>(std::move(parsed.value()));
   published.body_bytes = text.size();
-  published.etag = ToHex(DigestOf(text));
+  published.etag = "\"" + ToHex(DigestOf(text)).substr(0, kTagDigits) + "\"";
   return published;
 }
 
--- a/src/transport/message_codec.cc
+++ b/src/transport/message_codec.cc
@@ -226,11 +226,13 @@
 static void save(CompactOutputArchive& archive, const Push& push) {
   archive(push.transfer);
   WriteName(archive, push.root);
+  WriteName(archive, push.source_tag);
 }
 
 static void load(CompactInputArchive& archive, Push& push) {
   archive(push.transfer);
   push.root = ReadName(archive);
+  push.source_tag = archive.ReadString(kMaxSourceTagBytes);
 }
 
 static void save(CompactOutputArchive& archive, const PushAck& ack) {
--- a/tests/distribution/agent_test.cc
+++ b/tests/distribution/agent_test.cc
@@ -111,6 +111,16 @@
   }
 }
 
+TEST(AgentTest, AVersionIsFetchedOnceAndItsTagGoesWithIt) {
+  SettledFleet settled;
+  TestFleet& fleet = settled.fleet;
+  fleet.full_answers = 0;
+  fleet.Publish({.revision = 2, .new_weight = 2});
+  ASSERT_TRUE(fleet.RunUntil([&] { return fleet.AllRun(2); }, seconds(5)));
+  fleet.RunFor(seconds(20));  // Every reader and standby has polled since.
+  EXPECT_EQ(fleet.full_answers, 1U);
+}
+
 TEST(AgentTest, ASourceBackInTimeIsRefusedLoudlyOnce) {
   SettledFleet settled;
   TestFleet& fleet = settled.fleet;
--- a/tests/distribution/test_fleet.cc
+++ b/tests/distribution/test_fleet.cc
@@ -181,8 +181,12 @@
   ++node.source_reads;
   if (fetch.stream == StreamKind::kConfiguration) ++total_reads;
   // The source's state is that of the time when the answer is made.
-  Schedule(now_ + Milliseconds(2), node,
-           [this, id = node.id, fetch] { return Event(Answer(id, fetch)); });
+  Schedule(now_ + Milliseconds(2), node, [this, id = node.id, fetch] {
+    const SourceAnswered answer = Answer(id, fetch);
+    const bool full = answer.status == SourceAnswered::Status::kNew;
+    if (full && answer.stream == StreamKind::kConfiguration) ++full_answers;
+    return Event(answer);
+  });
 }
 
 SourceAnswered TestFleet::Answer(const std::string& id, const FetchFromSource& fetch) const {
--- a/tests/distribution/test_fleet.h
+++ b/tests/distribution/test_fleet.h
@@ -97,6 +97,7 @@
   // Sees every message that is sent.
   std::function<void(const TestNode& from, const SocketAddress& to, const Message&)> tap;
 
+  std::uint64_t full_answers = 0;       // Reads of the configuration answered with its content.
   std::uint64_t total_reads = 0;        // Of the configuration.
   std::vector<std::string> violations;  // Of the rules that must always hold.
 
--- a/tests/transport/frame_test.cc
+++ b/tests/transport/frame_test.cc
@@ -50,6 +50,7 @@
   } else if (const auto* push = std::get_if<Push>(&left)) {
     ExpectSame(push->transfer, std::get<Push>(right).transfer);
     EXPECT_EQ(push->root, std::get<Push>(right).root);
+    EXPECT_EQ(push->source_tag, std::get<Push>(right).source_tag);
   } else if (const auto* push_ack = std::get_if<PushAck>(&left)) {
     EXPECT_EQ(push_ack->stream, std::get<PushAck>(right).stream);
     EXPECT_EQ(push_ack->version, std::get<PushAck>(right).version);
