Proxy: two tests that let broken variants pass made strict

Cause: without eviction the test of idle callers passed, as the 10 s header timeout freed the threads; a buffer limit that is ignored passed, as nothing looked at what the router was told.

Change: timeouts of 5 minutes in the first; body_can_be_resent checked by size in the second.

Conclusion: 34 tests pass; thread sanitizer clean over 33 (300 MB test left out).

--- a/tests/proxy/bad_caller_test.cc
+++ b/tests/proxy/bad_caller_test.cc
@@ -183,6 +183,7 @@
 TEST_F(ProxyTest, IdleAndSlowCallersGiveWayToNewOnes) {
   RawServer backend(Answering([](const RawMessage&) { return Ok(""); }));
   settings_.max_connections = 4;
+  settings_.header_timeout = settings_.idle_timeout = std::chrono::minutes(5);
   StartProxy({{backend.address()}});
   std::vector<RawSocket> waiting;
   for (int caller = 0; caller < 4; ++caller) {
--- a/tests/proxy/exchange_test.cc
+++ b/tests/proxy/exchange_test.cc
@@ -391,6 +391,7 @@
     EXPECT_EQ(caller.Read().status(), 100);
     caller.Send(body);
     EXPECT_EQ(caller.Read().body, "PUT / HTTP/1.1\n" + body);
+    EXPECT_EQ(record_->last_facts().body_can_be_resent, body.size() <= settings_.buffer_limit);
   }
 }
 
