--- a/tests/toolbox/load_test.cc
+++ b/tests/toolbox/load_test.cc
@@ -34,7 +34,8 @@
   EXPECT_EQ(histogram.max().count(), values.back());
 }
 
-// A server whose second answer (the first one counted) takes `stall`; all others are prompt. One thread answers.
+// A server whose second answer (the first one counted) takes `stall`; all others are prompt. One
+// thread answers.
 class StallingServer {
  public:
   explicit StallingServer(std::chrono::milliseconds stall) {
