--- a/src/admin/status_json.cc
+++ b/src/admin/status_json.cc
@@ -27,7 +27,8 @@
           {"version", ToJson(offer.version)},
           {"faulty", offer.faulty},
           {"missing", offer.missing},
-          {"table_digest", ToHex(offer.table_digest)}};
+          {"table_digest", ToHex(offer.table_digest)},
+          {"fault", offer.fault}};
 }
 
 Json ToJson(const LedgerState& state) {
@@ -102,6 +103,7 @@
   offer.faulty = json.at("faulty").get<bool>();
   offer.missing = json.at("missing").get<std::vector<std::string>>();
   offer.table_digest = DigestFrom(json.at("table_digest"));
+  offer.fault = json.value("fault", "");
   return offer;
 }
 
--- a/src/distribution/configuration_stream.cc
+++ b/src/distribution/configuration_stream.cc
@@ -17,6 +17,14 @@
   return left.services == right.services && left.secrets == right.secrets;
 }
 
+// What an operator needs to correct a table: place and cause of one fault, number of the others.
+std::string FirstFault(const ConfigurationDocument& document) {
+  std::string text = ToString(document.faults.front());
+  const std::size_t others = document.faults.size() - 1;
+  if (others > 0) text += " (and " + std::to_string(others) + " more faults)";
+  return text;
+}
+
 }  // namespace
 
 bool ConfigurationStream::Wants(const DocumentVersion& version) const {
@@ -54,12 +62,14 @@
 }
 
 VersionVerdict ConfigurationStream::OfferBundle(Timestamp now, const std::string& origin,
-                                                const BundlePointer& bundle, bool faulty) {
+                                                const BundlePointer& bundle, bool faulty,
+                                                const std::string& fault) {
   Offer offer;
   offer.origin = origin;
   offer.version = bundle->version;
   offer.table_digest = bundle->table_digest;
   offer.faulty = faulty;
+  offer.fault = fault;
   if (!faulty) offer.missing = MissingNames(*bundle);
   const VersionVerdict verdict = ledger_.Judge(now, offer);
   Remember(verdict, origin, bundle);
@@ -121,7 +131,8 @@
   if (overtaken) return SourceFinding::kNothingNew;
   source_document_ = document;
   if (!document->faults.empty()) {
-    OfferBundle(now, std::string(kSourceOrigin), std::make_shared<Bundle>(read), true);
+    OfferBundle(now, std::string(kSourceOrigin), std::make_shared<Bundle>(read), true,
+                FirstFault(*document));
     ReportFaults(*document);
     source_document_.reset();
     return SourceFinding::kRefused;
@@ -187,10 +198,8 @@
 
 void ConfigurationStream::ReportFaults(const ConfigurationDocument& document) {
   const TableFault& first = document.faults.front();
-  std::string text = "revision " + std::to_string(document.bundle.revision) +
-                     " of the source is refused whole: " + ToString(first);
-  const std::size_t others = document.faults.size() - 1;
-  if (others > 0) text += " (and " + std::to_string(others) + " more faults)";
+  const std::string text = "revision " + std::to_string(document.bundle.revision) +
+                           " of the source is refused whole: " + FirstFault(document);
   outbox_.ReportOnce(first.kind, std::string(kPlace), text);
 }
 
--- a/src/distribution/configuration_stream.h
+++ b/src/distribution/configuration_stream.h
@@ -57,7 +57,7 @@
  private:
   bool WasJudged(const DocumentVersion& version) const;
   VersionVerdict OfferBundle(Timestamp now, const std::string& origin, const BundlePointer& bundle,
-                             bool faulty);
+                             bool faulty, const std::string& fault = {});
   void Remember(VersionVerdict verdict, const std::string& origin, const BundlePointer& bundle);
   BundlePointer BuildFromSource(const Bundle& read);
   void ReportVerdict(VersionVerdict verdict, const std::string& origin, const Bundle& bundle);
--- a/src/distribution/version_ledger.cc
+++ b/src/distribution/version_ledger.cc
@@ -44,8 +44,9 @@
       return "Version " + offered + from + " is refused: version " + running +
              " runs with another table under the same revision; publish a higher revision.";
     case VersionVerdict::kRefusedFaulty:
-      return "Version " + offered + from + " is refused whole: its table has faults; version " +
-             running + " stays.";
+      return "Version " + offered + from + " is refused whole: " +
+             (entry.offer.fault.empty() ? "its table has faults" : entry.offer.fault) +
+             "; version " + running + " stays.";
   }
   return "";
 }
--- a/src/distribution/version_ledger.h
+++ b/src/distribution/version_ledger.h
@@ -34,6 +34,7 @@
   bool faulty = false;
   std::vector<std::string> missing;  // Names that the offered bundle lacks.
   Digest table_digest{};             // Tells a conflict from other secrets.
+  std::string fault{};  // Of a faulty one: row, column and cause of the first fault, if known.
 };
 
 // What a verdict rests on besides the offer.
--- a/tests/admin/journal_test.cc
+++ b/tests/admin/journal_test.cc
@@ -14,6 +14,7 @@
   entry.before = {true, {7, 0, 42}, {}, {6, 0, 41}};
   entry.before.running_table.fill(0x0F);
   entry.verdict = VersionVerdict::kHeldIncomplete;
+  entry.offer.fault = "row 3, column 4: bad_number";
   entry.explanation = "waits for \"permit-token\"\n";
   return entry;
 }
@@ -28,6 +29,7 @@
   EXPECT_EQ(entry.offer.origin, entries[0].offer.origin);
   EXPECT_EQ(entry.offer.version, entries[0].offer.version);
   EXPECT_EQ(entry.offer.faulty, entries[0].offer.faulty);
+  EXPECT_EQ(entry.offer.fault, entries[0].offer.fault);
   EXPECT_EQ(entry.offer.missing, entries[0].offer.missing);
   EXPECT_EQ(entry.offer.table_digest, entries[0].offer.table_digest);
   EXPECT_EQ(entry.before.running, entries[0].before.running);
