Commands share one way from arguments to exit code; status waits for a revision

Nine commands repeated the same lines; simulate had its own without an example. `replay FOLDER` said "internal: error without a cause", exit 1; `stepback --to -1` was taken as a huge number; abbreviated flags were accepted. A dead member of a live zone is still not waited for, as before. RunCommand serves all commands; -h; no abbreviations; stepback's and replay's errors say what to do next. Ruled out: waiting for dead members, as a fleet with one broken machine would never settle.

--- a/src/toolbox/check.cc
+++ b/src/toolbox/check.cc
@@ -66,9 +66,7 @@
   return std::vector<TableFault>{ToFault(outcome.error())};
 }
 
-Result<int> Run(const std::vector<std::string>& arguments) {
-  BOOST_LEAF_AUTO(options, ReadCommandOptions(Describe(), arguments));
-  if (options.help_shown) return kExitGood;
+Result<int> Run(const CommandOptions& options) {
   const bool is_configuration = options.Has("configuration");
   if (is_configuration == options.Has("table")) {
     return Fail(ErrorKind::kUsage, "command line",
@@ -88,8 +86,7 @@
 }  // namespace
 
 int RunCheck(const std::vector<std::string>& arguments) {
-  const auto outcome = Resolve([&] { return Run(arguments); });
-  return outcome ? outcome.value() : ReportCommandError("check", outcome.error());
+  return RunCommand("check", Describe(), arguments, Run);
 }
 
 }  // namespace copperlead
--- a/src/toolbox/command_options.h
+++ b/src/toolbox/command_options.h
@@ -1,7 +1,8 @@
-// What the commands share: parsing of options, and errors on the command line.
+// What the commands share: the way from arguments to an exit code, and options of one kind.
 #pragma once
 
 #include <boost/program_options.hpp>
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -20,25 +21,29 @@
   boost::program_options::positional_options_description positional;
 };
 
-// Values of the options. `help_shown` tells that the help was printed and the command is done.
+// Values of the options.
 struct CommandOptions {
   boost::program_options::variables_map values;
-  bool help_shown = false;
 
   bool Has(const std::string& key) const { return values.count(key) > 0; }
   std::string Text(const std::string& key) const;
 };
 
-// Reads the arguments; prints the help on --help.
-// @return kUsage naming the argument and what to do next.
-Result<CommandOptions> ReadCommandOptions(const CommandDescription& description,
-                                          const std::vector<std::string>& arguments);
+// What a command does with its options. @return the exit code.
+using CommandBody = Result<int> (*)(const CommandOptions& options);
+
+// Runs one command: reads the arguments, prints the help on --help or -h, else calls `body`. An
+// error goes to standard error as "copperlead NAME: kind: place: cause". Options are not
+// abbreviated, so that a script means the same when a command gets more of them.
+// @return the exit code: the body's, or that of the error's kind.
+int RunCommand(std::string_view name, const CommandDescription& description,
+               const std::vector<std::string>& arguments, CommandBody body);
 
 // Reads a required IP:PORT option. @return kUsage naming the option.
 Result<SocketAddress> RequiredAddress(const CommandOptions& options, const std::string& key);
 
-// Prints "copperlead COMMAND: kind: place: cause" to standard error.
-// @return the exit code of the error's kind.
-int ReportCommandError(std::string_view command, const Error& error);
+// Reads a required option that names a revision: a whole number, 1 and up.
+// @return kUsage naming the option.
+Result<std::uint64_t> RequiredRevision(const CommandOptions& options, const std::string& key);
 
 }  // namespace copperlead
--- a/src/toolbox/diff.cc
+++ b/src/toolbox/diff.cc
@@ -123,9 +123,7 @@
             << "\n";
 }
 
-Result<int> Run(const std::vector<std::string>& arguments) {
-  BOOST_LEAF_AUTO(options, ReadCommandOptions(Describe(), arguments));
-  if (options.help_shown) return kExitGood;
+Result<int> Run(const CommandOptions& options) {
   if (!options.Has("old") || !options.Has("new")) {
     return Fail(ErrorKind::kUsage, "command line",
                 "two files are required: OLD and NEW; --help shows an example");
@@ -144,8 +142,7 @@
 }  // namespace
 
 int RunDiff(const std::vector<std::string>& arguments) {
-  const auto outcome = Resolve([&] { return Run(arguments); });
-  return outcome ? outcome.value() : ReportCommandError("diff", outcome.error());
+  return RunCommand("diff", Describe(), arguments, Run);
 }
 
 }  // namespace copperlead
--- a/src/toolbox/fleet_report.cc
+++ b/src/toolbox/fleet_report.cc
@@ -9,11 +9,12 @@
 
 using Json = nlohmann::ordered_json;
 
-constexpr std::size_t kMostLaggardsShown = 20;
+constexpr std::size_t kMostMembersShown = 20;
 
 bool IsReachable(const ReportedMember& member) { return member.state == "alive"; }
+bool IsSuspect(const ReportedMember& member) { return member.state == "suspect"; }
 bool IsUnreachable(const ReportedMember& member) {
-  return member.state == "suspect" || member.state == "dead";
+  return IsSuspect(member) || member.state == "dead";
 }
 
 std::vector<ReportedMember> ReadMembers(const Json& fleet) {
@@ -44,6 +45,8 @@
     AddVersionNote(status, key, report);
   }
   const auto state = status.at("source").at("state").get<std::string>();
+  const auto& refused = status.at("last_refused");
+  if (!refused.is_null()) report.refused_revision = refused.at("revision").get<std::uint64_t>();
   if (state == "failing") report.notes.push_back("source: reads are failing");
   if (state == "behind") {
     report.notes.push_back("source: shows revision " +
@@ -55,8 +58,9 @@
   }
 }
 
-FleetReport Build(const Json& status) {
+FleetReport Build(const Json& status, std::uint64_t wanted_revision) {
   FleetReport report;
+  report.wanted_revision = wanted_revision;
   report.node_id = status.at("id").get<std::string>();
   report.running_revision = status.at("running").at("revision").get<std::uint64_t>();
   const auto members = ReadMembers(status.at("fleet"));
@@ -68,13 +72,15 @@
     if (IsReachable(member) && member.revision < report.newest_revision) {
       report.laggards.push_back(member);
     }
+    if (IsUnreachable(member)) report.not_answering.push_back(member);
   }
   for (const auto& [name, zone] : report.zones) {
     if (zone.members == 0 && zone.unreachable > 0) report.cut_off_zones.push_back(name);
   }
   AddNotes(status, report);
-  report.settled =
-      report.newest_revision > 0 && report.laggards.empty() && report.cut_off_zones.empty();
+  const bool no_suspect = std::none_of(members.begin(), members.end(), IsSuspect);
+  report.settled = report.newest_revision > 0 && report.newest_revision >= wanted_revision &&
+                   report.laggards.empty() && report.cut_off_zones.empty() && no_suspect;
   return report;
 }
 
@@ -87,11 +93,52 @@
   out << "\n";
 }
 
+void PrintMembers(const char* label, const std::vector<ReportedMember>& members,
+                  std::ostream& out) {
+  for (std::size_t index = 0; index < members.size(); ++index) {
+    if (index == kMostMembersShown) {
+      out << "  ... and " << members.size() - index << " more " << label << "\n";
+      break;
+    }
+    const auto& member = members[index];
+    out << "  " << label << ": " << member.id << " (" << member.zone << "), " << member.state
+        << ", at " << member.revision << "\n";
+  }
+}
+
+void PrintVerdict(const FleetReport& report, std::ostream& out) {
+  if (report.settled) {
+    out << "settled: every live node runs revision " << report.newest_revision << "\n";
+    return;
+  }
+  out << "not settled: newest known is revision " << report.newest_revision;
+  if (report.WantedIsRefused()) {
+    out << "; revision " << report.wanted_revision
+        << " was refused: correct it and publish a higher one";
+  } else if (report.newest_revision < report.wanted_revision) {
+    out << "; revision " << report.wanted_revision << " has not been seen";
+  }
+  out << "\n";
+}
+
+Json ToJson(const std::vector<ReportedMember>& members) {
+  Json list = Json::array();
+  for (const auto& member : members) {
+    list.push_back({{"id", member.id},
+                    {"zone", member.zone},
+                    {"state", member.state},
+                    {"revision", member.revision}});
+  }
+  return list;
+}
+
+Json OrNull(std::uint64_t revision) { return revision == 0 ? Json(nullptr) : Json(revision); }
+
 }  // namespace
 
-Result<FleetReport> ReadFleetReport(std::string_view status) {
+Result<FleetReport> ReadFleetReport(std::string_view status, std::uint64_t wanted_revision) {
   try {
-    return Build(Json::parse(status));
+    return Build(Json::parse(status), wanted_revision);
   } catch (const Json::parse_error& error) {
     return Fail(ErrorKind::kMalformedJson, "byte " + std::to_string(error.byte), error.what());
   } catch (const Json::exception& error) {
@@ -104,20 +151,11 @@
   out << "seen by " << report.node_id << ", which runs revision " << report.running_revision
       << "\n";
   for (const auto& [name, zone] : report.zones) PrintZone(name, zone, out);
-  for (std::size_t index = 0; index < report.laggards.size(); ++index) {
-    if (index == kMostLaggardsShown) {
-      out << "  ... and " << report.laggards.size() - index << " more\n";
-      break;
-    }
-    const auto& laggard = report.laggards[index];
-    out << "  behind: " << laggard.id << " (" << laggard.zone << ") at " << laggard.revision
-        << "\n";
-  }
+  PrintMembers("behind", report.laggards, out);
+  PrintMembers("not answering", report.not_answering, out);
   for (const auto& zone : report.cut_off_zones) out << "  cut off: zone " << zone << "\n";
   for (const auto& note : report.notes) out << "  " << note << "\n";
-  out << (report.settled ? "settled: every live node runs revision "
-                         : "not settled: newest known is revision ")
-      << report.newest_revision << "\n";
+  PrintVerdict(report, out);
   return out.str();
 }
 
@@ -131,16 +169,15 @@
     zones[name] = {
         {"live", zone.members}, {"unreachable", zone.unreachable}, {"revisions", revisions}};
   }
-  Json laggards = Json::array();
-  for (const auto& member : report.laggards) {
-    laggards.push_back({{"id", member.id}, {"zone", member.zone}, {"revision", member.revision}});
-  }
   const Json json = {{"node", report.node_id},
                      {"running_revision", report.running_revision},
                      {"newest_revision", report.newest_revision},
+                     {"wanted_revision", OrNull(report.wanted_revision)},
+                     {"refused_revision", OrNull(report.refused_revision)},
                      {"settled", report.settled},
                      {"zones", zones},
-                     {"laggards", laggards},
+                     {"laggards", ToJson(report.laggards)},
+                     {"not_answering", ToJson(report.not_answering)},
                      {"cut_off_zones", report.cut_off_zones},
                      {"notes", report.notes}};
   return json.dump() + "\n";
--- a/src/toolbox/hollow.cc
+++ b/src/toolbox/hollow.cc
@@ -127,9 +127,7 @@
   report.spreads = fleet.activations().Spreads();
 }
 
-Result<int> Run(const std::vector<std::string>& arguments) {
-  BOOST_LEAF_AUTO(options, ReadCommandOptions(Describe(), arguments));
-  if (options.help_shown) return kExitGood;
+Result<int> Run(const CommandOptions& options) {
   BOOST_LEAF_AUTO(settings, FleetSettings(options));
   BOOST_LEAF_AUTO(warm_up_s, Number(options, "warm-up-s", 0, kMaxSeconds));
   BOOST_LEAF_AUTO(duration_s, Number(options, "duration-s", 1, kMaxSeconds));
@@ -152,8 +150,7 @@
 }  // namespace
 
 int RunHollow(const std::vector<std::string>& arguments) {
-  const auto outcome = Resolve([&] { return Run(arguments); });
-  return outcome ? outcome.value() : ReportCommandError("hollow", outcome.error());
+  return RunCommand("hollow", Describe(), arguments, Run);
 }
 
 }  // namespace copperlead
--- a/src/toolbox/load.cc
+++ b/src/toolbox/load.cc
@@ -105,9 +105,7 @@
   return target.error_count() == 0 ? kExitGood : kExitNotSo;
 }
 
-Result<int> Run(const std::vector<std::string>& arguments) {
-  BOOST_LEAF_AUTO(options, ReadCommandOptions(Describe(), arguments));
-  if (options.help_shown) return kExitGood;
+Result<int> Run(const CommandOptions& options) {
   if (options.Has("respond")) {
     BOOST_LEAF_AUTO(listen, RequiredAddress(options, "respond"));
     return RunResponder(listen);
@@ -127,8 +125,7 @@
 }  // namespace
 
 int RunLoad(const std::vector<std::string>& arguments) {
-  const auto outcome = Resolve([&] { return Run(arguments); });
-  return outcome ? outcome.value() : ReportCommandError("load", outcome.error());
+  return RunCommand("load", Describe(), arguments, Run);
 }
 
 }  // namespace copperlead
--- a/src/toolbox/plan.cc
+++ b/src/toolbox/plan.cc
@@ -91,9 +91,7 @@
   std::cout << Json{{"slots_checked", slots_checked}, {"steps", steps}}.dump() << "\n";
 }
 
-Result<int> Run(const std::vector<std::string>& arguments) {
-  BOOST_LEAF_AUTO(options, ReadCommandOptions(Describe(), arguments));
-  if (options.help_shown) return kExitGood;
+Result<int> Run(const CommandOptions& options) {
   BOOST_LEAF_AUTO(request, ReadPlanInputs({options.Text("from"), options.Text("to"),
                                            options.Text("max-step"), options.Text("configuration"),
                                            options.Text("machines"), options.Text("load")}));
@@ -110,8 +108,7 @@
 }  // namespace
 
 int RunPlan(const std::vector<std::string>& arguments) {
-  const auto outcome = Resolve([&] { return Run(arguments); });
-  return outcome ? outcome.value() : ReportCommandError("plan", outcome.error());
+  return RunCommand("plan", Describe(), arguments, Run);
 }
 
 }  // namespace copperlead
--- a/src/toolbox/replay.cc
+++ b/src/toolbox/replay.cc
@@ -1,18 +1,20 @@
 // `copperlead replay`: runs a node's journal again through the deciding code.
 
-#include <fstream>
 #include <iostream>
-#include <iterator>
 
 #include "admin/node_status.h"
 #include "toolbox/command.h"
 #include "toolbox/command_options.h"
+#include "toolbox/table_file.h"
 
 namespace copperlead {
 namespace {
 
 namespace options = boost::program_options;
 
+// A node keeps at most kMaxLedgerEntries decisions, a few hundred bytes each.
+constexpr std::size_t kMaxJournalBytes = std::size_t{64} * 1024 * 1024;
+
 CommandDescription Describe() {
   CommandDescription description;
   description.usage = "copperlead replay JOURNAL [--json]";
@@ -20,7 +22,8 @@
       "Runs the decisions of a journal (a node's /journal) again through the same rule, and says\n"
       "why each version was taken, held or refused.\n"
       "Exit 0: every decision is the same again; 1: the first difference is shown; 2: no journal.";
-  description.example = "copperlead replay journal.json";
+  description.example =
+      "curl -s http://127.0.0.1:7900/journal > journal.json; copperlead replay journal.json";
   description.options.add_options()("journal", options::value<std::string>(),
                                     "FILE with the body of /journal")(
       "json", options::bool_switch(), "one JSON object at the end instead of lines");
@@ -28,12 +31,6 @@
   return description;
 }
 
-Result<std::string> ReadFile(const std::string& name) {
-  std::ifstream file(name, std::ios::binary);
-  if (!file) return Fail(ErrorKind::kUnreadableFile, name, "cannot be opened");
-  return std::string(std::istreambuf_iterator<char>(file), {});
-}
-
 // One line about a decision.
 void PrintEntry(std::size_t number, const LedgerEntry& entry) {
   std::cout << number << " " << Name(entry.verdict) << ": " << entry.explanation << "\n";
@@ -74,17 +71,17 @@
   }
 }
 
-Result<int> Run(const std::vector<std::string>& arguments) {
-  BOOST_LEAF_AUTO(options, ReadCommandOptions(Describe(), arguments));
-  if (options.help_shown) return kExitGood;
+Result<int> Run(const CommandOptions& options) {
   if (!options.Has("journal")) {
-    return Fail(ErrorKind::kUsage, "JOURNAL", "required: a file with the body of /journal");
+    return Fail(ErrorKind::kUsage, "JOURNAL",
+                "required: a file with the body of /journal; --help shows an example");
   }
-  BOOST_LEAF_AUTO(body, ReadFile(options.Text("journal")));
+  BOOST_LEAF_AUTO(body, ReadInputFile(options.Text("journal"), kMaxJournalBytes));
   auto entries = Resolve([&] { return JournalFromJson(body); });
   if (!entries) {
     return Fail(ErrorKind::kUsage, options.Text("journal"),
-                "is no journal: " + ToString(entries.error()));
+                "is no journal: " + ToString(entries.error()) +
+                    "; fetch it again from /journal on a node's admin port");
   }
   const std::size_t difference = FirstDifference(entries.value());
   if (options.values["json"].as<bool>()) {
@@ -98,8 +95,7 @@
 }  // namespace
 
 int RunReplay(const std::vector<std::string>& arguments) {
-  const auto outcome = Resolve([&] { return Run(arguments); });
-  return outcome ? outcome.value() : ReportCommandError("replay", outcome.error());
+  return RunCommand("replay", Describe(), arguments, Run);
 }
 
 }  // namespace copperlead
--- a/src/toolbox/simulate.cc
+++ b/src/toolbox/simulate.cc
@@ -1,6 +1,5 @@
 // copperlead simulate: runs the control plane of a whole fleet in virtual time.
 
-#include <boost/program_options.hpp>
 #include <chrono>
 #include <iomanip>
 #include <iostream>
@@ -8,6 +7,7 @@
 #include "simulation/report.h"
 #include "simulation/scenario.h"
 #include "toolbox/command.h"
+#include "toolbox/command_options.h"
 
 namespace copperlead {
 namespace {
@@ -15,10 +15,15 @@
 namespace program_options = boost::program_options;
 using simulation::SimulationOptions;
 
-program_options::options_description Describe() {
-  program_options::options_description description("copperlead simulate");
-  auto add = description.add_options();
-  add("help,h", "show this help");
+CommandDescription Describe() {
+  CommandDescription description;
+  description.usage = "copperlead simulate [--nodes N] [--zones Z] [--scenario S] [--seed N] ...";
+  description.purpose =
+      "Runs the control plane of a whole fleet in virtual time, with the deciding code of the\n"
+      "daemon, and checks the promises at every step; the same seed gives the same run.\n"
+      "Exit 0: every promise held; 1: a violation is shown; 2: bad option.";
+  description.example = "copperlead simulate --nodes 1000 --zones 5 --scenario one-edit --seed 7";
+  auto add = description.options.add_options();
   add("list", "list the scenarios and the broken variants");
   add("nodes", program_options::value<std::size_t>()->default_value(10), "size of the fleet");
   add("zones", program_options::value<std::size_t>()->default_value(5), "number of zones");
@@ -119,13 +124,10 @@
   return options;
 }
 
-int RunOnce(const SimulationOptions& options, bool json) {
+Result<int> RunOnce(const SimulationOptions& options, bool json) {
   const auto start = std::chrono::steady_clock::now();
   auto report = Resolve([&] { return simulation::RunSimulation(options); });
-  if (!report) {
-    std::cerr << "copperlead simulate: " << ToString(report.error()) << "\n";
-    return kExitUsage;
-  }
+  if (!report) return Fail(ErrorKind::kUsage, "options", ToString(report.error()));
   const auto wall =
       std::chrono::duration_cast<Milliseconds>(std::chrono::steady_clock::now() - start);
   const auto wall_ms = static_cast<std::uint64_t>(wall.count());
@@ -134,34 +136,19 @@
   return report.value().violation_count == 0 ? kExitGood : kExitNotSo;
 }
 
-}  // namespace
-
-int RunSimulate(const std::vector<std::string>& arguments) {
-  const program_options::options_description description = Describe();
-  program_options::variables_map values;
-  try {
-    program_options::store(
-        program_options::command_line_parser(arguments).options(description).positional({}).run(),
-        values);
-    program_options::notify(values);
-  } catch (const program_options::error& error) {
-    std::cerr << "copperlead simulate: " << error.what() << "\n";
-    return kExitUsage;
-  }
-  if (values.count("help") > 0) {
-    std::cout << description;
-    return kExitGood;
-  }
-  if (values.count("list") > 0) {
+Result<int> Run(const CommandOptions& options) {
+  if (options.Has("list")) {
     PrintList();
     return kExitGood;
   }
-  auto options = Resolve([&] { return ReadOptions(values); });
-  if (!options) {
-    std::cerr << "copperlead simulate: " << ToString(options.error()) << "\n";
-    return kExitUsage;
-  }
-  return RunOnce(options.value(), values.count("json") > 0);
+  BOOST_LEAF_AUTO(simulation_options, ReadOptions(options.values));
+  return RunOnce(simulation_options, options.Has("json"));
+}
+
+}  // namespace
+
+int RunSimulate(const std::vector<std::string>& arguments) {
+  return RunCommand("simulate", Describe(), arguments, Run);
 }
 
 }  // namespace copperlead
--- a/src/toolbox/stepback.cc
+++ b/src/toolbox/stepback.cc
@@ -18,25 +18,32 @@
   description.purpose =
       "Prints the table of an earlier revision from the fleet's memory. No node goes back by\n"
       "itself: publish the printed table under a revision above the running one, which is named\n"
-      "on standard error. Exit 1: the revision is not in the node's history; 3: cannot reach.";
+      "on standard error. Rows come in the order of their routes.\n"
+      "Exit 0: printed; 1: the revision is not in the node's history; 3: cannot reach.";
   description.example = "copperlead stepback --node 127.0.0.1:7900 --to 41 > table.csv";
   description.options.add_options()("node", options::value<std::string>(),
                                     "admin IP:PORT of any node")(
-      "to", options::value<std::uint64_t>(), "revision whose table to print");
+      "to", options::value<std::string>(), "revision whose table to print");
   return description;
 }
 
-Result<int> Run(const std::vector<std::string>& arguments) {
-  BOOST_LEAF_AUTO(options, ReadCommandOptions(Describe(), arguments));
-  if (options.help_shown) return kExitGood;
-  BOOST_LEAF_AUTO(node, RequiredAddress(options, "node"));
-  if (!options.Has("to")) {
-    return Fail(ErrorKind::kUsage, "--to", "required: the revision to step back to");
+Result<std::string> FetchTable(const SocketAddress& node, std::uint64_t revision) {
+  auto table =
+      Resolve([&] { return FetchFromAdmin(node, "/history/" + std::to_string(revision)); });
+  if (table) return std::move(table.value());
+  Error error = table.error();
+  if (error.kind == ErrorKind::kNotSo) {
+    error.cause += "; a node keeps the last tables that it accepted since its start: ask another";
   }
-  const auto revision = options.values["to"].as<std::uint64_t>();
+  return boost::leaf::new_error(std::move(error));
+}
+
+Result<int> Run(const CommandOptions& options) {
+  BOOST_LEAF_AUTO(node, RequiredAddress(options, "node"));
+  BOOST_LEAF_AUTO(revision, RequiredRevision(options, "to"));
   BOOST_LEAF_AUTO(status, FetchFromAdmin(node, "/status"));
   BOOST_LEAF_AUTO(report, ReadFleetReport(status));
-  BOOST_LEAF_AUTO(table, FetchFromAdmin(node, "/history/" + std::to_string(revision)));
+  BOOST_LEAF_AUTO(table, FetchTable(node, revision));
   std::cout << table;
   std::cerr << "publish this table as revision " << report.newest_revision + 1
             << " or higher; the fleet runs " << report.newest_revision << "\n";
@@ -46,8 +53,7 @@
 }  // namespace
 
 int RunStepback(const std::vector<std::string>& arguments) {
-  const auto outcome = Resolve([&] { return Run(arguments); });
-  return outcome ? outcome.value() : ReportCommandError("stepback", outcome.error());
+  return RunCommand("stepback", Describe(), arguments, Run);
 }
 
 }  // namespace copperlead
--- a/tests/toolbox/fleet_report_test.cc
+++ b/tests/toolbox/fleet_report_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 #include "admin/node_status.h"
 
 namespace copperlead {
@@ -66,6 +68,11 @@
        false,
        0,
        1},
+      {"a suspect machine in a live zone may live and run something older",
+       {{"node-1", "ank-a", kAlive, 7, 0}, {"node-2", "ank-a", MemberState::kSuspect, 7, 900}},
+       false,
+       0,
+       0},
       {"a node that leaves is not waited for",
        {{"node-1", "ank-a", kAlive, 7, 0}, {"node-2", "ank-b", MemberState::kLeaving, 6, 10}},
        true,
@@ -81,6 +88,35 @@
   }
 }
 
+TEST(FleetReportTest, WaitsForTheWantedRevisionUnlessItIsRefused) {
+  auto status = StatusOf({{"node-1", "ank-a", kAlive, 7, 0}});
+  const auto report_for = [&](std::uint64_t wanted) {
+    return Resolve([&] { return ReadFleetReport(StatusToJson(status), wanted); }).value();
+  };
+  EXPECT_TRUE(report_for(7).settled);
+  EXPECT_FALSE(report_for(8).settled);
+  EXPECT_FALSE(report_for(8).WantedIsRefused());
+  status.last_refused = LedgerEntry{};
+  status.last_refused->offer.version.major = 8;
+  EXPECT_TRUE(report_for(8).WantedIsRefused());
+  EXPECT_FALSE(report_for(9).WantedIsRefused());
+  EXPECT_FALSE(report_for(7).WantedIsRefused());
+}
+
+TEST(FleetReportTest, OneThousandNodesFitOneScreen) {
+  std::vector<FleetEntry> fleet;
+  for (int index = 0; index < 1000; ++index) {
+    const auto state = index % 3 == 0 ? MemberState::kDead : kAlive;
+    const auto zone = "zone-" + std::to_string(index % 5);
+    fleet.push_back({"node-" + std::to_string(index), zone, state, index < 5 ? 8U : 7U, 10});
+  }
+  const std::string text = ToText(ReportOf(StatusOf(fleet)));
+  EXPECT_LE(std::count(text.begin(), text.end(), '\n'), 50) << text;
+  for (int zone = 0; zone < 5; ++zone) {
+    EXPECT_NE(text.find("\n  zone-" + std::to_string(zone) + ": "), std::string::npos) << text;
+  }
+}
+
 TEST(FleetReportTest, PassesOnWhyAVersionIsNotRun) {
   auto status = StatusOf({{"node-1", "ank-a", kAlive, 7, 0}});
   LedgerEntry refused;
