--- a/tests/integration/partition_test.cc
+++ b/tests/integration/partition_test.cc
@@ -54,20 +54,8 @@
   }
 
   static bool InCutZone(const LocalNode& node) { return node.plan.zone == kCutZone; }
-  // Loses what the cut zone's nodes would hear from the others.
-  static void CutTowardsZone() {
-    for (auto& node : fleet_->nodes()) {
-      if (InCutZone(node)) SetFault(node.proxy, "cut&except_from=" + fleet_->ZoneIp(kCutZone));
-    }
-  }
-  // Loses what the others would hear from the cut zone.
-  static void CutFromZone() {
-    for (auto& node : fleet_->nodes()) {
-      if (!InCutZone(node)) SetFault(node.proxy, "cut&only_from=" + fleet_->ZoneIp(kCutZone));
-    }
-  }
   static void Heal() {
-    for (auto& node : fleet_->nodes()) SetFault(node.proxy, "none");
+    HealNodes(*fleet_);
     SetFault(*near_source_, "none");
     SetFault(*far_source_, "none");
   }
@@ -111,8 +99,8 @@
 
 TEST_F(PartitionTest, ZoneCutOffDuringAnEditKeepsServingAndFollowsWhenHealed) {
   const auto before = Revision();
-  CutTowardsZone();
-  CutFromZone();
+  CutTowardsZone(*fleet_, kCutZone);
+  CutFromZone(*fleet_, kCutZone);
   SetFault(*far_source_, "cut");
   Edit();
   EXPECT_TRUE(WaitFor([] { return SideRuns(false, Revision()); }));
@@ -125,8 +113,8 @@
 
 TEST_F(PartitionTest, ZoneThatAloneReachesTheSourceIsFollowedWhenHealed) {
   const auto before = Revision();
-  CutTowardsZone();
-  CutFromZone();
+  CutTowardsZone(*fleet_, kCutZone);
+  CutFromZone(*fleet_, kCutZone);
   SetFault(*near_source_, "cut");
   Edit();
   EXPECT_TRUE(WaitFor([] { return SideRuns(true, Revision()); }));
@@ -139,9 +127,9 @@
   for (const bool towards : {true, false}) {
     const auto before = Revision();
     if (towards) {
-      CutTowardsZone();
+      CutTowardsZone(*fleet_, kCutZone);
     } else {
-      CutFromZone();
+      CutFromZone(*fleet_, kCutZone);
     }
     SetFault(*far_source_, "cut");
     Edit();
--- a/tests/integration/process_harness.h
+++ b/tests/integration/process_harness.h
@@ -39,6 +39,25 @@
   ASSERT_EQ(Post(proxy.control, "/control/fault?fault=" + fault).status, 200);
 }
 
+// Loses what the nodes of `zone` would hear from the others. All nodes stand behind fault proxies.
+inline void CutTowardsZone(LocalFleet& fleet, const std::string& zone) {
+  for (const auto& node : fleet.nodes()) {
+    if (node.plan.zone == zone) SetFault(node.proxy, "cut&except_from=" + fleet.ZoneIp(zone));
+  }
+}
+
+// Loses what the others would hear from the nodes of `zone`.
+inline void CutFromZone(LocalFleet& fleet, const std::string& zone) {
+  for (const auto& node : fleet.nodes()) {
+    if (node.plan.zone != zone) SetFault(node.proxy, "cut&only_from=" + fleet.ZoneIp(zone));
+  }
+}
+
+// Ends the faults of all nodes' proxies.
+inline void HealNodes(LocalFleet& fleet) {
+  for (const auto& node : fleet.nodes()) SetFault(node.proxy, "none");
+}
+
 // Stops a process for as long as this lives.
 class Paused {
  public:
