--- a/src/node/settings.cc
+++ b/src/node/settings.cc
@@ -70,7 +70,7 @@
 }
 
 Result<std::string> Name(const Values& values, const std::string& key) {
-  const std::string value = values.Text(key);
+  std::string value = values.Text(key);
   const bool printable = std::all_of(value.begin(), value.end(), [](unsigned char character) {
     return character > 0x20 && character < 0x7f;
   });
@@ -108,7 +108,7 @@
 
 Result<std::string> OneOf(const Values& values, const std::string& key,
                           const std::vector<std::string>& allowed) {
-  const std::string value = values.Text(key);
+  std::string value = values.Text(key);
   if (std::find(allowed.begin(), allowed.end(), value) != allowed.end()) return value;
   std::string listed;
   for (const auto& choice : allowed) listed += (listed.empty() ? "" : ", ") + choice;
