Spare the source's bytes: a pushed version carries the ETag it was read under

Cause: after an edit every polling node of every zone (readers and three ranks of standbys) fetched the whole configuration or machine list again, though the version had just reached it by push: its conditional read still sent the ETag of the version before.

Change: Push (also as the answer to a Pull) has source_etag. SourceEtag (pure, one per stream) decides which ETag a read sends and which one a push hands on; the poller no longer knows of ETags.

Safety, why a 304 can hide nothing: - An ETag is handed on only for a version with the revision and content hash of the document read under it: not for faulty documents, not for a bundle completed by kept resources. So a 304 to it means "the source still serves the document of this version". - A peer's ETag is sent only while its version runs here. If it is held, refused, or overtaken by an epoch raised here, the node's own ETag is sent, as before. - It is taken only for a version later than all the node knew at its own last read. Documents that it read and could not take (newer but faulty, incomplete, other side of a conflict, behind) are not put back, so they are not read or reported in a loop by repeated pushes. An older push never replaces a newer ETag. - Epochs: a 304 to a peer's ETag leaves the node as if it had read that document: nothing held, no longer behind, and the content counts as its own last view. Without that, a reader that alone sees a changed secret taken back would take it for the old view and stay silent. A 304 to its own ETag changes nothing, so readers behind different caches still do not raise epochs in turn. - A cache that knows other ETags answers 200 once per version, as before; the cache's ETag then stays. - A late 304 to an earlier request confirms nothing: the answer names the ETag that was sent. - ETags come from peers into a request header: at most 128 bytes, no control byte or space; others are not handed on, and a message with one is refused. Assumption: one ETag never stands for two documents of one path, whichever server of the source answers (RFC 9110, 8.8.3). A source whose servers each count their own ETags could hide a version from a zone until its next edit; no node would run an older version through it.

Ruled out: trusting a learned ETag for a bounded time (brings all reads back, only later); learning for the running version whenever it is pushed (a refused document would be read again each time).

The check after a source that went back now looks at the readers of all zones, not only zone-a: the one reader it looked at had read the document itself and could not show that fault.

Conclusion: the source sends each edit once.

--- a/src/distribution/agent_implementation.cc
+++ b/src/distribution/agent_implementation.cc
@@ -22,6 +22,10 @@
   return settings.decoder ? *settings.decoder : TransferDecoder::Plain();
 }
 
+DocumentVersion LaterOf(const DocumentVersion& left, const DocumentVersion& right) {
+  return IsNewer(left, right) ? left : right;
+}
+
 MemberRecord WithoutVersion(MemberRecord record) {
   record.configuration = {};
   return record;
@@ -38,8 +42,10 @@
       view_(membership_),
       configuration_(settings_.faults, settings_.history_size, outbox_, DecoderOf(settings_)),
       machines_(settings_.history_size, outbox_, DecoderOf(settings_)),
-      configuration_pusher_(settings_, membership_, view_, configuration_, outbox_),
-      machine_pusher_(settings_, membership_, view_, machines_, outbox_),
+      configuration_pusher_(settings_, membership_, view_, configuration_,
+                            EtagOf(StreamKind::kConfiguration), outbox_),
+      machine_pusher_(settings_, membership_, view_, machines_, EtagOf(StreamKind::kMachines),
+                      outbox_),
       configuration_repairer_(settings_, membership_, view_, configuration_, outbox_,
                               Salted(seed, kConfigurationRepairSeed)),
       machine_repairer_(settings_, membership_, view_, machines_, outbox_,
@@ -126,6 +132,7 @@
   situation.view_changed_at = view_.changed_at();
   for (FetchFromSource& fetch : poller_.Check(now, situation)) {
     if (fetch.stream == StreamKind::kConfiguration) asked_at_ = configuration_.running();
+    fetch.etag = EtagOf(fetch.stream).Ask(StreamOf(fetch.stream).running());
     outbox_.Add(std::move(fetch));
   }
 }
@@ -136,16 +143,43 @@
     outbox_.Add(Report{event.error.kind, event.error.place, event.error.cause});
   }
   if (use != AnswerUse::kTake) return;
-  if (event.status == SourceAnswered::Status::kNotModified) return;
-  if (event.stream == StreamKind::kMachines) {
-    if (!machines_.ReceiveFromSource(event.machines)) return;
-    SeedMembership(now);
-    SpreadFromSource(now, machine_pusher_);
-    return;
+  if (event.status == SourceAnswered::Status::kNotModified) {
+    OnNotModified(event);
+  } else if (event.stream == StreamKind::kMachines) {
+    TakeMachines(now, event);
+  } else {
+    TakeConfiguration(now, event);
   }
+}
+
+// A 304 to this node's own ETag changes nothing. One to a peer's says that the source serves the
+// document of what runs: this has to end as reading that document would.
+void Agent::Implementation::OnNotModified(const SourceAnswered& event) {
+  const DocumentVersion running = StreamOf(event.stream).running();
+  if (!EtagOf(event.stream).Confirm(event.etag, running)) return;
+  if (event.stream != StreamKind::kConfiguration) return;
+  configuration_.ConfirmFromSource();
+  poller_.SetBehind(0);
+}
+
+void Agent::Implementation::TakeMachines(Timestamp now, const SourceAnswered& event) {
+  if (event.machines == nullptr) return;
+  const DocumentVersion& read = event.machines->version;
+  const bool taken = machines_.ReceiveFromSource(event.machines);
+  EtagOf(event.stream).Read(event.etag, read, LaterOf(read, machines_.running()));
+  if (!taken) return;
+  SeedMembership(now);
+  SpreadFromSource(now, machine_pusher_);
+}
+
+void Agent::Implementation::TakeConfiguration(Timestamp now, const SourceAnswered& event) {
   if (event.configuration == nullptr) return;
+  const DocumentVersion& read = event.configuration->bundle.version;
+  const bool faulty = !event.configuration->faults.empty();
   const SourceFinding finding =
       configuration_.ReceiveFromSource(now, event.configuration, asked_at_);
+  EtagOf(event.stream)
+      .Read(event.etag, faulty ? DocumentVersion{} : read, LaterOf(read, configuration_.running()));
   const bool behind = finding == SourceFinding::kBehind;
   poller_.SetBehind(behind ? event.configuration->bundle.revision : 0);
   if (finding == SourceFinding::kTaken) SpreadFromSource(now, configuration_pusher_);
@@ -204,6 +238,10 @@
   return machines_;
 }
 
+SourceEtag& Agent::Implementation::EtagOf(StreamKind kind) {
+  return etags_.at(static_cast<std::size_t>(kind));
+}
+
 Pusher& Agent::Implementation::PusherOf(StreamKind kind) {
   return kind == StreamKind::kConfiguration ? configuration_pusher_ : machine_pusher_;
 }
--- a/src/distribution/agent_implementation.h
+++ b/src/distribution/agent_implementation.h
@@ -1,6 +1,7 @@
 // The parts of an Agent and how events reach them. Private to the distribution module.
 #pragma once
 
+#include <array>
 #include <string>
 #include <vector>
 
@@ -13,6 +14,7 @@
 #include "distribution/outbox.h"
 #include "distribution/pusher.h"
 #include "distribution/repairer.h"
+#include "distribution/source_etag.h"
 #include "distribution/source_poller.h"
 
 namespace copperlead {
@@ -30,6 +32,7 @@
   FleetView view_;
   ConfigurationStream configuration_;
   MachineStream machines_;
+  std::array<SourceEtag, kStreamCount> etags_;
   Pusher configuration_pusher_;
   Pusher machine_pusher_;
   Repairer configuration_repairer_;
@@ -71,12 +74,16 @@
   void HearSummary(Timestamp now, const NodeSummary& sender);
   void Pursue(Timestamp now);
   void PollSource(Timestamp now);
+  void OnNotModified(const SourceAnswered& event);
+  void TakeMachines(Timestamp now, const SourceAnswered& event);
+  void TakeConfiguration(Timestamp now, const SourceAnswered& event);
   void SpreadFromSource(Timestamp now, Pusher& pusher);
   void SeedMembership(Timestamp now);
   void RejoinForSeeds(Timestamp now);
   void UpdateDeadline(Timestamp now);
 
   DocumentStream& StreamOf(StreamKind kind);
+  SourceEtag& EtagOf(StreamKind kind);
   Pusher& PusherOf(StreamKind kind);
   Repairer& RepairerOf(StreamKind kind);
   bool Pushes() const;
--- a/src/distribution/agent_messages.cc
+++ b/src/distribution/agent_messages.cc
@@ -1,5 +1,6 @@
 // How an Agent takes messages of peers and answers operators' questions about them.
 #include <algorithm>
+#include <string>
 #include <utility>
 #include <variant>
 
@@ -50,6 +51,7 @@
     AskForReadable(now, sender, push.transfer, receipt);
     return;
   }
+  EtagOf(kind).Learn(push.transfer.version, push.source_etag);
   RepairerOf(kind).HearAnswer(sender.id);
   const bool taken = receipt == Receipt::kTaken;
   if (taken && kind == StreamKind::kMachines) SeedMembership(now);
@@ -102,7 +104,8 @@
     outbox_.Send(sender.address, Busy{pull.stream, static_cast<std::uint32_t>(wait.count())});
     return;
   }
-  outbox_.Send(sender.address, Push{std::move(transfer), {}});
+  std::string etag = EtagOf(pull.stream).For(transfer.version);
+  outbox_.Send(sender.address, Push{std::move(transfer), {}, std::move(etag)});
 }
 
 void Agent::Implementation::OnBody(Timestamp now, const MemberRecord& sender, const Busy& busy) {
--- a/src/distribution/configuration_stream.cc
+++ b/src/distribution/configuration_stream.cc
@@ -149,6 +149,11 @@
   return SourceFinding::kBehind;
 }
 
+void ConfigurationStream::ConfirmFromSource() {
+  compared_ = DocumentVersion{running().major, 0, running().content};
+  source_document_.reset();
+}
+
 SourceFinding ConfigurationStream::OfferHeld(Timestamp now) {
   if (held_ != nullptr) {
     const BundlePointer bundle = std::exchange(held_, nullptr);
--- a/src/distribution/configuration_stream.h
+++ b/src/distribution/configuration_stream.h
@@ -46,6 +46,10 @@
                                   const std::shared_ptr<const ConfigurationDocument>& document,
                                   const DocumentVersion& running_when_asked);
 
+  // The source was found to serve the document of the version that runs: leaves all as if it had
+  // been read, with nothing held or to be judged again.
+  void ConfirmFromSource();
+
   // Judges again what was held while joining. Call after the ledger's joining ended.
   // @return kTaken when the source's document runs now, so that this node must spread it.
   SourceFinding OfferHeld(Timestamp now);
--- a/src/distribution/event.h
+++ b/src/distribution/event.h
@@ -29,7 +29,7 @@
   enum class Status { kNew, kNotModified, kFailed };
   StreamKind stream = StreamKind::kConfiguration;
   Status status = Status::kFailed;
-  std::string etag;                                            // For kNew.
+  std::string etag;  // For kNew: the document's; for kNotModified: the one that was sent.
   std::shared_ptr<const ConfigurationDocument> configuration;  // For kNew, kConfiguration.
   MachineListPointer machines;                                 // For kNew, kMachines.
   Error error;                                                 // For kFailed.
--- a/src/distribution/pusher.cc
+++ b/src/distribution/pusher.cc
@@ -9,8 +9,13 @@
 namespace copperlead {
 
 Pusher::Pusher(const AgentSettings& settings, const Membership& membership, FleetView& view,
-               DocumentStream& stream, Outbox& outbox)
-    : settings_(settings), membership_(membership), view_(view), stream_(stream), outbox_(outbox) {}
+               DocumentStream& stream, const SourceEtag& etag, Outbox& outbox)
+    : settings_(settings),
+      membership_(membership),
+      view_(view),
+      stream_(stream),
+      etag_(etag),
+      outbox_(outbox) {}
 
 void Pusher::StartVersion() {
   if (version_ == stream_.running()) return;
@@ -92,7 +97,9 @@
 void Pusher::Send(Timestamp now, Outstanding& push, const DocumentVersion& base) {
   ++push.attempts;
   push.next_retry = now + settings_.push_retry;
-  outbox_.Send(push.address, Push{stream_.TransferFrom(base), push.root});
+  Transfer transfer = stream_.TransferFrom(base);
+  std::string etag = etag_.For(transfer.version);
+  outbox_.Send(push.address, Push{std::move(transfer), push.root, std::move(etag)});
 }
 
 void Pusher::HearVersion(const NodeId& id, const DocumentVersion& version) {
--- a/src/distribution/pusher.h
+++ b/src/distribution/pusher.h
@@ -11,13 +11,14 @@
 #include "distribution/fleet_view.h"
 #include "distribution/outbox.h"
 #include "distribution/push_tree.h"
+#include "distribution/source_etag.h"
 
 namespace copperlead {
 
 class Pusher {
  public:
   Pusher(const AgentSettings& settings, const Membership& membership, FleetView& view,
-         DocumentStream& stream, Outbox& outbox);
+         DocumentStream& stream, const SourceEtag& etag, Outbox& outbox);
 
   // Starts what runs in the own zone: to the heads and this node's own children; once per version.
   void SpreadInZone(Timestamp now);
@@ -65,6 +66,7 @@
   const Membership& membership_;
   FleetView& view_;
   DocumentStream& stream_;
+  const SourceEtag& etag_;
   Outbox& outbox_;
   DocumentVersion version_;  // Of the outstanding pushes.
   bool forwarded_ = false;   // Whether this node's children were pushed version_.
--- a/src/distribution/source_poller.cc
+++ b/src/distribution/source_poller.cc
@@ -90,7 +90,7 @@
   stream.outstanding = true;
   stream.void_at = now + kReadTimeout;
   ++state_.reads;
-  return {kind, stream.etag};
+  return {kind, {}};
 }
 
 bool SourcePoller::MayRead(Timestamp now, const PollSituation& situation) {
@@ -156,7 +156,6 @@
     UpdateKind();
     return stream.failures_in_a_row == 1 ? AnswerUse::kReportFailure : AnswerUse::kIgnore;
   }
-  if (answer.status == SourceAnswered::Status::kNew) stream.etag = answer.etag;
   stream.failures_in_a_row = 0;
   stream.not_before = Timestamp{};
   if (answer.stream == StreamKind::kConfiguration) state_.last_success = now;
--- a/src/distribution/source_poller.h
+++ b/src/distribution/source_poller.h
@@ -44,7 +44,7 @@
 
   // True when Check is due; the situation need not be put together before.
   bool Due(Timestamp now) const { return now >= next_check_; }
-  // @return the streams to ask for now.
+  // @return the streams to ask for now; the caller adds the ETags.
   std::vector<FetchFromSource> Check(Timestamp now, const PollSituation& situation);
 
   AnswerUse Accept(Timestamp now, const SourceAnswered& answer);
@@ -61,7 +61,6 @@
  private:
   // Polling of one stream.
   struct Stream {
-    std::string etag;
     bool answered = false;  // Ever, whatever the answer.
     bool outstanding = false;
     Timestamp void_at{};  // When an outstanding read counts as failed.
--- a/src/membership/message.h
+++ b/src/membership/message.h
@@ -1,7 +1,11 @@
 // The closed list of messages between nodes. Plain typed values; bytes are transport/frame.h's.
 #pragma once
 
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
+#include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -43,11 +47,25 @@
 
 // --- Distribution ---
 
+// Longest ETag that is handed on.
+inline constexpr std::size_t kMaxSourceEtagBytes = 128;
+
+// True when an ETag may be handed on: neither too long nor with a byte that could end or split the
+// header line in which the receiver sends it. Others are left out by senders and refused by
+// receivers.
+inline bool MayHandOnEtag(std::string_view etag) {
+  const auto is_plain = [](char byte) { return byte < '\0' || (byte > ' ' && byte != '\x7f'); };
+  return etag.size() <= kMaxSourceEtagBytes && std::all_of(etag.begin(), etag.end(), is_plain);
+}
+
 // A version handed down the push tree, or sent as the answer to a Pull.
 struct Push {
   Transfer transfer;
   // Node at the root of the tree this push belongs to; empty: an answer to a Pull, not forwarded.
   NodeId root;
+  // The source's ETag for the document whose content the version has; empty: not known.
+  // MayHandOnEtag holds.
+  std::string source_etag;
 };
 
 // "I run this version, or a newer one."
--- a/src/platform/source_client.cc
+++ b/src/platform/source_client.cc
@@ -31,11 +31,13 @@
   return answered;
 }
 
-Result<SourceAnswered> ReadAnswer(StreamKind stream, BoundedGet& get) {
+Result<SourceAnswered> ReadAnswer(StreamKind stream, const std::string& sent_etag,
+                                  BoundedGet& get) {
   BOOST_LEAF_AUTO(answer, get.Run());
   SourceAnswered answered;
   if (answer.status == kNotModified) {
     answered.status = SourceAnswered::Status::kNotModified;
+    answered.etag = sent_etag;
     return answered;
   }
   BOOST_LEAF_ASSIGN(answered, ReadBody(stream, answer.body));
@@ -73,6 +75,7 @@
   std::condition_variable changed_;
   std::optional<std::string> requested_etag_;
   std::shared_ptr<BoundedGet> running_;
+  std::string running_etag_;  // Sent by running_. Only the fetcher's own thread uses it.
   bool stopping_ = false;
 
   std::mutex stop_mutex_;  // Only one thread joins.
@@ -116,13 +119,15 @@
   request.whole_timeout = settings_.read_timeout;
   request.max_body = kMaxSourceBody;
   running_ = MakeBoundedGet(request, watchdog_);
+  running_etag_ = request.etag;
   requested_etag_.reset();
   return true;
 }
 
 SourceAnswered StreamFetcher::Answer() {
   const std::shared_ptr<BoundedGet> get = running_;
-  Outcome<SourceAnswered> outcome = Resolve([&] { return ReadAnswer(stream_, *get); });
+  Outcome<SourceAnswered> outcome =
+      Resolve([&] { return ReadAnswer(stream_, running_etag_, *get); });
   SourceAnswered answered;
   if (outcome) {
     answered = std::move(outcome.value());
--- a/src/transport/message_codec.cc
+++ b/src/transport/message_codec.cc
@@ -226,11 +226,14 @@
 static void save(CompactOutputArchive& archive, const Push& push) {
   archive(push.transfer);
   WriteName(archive, push.root);
+  WriteName(archive, push.source_etag);
 }
 
 static void load(CompactInputArchive& archive, Push& push) {
   archive(push.transfer);
   push.root = ReadName(archive);
+  push.source_etag = archive.ReadString(kMaxSourceEtagBytes);
+  if (!MayHandOnEtag(push.source_etag)) throw cereal::Exception("bad ETag");
 }
 
 static void save(CompactOutputArchive& archive, const PushAck& ack) {
--- a/tests/distribution/agent_test.cc
+++ b/tests/distribution/agent_test.cc
@@ -131,8 +131,12 @@
   }
   fleet.Publish({.revision = 6, .new_weight = 3});
   EXPECT_TRUE(fleet.RunUntil([&] { return fleet.AllRun(6); }, seconds(5)));
-  fleet.RunFor(seconds(2));  // Until this reader itself has polled again.
-  EXPECT_EQ(reader.agent->source().kind, SourceState::Kind::kHealthy);
+  fleet.RunFor(seconds(2));  // Until the readers themselves have polled again.
+  for (const char* zone : {"zone-a", "zone-b", "zone-c"}) {
+    const SourceState& source = fleet.node(ReaderOf(fleet, zone)).agent->source();
+    EXPECT_EQ(source.kind, SourceState::Kind::kHealthy) << zone;
+    EXPECT_EQ(source.behind_revision, 0U) << zone;
+  }
 }
 
 TEST(AgentTest, AConflictIsShownOnBothSidesAndEndedByAHigherRevision) {
@@ -219,6 +223,49 @@
   }
 }
 
+TEST(AgentTest, TheSourceSendsEachEditOnceToASettledFleet) {
+  SettledFleet settled;
+  TestFleet& fleet = settled.fleet;
+  constexpr std::uint64_t kEdits = 5;
+  fleet.total_documents = 0;
+  for (std::uint64_t edit = 1; edit <= kEdits; ++edit) {
+    fleet.Publish({.revision = 1 + edit, .new_weight = static_cast<int>(edit)});
+    fleet.RunFor(seconds(70));  // Longer than the slowest standby's turn.
+    EXPECT_TRUE(fleet.AllRun(1 + edit));
+    EXPECT_EQ(fleet.total_documents, 2 * edit - 1) << "configuration " << edit;
+    fleet.PublishMachines(10 + edit);
+    fleet.RunFor(seconds(70));
+    EXPECT_EQ(fleet.total_documents, 2 * edit) << "machine list " << edit;
+  }
+}
+
+// The reader of zone-b knows the changed secret only by a push and a 304. That must count as
+// having seen it: when it alone sees the source take the change back, it has to spread that.
+TEST(AgentTest, AChangeTakenBackIsSeenByAReaderThatNeverReadTheChange) {
+  SettledFleet settled;
+  TestFleet& fleet = settled.fleet;
+  const auto all_have = [&](const std::string& secret) {
+    return std::all_of(fleet.nodes().begin(), fleet.nodes().end(), [&](const auto& entry) {
+      return entry.second->agent->running()->secrets.at("permit-token") == secret;
+    });
+  };
+  const auto cut_off = [&](bool in_zone_b) {
+    fleet.without_source.clear();
+    for (const auto& [id, node] : fleet.nodes()) {
+      if ((node->zone == "zone-b") == in_zone_b) fleet.without_source.insert(id);
+    }
+  };
+  fleet.Publish({.revision = 1, .secret = "first"});  // Seen by zone-b itself.
+  fleet.RunFor(seconds(70));
+  cut_off(true);
+  fleet.Publish({.revision = 1, .secret = "second"});
+  ASSERT_TRUE(fleet.RunUntil([&] { return all_have("second"); }, seconds(60)));
+  cut_off(false);
+  fleet.RunFor(seconds(70));
+  fleet.Publish({.revision = 1, .secret = "first"});
+  EXPECT_TRUE(fleet.RunUntil([&] { return all_have("first"); }, seconds(70)));
+}
+
 // A fleet that ran revision 5 while the source went back to 4, and one node that restarts: peers
 // answer its join, but no document reaches it. @return the restarted node's id.
 std::string RestartBelowFloor(TestFleet& fleet) {
--- a/tests/distribution/test_fleet.cc
+++ b/tests/distribution/test_fleet.cc
@@ -181,8 +181,11 @@
   ++node.source_reads;
   if (fetch.stream == StreamKind::kConfiguration) ++total_reads;
   // The source's state is that of the time when the answer is made.
-  Schedule(now_ + Milliseconds(2), node,
-           [this, id = node.id, fetch] { return Event(Answer(id, fetch)); });
+  Schedule(now_ + Milliseconds(2), node, [this, id = node.id, fetch] {
+    SourceAnswered answer = Answer(id, fetch);
+    total_documents += answer.status == SourceAnswered::Status::kNew ? 1 : 0;
+    return Event(std::move(answer));
+  });
 }
 
 SourceAnswered TestFleet::Answer(const std::string& id, const FetchFromSource& fetch) const {
--- a/tests/distribution/test_fleet.h
+++ b/tests/distribution/test_fleet.h
@@ -98,6 +98,7 @@
   std::function<void(const TestNode& from, const SocketAddress& to, const Message&)> tap;
 
   std::uint64_t total_reads = 0;        // Of the configuration.
+  std::uint64_t total_documents = 0;    // Answers to reads of both that were no 304.
   std::vector<std::string> violations;  // Of the rules that must always hold.
 
  private:
--- a/tests/platform/source_client_test.cc
+++ b/tests/platform/source_client_test.cc
@@ -163,6 +163,7 @@
   client->Fetch({StreamKind::kConfiguration, "\"7\""});
   const SourceAnswered unchanged = answers.Next();
   EXPECT_EQ(unchanged.status, SourceAnswered::Status::kNotModified) << ToString(unchanged.error);
+  EXPECT_EQ(unchanged.etag, configuration.etag);
 
   client->Fetch({StreamKind::kConfiguration, "\"6\""});
   EXPECT_EQ(answers.Next().status, SourceAnswered::Status::kNew);
--- a/tests/transport/frame_test.cc
+++ b/tests/transport/frame_test.cc
@@ -50,6 +50,7 @@
   } else if (const auto* push = std::get_if<Push>(&left)) {
     ExpectSame(push->transfer, std::get<Push>(right).transfer);
     EXPECT_EQ(push->root, std::get<Push>(right).root);
+    EXPECT_EQ(push->source_etag, std::get<Push>(right).source_etag);
   } else if (const auto* push_ack = std::get_if<PushAck>(&left)) {
     EXPECT_EQ(push_ack->stream, std::get<PushAck>(right).stream);
     EXPECT_EQ(push_ack->version, std::get<PushAck>(right).version);
@@ -206,6 +207,46 @@
   }
 }
 
+TEST(FrameTest, DecoderBoundsThePushesEtag) {
+  struct Case {
+    const char* name;
+    std::size_t size;  // Of the ETag that is encoded.
+    std::function<void(std::string&)> damage;
+    bool accepted;
+  };
+  const auto none = [](std::string&) {};
+  const std::vector<Case> cases = {
+      {"empty", 0, none, true},
+      {"longest", kMaxSourceEtagBytes, none, true},
+      {"too long by one", kMaxSourceEtagBytes + 1, none, false},
+      {"too long by far", 100'000, none, false},
+      {"length beyond the bytes", 0, [](auto& bytes) { bytes.back() = 1; }, false},
+      {"length of 2^63", 0,
+       [](auto& bytes) {
+         bytes.pop_back();
+         bytes += "\x80\x80\x80\x80\x80\x80\x80\x80\x80\x01";
+       },
+       false},
+      {"length cut", 0, [](auto& bytes) { bytes.pop_back(); }, false},
+      {"line end in it", 3, [](auto& bytes) { bytes.back() = '\n'; }, false},
+      {"space in it", 3, [](auto& bytes) { bytes.back() = ' '; }, false},
+      {"byte above ASCII", 3, [](auto& bytes) { bytes.back() = '\xff'; }, true},
+      {"byte after it", 3, [](auto& bytes) { bytes.push_back('x'); }, false},
+  };
+  for (const Case& entry : cases) {
+    Push push = MakePush(10);
+    push.source_etag = std::string(entry.size, 'e');
+    std::string bytes = EncodeMessage(MakeMessage(push));
+    entry.damage(bytes);
+    const auto outcome = Resolve([&] { return DecodeMessage(bytes); });
+    ASSERT_EQ(outcome.ok(), entry.accepted) << entry.name;
+    if (!entry.accepted) continue;
+    const auto& decoded = std::get<Push>(outcome.value().body);
+    EXPECT_EQ(decoded.source_etag.size(), entry.size) << entry.name;
+    EXPECT_EQ(EncodeMessage(MakeMessage(decoded)), bytes) << entry.name;
+  }
+}
+
 // One to four random edits: a byte set, a bit flipped, bytes removed, repeated or put in.
 void Mutate(std::mt19937& random, std::string& bytes) {
   const auto pick = [&](std::size_t limit) { return limit == 0 ? 0 : random() % limit; };
--- a/tests/transport/test_messages.h
+++ b/tests/transport/test_messages.h
@@ -34,6 +34,7 @@
   push.transfer.base = {41, 0, 0x0123456789abcdef};
   push.transfer.payload = std::make_shared<const std::string>(payload_bytes, 'x');
   push.root = "node-1";
+  push.source_etag = "\"7f3a\"";
   return push;
 }
 
