--- a/src/distribution/agent_messages.cc
+++ b/src/distribution/agent_messages.cc
@@ -51,7 +51,7 @@
     AskForReadable(now, sender, push.transfer, receipt);
     return;
   }
-  EtagOf(kind).Learn(push.transfer.version, push.source_etag);
+  EtagOf(kind).Learn(push.transfer.version, push.source_tag);
   RepairerOf(kind).HearAnswer(sender.id);
   const bool taken = receipt == Receipt::kTaken;
   if (taken && kind == StreamKind::kMachines) SeedMembership(now);
--- a/src/distribution/document_stream.h
+++ b/src/distribution/document_stream.h
@@ -31,6 +31,8 @@
   // @return the running document as the difference to `base` if that is held, else whole. Only
   //         while something runs.
   virtual Transfer TransferFrom(const DocumentVersion& base) = 0;
+  // True when the document of this version is held, so that a difference to it can be made.
+  virtual bool Holds(const DocumentVersion& version) const = 0;
   // Decodes, checks and judges a transfer.
   // @param origin id of the sending node.
   virtual Receipt Receive(Timestamp now, const Transfer& transfer, const std::string& origin) = 0;
--- a/src/distribution/source_poller.cc
+++ b/src/distribution/source_poller.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "distribution/reader_election.h"
+
 namespace copperlead {
 namespace {
 
@@ -35,7 +37,7 @@
 // Each unanswered contact widens the random wait of an isolated node by this.
 constexpr Duration kWaitPerContact = seconds(1);
 // Ranks that poll at all, and by how much slower each is than the one before.
-constexpr std::size_t kMaxPollingRank = 3;
+constexpr std::size_t kMaxPollingRank = kPollingRanks - 1;
 constexpr std::int64_t kRankSlowdown = 4;
 constexpr std::size_t kMaxBackoffDoublings = 16;
 
@@ -134,7 +136,9 @@
   for (std::int64_t step = 0; step < rank; ++step) slowdown *= kRankSlowdown;
   const Duration since_phase = WallTime(now) - ZonePhase(situation);
   const std::int64_t interval_number = since_phase / settings_.source_interval;
-  return interval_number % slowdown == rank;
+  // Shifted by zone: when all readers fail together, some zone's standby reads in each interval.
+  const auto zone_index = static_cast<std::int64_t>(situation.zone_index);
+  return (interval_number + zone_index) % slowdown == rank;
 }
 
 void SourcePoller::ExpireOutstanding(Timestamp now) {
--- a/src/membership/message.h
+++ b/src/membership/message.h
@@ -48,14 +48,14 @@
 // --- Distribution ---
 
 // Longest ETag that is handed on.
-inline constexpr std::size_t kMaxSourceEtagBytes = 128;
+inline constexpr std::size_t kMaxSourceTagBytes = 128;
 
 // True when an ETag may be handed on: neither too long nor with a byte that could end or split the
 // header line in which the receiver sends it. Others are left out by senders and refused by
 // receivers.
 inline bool MayHandOnEtag(std::string_view etag) {
   const auto is_plain = [](char byte) { return byte < '\0' || (byte > ' ' && byte != '\x7f'); };
-  return etag.size() <= kMaxSourceEtagBytes && std::all_of(etag.begin(), etag.end(), is_plain);
+  return etag.size() <= kMaxSourceTagBytes && std::all_of(etag.begin(), etag.end(), is_plain);
 }
 
 // A version handed down the push tree, or sent as the answer to a Pull.
@@ -65,7 +65,7 @@
   NodeId root;
   // The source's ETag for the document whose content the version has; empty: not known.
   // MayHandOnEtag holds.
-  std::string source_etag;
+  std::string source_tag;
 };
 
 // "I run this version, or a newer one."
--- a/src/transport/message_codec.cc
+++ b/src/transport/message_codec.cc
@@ -226,14 +226,14 @@
 static void save(CompactOutputArchive& archive, const Push& push) {
   archive(push.transfer);
   WriteName(archive, push.root);
-  WriteName(archive, push.source_etag);
+  WriteName(archive, push.source_tag);
 }
 
 static void load(CompactInputArchive& archive, Push& push) {
   archive(push.transfer);
   push.root = ReadName(archive);
-  push.source_etag = archive.ReadString(kMaxSourceEtagBytes);
-  if (!MayHandOnEtag(push.source_etag)) throw cereal::Exception("bad ETag");
+  push.source_tag = archive.ReadString(kMaxSourceTagBytes);
+  if (!MayHandOnEtag(push.source_tag)) throw cereal::Exception("bad ETag");
 }
 
 static void save(CompactOutputArchive& archive, const PushAck& ack) {
--- a/tests/distribution/source_etag_test.cc
+++ b/tests/distribution/source_etag_test.cc
@@ -103,9 +103,9 @@
   EXPECT_EQ(etag.For(kSeven), "");
   etag.Read("e9", kNone, kNine);
   EXPECT_EQ(etag.For(kNine), "") << "faulty";
-  etag.Read(std::string(kMaxSourceEtagBytes, 'e'), kNine, kNine);
-  EXPECT_EQ(etag.For(kNine).size(), kMaxSourceEtagBytes);
-  etag.Read(std::string(kMaxSourceEtagBytes + 1, 'e'), kNine, kNine);
+  etag.Read(std::string(kMaxSourceTagBytes, 'e'), kNine, kNine);
+  EXPECT_EQ(etag.For(kNine).size(), kMaxSourceTagBytes);
+  etag.Read(std::string(kMaxSourceTagBytes + 1, 'e'), kNine, kNine);
   EXPECT_EQ(etag.For(kNine), "");
   etag.Read("e\r\nX: y", kNine, kNine);
   EXPECT_EQ(etag.For(kNine), "") << "peers would refuse it";
--- a/tests/distribution/test_fleet.cc
+++ b/tests/distribution/test_fleet.cc
@@ -183,7 +183,9 @@
   // The source's state is that of the time when the answer is made.
   Schedule(now_ + Milliseconds(2), node, [this, id = node.id, fetch] {
     SourceAnswered answer = Answer(id, fetch);
-    total_documents += answer.status == SourceAnswered::Status::kNew ? 1 : 0;
+    const bool full = answer.status == SourceAnswered::Status::kNew;
+    if (full) ++total_documents;
+    if (full && answer.stream == StreamKind::kConfiguration) ++full_answers;
     return Event(std::move(answer));
   });
 }
--- a/tests/transport/frame_test.cc
+++ b/tests/transport/frame_test.cc
@@ -50,7 +50,7 @@
   } else if (const auto* push = std::get_if<Push>(&left)) {
     ExpectSame(push->transfer, std::get<Push>(right).transfer);
     EXPECT_EQ(push->root, std::get<Push>(right).root);
-    EXPECT_EQ(push->source_etag, std::get<Push>(right).source_etag);
+    EXPECT_EQ(push->source_tag, std::get<Push>(right).source_tag);
   } else if (const auto* push_ack = std::get_if<PushAck>(&left)) {
     EXPECT_EQ(push_ack->stream, std::get<PushAck>(right).stream);
     EXPECT_EQ(push_ack->version, std::get<PushAck>(right).version);
@@ -217,8 +217,8 @@
   const auto none = [](std::string&) {};
   const std::vector<Case> cases = {
       {"empty", 0, none, true},
-      {"longest", kMaxSourceEtagBytes, none, true},
-      {"too long by one", kMaxSourceEtagBytes + 1, none, false},
+      {"longest", kMaxSourceTagBytes, none, true},
+      {"too long by one", kMaxSourceTagBytes + 1, none, false},
       {"too long by far", 100'000, none, false},
       {"length beyond the bytes", 0, [](auto& bytes) { bytes.back() = 1; }, false},
       {"length of 2^63", 0,
@@ -235,14 +235,14 @@
   };
   for (const Case& entry : cases) {
     Push push = MakePush(10);
-    push.source_etag = std::string(entry.size, 'e');
+    push.source_tag = std::string(entry.size, 'e');
     std::string bytes = EncodeMessage(MakeMessage(push));
     entry.damage(bytes);
     const auto outcome = Resolve([&] { return DecodeMessage(bytes); });
     ASSERT_EQ(outcome.ok(), entry.accepted) << entry.name;
     if (!entry.accepted) continue;
     const auto& decoded = std::get<Push>(outcome.value().body);
-    EXPECT_EQ(decoded.source_etag.size(), entry.size) << entry.name;
+    EXPECT_EQ(decoded.source_tag.size(), entry.size) << entry.name;
     EXPECT_EQ(EncodeMessage(MakeMessage(decoded)), bytes) << entry.name;
   }
 }
