--- a/src/distribution/agent_messages.cc
+++ b/src/distribution/agent_messages.cc
@@ -1,5 +1,6 @@
 // How an Agent takes messages of peers and answers operators' questions about them.
 #include <algorithm>
+#include <string>
 #include <utility>
 #include <variant>
 
@@ -51,17 +52,13 @@
     AskForReadable(now, sender, push.transfer, receipt);
     return;
   }
+  EtagOf(kind).Learn(push.transfer.version, push.source_tag);
   RepairerOf(kind).HearAnswer(sender.id);
   const bool taken = receipt == Receipt::kTaken;
   if (taken && kind == StreamKind::kMachines) SeedMembership(now);
   const bool settled = !IsNewer(push.transfer.version, stream.running());
   if (settled) outbox_.Send(sender.address, PushAck{kind, stream.running()});
-  if (stream.running() != push.transfer.version) return;
-  if (!push.source_tag.empty()) {
-    stream.SetSourceTag(push.source_tag);
-    poller_.AdoptTag(kind, push.source_tag);
-  }
-  HandOn(now, sender, push, taken);
+  if (stream.running() == push.transfer.version) HandOn(now, sender, push, taken);
 }
 
 void Agent::Implementation::AskForReadable(Timestamp now, const MemberRecord& sender,
@@ -115,7 +112,8 @@
     outbox_.Send(sender.address, Busy{pull.stream, static_cast<std::uint32_t>(wait.count())});
     return;
   }
-  outbox_.Send(sender.address, Push{std::move(transfer), {}, stream.source_tag()});
+  std::string etag = EtagOf(pull.stream).For(transfer.version);
+  outbox_.Send(sender.address, Push{std::move(transfer), {}, std::move(etag)});
 }
 
 void Agent::Implementation::OnBody(Timestamp now, const MemberRecord& sender, const Busy& busy) {
--- a/src/distribution/pusher.cc
+++ b/src/distribution/pusher.cc
@@ -11,12 +11,18 @@
 
 // What a member said of itself this long ago is taken for what it runs.
 constexpr Duration kFreshKnowledge = std::chrono::seconds(2);
+constexpr std::size_t kMaxRetryDoublings = 4;
 
 }  // namespace
 
 Pusher::Pusher(const AgentSettings& settings, const Membership& membership, FleetView& view,
-               DocumentStream& stream, Outbox& outbox)
-    : settings_(settings), membership_(membership), view_(view), stream_(stream), outbox_(outbox) {}
+               DocumentStream& stream, const SourceEtag& etag, Outbox& outbox)
+    : settings_(settings),
+      membership_(membership),
+      view_(view),
+      stream_(stream),
+      etag_(etag),
+      outbox_(outbox) {}
 
 void Pusher::StartVersion() {
   if (version_ == stream_.running()) return;
@@ -99,9 +105,12 @@
 void Pusher::Send(Timestamp now, Outstanding& push, const DocumentVersion& base) {
   if (push.attempts == 0) push.first_sent = now;
   // Each wait is twice the one before: a receiver that is slow must not be sent more for it.
-  push.next_retry = now + settings_.push_retry * (std::int64_t{1} << push.attempts);
+  const std::size_t doublings = std::min(push.attempts, kMaxRetryDoublings);
+  push.next_retry = now + settings_.push_retry * (std::int64_t{1} << doublings);
   ++push.attempts;
-  outbox_.Send(push.address, Push{stream_.TransferFrom(base), push.root, stream_.source_tag()});
+  Transfer transfer = stream_.TransferFrom(base);
+  std::string etag = etag_.For(transfer.version);
+  outbox_.Send(push.address, Push{std::move(transfer), push.root, std::move(etag)});
 }
 
 void Pusher::HearVersion(const NodeId& id, const DocumentVersion& version) {
--- a/src/distribution/source_poller.cc
+++ b/src/distribution/source_poller.cc
@@ -92,7 +92,7 @@
   stream.outstanding = true;
   stream.void_at = now + kReadTimeout;
   ++state_.reads;
-  return {kind, stream.etag};
+  return {kind, {}};
 }
 
 bool SourcePoller::MayRead(Timestamp now, const PollSituation& situation) {
@@ -160,7 +160,6 @@
     UpdateKind();
     return stream.failures_in_a_row == 1 ? AnswerUse::kReportFailure : AnswerUse::kIgnore;
   }
-  if (answer.status == SourceAnswered::Status::kNew) stream.etag = answer.etag;
   stream.failures_in_a_row = 0;
   stream.not_before = Timestamp{};
   if (answer.stream == StreamKind::kConfiguration) state_.last_success = now;
@@ -178,12 +177,6 @@
   stream.not_before = now + random_.UpTo(limit);
 }
 
-void SourcePoller::AdoptTag(StreamKind kind, const std::string& etag) {
-  Stream& stream = streams_[IndexOf(kind)];
-  // An answer under way is about the tag that was asked with.
-  if (!stream.outstanding) stream.etag = etag;
-}
-
 void SourcePoller::SetBehind(std::uint64_t revision) {
   state_.behind_revision = revision;
   UpdateKind();
--- a/src/distribution/source_poller.h
+++ b/src/distribution/source_poller.h
@@ -44,19 +44,11 @@
 
   // True when Check is due; the situation need not be put together before.
   bool Due(Timestamp now) const { return now >= next_check_; }
-  // @return the streams to ask for now.
+  // @return the streams to ask for now; the caller adds the ETags.
   std::vector<FetchFromSource> Check(Timestamp now, const PollSituation& situation);
 
   AnswerUse Accept(Timestamp now, const SourceAnswered& answer);
 
-  // A peer read the document that now runs here, under this ETag: what the source still shows under
-  // it need not be fetched.
-  void AdoptTag(StreamKind kind, const std::string& etag);
-  // The ETag that the source is asked with.
-  const std::string& tag(StreamKind kind) const {
-    return streams_[static_cast<std::size_t>(kind)].etag;
-  }
-
   // Marks whether the last configuration read was behind the running one.
   void SetBehind(std::uint64_t revision);
 
@@ -69,7 +61,6 @@
  private:
   // Polling of one stream.
   struct Stream {
-    std::string etag;
     bool answered = false;  // Ever, whatever the answer.
     bool outstanding = false;
     Timestamp void_at{};  // When an outstanding read counts as failed.
--- a/src/transport/message_codec.cc
+++ b/src/transport/message_codec.cc
@@ -233,6 +233,7 @@
   archive(push.transfer);
   push.root = ReadName(archive);
   push.source_tag = archive.ReadString(kMaxSourceTagBytes);
+  if (!MayHandOnEtag(push.source_tag)) throw cereal::Exception("bad ETag");
 }
 
 static void save(CompactOutputArchive& archive, const PushAck& ack) {
--- a/tests/distribution/test_fleet.cc
+++ b/tests/distribution/test_fleet.cc
@@ -182,10 +182,11 @@
   if (fetch.stream == StreamKind::kConfiguration) ++total_reads;
   // The source's state is that of the time when the answer is made.
   Schedule(now_ + Milliseconds(2), node, [this, id = node.id, fetch] {
-    const SourceAnswered answer = Answer(id, fetch);
+    SourceAnswered answer = Answer(id, fetch);
     const bool full = answer.status == SourceAnswered::Status::kNew;
+    if (full) ++total_documents;
     if (full && answer.stream == StreamKind::kConfiguration) ++full_answers;
-    return Event(answer);
+    return Event(std::move(answer));
   });
 }
 
--- a/tests/distribution/test_fleet.h
+++ b/tests/distribution/test_fleet.h
@@ -99,6 +99,7 @@
 
   std::uint64_t full_answers = 0;       // Reads of the configuration answered with its content.
   std::uint64_t total_reads = 0;        // Of the configuration.
+  std::uint64_t total_documents = 0;    // Answers to reads of both that were no 304.
   std::vector<std::string> violations;  // Of the rules that must always hold.
 
  private:
