--- a/src/admin/admin_server.cc
+++ b/src/admin/admin_server.cc
@@ -20,7 +20,7 @@
   return std::stoull(digits);
 }
 
-class HttplibAdminServer : public AdminServer {
+class HttplibAdminServer final : public AdminServer {
  public:
   explicit HttplibAdminServer(AdminSources sources) : sources_(std::move(sources)) {
     server_.new_task_queue = [] { return new httplib::ThreadPool(kThreads); };
@@ -76,9 +76,9 @@
 
   void AnswerHistory(const std::string& digits, httplib::Response& response) const {
     const auto revision = RevisionOf(digits);
-    auto csv = revision ? sources_.history(*revision) : std::nullopt;
+    const auto csv = revision ? sources_.history(*revision) : std::nullopt;
     if (csv) {
-      response.set_content(std::move(*csv), "text/csv; charset=utf-8");
+      response.set_content(*csv, "text/csv; charset=utf-8");
       return;
     }
     response.status = 404;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -52,7 +52,7 @@
   return (static_cast<std::uint64_t>(device()) << 32) | device();
 }
 
-class ComposedNode : public Node {
+class ComposedNode final : public Node {
  public:
   explicit ComposedNode(NodeSettings settings)
       : settings_(std::move(settings)), shell_(clock_, Sinks()) {}
