--- a/src/distribution/agent_implementation.cc
+++ b/src/distribution/agent_implementation.cc
@@ -1,7 +1,6 @@
 #include "distribution/agent_implementation.h"
 
 #include <algorithm>
-#include <ranges>
 #include <utility>
 #include <variant>
 
@@ -21,11 +20,20 @@
   kSeedsPerNode,
 };
 
+std::vector<const Machine*> NodesOf(const MachineList& list) {
+  std::vector<const Machine*> nodes;
+  for (const Machine& machine : list.machines) {
+    if (machine.kind == MachineKind::kNode) nodes.push_back(&machine);
+  }
+  return nodes;
+}
+
 // True when the lists name the same nodes; most changes are about back ends.
 bool SameNodes(const MachineList& left, const MachineList& right) {
-  const auto is_node = [](const Machine& machine) { return machine.kind == MachineKind::kNode; };
-  return std::ranges::equal(left.machines | std::views::filter(is_node),
-                            right.machines | std::views::filter(is_node));
+  const std::vector<const Machine*> left_nodes = NodesOf(left);
+  const std::vector<const Machine*> right_nodes = NodesOf(right);
+  return std::equal(left_nodes.begin(), left_nodes.end(), right_nodes.begin(), right_nodes.end(),
+                    [](const Machine* one, const Machine* other) { return *one == *other; });
 }
 
 std::uint64_t Salted(std::uint64_t seed, SeedSalt salt) { return seed * kSeedsPerNode + salt; }
