A held document outlives the call that takes it

Cause: ThreadSanitizer saw a read after free (NodeStoppedByPlanCutsNothing with nodes built for it: the node started, waited for its peers, took the held document and went on reading it). ReceiveFromSource takes the pointer by reference since a lint finding about copies; OfferHeld passed the member that ReceiveFromSource resets. Ruled out: taking it by value again (lint refuses it, and only this caller aliases the member). Change: OfferHeld keeps a copy of the pointer for the call.

--- a/src/distribution/configuration_stream.cc
+++ b/src/distribution/configuration_stream.cc
@@ -171,7 +171,9 @@
     OfferBundle(now, held_origin_, bundle, /*faulty=*/false);
   }
   if (source_document_ == nullptr) return SourceFinding::kNothingNew;
-  return ReceiveFromSource(now, source_document_, DocumentVersion{});
+  // A copy: what is received may let go of source_document_ on the way.
+  const std::shared_ptr<const ConfigurationDocument> document = source_document_;
+  return ReceiveFromSource(now, document, DocumentVersion{});
 }
 
 void ConfigurationStream::ReportVerdict(VersionVerdict verdict, const std::string& origin,
