Queue by target latency at the last hop; planned stops end their answers in time

Change: within a priority, requests that can still meet their target go first, the others behind; a stopping node gives no request more time than it has itself, and its last hop refuses runs that would not end before. Ruled out: plain last-in-first-out (urgent requests would starve within their own class).

--- a/src/mesh/admission_queue.cc
+++ b/src/mesh/admission_queue.cc
@@ -24,19 +24,31 @@
     return known == runMsByRoute.end() ? request.usualRunMs : known->second;
 }
 
-double AdmissionQueue::expectedWaitMs (int priority) const
+double AdmissionQueue::waitBehindMs (std::size_t before) const
 {
     const auto slots = static_cast<double> (std::max (limit, 1));
-    const auto free = slots - static_cast<double> (running());
-    const auto before = std::count_if (
-        order.begin(), order.end(), [&] (const Rank& rank) { return rank.priority <= priority; });
 
-    if (free > 0 && before == 0)
+    if (before == 0 && static_cast<double> (running()) < slots)
         return 0;
 
     return (static_cast<double> (before) + 1) / slots * meanRunMs;
 }
 
+std::size_t AdmissionQueue::countBefore (const Rank& rank) const
+{
+    return static_cast<std::size_t> (std::distance (order.begin(), order.lower_bound (rank)));
+}
+
+double AdmissionQueue::expectedWaitMs (int priority) const
+{
+    return waitBehindMs (countBefore ({ priority, true, Timestamp::max(), 0 }));
+}
+
+Timestamp AdmissionQueue::latestStart (const AdmissionRequest& request, Timestamp due) const
+{
+    return due - milliseconds (shortestRunShare * runMsOf (request));
+}
+
 AdmissionDecision AdmissionQueue::offer (Timestamp now, const AdmissionRequest& request)
 {
     if (static_cast<int> (running()) < limit && order.empty())
@@ -45,23 +57,29 @@
         return AdmissionDecision::run;
     }
 
-    const auto latestStart = request.deadline - milliseconds (shortestRunShare * runMsOf (request));
+    Rank rank{ request.priority, false, request.target, request.id };
+
+    if (now + milliseconds (waitBehindMs (countBefore (rank))) >
+        latestStart (request, request.target))
+        rank = { request.priority, true, request.deadline, request.id };
+
+    const auto startBy = latestStart (request, request.deadline);
 
     if (order.size() >= mostWaiting ||
-        now + milliseconds (expectedWaitMs (request.priority)) > latestStart)
+        now + milliseconds (waitBehindMs (countBefore (rank))) > startBy)
         return AdmissionDecision::refuse;
 
-    waitingById.emplace (request.id, Held{request, latestStart});
-    order.insert ({request.priority, request.deadline, request.id});
-    byLatestStart.emplace (latestStart, request.id);
+    waitingById.emplace (request.id, Held{ request, startBy, rank });
+    order.insert (rank);
+    byLatestStart.emplace (startBy, request.id);
     return AdmissionDecision::wait;
 }
 
 void AdmissionQueue::forget (const Held& held)
 {
     const auto id = held.request.id;
-    order.erase ({held.request.priority, held.request.deadline, id});
-    byLatestStart.erase ({held.latestStart, id});
+    order.erase (held.rank);
+    byLatestStart.erase ({ held.latestStart, id });
     waitingById.erase (id);
 }
 
@@ -91,11 +109,35 @@
     return all;
 }
 
-std::uint64_t AdmissionQueue::next()
+void AdmissionQueue::demoteLate (Timestamp now)
+{
+    // Only the front of each priority can be taken next, so only it needs to be up to date.
+    for (auto it = order.begin(); it != order.end();)
+    {
+        if (it->late)
+        {
+            it = order.upper_bound ({ it->priority, true, Timestamp::max(), UINT64_MAX });
+            continue;
+        }
+
+        auto& held = waitingById.at (it->id);
+
+        if (now <= latestStart (held.request, held.request.target))
+            return;
+
+        order.erase (it);
+        held.rank = { held.request.priority, true, held.request.deadline, held.request.id };
+        order.insert (held.rank);
+        it = order.begin();
+    }
+}
+
+std::uint64_t AdmissionQueue::next (Timestamp now)
 {
     if (order.empty() || static_cast<int> (running()) >= limit)
         return 0;
 
+    demoteLate (now);
     const auto id = order.begin()->id;
     const auto& held = waitingById.at (id);
     runningById.emplace (id, held.request.route);
--- a/src/mesh/admission_queue.h
+++ b/src/mesh/admission_queue.h
@@ -3,8 +3,10 @@
 
     At most `limit` requests are at the instance, so that its own queue stays empty; the others wait
     here, where they have not run and can still be refused truthfully. The most urgent priority goes
-    first, within it the earliest deadline. A request that can't be expected to finish in time is
-    refused at once instead of being held.
+    first; within it those that can still meet their target latency, the earliest target first; then
+    the others, the earliest deadline first. Under overload a queue by deadline alone makes every
+    request late; this one keeps as many in time as the slots allow. A request that can't be
+   expected to finish by its deadline is refused at once instead of being held.
 */
 #pragma once
 
@@ -25,7 +27,8 @@
     std::uint64_t id = 0;
     std::string route;
     int priority = 0;
-    Timestamp deadline{};
+    Timestamp target{};   /**< An answer after it is late. */
+    Timestamp deadline{}; /**< An answer after it is worthless. */
     double usualRunMs = 0; /**< As the sender knows it; used until this node has learned its own. */
 };
 
@@ -36,7 +39,7 @@
     refuse
 };
 
-inline constexpr std::string_view admissionDecisionNames[] = {"run", "wait", "refuse"};
+inline constexpr std::string_view admissionDecisionNames[] = { "run", "wait", "refuse" };
 
 /** Not thread-safe. */
 class AdmissionQueue
@@ -54,7 +57,7 @@
 
     /** @returns the request to run next, now counted as running; 0: none waits or no slot is free
      */
-    std::uint64_t next();
+    std::uint64_t next (Timestamp now);
 
     /** A waiting or running request was cancelled. @returns true if it was waiting */
     bool cancel (std::uint64_t id);
@@ -70,14 +73,15 @@
     std::size_t waiting() const { return order.size(); }
     double usualRunMs() const { return meanRunMs; }
 
-    /** The expected wait of a request of this priority, in milliseconds. */
+    /** The expected wait, in milliseconds, of a request of this priority that is already late. */
     double expectedWaitMs (int priority) const;
 
 private:
     struct Rank
     {
         int priority;
-        Timestamp deadline;
+        bool late;
+        Timestamp due; /**< The target, or the deadline of those that are late. */
         std::uint64_t id;
         auto operator<=> (const Rank&) const = default;
     };
@@ -86,8 +90,14 @@
     {
         AdmissionRequest request;
         Timestamp latestStart;
+        Rank rank;
     };
 
+    double waitBehindMs (std::size_t before) const;
+    std::size_t countBefore (const Rank& rank) const;
+    Timestamp latestStart (const AdmissionRequest& request, Timestamp due) const;
+    void demoteLate (Timestamp now);
+
     double runMsOf (const AdmissionRequest& request) const;
     void forget (const Held& held);
 
--- a/src/mesh/hop_header.cc
+++ b/src/mesh/hop_header.cc
@@ -53,7 +53,7 @@
         if (equals == std::string_view::npos)
             return false;
 
-        pairs.push_back ({pair.substr (0, equals), pair.substr (equals + 1)});
+        pairs.push_back ({ pair.substr (0, equals), pair.substr (equals + 1) });
         text.remove_prefix (std::min (text.size(), pair.size() + 1));
     }
 
@@ -111,6 +111,7 @@
     writer.add ("instance", request.instanceId);
     writer.add ("route", request.route);
     writer.add ("left", request.timeLeft.count());
+    writer.add ("target", request.targetLeft.count());
     writer.add ("priority", request.priority);
     writer.add ("may_repeat", request.mayRepeat ? 1 : 0);
     writer.add ("repeat", request.isRepeat ? 1 : 0);
@@ -142,6 +143,7 @@
     request.instanceId = reader.text ("instance");
     request.route = reader.text ("route");
     request.timeLeft = Milliseconds (reader.whole ("left"));
+    request.targetLeft = Milliseconds (reader.whole ("target"));
     request.priority = static_cast<int> (reader.whole ("priority"));
     request.mayRepeat = reader.whole ("may_repeat") == 1;
     request.isRepeat = reader.whole ("repeat") == 1;
--- a/src/mesh/hop_header.h
+++ b/src/mesh/hop_header.h
@@ -27,6 +27,7 @@
     std::string instanceId;    /**< That was chosen. */
     std::string route;
     Milliseconds timeLeft{};
+    Milliseconds targetLeft{}; /**< Until the answer counts as late; may be negative. */
     int priority = 0;
     bool mayRepeat = false;
     bool isRepeat = false; /**< An instance may have run this request before. */
@@ -42,7 +43,7 @@
     unknown   /**< It may have run. */
 };
 
-inline constexpr std::string_view hopOutcomeNames[] = {"ran", "not_run", "rejected", "unknown"};
+inline constexpr std::string_view hopOutcomeNames[] = { "ran", "not_run", "rejected", "unknown" };
 
 /** Why a request was not run, or its answer is missing. */
 enum class HopCause : std::uint8_t
@@ -64,7 +65,8 @@
 inline constexpr std::string_view hopCauseNames[] = {
     "none",          "queue_full",    "expired",           "instance_leaving", "instance_unknown",
     "instance_down", "other_service", "instance_rejected", "other_instance",   "answer_lost",
-    "answer_broken", "node_stopping"};
+    "answer_broken", "node_stopping"
+};
 
 struct HopReport
 {
--- a/src/mesh/instance_directory.h
+++ b/src/mesh/instance_directory.h
@@ -39,7 +39,7 @@
     leaving, /**< It drains or its entry is gone: nothing new. */
 };
 
-inline constexpr std::string_view instanceStateNames[] = {"ready", "lapsed", "leaving"};
+inline constexpr std::string_view instanceStateNames[] = { "ready", "lapsed", "leaving" };
 
 struct ListedInstance
 {
@@ -64,9 +64,9 @@
 {
 public:
     /** How long an instance whose entry lapsed stays usable. */
-    static constexpr Milliseconds lapseTime{5000};
+    static constexpr Milliseconds lapseTime{ 5000 };
     /** How long an instance that left is remembered, so that its address isn't mistaken. */
-    static constexpr Milliseconds memoryTime{30'000};
+    static constexpr Milliseconds memoryTime{ 30'000 };
 
     /** Takes an entry that was written at `revision`; older ones than the known are ignored. */
     void put (Timestamp now, Instance instance, std::uint64_t revision);
--- a/src/mesh/local_instance.h
+++ b/src/mesh/local_instance.h
@@ -20,7 +20,7 @@
     spoken /**< By the instance. */
 };
 
-inline constexpr std::string_view identitySourceNames[] = {"entry", "spoken"};
+inline constexpr std::string_view identitySourceNames[] = { "entry", "spoken" };
 
 /** Not thread-safe. */
 class LocalInstance
@@ -58,7 +58,7 @@
     Duration lostFor (Timestamp now) const { return now - lostAt; }
 
 private:
-    static constexpr Milliseconds probeInterval{250};
+    static constexpr Milliseconds probeInterval{ 250 };
     static constexpr int silentCallsUntilLost = 4;
 
     std::string configured, currentId, currentService, spoken;
--- a/src/mesh/mesh_configuration.cc
+++ b/src/mesh/mesh_configuration.cc
@@ -9,7 +9,7 @@
 namespace
 {
 
-constexpr Milliseconds longestTimeout{3'600'000};
+constexpr Milliseconds longestTimeout{ 3'600'000 };
 constexpr int mostAttempts = 100;
 
 std::string routeKey (std::string_view host, std::string_view prefix)
--- a/src/mesh/mesh_configuration.h
+++ b/src/mesh/mesh_configuration.h
@@ -27,7 +27,8 @@
 };
 
 /** The names of the values above, as configurations spell them, in their order. */
-inline constexpr std::string_view repeatabilityNames[] = {"idempotent", "non_idempotent", "upload"};
+inline constexpr std::string_view repeatabilityNames[] = { "idempotent", "non_idempotent",
+                                                           "upload" };
 
 /** One part of a route's traffic. */
 struct WeightedService
@@ -62,8 +63,8 @@
 {
     std::size_t headerBytes = 16384;
     std::size_t bodyBytes = 67108864;
-    Milliseconds headerTimeout{3000};
-    Milliseconds idleTimeout{15000};
+    Milliseconds headerTimeout{ 3000 };
+    Milliseconds idleTimeout{ 15000 };
 };
 
 struct MeshConfiguration
--- a/src/mesh/retry_budget.cc
+++ b/src/mesh/retry_budget.cc
@@ -18,7 +18,7 @@
     auto& bucket = buckets[static_cast<std::size_t> (index) % bucketCount];
 
     if (bucket.index != index)
-        bucket = {index, 0, 0};
+        bucket = { index, 0, 0 };
 
     return bucket;
 }
--- a/src/mesh/retry_budget.h
+++ b/src/mesh/retry_budget.h
@@ -19,7 +19,7 @@
 {
     double ratio = 0.2;
     double slack = 64;
-    Milliseconds window{10'000};
+    Milliseconds window{ 10'000 };
     double margin = 0.6; /**< The share of its part that a node spends. */
 };
 
--- a/src/mesh/retry_decision.h
+++ b/src/mesh/retry_decision.h
@@ -23,8 +23,9 @@
     timedOut,    /**< The time that the request had is over. */
 };
 
-inline constexpr std::string_view attemptOutcomeNames[] = {
-    "answered", "failed_by_app", "not_offered", "rejected", "unknown", "timed_out"};
+inline constexpr std::string_view attemptOutcomeNames[] = { "answered",    "failed_by_app",
+                                                            "not_offered", "rejected",
+                                                            "unknown",     "timed_out" };
 
 /** What is known of the request when an attempt has ended. */
 struct RetryFacts
@@ -48,8 +49,8 @@
     timeOut     /**< 504. */
 };
 
-inline constexpr std::string_view nextStepNames[] = {"pass_on", "try_again", "spend_retry",
-                                                     "refuse",  "give_up",   "time_out"};
+inline constexpr std::string_view nextStepNames[] = { "pass_on", "try_again", "spend_retry",
+                                                      "refuse",  "give_up",   "time_out" };
 
 /** The most nodes that a request is handed to without any instance seeing it. */
 inline constexpr int mostHandBacks = 4;
--- a/src/mesh/source_follower.cc
+++ b/src/mesh/source_follower.cc
@@ -23,10 +23,11 @@
 
     if (current == SourceCall::watch)
         return SourceRequest{
-            current, {}, at, settings.watchWait, settings.watchWait + settings.answerTime};
+            current, {}, at, settings.watchWait, settings.watchWait + settings.answerTime
+        };
 
     const auto after = pages.empty() ? std::string() : pages.back().key;
-    return SourceRequest{current, after, 0, Milliseconds (0), settings.listTime};
+    return SourceRequest{ current, after, 0, Milliseconds (0), settings.listTime };
 }
 
 bool SourceFollower::hurry (Timestamp now)
@@ -83,7 +84,7 @@
     if (answer.entries.empty())
         return std::nullopt;
 
-    return SourceUpdate{false, std::move (answer.entries), at};
+    return SourceUpdate{ false, std::move (answer.entries), at };
 }
 
 std::optional<SourceUpdate> SourceFollower::takePage (SourceAnswer answer)
@@ -100,7 +101,7 @@
 
     at = std::max (at, listingAt);
     listed = true;
-    return SourceUpdate{true, std::exchange (pages, {}), listingAt};
+    return SourceUpdate{ true, std::exchange (pages, {}), listingAt };
 }
 
 } // namespace copperlead::mesh
--- a/src/mesh/source_follower.h
+++ b/src/mesh/source_follower.h
@@ -36,7 +36,7 @@
     watch
 };
 
-inline constexpr std::string_view sourceCallNames[] = {"list", "watch"};
+inline constexpr std::string_view sourceCallNames[] = { "list", "watch" };
 
 struct SourceRequest
 {
@@ -55,8 +55,8 @@
     failed       /**< No answer, or one that can't be read. */
 };
 
-inline constexpr std::string_view sourceReplyNames[] = {"entries", "history_lost", "refused",
-                                                        "failed"};
+inline constexpr std::string_view sourceReplyNames[] = { "entries", "history_lost", "refused",
+                                                         "failed" };
 
 struct SourceAnswer
 {
@@ -76,13 +76,13 @@
 
 struct FollowerSettings
 {
-    Milliseconds watchWait{1500};
-    Milliseconds answerTime{600}; /**< Beyond the wait. */
-    Milliseconds listTime{1200};
-    Milliseconds firstBackoff{100};
-    Milliseconds longestBackoff{400};
-    Milliseconds hurryAfter{200};   /**< A watch younger than this may just be on its way. */
-    Milliseconds unsoundTime{4000}; /**< After a failure, absence isn't trusted for so long. */
+    Milliseconds watchWait{ 1500 };
+    Milliseconds answerTime{ 600 }; /**< Beyond the wait. */
+    Milliseconds listTime{ 1200 };
+    Milliseconds firstBackoff{ 100 };
+    Milliseconds longestBackoff{ 400 };
+    Milliseconds hurryAfter{ 200 };   /**< A watch younger than this may just be on its way. */
+    Milliseconds unsoundTime{ 4000 }; /**< After a failure, absence isn't trusted for so long. */
 };
 
 /** Not thread-safe. */
--- a/src/mesh/weighted_split.cc
+++ b/src/mesh/weighted_split.cc
@@ -24,7 +24,7 @@
     auto& credits = byRoute[route.name];
 
     if (! sameParts (credits.parts, route.services))
-        credits = {route.services, std::vector<std::int64_t> (route.services.size(), 0)};
+        credits = { route.services, std::vector<std::int64_t> (route.services.size(), 0) };
 
     std::int64_t sum = 0;
 
--- a/src/sidecar/client_connection.cc
+++ b/src/sidecar/client_connection.cc
@@ -17,7 +17,7 @@
 
 constexpr std::size_t readSize = 65536;
 constexpr std::size_t mostHeadBytes = 65536;
-constexpr Milliseconds keepAliveMargin{1200};
+constexpr Milliseconds keepAliveMargin{ 1200 };
 constexpr std::string_view keepAliveTimeout = "timeout=";
 
 Timestamp now() { return SteadyClock().Now(); }
--- a/src/sidecar/decision_log.cc
+++ b/src/sidecar/decision_log.cc
@@ -19,35 +19,35 @@
 constexpr std::size_t mostBufferedBytes = 256 << 10;
 constexpr std::size_t atomicWriteBytes = 4096; // PIPE_BUF: a writable pipe takes that much whole.
 
-constexpr std::array<EventDescription, static_cast<std::size_t> (EventKind::count)> descriptions{{
-    {EventKind::started, "started", 10, "version zone service outbound inbound readiness"},
-    {EventKind::stopping, "stopping", 10, "in_flight connections"},
-    {EventKind::stopped, "stopped", 10, "in_flight after_ms"},
-    {EventKind::settingsReloaded, "settings_reloaded", 5, "cause service"},
-    {EventKind::settingsRefused, "settings_refused", 5, "cause"},
-    {EventKind::sourceLost, "source_lost", 5, "call cause last_word_ms revision"},
-    {EventKind::sourceRegained, "source_regained", 5, "after_ms revision"},
-    {EventKind::configurationTaken, "configuration_taken", 20, "version before revision routes"},
-    {EventKind::configurationRefused, "configuration_refused", 20,
-     "version running place cause revision"},
-    {EventKind::entryRefused, "entry_refused", 5, "key place cause"},
-    {EventKind::identityLearned, "identity_learned", 5, "instance before by"},
-    {EventKind::instanceLost, "instance_lost", 5, "instance cause"},
-    {EventKind::instanceRegained, "instance_regained", 5, "instance after_ms"},
-    {EventKind::peerAvoided, "peer_avoided", 10, "instance cause for_ms"},
-    {EventKind::requestServed, "request_served", 1,
-     "request route version status attempts took_ms instance"},
-    {EventKind::requestRefused, "request_refused", 20,
-     "request route version status cause attempts took_ms left_ms budget"},
-    {EventKind::requestFailed, "request_failed", 20,
-     "request route version status cause arrivals took_ms left_ms budget"},
-    {EventKind::clientLeft, "client_left", 3, "request route took_ms"},
-    {EventKind::attemptEnded, "attempt_ended", 30,
-     "request instance hop outcome cause next load report_age_ms expected_ms took_ms version"},
-    {EventKind::admissionRefused, "admission_refused", 20,
-     "request instance cause running waiting left_ms wait_ms"},
-    {EventKind::linesLeftOut, "lines_left_out", 1, "lines"},
-}};
+constexpr std::array<EventDescription, static_cast<std::size_t> (EventKind::count)> descriptions{ {
+    { EventKind::started, "started", 10, "version zone service outbound inbound readiness" },
+    { EventKind::stopping, "stopping", 10, "in_flight connections" },
+    { EventKind::stopped, "stopped", 10, "in_flight after_ms" },
+    { EventKind::settingsReloaded, "settings_reloaded", 5, "cause service" },
+    { EventKind::settingsRefused, "settings_refused", 5, "cause" },
+    { EventKind::sourceLost, "source_lost", 5, "call cause last_word_ms revision" },
+    { EventKind::sourceRegained, "source_regained", 5, "after_ms revision" },
+    { EventKind::configurationTaken, "configuration_taken", 20, "version before revision routes" },
+    { EventKind::configurationRefused, "configuration_refused", 20,
+      "version running place cause revision" },
+    { EventKind::entryRefused, "entry_refused", 5, "key place cause" },
+    { EventKind::identityLearned, "identity_learned", 5, "instance before by" },
+    { EventKind::instanceLost, "instance_lost", 5, "instance cause" },
+    { EventKind::instanceRegained, "instance_regained", 5, "instance after_ms" },
+    { EventKind::peerAvoided, "peer_avoided", 10, "instance cause for_ms" },
+    { EventKind::requestServed, "request_served", 1,
+      "request route version status attempts took_ms instance" },
+    { EventKind::requestRefused, "request_refused", 20,
+      "request route version status cause attempts took_ms left_ms budget" },
+    { EventKind::requestFailed, "request_failed", 20,
+      "request route version status cause arrivals took_ms left_ms budget" },
+    { EventKind::clientLeft, "client_left", 3, "request route took_ms" },
+    { EventKind::attemptEnded, "attempt_ended", 30,
+      "request instance hop outcome cause next load report_age_ms expected_ms took_ms version" },
+    { EventKind::admissionRefused, "admission_refused", 20,
+      "request instance cause running waiting left_ms wait_ms" },
+    { EventKind::linesLeftOut, "lines_left_out", 1, "lines" },
+} };
 
 void appendText (std::string& line, std::string_view text)
 {
@@ -108,7 +108,7 @@
     {
         while (! buffer.empty())
         {
-            pollfd wanted{descriptor, POLLOUT, 0};
+            pollfd wanted{ descriptor, POLLOUT, 0 };
 
             if (poll (&wanted, 1, 0) != 1 || (wanted.revents & POLLOUT) == 0)
                 return;
@@ -151,7 +151,7 @@
             std::chrono::duration_cast<std::chrono::seconds> (now.time_since_epoch());
 
         if (budget.second != second)
-            budget = {second, 0};
+            budget = { second, 0 };
 
         if (budget.used >= describe (kind).linesPerSecond)
         {
@@ -169,7 +169,7 @@
 private:
     struct Budget
     {
-        std::chrono::seconds second{-1};
+        std::chrono::seconds second{ -1 };
         int used = 0;
     };
 
@@ -219,7 +219,7 @@
 
     budgets->reportedAt = now;
     write (now, EventKind::linesLeftOut,
-           {{"lines", static_cast<std::int64_t> (total - budgets->reported)}});
+           { { "lines", static_cast<std::int64_t> (total - budgets->reported) } });
     budgets->reported = total;
 }
 
--- a/src/sidecar/first_hop.cc
+++ b/src/sidecar/first_hop.cc
@@ -10,7 +10,7 @@
 namespace
 {
 
-constexpr Milliseconds notReadyRetryAfter{200};
+constexpr Milliseconds notReadyRetryAfter{ 200 };
 
 ClientSettings peerClientSettings()
 {
@@ -31,7 +31,7 @@
     , lastHop (std::move (lastHopToUse))
     , log (std::move (logToUse))
     , client (std::make_shared<HttpClient> (reactor, peerClientSettings()))
-    , chooser ({settings.zone}, seed)
+    , chooser ({ settings.zone }, seed)
 {
 }
 
@@ -55,12 +55,12 @@
     const auto id = onlyValue (exchange->head.fields, settings.names.requestId);
 
     if (! id.empty())
-        fields.push_back ({settings.names.requestId, std::string (id)});
+        fields.push_back ({ settings.names.requestId, std::string (id) });
 
     if (status == 503)
         fields.push_back (
-            {"Retry-After",
-             fmt::format ("{:.3f}", static_cast<double> (retryAfter.count()) / 1000)});
+            { "Retry-After",
+              fmt::format ("{:.3f}", static_cast<double> (retryAfter.count()) / 1000) });
 
     const bool close = closing || exchange->mustClose();
     exchange->respond (ownAnswer (status, cause, fields, close, exchange->isHead()), close);
--- a/src/sidecar/first_hop.h
+++ b/src/sidecar/first_hop.h
@@ -54,8 +54,12 @@
     void setDirectory (mesh::DirectoryPointer newDirectory);
     void setService (std::string service) { settings.service = std::move (service); }
 
-    /** Answers from now on close their connections. */
-    void setClosing() { closing = true; }
+    /** Answers from now on close their connections, and none is given after `end`. */
+    void setClosing (Timestamp end)
+    {
+        closing = true;
+        endsAt = end;
+    }
 
     /** Told of every version that another node runs. */
     std::function<void (std::uint64_t)> onPeerVersion;
@@ -87,6 +91,7 @@
     FirstHopCounters counts;
     std::size_t inFlightCount = 0;
     bool closing = false;
+    Timestamp endsAt = Timestamp::max();
 };
 
 } // namespace copperlead::sidecar
--- a/src/sidecar/http_client.h
+++ b/src/sidecar/http_client.h
@@ -28,8 +28,8 @@
     timedOut,       /**< No whole answer in time. */
 };
 
-inline constexpr std::string_view callEndNames[] = {"answered", "not_connected", "connection_lost",
-                                                    "broken", "timed_out"};
+inline constexpr std::string_view callEndNames[] = { "answered", "not_connected", "connection_lost",
+                                                     "broken", "timed_out" };
 
 struct CallResult
 {
@@ -55,10 +55,10 @@
 
 struct ClientSettings
 {
-    Milliseconds connectTimeout{300};
-    Milliseconds unacknowledged{600};
-    Milliseconds idleTime{4000}; /**< For which an unused connection is kept. */
-    std::size_t mostIdle = 64;   /**< For each target. */
+    Milliseconds connectTimeout{ 300 };
+    Milliseconds unacknowledged{ 600 };
+    Milliseconds idleTime{ 4000 }; /**< For which an unused connection is kept. */
+    std::size_t mostIdle = 64;     /**< For each target. */
     std::size_t mostAnswerBytes = 16 << 20;
 };
 
--- a/src/sidecar/journey.cc
+++ b/src/sidecar/journey.cc
@@ -16,8 +16,8 @@
 using mesh::HopOutcome;
 using mesh::NextStep;
 
-constexpr Milliseconds deadlineGrace{30};
-constexpr Milliseconds unreachableShun{600}, downShun{400}, stoppingShun{1500};
+constexpr Milliseconds deadlineGrace{ 30 }; // For the instance's own answer at the deadline.
+constexpr Milliseconds unreachableShun{ 600 }, downShun{ 400 }, stoppingShun{ 1500 };
 constexpr double hedgeAfterRuns = 3;
 constexpr double retryAfterShare = 0.15; // Of the time left; clients heed up to a third of it.
 
@@ -73,8 +73,9 @@
             deadline,
             exchange->arrivedAt + Milliseconds (std::min<std::uint64_t> (clientWaits, 3'600'000)));
 
+    deadline = std::min (deadline, hop->endsAt);
     fields = forwardedFields (received, names);
-    fields.insert (fields.begin(), {"Host", std::string (onlyValue (received, "Host"))});
+    fields.insert (fields.begin(), { "Host", std::string (onlyValue (received, "Host")) });
     service = route.services[hop->split.next (route)].service;
     hop->budgetOf (service).countRequest (exchange->arrivedAt);
 
@@ -85,7 +86,7 @@
             self->onClientLeft();
     };
     // Holds the journey until its end: every other reference to it is weak.
-    hop->reactor->RunAt (deadline, [self = shared_from_this()] { self->onDeadline(); });
+    hop->reactor->RunAt (deadline + deadlineGrace / 2, [self = shared_from_this()] { self->onDeadline(); });
 
     if (! startAttempt())
         end (503, "no instance");
@@ -93,7 +94,7 @@
 
 bool Journey::startAttempt()
 {
-    mesh::ChoiceRequest wanted{&route, service, exchange->body.size(), {}};
+    mesh::ChoiceRequest wanted{ &route, service, exchange->body.size(), {} };
 
     for (const auto& attempt : attempts)
         wanted.excluded.push_back (attempt.choice.instance.id);
@@ -132,6 +133,8 @@
     told.instanceId = choice.instance.id;
     told.route = route.name;
     told.timeLeft = std::chrono::floor<Milliseconds> (deadline - now());
+    told.targetLeft =
+        std::chrono::floor<Milliseconds> (exchange->arrivedAt + route.targetLatency - now());
     told.priority = route.priority;
     told.mayRepeat = route.mayRepeat();
     told.isRepeat = mayHaveRun || hedged;
@@ -156,11 +159,11 @@
 
 void Journey::sendRemote (std::size_t index, HopCall call)
 {
-    call.fields.push_back ({std::string (mesh::hopField), mesh::encode (call.facts)});
+    call.fields.push_back ({ std::string (mesh::hopField), mesh::encode (call.facts) });
     CallOptions options;
     options.deadline = deadline + deadlineGrace;
     options.isHead = call.method == "HEAD";
-    const SocketAddress peer{attempts[index].choice.instance.address.ip, hop->settings.peerPort};
+    const SocketAddress peer{ attempts[index].choice.instance.address.ip, hop->settings.peerPort };
     const auto remote = hop->client->send (
         peer, requestMessage (call.method, call.target, call.fields, call.body), options,
         [weak = weak_from_this(), index] (CallResult result)
@@ -228,9 +231,9 @@
     const auto at = now();
     hop->chooser.shun (at, attempt.choice.instance.id, howLong);
     hop->log->write (at, EventKind::peerAvoided,
-                     {{"instance", attempt.choice.instance.id},
-                      {"cause", nameOf (answer.report.cause, mesh::hopCauseNames)},
-                      {"for_ms", static_cast<std::int64_t> (howLong.count())}});
+                     { { "instance", attempt.choice.instance.id },
+                       { "cause", nameOf (answer.report.cause, mesh::hopCauseNames) },
+                       { "for_ms", static_cast<std::int64_t> (howLong.count()) } });
 }
 
 AttemptOutcome Journey::learn (std::size_t index, const HopAnswer& answer)
@@ -242,7 +245,7 @@
     hop->chooser.ended (id);
 
     if (! told.instanceId.empty() || told.outcome != HopOutcome::unknown)
-        hop->chooser.reported (now(), id, {told.load, told.runMs});
+        hop->chooser.reported (now(), id, { told.load, told.runMs });
 
     if (told.configurationVersion != 0 && hop->onPeerVersion)
         hop->onPeerVersion (told.configurationVersion);
@@ -428,7 +431,7 @@
     ++hop->counts.served;
     const bool close = hop->closing || exchange->mustClose();
     exchange->respond (
-        answerMessage ({answer.status, answer.reason, answer.body, close, exchange->isHead()},
+        answerMessage ({ answer.status, answer.reason, answer.body, close, exchange->isHead() },
                        answer.fields),
         close);
     logEnd (EventKind::requestServed, answer.status, "");
@@ -467,37 +470,38 @@
 void Journey::logEnd (EventKind kind, int status, std::string_view cause)
 {
     const auto at = now();
-    hop->log->write (
-        at, kind,
-        {{"request", requestId},
-         {"route", route.name},
-         {"version", static_cast<std::int64_t> (routes->configuration().version)},
-         {"status", std::int64_t (status)},
-         {"cause", cause},
-         {"attempts", static_cast<std::int64_t> (attempts.size())},
-         {"arrivals", std::int64_t (arrivals)},
-         {"took_ms", milliseconds (at - exchange->arrivedAt)},
-         {"left_ms", milliseconds (deadline - at)},
-         {"budget", hop->budgetOf (service).left (at, hop->nodes())},
-         {"instance", attempts.empty() ? std::string_view() : attempts.back().choice.instance.id}});
+    hop->log->write (at, kind,
+                     { { "request", requestId },
+                       { "route", route.name },
+                       { "version", static_cast<std::int64_t> (routes->configuration().version) },
+                       { "status", std::int64_t (status) },
+                       { "cause", cause },
+                       { "attempts", static_cast<std::int64_t> (attempts.size()) },
+                       { "arrivals", std::int64_t (arrivals) },
+                       { "took_ms", milliseconds (at - exchange->arrivedAt) },
+                       { "left_ms", milliseconds (deadline - at) },
+                       { "budget", hop->budgetOf (service).left (at, hop->nodes()) },
+                       { "instance", attempts.empty() ? std::string_view()
+                                                      : attempts.back().choice.instance.id } });
 }
 
 void Journey::logAttempt (const Attempt& attempt, const HopAnswer& answer, AttemptOutcome outcome,
                           NextStep step)
 {
     const auto at = now();
-    hop->log->write (at, EventKind::attemptEnded,
-                     {{"request", requestId},
-                      {"instance", attempt.choice.instance.id},
-                      {"hop", attempt.isLocal ? "local" : "remote"},
-                      {"outcome", nameOf (outcome, mesh::attemptOutcomeNames)},
-                      {"cause", nameOf (answer.report.cause, mesh::hopCauseNames)},
-                      {"next", nameOf (step, mesh::nextStepNames)},
-                      {"load", attempt.choice.load},
-                      {"report_age_ms", attempt.choice.ageMs},
-                      {"expected_ms", attempt.choice.expectedMs},
-                      {"took_ms", milliseconds (at - attempt.startedAt)},
-                      {"version", static_cast<std::int64_t> (answer.report.configurationVersion)}});
+    hop->log->write (
+        at, EventKind::attemptEnded,
+        { { "request", requestId },
+          { "instance", attempt.choice.instance.id },
+          { "hop", attempt.isLocal ? "local" : "remote" },
+          { "outcome", nameOf (outcome, mesh::attemptOutcomeNames) },
+          { "cause", nameOf (answer.report.cause, mesh::hopCauseNames) },
+          { "next", nameOf (step, mesh::nextStepNames) },
+          { "load", attempt.choice.load },
+          { "report_age_ms", attempt.choice.ageMs },
+          { "expected_ms", attempt.choice.expectedMs },
+          { "took_ms", milliseconds (at - attempt.startedAt) },
+          { "version", static_cast<std::int64_t> (answer.report.configurationVersion) } });
 }
 
 } // namespace copperlead::sidecar
--- a/src/sidecar/last_hop.cc
+++ b/src/sidecar/last_hop.cc
@@ -12,8 +12,8 @@
 using mesh::HopCause;
 using mesh::HopOutcome;
 
-constexpr Milliseconds probeTimeout{400};
-constexpr Milliseconds deadlineGrace{20}; // For the instance's own answer at the deadline.
+constexpr Milliseconds probeTimeout{ 400 };
+constexpr Milliseconds deadlineGrace{ 20 }; // For the instance's own answer at the deadline.
 
 double milliseconds (Duration time)
 {
@@ -58,11 +58,13 @@
     return made;
 }
 
-bool LastHop::refuseAtOnce (const HopCall& call, HopCause& cause) const
+bool LastHop::refuseAtOnce (Timestamp now, const HopCall& call, HopCause& cause) const
 {
     cause = HopCause::none;
 
-    if (stopping)
+    const auto usualRun = Milliseconds (static_cast<std::int64_t> (call.facts.usualRunMs));
+
+    if (stopping || (endsAt != Timestamp::max() && now + 2 * usualRun > endsAt))
         cause = HopCause::nodeStopping;
     else if (! instance.known())
         cause = HopCause::instanceUnknown;
@@ -84,10 +86,10 @@
     running.call = std::move (call);
     running.callback = std::move (callback);
     running.arrivedAt = now;
-    running.deadline = now + running.call.facts.timeLeft;
+    running.deadline = std::min<Timestamp> (now + running.call.facts.timeLeft, endsAt);
     HopCause cause;
 
-    if (refuseAtOnce (running.call, cause))
+    if (refuseAtOnce (now, running.call, cause))
     {
         refuse (id, cause);
         return id;
@@ -95,7 +97,8 @@
 
     const auto& facts = running.call.facts;
     const auto decision =
-        queue.offer (now, {id, facts.route, facts.priority, running.deadline, facts.usualRunMs});
+        queue.offer (now, { id, facts.route, facts.priority, now + facts.targetLeft,
+                            running.deadline, facts.usualRunMs });
 
     if (decision == mesh::AdmissionDecision::run)
         run (id);
@@ -111,13 +114,13 @@
 {
     const auto now = SteadyClock().Now();
     log->write (now, EventKind::admissionRefused,
-                {{"request", running.call.facts.requestId},
-                 {"instance", instance.id()},
-                 {"cause", nameOf (cause)},
-                 {"running", static_cast<std::int64_t> (queue.running())},
-                 {"waiting", static_cast<std::int64_t> (queue.waiting())},
-                 {"left_ms", milliseconds (running.deadline - now)},
-                 {"wait_ms", queue.expectedWaitMs (running.call.facts.priority)}});
+                { { "request", running.call.facts.requestId },
+                  { "instance", instance.id() },
+                  { "cause", nameOf (cause) },
+                  { "running", static_cast<std::int64_t> (queue.running()) },
+                  { "waiting", static_cast<std::int64_t> (queue.waiting()) },
+                  { "left_ms", milliseconds (running.deadline - now) },
+                  { "wait_ms", queue.expectedWaitMs (running.call.facts.priority) } });
 }
 
 void LastHop::refuse (CallId id, HopCause cause)
@@ -157,10 +160,11 @@
 {
     const auto left = std::chrono::floor<Milliseconds> (running.deadline - now).count();
     auto fields = running.call.fields;
-    fields.push_back ({settings.names.requestId, running.call.facts.requestId});
-    fields.push_back ({settings.names.deadline, std::to_string (std::max<std::int64_t> (left, 1))});
-    fields.push_back ({settings.names.caller, running.call.facts.callerService});
-    fields.push_back ({settings.names.expectInstance, instance.id()});
+    fields.push_back ({ settings.names.requestId, running.call.facts.requestId });
+    fields.push_back (
+        { settings.names.deadline, std::to_string (std::max<std::int64_t> (left, 1)) });
+    fields.push_back ({ settings.names.caller, running.call.facts.callerService });
+    fields.push_back ({ settings.names.expectInstance, instance.id() });
     return requestMessage (running.call.method, running.call.target, fields, running.call.body);
 }
 
@@ -242,7 +246,7 @@
         if (instance.failed (now, result.end == CallEnd::notConnected))
         {
             log->write (now, EventKind::instanceLost,
-                        {{"instance", before}, {"cause", result.cause}});
+                        { { "instance", before }, { "cause", result.cause } });
             client->dropIdle (settings.instanceAddress);
             refuseAll (queue.clear(), HopCause::instanceDown);
         }
@@ -252,13 +256,13 @@
 
     if (instance.answered (now))
         log->write (now, EventKind::instanceRegained,
-                    {{"instance", before}, {"after_ms", milliseconds (lostFor)}});
+                    { { "instance", before }, { "after_ms", milliseconds (lostFor) } });
 
     const auto spoken = onlyValue (result.head.fields, settings.names.instanceId);
 
     if (result.end == CallEnd::answered && instance.heard (std::string (spoken)))
         log->write (now, EventKind::identityLearned,
-                    {{"instance", spoken}, {"before", before}, {"by", "spoken"}});
+                    { { "instance", spoken }, { "before", before }, { "by", "spoken" } });
 }
 
 void LastHop::onResult (CallId id, CallResult result)
@@ -293,7 +297,7 @@
 
 void LastHop::pump()
 {
-    while (const auto id = queue.next())
+    while (const auto id = queue.next (SteadyClock().Now()))
         run (id);
 }
 
@@ -360,7 +364,7 @@
     if (instance.takeEntry (entry == directory.byAddress.end() ? nullptr : &entry->second))
     {
         log->write (now, EventKind::identityLearned,
-                    {{"instance", instance.id()}, {"before", before}, {"by", "entry"}});
+                    { { "instance", instance.id() }, { "before", before }, { "by", "entry" } });
         client->dropIdle (settings.instanceAddress);
     }
 
@@ -393,7 +397,7 @@
     CallOptions options;
     options.deadline = SteadyClock().Now() + probeTimeout;
     options.freshConnection = true;
-    const HeaderFields fields{{"Host", ToString (settings.instanceAddress)}};
+    const HeaderFields fields{ { "Host", ToString (settings.instanceAddress) } };
     client->send (settings.instanceAddress, requestMessage ("GET", healthPath, fields, {}), options,
                   [weak = weak_from_this()] (CallResult result)
                   {
--- a/src/sidecar/last_hop.h
+++ b/src/sidecar/last_hop.h
@@ -68,6 +68,9 @@
     void setService (std::string service);
     void setConfigurationVersion (std::uint64_t version) { configurationVersion = version; }
 
+    /** Refuses from now on what can't be expected to end before `end`. */
+    void setEnd (Timestamp end) { endsAt = end; }
+
     /** Refuses what comes from now on, and what waits. */
     void stopTaking();
 
@@ -87,7 +90,7 @@
         CallPointer http;
     };
 
-    bool refuseAtOnce (const HopCall& call, mesh::HopCause& cause) const;
+    bool refuseAtOnce (Timestamp now, const HopCall& call, mesh::HopCause& cause) const;
     void run (CallId id);
     void pump();
     void armExpiry();
@@ -114,6 +117,7 @@
     std::string healthPath;
     std::uint64_t configurationVersion = 0;
     Timestamp expiryAt = Timestamp::max();
+    Timestamp endsAt = Timestamp::max();
     bool stopping = false;
     bool probing = false;
 };
--- a/src/sidecar/messages.cc
+++ b/src/sidecar/messages.cc
@@ -86,9 +86,9 @@
                        bool isHead)
 {
     auto all = fields;
-    all.push_back ({"Content-Type", "text/plain"});
+    all.push_back ({ "Content-Type", "text/plain" });
     const auto text = std::string (cause) + "\n";
-    return answerMessage ({status, {}, text, close, isHead}, all);
+    return answerMessage ({ status, {}, text, close, isHead }, all);
 }
 
 std::string_view reasonPhrase (int status)
--- a/src/sidecar/server_connection.cc
+++ b/src/sidecar/server_connection.cc
@@ -14,9 +14,9 @@
 
 constexpr std::size_t readSize = 65536;
 constexpr std::size_t mostPipelinedBytes = 65536;
-constexpr Milliseconds lingerTime{1000};
-constexpr Milliseconds bodyTime{30'000};
-constexpr Milliseconds writeTime{30'000};
+constexpr Milliseconds lingerTime{ 1000 };
+constexpr Milliseconds bodyTime{ 30'000 };
+constexpr Milliseconds writeTime{ 30'000 };
 constexpr std::string_view continueMessage = "HTTP/1.1 100 Continue\r\n\r\n";
 
 Timestamp now() { return SteadyClock().Now(); }
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -13,14 +13,15 @@
 
 using std::chrono::duration_cast;
 
-constexpr Milliseconds tickInterval{250};
+constexpr Milliseconds tickInterval{ 250 };
 constexpr int ticksPerFileCheck = 4;
-constexpr Milliseconds freshWord{2500}; // After which an unknown route may be a new one.
+constexpr Milliseconds freshWord{ 2500 }; // After which an unknown route may be a new one.
 constexpr std::size_t hopHeadBytes = 65536;
-constexpr Milliseconds hopIdleTime{60'000};
-constexpr Milliseconds platformNotices{3000}; // Until no new client is sent here.
-constexpr Milliseconds killMargin{350};
-constexpr Milliseconds lastRunTime{1200}; // Left for requests that were taken last.
+constexpr Milliseconds hopIdleTime{ 60'000 };
+constexpr Milliseconds platformNotices{ 3000 }; // Until no new client is sent here.
+constexpr Milliseconds killMargin{ 300 };
+constexpr Milliseconds answerMargin{ 150 }; // For the last answers to be written.
+constexpr Milliseconds lastRunTime{ 1200 }; // Left for requests that were taken last.
 
 Timestamp now() { return SteadyClock().Now(); }
 
@@ -72,7 +73,7 @@
 {
     lastHop = std::make_shared<LastHop> (
         reactor,
-        LastHopSettings{settings.names, settings.instance, settings.service, settings.extraSlots},
+        LastHopSettings{ settings.names, settings.instance, settings.service, settings.extraSlots },
         log);
     firstHop = std::make_shared<FirstHop> (reactor, firstHopSettings (settings), lastHop, log,
                                            seedFrom (settings.id));
@@ -145,11 +146,11 @@
         BOOST_LEAF_CHECK (metrics->listen (settings.metrics));
 
     log->write (now(), EventKind::started,
-                {{"zone", settings.zone},
-                 {"service", settings.service},
-                 {"outbound", ToString (settings.outbound)},
-                 {"inbound", ToString (settings.inbound)},
-                 {"readiness", ToString (settings.readiness)}});
+                { { "zone", settings.zone },
+                  { "service", settings.service },
+                  { "outbound", ToString (settings.outbound) },
+                  { "inbound", ToString (settings.inbound) },
+                  { "readiness", ToString (settings.readiness) } });
     tick();
     return Done{};
 }
@@ -172,8 +173,8 @@
 
     if (verdict.value() == mesh::ConfigurationVerdict::older)
         return refuseConfiguration (at,
-                                    {ErrorKind::kRevisionBehind, "version",
-                                     std::to_string (version) + " is older than the running one"},
+                                    { ErrorKind::kRevisionBehind, "version",
+                                      std::to_string (version) + " is older than the running one" },
                                     revision);
 
     if (verdict.value() != mesh::ConfigurationVerdict::taken)
@@ -185,26 +186,27 @@
     firstHop->setRoutes (routes);
     lastHop->setConfigurationVersion (version);
     lastHop->setHealthPath (own == services.end() ? std::string() : own->second.healthPath);
-    log->write (at, EventKind::configurationTaken,
-                {{"version", static_cast<std::int64_t> (version)},
-                 {"before", static_cast<std::int64_t> (before)},
-                 {"revision", static_cast<std::int64_t> (revision)},
-                 {"routes", static_cast<std::int64_t> (routes->configuration().routes.size())}});
+    log->write (
+        at, EventKind::configurationTaken,
+        { { "version", static_cast<std::int64_t> (version) },
+          { "before", static_cast<std::int64_t> (before) },
+          { "revision", static_cast<std::int64_t> (revision) },
+          { "routes", static_cast<std::int64_t> (routes->configuration().routes.size()) } });
 }
 
 void Sidecar::refuseConfiguration (Timestamp at, const Error& error, std::uint64_t revision)
 {
     log->write (at, EventKind::configurationRefused,
-                {{"running", static_cast<std::int64_t> (configurations.version())},
-                 {"place", error.place},
-                 {"cause", error.cause},
-                 {"revision", static_cast<std::int64_t> (revision)}});
+                { { "running", static_cast<std::int64_t> (configurations.version()) },
+                  { "place", error.place },
+                  { "cause", error.cause },
+                  { "revision", static_cast<std::int64_t> (revision) } });
 }
 
 void Sidecar::refuseEntry (Timestamp at, const std::string& key, const Error& error)
 {
     log->write (at, EventKind::entryRefused,
-                {{"key", key}, {"place", error.place}, {"cause", error.cause}});
+                { { "key", key }, { "place", error.place }, { "cause", error.cause } });
 }
 
 void Sidecar::directoryChanged (Timestamp at)
@@ -227,7 +229,7 @@
     call.target = exchange->head.target;
     call.fields = forwardedFields (exchange->head.fields, settings.names);
     call.fields.insert (call.fields.begin(),
-                        {"Host", std::string (onlyValue (exchange->head.fields, "Host"))});
+                        { "Host", std::string (onlyValue (exchange->head.fields, "Host")) });
     call.body = std::move (exchange->body);
 
     auto id = std::make_shared<LastHop::CallId> (0);
@@ -236,17 +238,18 @@
         if (const auto hop = weak.lock())
             hop->cancel (*id);
     };
-    *id = lastHop->start (
-        std::move (call),
-        [exchange] (HopAnswer answer)
-        {
-            answer.fields.push_back ({std::string (mesh::hopField), mesh::encode (answer.report)});
-            const int status = answer.status == 0 ? 503 : answer.status;
-            exchange->respond (answerMessage ({status, answer.reason, answer.body,
-                                               exchange->mustClose(), exchange->isHead()},
-                                              answer.fields),
-                               exchange->mustClose());
-        });
+    *id = lastHop->start (std::move (call),
+                          [exchange] (HopAnswer answer)
+                          {
+                              answer.fields.push_back (
+                                  { std::string (mesh::hopField), mesh::encode (answer.report) });
+                              const int status = answer.status == 0 ? 503 : answer.status;
+                              exchange->respond (
+                                  answerMessage ({ status, answer.reason, answer.body,
+                                                   exchange->mustClose(), exchange->isHead() },
+                                                 answer.fields),
+                                  exchange->mustClose());
+                          });
 }
 
 bool Sidecar::ready() const
@@ -304,19 +307,19 @@
     settingsStamp = fileStamp (settings.file);
     const auto parsed = Resolve (
         [&] {
-            return parseSidecarSettings ({"--settings", settings.file});
+            return parseSidecarSettings ({ "--settings", settings.file });
         });
 
     if (! parsed)
         return log->write (now(), EventKind::settingsRefused,
-                           {{"cause", ToString (parsed.error())}});
+                           { { "cause", ToString (parsed.error()) } });
 
     // Addresses stay: they are bound. What the instance is called may change under a running node.
     settings.service = parsed.value().settings.service;
     firstHop->setService (settings.service);
     lastHop->setService (settings.service);
     log->write (now(), EventKind::settingsReloaded,
-                {{"cause", cause}, {"service", settings.service}});
+                { { "cause", cause }, { "service", settings.service } });
 }
 
 std::size_t Sidecar::inFlight() const { return firstHop->inFlight() + lastHop->inFlight(); }
@@ -328,10 +331,12 @@
 
     stopAt = now();
     onStopped = std::move (ended);
-    firstHop->setClosing();
+    const auto end = stopAt + settings.grace - killMargin - answerMargin;
+    firstHop->setClosing (end);
+    lastHop->setEnd (end);
     log->write (stopAt, EventKind::stopping,
-                {{"in_flight", static_cast<std::int64_t> (inFlight())},
-                 {"connections", static_cast<std::int64_t> (outbound->connections())}});
+                { { "in_flight", static_cast<std::int64_t> (inFlight()) },
+                  { "connections", static_cast<std::int64_t> (outbound->connections()) } });
     log->flush();
     continueStop();
 }
@@ -355,9 +360,9 @@
 
     if (since >= killAt || (since >= platformNotices && quiet))
     {
-        log->write (
-            at, EventKind::stopped,
-            {{"in_flight", static_cast<std::int64_t> (inFlight())}, {"after_ms", since.count()}});
+        log->write (at, EventKind::stopped,
+                    { { "in_flight", static_cast<std::int64_t> (inFlight()) },
+                      { "after_ms", since.count() } });
         log->flush();
         return std::exchange (onStopped, nullptr)();
     }
--- a/src/sidecar/source_reader.h
+++ b/src/sidecar/source_reader.h
@@ -101,7 +101,7 @@
     {
         CallOptions options;
         options.deadline = now + request.timeout;
-        const HeaderFields fields{{"Host", ToString (address)}};
+        const HeaderFields fields{ { "Host", ToString (address) } };
         const auto number = ++sent;
         // The callback may come before send() returns; a call that has ended is safe to cancel.
         call = client->send (address, requestMessage ("GET", dialect.target (request), fields, {}),
@@ -148,13 +148,13 @@
 
         if (follower.failing() && ! wasFailing)
             log->write (now, EventKind::sourceLost,
-                        {{"call", callEndNames[static_cast<std::size_t> (result.end)]},
-                         {"cause", mesh::sourceReplyNames[static_cast<std::size_t> (reply)]},
-                         {"last_word_ms", since},
-                         {"revision", revision}});
+                        { { "call", callEndNames[static_cast<std::size_t> (result.end)] },
+                          { "cause", mesh::sourceReplyNames[static_cast<std::size_t> (reply)] },
+                          { "last_word_ms", since },
+                          { "revision", revision } });
         else if (wasFailing && ! follower.failing())
             log->write (now, EventKind::sourceRegained,
-                        {{"after_ms", since}, {"revision", revision}});
+                        { { "after_ms", since }, { "revision", revision } });
     }
 
     std::shared_ptr<Reactor> reactor;
