Price a zone crossing higher: 0.05 + 0.04/KB of the target latency

Ruled out: a price from the settings: the platform doesn't tell it, so the target latency scales it.

--- a/src/mesh/instance_chooser.h
+++ b/src/mesh/instance_chooser.h
@@ -23,8 +23,8 @@
 struct ChooserSettings
 {
     std::string zone;             /**< Of this node. */
-    double crossingShare = 0.025; /**< Of the target latency, for each crossing. */
-    double crossingSharePerKilobyte = 0.015;
+    double crossingShare = 0.05; /**< Of the target latency, for each crossing. */
+    double crossingSharePerKilobyte = 0.04;
     double loadHalfLifeMs = 500; /**< In which what was told of a load halves. */
     double noise = 0.1;          /**< Spreads nodes that know the same. */
 };
