Contract tests of the mesh's deciding code; lapsed instances rank behind listed ones after the noise

Cause: the penalty of a lapsed entry was multiplied by the choice's noise, so that of two lapsed instances the farther one was chosen half of the time (Choosing.ALapsedInstanceIsTheLastChoice failed first).

--- a/src/mesh/instance_chooser.cc
+++ b/src/mesh/instance_chooser.cc
@@ -69,9 +69,6 @@
                     (settings.crossingShare + settings.crossingSharePerKilobyte * kilobytes);
     }
 
-    if (candidate.state == InstanceState::lapsed)
-        expected += lapsedPenaltyMs;
-
     return expected;
 }
 
@@ -96,7 +93,10 @@
                                                   id) != request.excluded.end())
             continue;
 
-        const auto cost = expectedMs (now, candidate, view, request) * spread (random);
+        auto cost = expectedMs (now, candidate, view, request) * spread (random);
+
+        if (candidate.state == InstanceState::lapsed)
+            cost += lapsedPenaltyMs;
 
         if (cost < bestCost)
         {
--- /dev/null
+++ b/tests/mesh/admission_queue_test.cc
@@ -0,0 +1,149 @@
+#include "mesh/admission_queue.h"
+
+#include <gtest/gtest.h>
+
+#include "tests/mesh/fixtures.h"
+
+namespace copperlead::mesh::test
+{
+namespace
+{
+
+using Ids = std::vector<std::uint64_t>;
+
+/** A request whose run usually takes 50 ms. */
+AdmissionRequest request (std::uint64_t id, int priority, std::int64_t target,
+                          std::int64_t deadline)
+{
+    return { id, "lookup", priority, at (target), at (deadline), 50 };
+}
+
+/** Offers `count` requests that nothing bounds, with ids from 1. */
+void fill (AdmissionQueue& queue, std::uint64_t count)
+{
+    for (std::uint64_t id = 1; id <= count; ++id)
+        EXPECT_EQ (queue.offer (at (0), request (id, 0, 10'000, 20'000)), AdmissionDecision::run);
+}
+
+/** Ends the running request `id` after 50 ms. */
+void end (AdmissionQueue& queue, std::uint64_t id) { queue.finished (id, 50); }
+
+TEST (AdmissionQueue, RunsUpToItsLimitAndHoldsTheRest)
+{
+    AdmissionQueue queue;
+    queue.setLimit (2);
+    fill (queue, 2);
+    EXPECT_EQ (queue.offer (at (0), request (3, 0, 200, 500)), AdmissionDecision::wait);
+    EXPECT_EQ (queue.next (at (0)), 0U);
+    end (queue, 1);
+    EXPECT_EQ (queue.next (at (50)), 3U);
+    EXPECT_EQ (queue.running(), 2U);
+    EXPECT_EQ (queue.waiting(), 0U);
+}
+
+TEST (AdmissionQueue, UrgentFirstThenTheEarliestTarget)
+{
+    AdmissionQueue queue;
+    queue.setLimit (1);
+    fill (queue, 1);
+    queue.offer (at (0), request (2, 2, 300, 900));
+    queue.offer (at (0), request (3, 2, 200, 900));
+    queue.offer (at (0), request (4, 1, 900, 900));
+    Ids taken;
+
+    for (std::uint64_t running = 1; running != 0;)
+    {
+        end (queue, running);
+        running = queue.next (at (10));
+
+        if (running != 0)
+            taken.push_back (running);
+    }
+
+    EXPECT_EQ (taken, (Ids{ 4, 3, 2 }));
+}
+
+TEST (AdmissionQueue, WhatMissedItsTargetWaitsBehindWhatCanMeetIt)
+{
+    AdmissionQueue queue;
+    queue.setLimit (1);
+    fill (queue, 1);
+    queue.offer (at (0), request (2, 1, 100, 2000));
+    queue.offer (at (0), request (3, 1, 600, 2000));
+    end (queue, 1);
+    // At 200 ms the first one's target has passed, although it came first and is due first.
+    EXPECT_EQ (queue.next (at (200)), 3U);
+    end (queue, 3);
+    EXPECT_EQ (queue.next (at (250)), 2U);
+}
+
+TEST (AdmissionQueue, ALateUrgentRequestStillGoesBeforeALesserOne)
+{
+    AdmissionQueue queue;
+    queue.setLimit (1);
+    fill (queue, 1);
+    queue.offer (at (0), request (2, 1, 100, 2000));
+    queue.offer (at (0), request (3, 2, 600, 2000));
+    end (queue, 1);
+    EXPECT_EQ (queue.next (at (200)), 2U);
+}
+
+TEST (AdmissionQueue, RefusesAtOnceWhatCannotFinishInTime)
+{
+    AdmissionQueue queue;
+    queue.setLimit (1);
+    fill (queue, 1);
+    end (queue, 1); // Teaches 50 ms a run.
+    fill (queue, 1);
+
+    for (std::uint64_t id = 2; id <= 6; ++id)
+        EXPECT_EQ (queue.offer (at (0), request (id, 1, 1000, 1000)), AdmissionDecision::wait);
+
+    // Five wait in front of what is late already: 300 ms until its turn, and 35 ms of run at least.
+    EXPECT_EQ (queue.offer (at (0), request (7, 1, -1, 320)), AdmissionDecision::refuse);
+    EXPECT_EQ (queue.offer (at (0), request (8, 1, -1, 340)), AdmissionDecision::wait);
+    // A more urgent one doesn't wait behind them.
+    EXPECT_EQ (queue.offer (at (0), request (9, 0, 100, 120)), AdmissionDecision::wait);
+}
+
+TEST (AdmissionQueue, ExpiresWhatCanNoLongerFinish)
+{
+    AdmissionQueue queue;
+    queue.setLimit (1);
+    fill (queue, 1);
+    queue.offer (at (0), request (2, 1, 100, 200));
+    queue.offer (at (0), request (3, 1, 100, 900));
+    EXPECT_EQ (queue.nextExpiry(), at (165)); // 200 less seven tenths of 50.
+    EXPECT_TRUE (queue.expire (at (165)).empty());
+    EXPECT_EQ (queue.expire (at (166)), (Ids{ 2 }));
+    EXPECT_EQ (queue.waiting(), 1U);
+}
+
+TEST (AdmissionQueue, CancelFreesASlotOrAPlace)
+{
+    AdmissionQueue queue;
+    queue.setLimit (1);
+    fill (queue, 1);
+    queue.offer (at (0), request (2, 1, 100, 900));
+    queue.offer (at (0), request (3, 1, 100, 900));
+    EXPECT_TRUE (queue.cancel (2));
+    EXPECT_FALSE (queue.cancel (1));
+    EXPECT_EQ (queue.next (at (0)), 3U);
+    queue.finished (1, 50); // Late news of what was cancelled changes nothing.
+    EXPECT_EQ (queue.running(), 1U);
+}
+
+TEST (AdmissionQueue, ClearHandsBackAllThatWaitsAndLeavesWhatRuns)
+{
+    AdmissionQueue queue;
+    queue.setLimit (1);
+    fill (queue, 1);
+    queue.offer (at (0), request (2, 2, 100, 900));
+    queue.offer (at (0), request (3, 1, 100, 900));
+    EXPECT_EQ (queue.clear(), (Ids{ 3, 2 }));
+    EXPECT_EQ (queue.running(), 1U);
+    EXPECT_EQ (queue.nextExpiry(), Timestamp::max());
+}
+
+} // namespace
+} // namespace copperlead::mesh::test
--- /dev/null
+++ b/tests/mesh/choice_test.cc
@@ -0,0 +1,177 @@
+/** The weighted split, the retry budget and the choice of an instance. */
+#include <gtest/gtest.h>
+
+#include <cmath>
+#include <map>
+
+#include "mesh/instance_chooser.h"
+#include "mesh/retry_budget.h"
+#include "mesh/weighted_split.h"
+#include "tests/mesh/fixtures.h"
+
+namespace copperlead::mesh::test
+{
+namespace
+{
+
+TEST (WeightedSplit, SharesAreExactWithinOneRequestAtEveryMoment)
+{
+    WeightedSplit split;
+    auto route = makeRoute ("lookup", "/look/");
+    route.services = { { "desk", 70 }, { "hub", 25 }, { "old", 5 } };
+    std::vector<double> counts (3, 0);
+
+    for (int sent = 1; sent <= 400; ++sent)
+    {
+        ++counts[split.next (route)];
+
+        for (std::size_t part = 0; part < counts.size(); ++part)
+            EXPECT_LE (std::abs (counts[part] - sent * route.services[part].weight / 100.0), 1.0);
+    }
+}
+
+TEST (WeightedSplit, NewWeightsStartAfresh)
+{
+    WeightedSplit split;
+    auto route = makeRoute ("lookup", "/look/");
+    route.services = { { "desk", 99 }, { "hub", 1 } };
+
+    for (int sent = 0; sent < 50; ++sent)
+        split.next (route);
+
+    route.services = { { "desk", 0 }, { "hub", 100 } };
+
+    for (int sent = 0; sent < 50; ++sent)
+        EXPECT_EQ (split.next (route), 1U);
+}
+
+TEST (RetryBudget, AllNodesTogetherStayUnderTheFleetsBudgetInEveryWindow)
+{
+    constexpr int nodes = 12, seconds = 30, perSecond = 20;
+    const RetryBudgetSettings settings;
+    std::vector<RetryBudget> budgets (nodes, RetryBudget (settings));
+    std::vector<int> spent (seconds, 0);
+
+    for (int second = 0; second < seconds; ++second)
+    {
+        for (auto& budget : budgets)
+        {
+            for (int request = 0; request < perSecond; ++request)
+            {
+                const auto now = at (1000 * second + request);
+                budget.countRequest (now);
+                // Every request fails at first and wants another attempt.
+                spent[static_cast<std::size_t> (second)] += budget.take (now, nodes) ? 1 : 0;
+            }
+        }
+    }
+
+    for (int first = 0; first + 10 <= seconds; ++first)
+    {
+        int inWindow = 0;
+
+        for (int second = first; second < first + 10; ++second)
+            inWindow += spent[static_cast<std::size_t> (second)];
+
+        EXPECT_LE (inWindow, 0.2 * 10 * perSecond * nodes + 64);
+        EXPECT_GT (inWindow, 0);
+    }
+}
+
+/** Ten choices for the route, counted by instance. */
+std::map<std::string, int> choices (InstanceChooser& chooser, const DirectorySnapshot& directory,
+                                    const Route& route, std::size_t bytes = 0)
+{
+    std::map<std::string, int> counts;
+
+    for (int sent = 0; sent < 10; ++sent)
+    {
+        Choice choice;
+
+        if (chooser.choose (at (0), directory, { &route, "desk", bytes, {} }, choice))
+            ++counts[choice.instance.id];
+    }
+
+    return counts;
+}
+
+class Choosing : public ::testing::Test
+{
+protected:
+    Choosing()
+    {
+        directory.put (at (0), makeInstance ("near", "z1", 1), 1);
+        directory.put (at (0), makeInstance ("far", "z2", 2), 2);
+
+        for (const auto* id : { "near", "far" })
+        {
+            chooser.answered (id, route, 50, 2000);
+            chooser.reported (at (0), id, { 0, 50 });
+        }
+    }
+
+    Route route = makeRoute ("lookup", "/look/");
+    InstanceDirectory directory;
+    InstanceChooser chooser{ { "z1" }, 1 };
+};
+
+TEST_F (Choosing, StaysInItsZoneWhileThatIsAsFast)
+{
+    EXPECT_EQ (choices (chooser, *directory.snapshot(), route)["near"], 10);
+}
+
+TEST_F (Choosing, CrossesWhenTheWaitCostsMoreThanTheBytes)
+{
+    chooser.reported (at (0), "near", { 6, 50 });
+    EXPECT_EQ (choices (chooser, *directory.snapshot(), route)["far"], 10);
+}
+
+TEST_F (Choosing, LargeBodiesStayWhereSmallOnesCross)
+{
+    chooser.reported (at (0), "near", { 6, 50 });
+    EXPECT_EQ (choices (chooser, *directory.snapshot(), route, 60'000)["near"], 10);
+}
+
+TEST_F (Choosing, AReportedLoadFades)
+{
+    chooser.reported (at (0), "near", { 6, 50 });
+    Choice choice;
+    ASSERT_TRUE (
+        chooser.choose (at (4000), *directory.snapshot(), { &route, "desk", 0, {} }, choice));
+    EXPECT_EQ (choice.instance.id, "near");
+}
+
+TEST_F (Choosing, SlowInstancesAreLearned)
+{
+    for (int answers = 0; answers < 30; ++answers)
+    {
+        chooser.answered ("near", route, 400, 2000);
+        chooser.answered ("far", route, 50, 2000);
+    }
+
+    EXPECT_EQ (choices (chooser, *directory.snapshot(), route)["far"], 10);
+}
+
+TEST_F (Choosing, ShunnedTriedAndLeavingInstancesAreNotChosen)
+{
+    chooser.shun (at (0), "near", Milliseconds (500));
+    Choice choice;
+    EXPECT_FALSE (
+        chooser.choose (at (499), *directory.snapshot(), { &route, "desk", 0, { "far" } }, choice));
+    EXPECT_TRUE (
+        chooser.choose (at (501), *directory.snapshot(), { &route, "desk", 0, { "far" } }, choice));
+    directory.remove (at (501), "near", 9, true);
+    EXPECT_FALSE (
+        chooser.choose (at (502), *directory.snapshot(), { &route, "desk", 0, { "far" } }, choice));
+}
+
+TEST_F (Choosing, ALapsedInstanceIsTheLastChoice)
+{
+    directory.remove (at (0), "near", 9, false);
+    EXPECT_EQ (choices (chooser, *directory.snapshot(), route)["far"], 10);
+    directory.remove (at (0), "far", 10, false);
+    EXPECT_EQ (choices (chooser, *directory.snapshot(), route)["near"], 10);
+}
+
+} // namespace
+} // namespace copperlead::mesh::test
--- /dev/null
+++ b/tests/mesh/hop_header_test.cc
@@ -0,0 +1,70 @@
+#include "mesh/hop_header.h"
+
+#include <gtest/gtest.h>
+
+namespace copperlead::mesh::test
+{
+namespace
+{
+
+TEST (HopHeader, RequestsComeBackAsTheyWere)
+{
+    HopRequest request;
+    request.requestId = "9c41.d07";
+    request.service = "desk";
+    request.callerService = "hub";
+    request.instanceId = "i-7";
+    request.route = "r-1";
+    request.timeLeft = Milliseconds (480);
+    request.targetLeft = Milliseconds (-20);
+    request.priority = 2;
+    request.mayRepeat = true;
+    request.usualRunMs = 61;
+    const auto read = decodeHopRequest (encode (request));
+    ASSERT_TRUE (read);
+    EXPECT_EQ (encode (*read), encode (request));
+    EXPECT_EQ (read->targetLeft, Milliseconds (-20));
+    EXPECT_TRUE (read->mayRepeat);
+    EXPECT_FALSE (read->isRepeat);
+}
+
+TEST (HopHeader, ReportsComeBackAsTheyWere)
+{
+    HopReport report;
+    report.outcome = HopOutcome::notRun;
+    report.cause = HopCause::nodeStopping;
+    report.instanceId = "i-7";
+    report.load = 4;
+    report.configurationVersion = 31;
+    const auto read = decodeHopReport (encode (report));
+    ASSERT_TRUE (read);
+    EXPECT_EQ (read->outcome, HopOutcome::notRun);
+    EXPECT_EQ (read->cause, HopCause::nodeStopping);
+    EXPECT_EQ (read->configurationVersion, 31U);
+}
+
+TEST (HopHeader, ValuesCannotAddPairsOrLines)
+{
+    HopRequest request;
+    request.requestId = "a;priority=0\r\nX: y";
+    request.service = "desk";
+    request.priority = 5;
+    const auto text = encode (request);
+    EXPECT_EQ (text.find ('\r'), std::string::npos);
+    EXPECT_EQ (decodeHopRequest (text)->priority, 5);
+}
+
+TEST (HopHeader, DamagedTextIsRefusedAndUnknownPairsArePassedOver)
+{
+    for (const auto* text :
+         { "", "service", "service=desk;left=x", "service=desk;left=1e", "id=1" })
+        EXPECT_FALSE (decodeHopRequest (text)) << text;
+
+    for (const auto* text : { "outcome=9", "outcome=-1", "outcome=1;cause=99", "outcome" })
+        EXPECT_FALSE (decodeHopReport (text)) << text;
+
+    EXPECT_TRUE (decodeHopRequest ("service=desk;later=1"));
+}
+
+} // namespace
+} // namespace copperlead::mesh::test
--- /dev/null
+++ b/tests/mesh/instance_directory_test.cc
@@ -0,0 +1,151 @@
+#include "mesh/instance_directory.h"
+
+#include <gtest/gtest.h>
+
+#include "mesh/local_instance.h"
+#include "tests/mesh/fixtures.h"
+
+namespace copperlead::mesh::test
+{
+namespace
+{
+
+constexpr bool sound = true, unsound = false;
+
+std::vector<std::string> usable (InstanceDirectory& directory)
+{
+    std::vector<std::string> ids;
+    const auto snapshot = directory.snapshot();
+
+    for (const auto& [service, instances] : snapshot->byService)
+        for (const auto& listed : instances)
+            ids.push_back (listed.instance.id);
+
+    return ids;
+}
+
+using Ids = std::vector<std::string>;
+
+TEST (InstanceDirectory, DrainingAndRemovedInstancesGetNothingNew)
+{
+    InstanceDirectory directory;
+    directory.put (at (0), makeInstance ("a", "z1", 1), 5);
+    directory.put (at (0), makeInstance ("b", "z1", 2), 6);
+    auto draining = makeInstance ("a", "z1", 1);
+    draining.draining = true;
+    directory.put (at (1), draining, 7);
+    EXPECT_EQ (usable (directory), Ids{ "b" });
+    directory.remove (at (2), "b", 8, sound);
+    EXPECT_TRUE (usable (directory).empty());
+}
+
+TEST (InstanceDirectory, OlderNewsChangesNothing)
+{
+    InstanceDirectory directory;
+    directory.put (at (0), makeInstance ("a", "z1", 1), 9);
+    directory.remove (at (1), "a", 8, sound);
+    EXPECT_EQ (usable (directory), Ids{ "a" });
+    auto draining = makeInstance ("a", "z1", 1);
+    draining.draining = true;
+    directory.put (at (1), draining, 8);
+    EXPECT_EQ (usable (directory), Ids{ "a" });
+}
+
+TEST (InstanceDirectory, EntriesThatLapseWhileTheSourceIsUnsoundStayUsableForAWhile)
+{
+    InstanceDirectory directory;
+    directory.put (at (0), makeInstance ("a", "z1", 1), 5);
+    directory.removeAllBut (at (10), {}, 9, unsound);
+    EXPECT_EQ (usable (directory), Ids{ "a" });
+    EXPECT_EQ (directory.snapshot()->byService.at ("desk")[0].state, InstanceState::lapsed);
+    directory.advance (at (5000));
+    EXPECT_EQ (usable (directory), Ids{ "a" });
+    directory.advance (at (5020));
+    EXPECT_TRUE (usable (directory).empty());
+}
+
+TEST (InstanceDirectory, AnEntryThatComesBackIsReadyAgain)
+{
+    InstanceDirectory directory;
+    directory.put (at (0), makeInstance ("a", "z1", 1), 5);
+    directory.remove (at (10), "a", 9, unsound);
+    directory.put (at (20), makeInstance ("a", "z1", 1), 11);
+    directory.advance (at (9000));
+    EXPECT_EQ (directory.snapshot()->byService.at ("desk")[0].state, InstanceState::ready);
+}
+
+TEST (InstanceDirectory, TheNewestEntryOfAnAddressCounts)
+{
+    InstanceDirectory directory;
+    directory.put (at (0), makeInstance ("dead", "z1", 1, 5), 5);
+    auto other = makeInstance ("new", "z1", 1, 9);
+    other.service = "hub";
+    directory.put (at (1), other, 9);
+    EXPECT_EQ (directory.snapshot()->byAddress.at ("10.0.0.1:8000").instance.id, "new");
+    EXPECT_EQ (directory.snapshot()->nodes, 1U);
+}
+
+ListedInstance listed (const std::string& id, std::uint64_t createdAt,
+                       InstanceState state = InstanceState::ready)
+{
+    return { makeInstance (id, "z1", 1, createdAt), state, createdAt, at (0) };
+}
+
+TEST (LocalInstance, TheInstancesOwnWordBeatsTheEntryOfADeadOne)
+{
+    LocalInstance local ("desk");
+    const auto dead = listed ("dead", 5);
+    EXPECT_TRUE (local.takeEntry (&dead));
+    EXPECT_TRUE (local.heard ("alive"));
+    EXPECT_FALSE (local.takeEntry (&dead)); // It still stands in the store.
+    EXPECT_EQ (local.id(), "alive");
+    EXPECT_EQ (local.service(), "desk");
+
+    const auto own = listed ("alive", 8);
+    EXPECT_FALSE (local.takeEntry (&own));
+    EXPECT_EQ (local.identitySource(), IdentitySource::entry);
+}
+
+TEST (LocalInstance, AnEntryCreatedLaterBeatsTheInstancesOwnWord)
+{
+    LocalInstance local ("desk");
+    const auto first = listed ("first", 5);
+    local.takeEntry (&first);
+    local.heard ("second");
+    auto third = listed ("third", 9);
+    third.instance.service = "hub";
+    EXPECT_TRUE (local.takeEntry (&third));
+    EXPECT_EQ (local.id(), "third");
+    EXPECT_EQ (local.service(), "hub");
+}
+
+TEST (LocalInstance, LeavesAsItsEntrySays)
+{
+    LocalInstance local ("desk");
+    const auto leaving = listed ("a", 5, InstanceState::leaving);
+    local.takeEntry (&leaving);
+    EXPECT_TRUE (local.leaving());
+    const auto next = listed ("b", 6);
+    local.takeEntry (&next);
+    EXPECT_FALSE (local.leaving());
+}
+
+TEST (LocalInstance, IsLostByOneRefusedConnectionOrSeveralSilentCalls)
+{
+    LocalInstance local ("desk");
+    const auto entry = listed ("a", 5);
+    local.takeEntry (&entry);
+    EXPECT_FALSE (local.wantsProbe (at (0)));
+    EXPECT_TRUE (local.failed (at (0), true));
+    EXPECT_TRUE (local.wantsProbe (at (0)));
+    EXPECT_TRUE (local.answered (at (1)));
+    EXPECT_FALSE (local.lost());
+
+    for (int calls = 0; calls < 3; ++calls)
+        EXPECT_FALSE (local.failed (at (2), false));
+
+    EXPECT_TRUE (local.failed (at (2), false));
+}
+
+} // namespace
+} // namespace copperlead::mesh::test
--- /dev/null
+++ b/tests/mesh/source_follower_test.cc
@@ -0,0 +1,122 @@
+#include "mesh/source_follower.h"
+
+#include <gtest/gtest.h>
+
+#include "tests/mesh/fixtures.h"
+
+namespace copperlead::mesh::test
+{
+namespace
+{
+
+SourceEntry entry (const std::string& key, std::uint64_t revision)
+{
+    return { key, "v", revision, revision, false };
+}
+
+SourceAnswer page (std::vector<SourceEntry> entries, std::uint64_t revision, bool more = false)
+{
+    return { SourceReply::entries, std::move (entries), more, revision };
+}
+
+SourceAnswer failure (SourceReply reply) { return { reply, {}, false, 0 }; }
+
+/** A follower that has listed one entry at revision 7. */
+class Following : public ::testing::Test
+{
+protected:
+    Following()
+    {
+        EXPECT_EQ (follower.poll (at (0))->call, SourceCall::list);
+        EXPECT_TRUE (follower.answered (at (5), page ({ entry ("a", 3) }, 7))->complete);
+    }
+
+    SourceFollower follower{ {}, 1 };
+};
+
+TEST (SourceFollower, ListsPagesAndWatchesFromTheFirstPagesRevision)
+{
+    SourceFollower follower ({}, 1);
+    EXPECT_TRUE (follower.poll (at (0))->afterKey.empty());
+    EXPECT_FALSE (follower.answered (at (1), page ({ entry ("a", 3) }, 7, true)));
+    EXPECT_FALSE (follower.hasListed());
+    EXPECT_EQ (follower.poll (at (1))->afterKey, "a");
+    const auto update = follower.answered (at (2), page ({ entry ("b", 9) }, 9));
+    ASSERT_TRUE (update);
+    EXPECT_TRUE (update->complete);
+    EXPECT_EQ (update->entries.size(), 2U);
+    const auto watch = follower.poll (at (2));
+    EXPECT_EQ (watch->call, SourceCall::watch);
+    EXPECT_EQ (watch->afterRevision, 7U); // What changed between the pages comes again.
+}
+
+TEST_F (Following, AsksOnlyOnceAtATime)
+{
+    EXPECT_TRUE (follower.poll (at (5)));
+    EXPECT_FALSE (follower.poll (at (6)));
+    EXPECT_EQ (follower.nextDue(), Timestamp::max());
+}
+
+TEST_F (Following, AnEmptyWatchTeachesNothingAndGoesOnFromItsRevision)
+{
+    follower.poll (at (5));
+    EXPECT_FALSE (follower.answered (at (1500), page ({}, 8)));
+    EXPECT_EQ (follower.poll (at (1500))->afterRevision, 8U);
+    EXPECT_TRUE (follower.sound (at (1500)));
+}
+
+TEST_F (Following, LostHistoryListsAgain)
+{
+    follower.poll (at (5));
+    EXPECT_FALSE (follower.answered (at (10), failure (SourceReply::historyLost)));
+    EXPECT_EQ (follower.poll (at (10))->call, SourceCall::list);
+}
+
+TEST_F (Following, AWatchThatIsNotAnsweredIsAskedAgainSoonFromTheSameRevision)
+{
+    const auto watch = follower.poll (at (5));
+    EXPECT_LE (watch->timeout, Milliseconds (2500));
+    follower.answered (at (2500), failure (SourceReply::failed));
+    EXPECT_TRUE (follower.failing());
+    const auto again = follower.poll (at (2700));
+    ASSERT_TRUE (again);
+    EXPECT_EQ (again->afterRevision, 7U);
+}
+
+TEST_F (Following, BacksOffButNeverFar)
+{
+    auto now = at (5);
+
+    for (int failures = 0; failures < 20; ++failures)
+    {
+        ASSERT_TRUE (follower.poll (now));
+        follower.answered (now, failure (SourceReply::refused));
+        EXPECT_LE (follower.nextDue() - now, Milliseconds (400));
+        EXPECT_GT (follower.nextDue(), now);
+        now = follower.nextDue();
+    }
+}
+
+TEST_F (Following, IsUnsoundForAWhileAfterAFailure)
+{
+    follower.poll (at (5));
+    follower.answered (at (10), failure (SourceReply::failed));
+    follower.poll (at (1000));
+    follower.answered (at (1010), page ({}, 8));
+    EXPECT_FALSE (follower.failing());
+    EXPECT_FALSE (follower.sound (at (1010)));
+    EXPECT_TRUE (follower.sound (at (4100)));
+}
+
+TEST_F (Following, HurriesOnlyAWatchThatHasBeenOutForAWhile)
+{
+    EXPECT_FALSE (follower.hurry (at (5))); // None is out.
+    follower.poll (at (5));
+    EXPECT_FALSE (follower.hurry (at (100)));
+    EXPECT_TRUE (follower.hurry (at (300)));
+    EXPECT_EQ (follower.poll (at (300))->afterRevision, 7U);
+    EXPECT_FALSE (follower.failing());
+}
+
+} // namespace
+} // namespace copperlead::mesh::test
