Pass the source's changes on between the nodes of a zone; one reader a zone

Ruled out: fewer bytes by watching two prefixes apart (a watch still brings every version whole). Change: mesh::ReaderRole (who reads; no lock, ranked by strength of the machine and hash), beats by datagram in the zone, changes pulled over HTTP as differences of routes (cereal, zstd), taken over within 0.7 to 1 s when a reader falls silent or says that it can't read; a later version seen in another node's answer starts an own read after 0.4 s. A node that the store refuses from its start is found by its zone's reader.

--- a/src/mesh/admission_queue.h
+++ b/src/mesh/admission_queue.h
@@ -27,8 +27,8 @@
     std::uint64_t id = 0;
     std::string route;
     int priority = 0;
-    Timestamp target{};   /**< An answer after it is late. */
-    Timestamp deadline{}; /**< An answer after it is worthless. */
+    Timestamp target{};    /**< An answer after it is late. */
+    Timestamp deadline{};  /**< An answer after it is worthless. */
     double usualRunMs = 0; /**< As the sender knows it; used until this node has learned its own. */
 };
 
--- a/src/mesh/configuration_holder.cc
+++ b/src/mesh/configuration_holder.cc
@@ -16,7 +16,21 @@
 
     BOOST_LEAF_AUTO (checked, checkConfiguration (std::move (configuration)));
     current = std::make_shared<const RouteTable> (checked);
+    history.push_back (checked);
+
+    if (history.size() > historySize)
+        history.pop_front();
+
     return ConfigurationVerdict::taken;
 }
 
+ConfigurationPointer ConfigurationHolder::earlier (std::uint64_t wanted) const
+{
+    for (const auto& config : history)
+        if (config->version == wanted)
+            return config;
+
+    return nullptr;
+}
+
 } // namespace copperlead::mesh
--- a/src/mesh/configuration_holder.h
+++ b/src/mesh/configuration_holder.h
@@ -1,6 +1,7 @@
 /** Holds the configuration that a proxy runs and lets it move only to later versions. */
 #pragma once
 
+#include <deque>
 #include <memory>
 #include <string_view>
 
@@ -30,8 +31,15 @@
     const std::shared_ptr<const RouteTable>& routes() const { return current; }
     std::uint64_t version() const;
 
+    /** A version that ran lately, for which another node may want the changes; null if forgotten.
+     */
+    ConfigurationPointer earlier (std::uint64_t version) const;
+
 private:
+    static constexpr std::size_t historySize = 8;
+
     std::shared_ptr<const RouteTable> current;
+    std::deque<ConfigurationPointer> history;
 };
 
 } // namespace copperlead::mesh
--- a/src/mesh/instance_chooser.h
+++ b/src/mesh/instance_chooser.h
@@ -22,7 +22,7 @@
 
 struct ChooserSettings
 {
-    std::string zone;             /**< Of this node. */
+    std::string zone;            /**< Of this node. */
     double crossingShare = 0.05; /**< Of the target latency, for each crossing. */
     double crossingSharePerKilobyte = 0.04;
     double loadHalfLifeMs = 500; /**< In which what was told of a load halves. */
--- a/src/mesh/instance_directory.cc
+++ b/src/mesh/instance_directory.cc
@@ -64,15 +64,30 @@
             current.reset();
         }
 
-        const bool forgotten = entry.state == InstanceState::leaving && age > memoryTime;
+        const bool isForgotten = entry.state == InstanceState::leaving && age > memoryTime;
 
-        if (forgotten)
+        if (isForgotten)
+        {
+            forgotten = std::max (forgotten, entry.revision);
             current.reset();
+        }
 
-        it = forgotten ? byId.erase (it) : std::next (it);
+        it = isForgotten ? byId.erase (it) : std::next (it);
     }
 }
 
+bool InstanceDirectory::changesSince (std::uint64_t revision,
+                                      std::vector<ListedInstance>& changes) const
+{
+    const bool whole = revision < forgotten;
+
+    for (const auto& [id, entry] : byId)
+        if (whole || entry.revision > revision)
+            changes.push_back (entry);
+
+    return ! whole;
+}
+
 DirectoryPointer InstanceDirectory::snapshot()
 {
     if (current != nullptr)
--- a/src/mesh/instance_directory.h
+++ b/src/mesh/instance_directory.h
@@ -83,9 +83,15 @@
 
     DirectoryPointer snapshot();
 
+    /** The entries that have changed after a revision, those that are gone among them.
+        @returns false when some of those were forgotten: then `changes` holds all that are known
+    */
+    bool changesSince (std::uint64_t revision, std::vector<ListedInstance>& changes) const;
+
 private:
     std::map<std::string, ListedInstance> byId;
-    DirectoryPointer current; /**< Null after a change. */
+    std::uint64_t forgotten = 0; /**< The latest revision of an entry that was forgotten. */
+    DirectoryPointer current;    /**< Null after a change. */
 };
 
 } // namespace copperlead::mesh
--- a/src/mesh/mesh_configuration.h
+++ b/src/mesh/mesh_configuration.h
@@ -35,6 +35,8 @@
 {
     std::string service;
     std::uint32_t weight = 1; /**< Relative to the other parts' weights. */
+
+    bool operator== (const WeightedService&) const = default;
 };
 
 struct Route
@@ -49,6 +51,7 @@
     int maxAttempts = 1;          /**< Instances that one request may be sent to. */
     std::vector<WeightedService> services;
 
+    bool operator== (const Route&) const = default;
     bool mayRepeat() const { return repeatability == Repeatability::idempotent; }
 };
 
--- /dev/null
+++ b/src/mesh/mesh_update.cc
@@ -0,0 +1,186 @@
+#include "mesh/mesh_update.h"
+
+#include <algorithm>
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/chrono.hpp>
+#include <cereal/types/map.hpp>
+#include <cereal/types/optional.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+#include <map>
+#include <sstream>
+
+#include "snapshot/compression.h"
+
+namespace copperlead::mesh
+{
+namespace
+{
+
+constexpr std::size_t largestUpdate = 64 << 20;
+constexpr std::size_t worthCompressing = 512;
+constexpr char plainMark = 'p', compressedMark = 'z';
+
+std::map<std::string_view, const Route*> byName (const std::vector<Route>& routes)
+{
+    std::map<std::string_view, const Route*> found;
+
+    for (const auto& route : routes)
+        found.emplace (route.name, &route);
+
+    return found;
+}
+
+} // namespace
+
+template <typename Archive>
+void serialize (Archive& archive, WeightedService& part)
+{
+    archive (part.service, part.weight);
+}
+
+template <typename Archive>
+void serialize (Archive& archive, Route& route)
+{
+    archive (route.name, route.host, route.pathPrefix, route.repeatability, route.timeout,
+             route.targetLatency, route.priority, route.maxAttempts, route.services);
+}
+
+template <typename Archive>
+void serialize (Archive& archive, ServiceSettings& service)
+{
+    archive (service.healthPath, service.maxConnections);
+}
+
+template <typename Archive>
+void serialize (Archive& archive, ClientLimits& limits)
+{
+    archive (limits.headerBytes, limits.bodyBytes, limits.headerTimeout, limits.idleTimeout);
+}
+
+template <typename Archive>
+void serialize (Archive& archive, MeshConfiguration& config)
+{
+    archive (config.version, config.routes, config.services, config.limits);
+}
+
+template <typename Archive>
+void serialize (Archive& archive, Instance& instance)
+{
+    archive (instance.id, instance.service, instance.zone, instance.address.ip,
+             instance.address.port, instance.slots, instance.draining, instance.createdAt);
+}
+
+template <typename Archive>
+void serialize (Archive& archive, InstanceChange& change)
+{
+    archive (change.instance, change.revision, change.gone, change.trusted);
+}
+
+template <typename Archive>
+void serialize (Archive& archive, ConfigurationChange& change)
+{
+    archive (change.revision, change.baseVersion, change.content, change.removedRoutes);
+}
+
+template <typename Archive>
+void serialize (Archive& archive, MeshUpdate& update)
+{
+    archive (update.complete, update.trusted, update.at, update.instances, update.configuration);
+}
+
+ConfigurationChange difference (const MeshConfiguration& base, const MeshConfiguration& next,
+                                std::uint64_t revision)
+{
+    ConfigurationChange change;
+    change.revision = revision;
+    change.baseVersion = base.version;
+    change.content.version = next.version;
+    change.content.services = next.services;
+    change.content.limits = next.limits;
+    auto earlier = byName (base.routes);
+
+    for (const auto& route : next.routes)
+    {
+        const auto found = earlier.find (route.name);
+
+        if (found == earlier.end() || ! (*found->second == route))
+            change.content.routes.push_back (route);
+
+        if (found != earlier.end())
+            earlier.erase (found);
+    }
+
+    for (const auto& [name, route] : earlier)
+        change.removedRoutes.emplace_back (name);
+
+    return change;
+}
+
+Result<MeshConfiguration> rebuild (const MeshConfiguration* base, ConfigurationChange change)
+{
+    if (change.baseVersion == 0)
+        return std::move (change.content);
+
+    if (base == nullptr || base->version != change.baseVersion)
+        return Fail (ErrorKind::kUnknownBase, "version " + std::to_string (change.content.version),
+                     "changes version " + std::to_string (change.baseVersion));
+
+    auto whole = std::move (change.content);
+    const auto changed = byName (whole.routes);
+    const auto& removed = change.removedRoutes;
+    std::vector<Route> kept;
+
+    for (const auto& route : base->routes)
+        if (! changed.contains (route.name) &&
+            std::find (removed.begin(), removed.end(), route.name) == removed.end())
+            kept.push_back (route);
+
+    whole.routes.insert (whole.routes.end(), std::make_move_iterator (kept.begin()),
+                         std::make_move_iterator (kept.end()));
+    return whole;
+}
+
+std::string encode (const MeshUpdate& update)
+{
+    std::ostringstream stream;
+    cereal::PortableBinaryOutputArchive archive (stream);
+    archive (update);
+    auto plain = std::move (stream).str();
+
+    if (plain.size() < worthCompressing)
+        return plainMark + plain;
+
+    return compressedMark + Compress (plain);
+}
+
+Result<MeshUpdate> decodeMeshUpdate (const std::string& bytes)
+{
+    if (bytes.empty() || (bytes[0] != plainMark && bytes[0] != compressedMark))
+        return Fail (ErrorKind::kBadFrame, "update", "unknown form");
+
+    auto plain = bytes.substr (1);
+
+    if (bytes[0] == compressedMark)
+    {
+        BOOST_LEAF_AUTO (expanded, Decompress (plain, largestUpdate));
+        plain = std::move (expanded);
+    }
+
+    MeshUpdate update;
+
+    try
+    {
+        std::istringstream stream (std::move (plain));
+        cereal::PortableBinaryInputArchive archive (stream);
+        archive (update);
+    }
+    catch (const std::exception& error)
+    {
+        return Fail (ErrorKind::kBadFrame, "update", error.what());
+    }
+
+    return update;
+}
+
+} // namespace copperlead::mesh
--- /dev/null
+++ b/src/mesh/mesh_update.h
@@ -0,0 +1,60 @@
+/** What changed at the discovery source, in the product's own types: from the source itself, or
+   from a node that has read it.
+*/
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/result.h"
+#include "mesh/instance_directory.h"
+#include "mesh/mesh_configuration.h"
+
+namespace copperlead::mesh
+{
+
+/** An instance's entry as it is now, or that it is gone. */
+struct InstanceChange
+{
+    Instance instance; /**< Only its id counts when it is gone. */
+    std::uint64_t revision = 0;
+    bool gone = false;
+    bool trusted = true; /**< Of one that is gone: the source was sound when its entry vanished. */
+};
+
+/** A later configuration: whole, or the routes in which it differs from an earlier version. */
+struct ConfigurationChange
+{
+    std::uint64_t revision = 0;
+    std::uint64_t baseVersion = 0; /**< 0: whole. */
+    MeshConfiguration content;     /**< Holds only added and changed routes unless whole. */
+    std::vector<std::string> removedRoutes;
+};
+
+struct MeshUpdate
+{
+    bool complete = false; /**< Holds every instance: those it lacks are gone. */
+    bool trusted = true;   /**< Of those that a complete update lacks. */
+    std::uint64_t at = 0;  /**< The source's revision up to which nothing is missing. */
+    std::vector<InstanceChange> instances;
+    std::optional<ConfigurationChange> configuration;
+};
+
+/** Finds what `next` changes against `base`. */
+ConfigurationChange difference (const MeshConfiguration& base, const MeshConfiguration& next,
+                                std::uint64_t revision);
+
+/** Rebuilds the whole configuration.
+    @returns kUnknownBase when `base` isn't the version that the change was made against
+*/
+Result<MeshConfiguration> rebuild (const MeshConfiguration* base, ConfigurationChange change);
+
+/** Codec of updates between nodes: cereal's portable binary form, compressed when that is shorter.
+ */
+std::string encode (const MeshUpdate& update);
+
+/** @returns kBadFrame or kOversized for damaged bytes */
+Result<MeshUpdate> decodeMeshUpdate (const std::string& bytes);
+
+} // namespace copperlead::mesh
--- /dev/null
+++ b/src/mesh/reader_role.h
@@ -0,0 +1,104 @@
+/** Decides whether a node reads the source itself or lives on what a reader of its zone passes on.
+    Deciding code without I/O.
+
+    There is no lock: nothing shared can be written. Every reader tells its zone that it reads and
+   up to which revision; of several, the best-ranked goes on and the others stop. A node reads
+   itself as soon as it hasn't been up to date with a sound reader for a while: because it hears
+   none, the readers are unsound, it can't get from them what they have, or another node's answers
+   show a later configuration. Two readers at once cost calls; none at all lasts no longer than
+   `patience`.
+*/
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <random>
+#include <string>
+
+#include "base/time.h"
+
+namespace copperlead::mesh
+{
+
+/** How readers are ranked: the stronger machine first, then by a hash that all nodes agree on. */
+struct ReaderRank
+{
+    int strength = 0;
+    std::uint64_t hash = 0;
+
+    bool betterThan (const ReaderRank& other) const
+    {
+        return strength != other.strength ? strength > other.strength : hash < other.hash;
+    }
+};
+
+/** What a reader tells its zone, some times a second and at each change. */
+struct ReaderBeat
+{
+    std::string node;
+    ReaderRank rank;
+    std::uint64_t at = 0;      /**< The source's revision that it has read up to. */
+    std::uint64_t version = 0; /**< Of the configuration that it runs. */
+    bool sound = false;        /**< It reaches the source and goes on reading. */
+};
+
+struct ReaderRoleSettings
+{
+    Milliseconds beatInterval{ 250 };
+    Milliseconds patience{ 700 };       /**< Without being up to date with a sound reader. */
+    Milliseconds patienceSpread{ 300 }; /**< So that not all begin to read at once. */
+    Milliseconds behindTime{ 400 };     /**< For which another node may show a later version. */
+    Milliseconds takeOverTime{ 2000 }; /**< After which a stronger node relieves a weaker reader. */
+};
+
+/** Not thread-safe. */
+class ReaderRole
+{
+public:
+    ReaderRole (std::string ownName, ReaderRank ownRank, const ReaderRoleSettings& settingsToUse,
+                std::uint64_t seed);
+
+    void heard (Timestamp now, const ReaderBeat& beat);
+
+    /** This node's state has changed. */
+    void reached (Timestamp now, std::uint64_t at, std::uint64_t version);
+
+    /** Another node's answer showed the version that it runs. */
+    void sawVersion (Timestamp now, std::uint64_t version);
+
+    /** Looks at what has been heard. @returns whether to read the source itself */
+    bool decide (Timestamp now);
+
+    bool reading() const { return isReading; }
+
+    /** The revision or version of a sound reader is later than this node's. */
+    bool behind() const { return heardAt > ownAt || heardVersion > ownVersion; }
+
+    /** When this node was last up to date with a sound reader. */
+    Timestamp satisfiedAt() const { return lastSatisfied; }
+
+private:
+    struct Heard
+    {
+        ReaderBeat beat;
+        Timestamp when;
+    };
+
+    void drawPatience();
+    void updateSatisfied (Timestamp now);
+    bool relieved (Timestamp now) const;
+
+    std::string name;
+    ReaderRank rank;
+    ReaderRoleSettings settings;
+    std::minstd_rand random;
+    std::map<std::string, Heard> readers;
+    std::uint64_t ownAt = 0, ownVersion = 0, heardAt = 0, heardVersion = 0;
+    std::uint64_t seenVersion = 0;
+    Timestamp seenLaterSince = Timestamp::max();
+    Timestamp lastSatisfied{}, weakerSince = Timestamp::max();
+    Milliseconds currentPatience{};
+    bool isReading = true; /**< At first everybody reads: nobody else is known. */
+};
+
+} // namespace copperlead::mesh
--- a/src/mesh/source_follower.cc
+++ b/src/mesh/source_follower.cc
@@ -14,7 +14,7 @@
 
 std::optional<SourceRequest> SourceFollower::poll (Timestamp now)
 {
-    if (out || now < due)
+    if (out || paused || now < due)
         return std::nullopt;
 
     out = true;
@@ -30,6 +30,22 @@
     return SourceRequest{ current, after, 0, Milliseconds (0), settings.listTime };
 }
 
+void SourceFollower::pause()
+{
+    paused = true;
+    out = false;
+}
+
+void SourceFollower::resume (Timestamp now, std::uint64_t revision)
+{
+    paused = false;
+    firstWatch = true;
+    due = now;
+    at = std::max (at, revision);
+    listed = listed || revision > 0;
+    pages.clear();
+}
+
 bool SourceFollower::hurry (Timestamp now)
 {
     if (! out || current != SourceCall::watch || now - sentAt < settings.hurryAfter)
@@ -42,6 +58,12 @@
 
 Timestamp SourceFollower::nextDue() const { return out ? Timestamp::max() : due; }
 
+bool SourceFollower::reached (Timestamp now) const
+{
+    return listed && ! paused && failures == 0 &&
+           now - successAt <= settings.watchWait + settings.answerTime;
+}
+
 bool SourceFollower::sound (Timestamp now) const { return failures == 0 && now >= unsoundUntil; }
 
 void SourceFollower::failed (Timestamp now)
--- a/src/mesh/source_follower.h
+++ b/src/mesh/source_follower.h
@@ -80,7 +80,7 @@
     Milliseconds answerTime{ 600 }; /**< Beyond the wait. */
     Milliseconds listTime{ 1200 };
     Milliseconds firstBackoff{ 100 };
-    Milliseconds longestBackoff{ 400 };
+    Milliseconds longestBackoff{ 800 };
     Milliseconds hurryAfter{ 200 };   /**< A watch younger than this may just be on its way. */
     Milliseconds unsoundTime{ 4000 }; /**< After a failure, absence isn't trusted for so long. */
 };
@@ -105,9 +105,22 @@
     */
     bool hurry (Timestamp now);
 
+    /** Drops the request that is out; poll() gives nothing until resume(). */
+    void pause();
+
+    /** Goes on from a revision that was reached by other means, 0 if none was. The first watch is
+        answered at once, so that the source is known to be reached.
+    */
+    void resume (Timestamp now, std::uint64_t revision);
+
     /** True while nothing has failed lately, so that an entry's absence can be trusted. */
     bool sound (Timestamp now) const;
 
+    /** True while the source answers: nothing is failing, and its last word is no older than a
+       watch may take.
+    */
+    bool reached (Timestamp now) const;
+
     bool hasListed() const { return listed; }
     bool failing() const { return failures > 0; }
     Timestamp lastSuccess() const { return successAt; }
@@ -120,6 +133,8 @@
     FollowerSettings settings;
     std::minstd_rand random;
     bool out = false;
+    bool paused = false;
+    bool firstWatch = false; /**< Since the resumption. */
     bool listed = false;
     SourceCall current = SourceCall::list;
     Timestamp due{}, sentAt{};
--- a/src/mesh/weighted_split.cc
+++ b/src/mesh/weighted_split.cc
@@ -4,18 +4,6 @@
 
 namespace copperlead::mesh
 {
-namespace
-{
-
-bool sameParts (const std::vector<WeightedService>& a, const std::vector<WeightedService>& b)
-{
-    return std::equal (a.begin(), a.end(), b.begin(), b.end(),
-                       [] (const auto& x, const auto& y)
-                       { return x.service == y.service && x.weight == y.weight; });
-}
-
-} // namespace
-
 std::size_t WeightedSplit::next (const Route& route)
 {
     if (route.services.size() == 1)
@@ -23,7 +11,7 @@
 
     auto& credits = byRoute[route.name];
 
-    if (! sameParts (credits.parts, route.services))
+    if (credits.parts != route.services)
         credits = { route.services, std::vector<std::int64_t> (route.services.size(), 0) };
 
     std::int64_t sum = 0;
--- a/src/sidecar/decision_log.h
+++ b/src/sidecar/decision_log.h
@@ -26,6 +26,7 @@
     settingsRefused,
     sourceLost,
     sourceRegained,
+    roleChanged,
     configurationTaken,
     configurationRefused,
     entryRefused,
--- a/src/sidecar/first_hop.h
+++ b/src/sidecar/first_hop.h
@@ -67,6 +67,9 @@
     /** Whether the word from the source is recent enough to deny that a route exists. */
     std::function<bool()> routesAreFresh;
 
+    /** The IPs of the nodes in a zone, without one. */
+    std::vector<std::string> peersIn (const std::string& zone, const std::string& without) const;
+
     std::size_t inFlight() const { return inFlightCount; }
     const FirstHopCounters& counters() const { return counts; }
 
--- a/src/sidecar/journey.cc
+++ b/src/sidecar/journey.cc
@@ -86,7 +86,8 @@
             self->onClientLeft();
     };
     // Holds the journey until its end: every other reference to it is weak.
-    hop->reactor->RunAt (deadline + deadlineGrace / 2, [self = shared_from_this()] { self->onDeadline(); });
+    hop->reactor->RunAt (deadline + deadlineGrace / 2,
+                         [self = shared_from_this()] { self->onDeadline(); });
 
     if (! startAttempt())
         end (503, "no instance");
--- /dev/null
+++ b/src/sidecar/relay.cc
@@ -0,0 +1,178 @@
+#include "sidecar/relay.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+#include "mesh/reader_beat_codec.h"
+#include "sidecar/messages.h"
+#include "sidecar/sockets.h"
+
+namespace copperlead::sidecar
+{
+namespace
+{
+
+constexpr Milliseconds pullTimeout{ 500 };
+
+ClientSettings pullClientSettings()
+{
+    ClientSettings settings;
+    settings.connectTimeout = Milliseconds (300);
+    settings.idleTime = Milliseconds (10'000);
+    settings.mostIdle = 1;
+    return settings;
+}
+
+mesh::ReaderRank rankOf (const RelaySettings& settings)
+{
+    return { settings.strength, XXH3_64bits (settings.node.data(), settings.node.size()) };
+}
+
+} // namespace
+
+Relay::Relay (std::shared_ptr<Reactor> reactorToUse, RelaySettings settingsToUse,
+              RelayHooks hooksToUse, std::shared_ptr<DecisionLog> logToUse)
+    : reactor (std::move (reactorToUse))
+    , settings (std::move (settingsToUse))
+    , hooks (std::move (hooksToUse))
+    , log (std::move (logToUse))
+    , role (settings.node, rankOf (settings), {}, rankOf (settings).hash)
+    , client (std::make_shared<HttpClient> (reactor, pullClientSettings()))
+{
+}
+
+Relay::~Relay()
+{
+    if (channel != nullptr)
+        channel->Close();
+}
+
+Result<Done> Relay::start()
+{
+    BOOST_LEAF_AUTO (socket, bindDatagram (settings.address));
+    channel = std::make_unique<DatagramChannel> (
+        *reactor, std::move (socket), datagramCounters,
+        [weak = weak_from_this()] (const SocketAddress& from, std::string_view datagram)
+        {
+            if (const auto self = weak.lock())
+                self->hear (from, datagram);
+        });
+    channel->Open();
+    return Done{};
+}
+
+void Relay::hear (const SocketAddress& from, std::string_view datagram)
+{
+    const auto heard = mesh::decodeReaderBeat (datagram);
+
+    if (! heard)
+        return;
+
+    ++counts.beatsHeard;
+    role.heard (SteadyClock().Now(), *heard);
+
+    if (heard->sound && (heard->at > ownAt || heard->version > ownVersion))
+        pull (from.ip);
+}
+
+void Relay::pull (const std::string& ip)
+{
+    if (pulling)
+        return;
+
+    pulling = true;
+    ++counts.pulls;
+    const auto version = std::exchange (wantsWhole, false) ? 0 : ownVersion;
+    const auto target =
+        std::string (changesPath) + std::to_string (ownAt) + "/" + std::to_string (version);
+    CallOptions options;
+    options.deadline = SteadyClock().Now() + pullTimeout;
+    const HeaderFields fields{ { "Host", ip } };
+    client->send ({ ip, settings.peerPort }, requestMessage ("GET", target, fields, {}), options,
+                  [weak = weak_from_this()] (CallResult result)
+                  {
+                      if (const auto self = weak.lock())
+                          self->onPulled (std::move (result));
+                  });
+}
+
+void Relay::onPulled (CallResult result)
+{
+    pulling = false;
+    const auto update = Resolve (
+        [&]() -> Result<mesh::MeshUpdate>
+        {
+            if (result.end != CallEnd::answered || result.head.status != 200)
+                return Fail (ErrorKind::kUnreachable, "changes", result.cause);
+
+            return mesh::decodeMeshUpdate (result.body);
+        });
+
+    if (update)
+        hooks.take (SteadyClock().Now(), update.value());
+    else
+        ++counts.failedPulls;
+}
+
+void Relay::reached (Timestamp now, std::uint64_t at, std::uint64_t version)
+{
+    ownAt = std::max (ownAt, at);
+    ownVersion = std::max (ownVersion, version);
+    role.reached (now, ownAt, ownVersion);
+}
+
+void Relay::sawVersion (std::uint64_t version) { role.sawVersion (SteadyClock().Now(), version); }
+
+void Relay::announce()
+{
+    const auto now = SteadyClock().Now();
+
+    if (role.reading() && hooks.sourceSound (now))
+        beat (true);
+}
+
+void Relay::beat (bool sound)
+{
+    if (resigned && sound)
+        return;
+
+    beatAt = SteadyClock().Now();
+    const auto bytes =
+        mesh::encode ({ settings.node, rankOf (settings), ownAt, ownVersion, sound });
+
+    for (const auto& ip : hooks.zonePeers())
+    {
+        ++counts.beatsSent;
+        channel->Send ({ ip, settings.address.port }, bytes);
+    }
+}
+
+void Relay::tick (Timestamp now)
+{
+    const bool reading = role.decide (now);
+
+    if (reading != wasReading)
+    {
+        wasReading = reading;
+        ++counts.roleChanges;
+        log->write (now, EventKind::roleChanged,
+                    { { "reading", reading ? "yes" : "no" },
+                      { "revision", static_cast<std::int64_t> (ownAt) },
+                      { "version", static_cast<std::int64_t> (ownVersion) } });
+        hooks.setReading (reading);
+    }
+
+    if (reading && now - beatAt >= mesh::ReaderRoleSettings{}.beatInterval)
+        beat (hooks.sourceSound (now));
+}
+
+void Relay::resign()
+{
+    if (role.reading())
+        beat (false);
+
+    resigned = true;
+}
+
+} // namespace copperlead::sidecar
--- /dev/null
+++ b/src/sidecar/relay.h
@@ -0,0 +1,98 @@
+/** Passes what the source told between the nodes of a zone: beats of the readers by datagram,
+   changes on request over HTTP. Runs a ReaderRole. Of the reactor's thread.
+*/
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "mesh/mesh_update.h"
+#include "mesh/reader_role.h"
+#include "sidecar/decision_log.h"
+#include "sidecar/http_client.h"
+#include "transport/datagram_channel.h"
+
+namespace copperlead::sidecar
+{
+
+/** Where nodes ask each other for changes: this, the revision and the version that they have. */
+inline constexpr std::string_view changesPath = "/copperlead/changes/";
+
+struct RelaySettings
+{
+    std::string node;
+    SocketAddress address;      /**< For beats; all nodes use the same port. */
+    std::uint16_t peerPort = 0; /**< On which nodes take requests for changes. */
+    int strength = 0;           /**< Of this machine, for the readers' rank. */
+};
+
+/** What the relay needs of its node. */
+struct RelayHooks
+{
+    std::function<void (Timestamp, mesh::MeshUpdate)> take;
+    std::function<void (bool reading)> setReading;
+    std::function<bool (Timestamp)> sourceSound;
+    std::function<std::vector<std::string>()> zonePeers; /**< IPs of the zone's other nodes. */
+};
+
+/** Counted since the start. */
+struct RelayCounters
+{
+    std::uint64_t beatsSent = 0, beatsHeard = 0, pulls = 0, failedPulls = 0, roleChanges = 0;
+};
+
+class Relay : public std::enable_shared_from_this<Relay>
+{
+public:
+    Relay (std::shared_ptr<Reactor> reactorToUse, RelaySettings settingsToUse,
+           RelayHooks hooksToUse, std::shared_ptr<DecisionLog> logToUse);
+    ~Relay();
+
+    /** @returns kBadAddress or kAddressInUse naming the address */
+    Result<Done> start();
+
+    /** This node's state is now up to date with this revision of the source and this version. */
+    void reached (Timestamp now, std::uint64_t at, std::uint64_t version);
+
+    /** Another node's answer showed the version that it runs. */
+    void sawVersion (std::uint64_t version);
+
+    /** The source told of changes: the zone hears of it at once. */
+    void announce();
+
+    /** To be called some times a second. */
+    void tick (Timestamp now);
+
+    /** A planned stop: another node is to read from now on. */
+    void resign();
+
+    /** The node can't use differences; asks for everything next. */
+    void wantWhole() { wantsWhole = true; }
+
+    bool reading() const { return role.reading(); }
+    Timestamp upToDateAt() const { return role.satisfiedAt(); }
+    const RelayCounters& counters() const { return counts; }
+
+private:
+    void hear (const SocketAddress& from, std::string_view datagram);
+    void pull (const std::string& ip);
+    void onPulled (CallResult result);
+    void beat (bool sound);
+
+    std::shared_ptr<Reactor> reactor;
+    RelaySettings settings;
+    RelayHooks hooks;
+    std::shared_ptr<DecisionLog> log;
+    mesh::ReaderRole role;
+    std::shared_ptr<HttpClient> client;
+    TransportCounters datagramCounters;
+    std::unique_ptr<DatagramChannel> channel;
+    RelayCounters counts;
+    std::uint64_t ownAt = 0, ownVersion = 0;
+    Timestamp beatAt{};
+    bool pulling = false, wantsWhole = false, resigned = false, wasReading = true;
+};
+
+} // namespace copperlead::sidecar
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -16,6 +16,7 @@
 constexpr Milliseconds tickInterval{ 250 };
 constexpr int ticksPerFileCheck = 4;
 constexpr Milliseconds freshWord{ 2500 }; // After which an unknown route may be a new one.
+constexpr double strongCpuShare = 0.2, strongLinkMbps = 50; // Of machines that should read.
 constexpr std::size_t hopHeadBytes = 65536;
 constexpr Milliseconds hopIdleTime{ 60'000 };
 constexpr Milliseconds platformNotices{ 3000 }; // Until no new client is sent here.
@@ -128,14 +129,19 @@
     {
         const auto self = weak.lock();
 
-        if (self != nullptr && version > self->configurations.version() && self->onBehind)
+        if (self == nullptr || version <= self->configurations.version())
+            return;
+
+        if (self->relay != nullptr)
+            self->relay->sawVersion (version);
+
+        if (self->onBehind)
             self->onBehind();
     };
     firstHop->routesAreFresh = [weak]
     {
         const auto self = weak.lock();
-        return self != nullptr && self->sourceStatus &&
-               now() - self->sourceStatus().lastSuccess < freshWord;
+        return self != nullptr && self->hasFreshWord();
     };
 
     BOOST_LEAF_CHECK (outbound->listen (settings.outbound));
@@ -145,6 +151,12 @@
     if (! settings.metrics.empty())
         BOOST_LEAF_CHECK (metrics->listen (settings.metrics));
 
+    if (! settings.relay.empty())
+    {
+        relay = makeRelay();
+        BOOST_LEAF_CHECK (relay->start());
+    }
+
     log->write (now(), EventKind::started,
                 { { "zone", settings.zone },
                   { "service", settings.service },
@@ -161,15 +173,68 @@
     return routes == nullptr ? mesh::ClientLimits{} : routes->configuration().limits;
 }
 
-void Sidecar::takeConfiguration (Timestamp at, mesh::MeshConfiguration configuration,
-                                 std::uint64_t revision)
+void Sidecar::takeUpdate (Timestamp at, mesh::MeshUpdate update)
+{
+    std::vector<std::string> listed;
+
+    for (auto& change : update.instances)
+    {
+        if (change.gone)
+        {
+            instances.remove (at, change.instance.id, change.revision, change.trusted);
+            continue;
+        }
+
+        listed.push_back (change.instance.id);
+        instances.put (at, std::move (change.instance), change.revision);
+    }
+
+    if (update.complete)
+        instances.removeAllBut (at, listed, update.at, update.trusted);
+
+    if (update.complete || ! update.instances.empty())
+        directoryChanged (at);
+
+    if (update.configuration)
+        takeConfiguration (at, std::move (*update.configuration));
+
+    sourceAt = std::max (sourceAt, update.at);
+
+    if (relay != nullptr)
+        relay->reached (at, sourceAt, configurations.version());
+}
+
+void Sidecar::announceUpdate()
+{
+    if (relay != nullptr)
+        relay->announce();
+}
+
+void Sidecar::takeConfiguration (Timestamp at, mesh::ConfigurationChange change)
 {
     const auto before = configurations.version();
-    const auto version = configuration.version;
-    const auto verdict = Resolve ([&] { return configurations.take (std::move (configuration)); });
+    const auto version = change.content.version;
+    const auto revision = change.revision;
+    const auto* base =
+        configurations.routes() == nullptr ? nullptr : &configurations.routes()->configuration();
+    const auto verdict = Resolve (
+        [&]() -> Result<mesh::ConfigurationVerdict>
+        {
+            if (version <= before)
+                return version == before ? mesh::ConfigurationVerdict::same
+                                         : mesh::ConfigurationVerdict::older;
+
+            BOOST_LEAF_AUTO (whole, mesh::rebuild (base, std::move (change)));
+            return configurations.take (std::move (whole));
+        });
 
     if (! verdict)
+    {
+        if (relay != nullptr && verdict.error().kind == ErrorKind::kUnknownBase)
+            relay->wantWhole();
+
         return refuseConfiguration (at, verdict.error(), revision);
+    }
 
     if (verdict.value() == mesh::ConfigurationVerdict::older)
         return refuseConfiguration (at,
@@ -216,8 +281,101 @@
     lastHop->setDirectory (at, *snapshot);
 }
 
+std::vector<std::string> Sidecar::zonePeers() const
+{
+    return firstHop->peersIn (settings.zone, settings.instance.ip);
+}
+
+std::shared_ptr<Relay> Sidecar::makeRelay()
+{
+    RelaySettings made;
+    made.node = settings.id;
+    made.address = settings.relay;
+    made.peerPort = settings.inbound.port;
+    made.strength = (settings.cpuShare >= strongCpuShare ? 1 : 0) +
+                    (settings.linkMbps >= strongLinkMbps ? 1 : 0);
+
+    const auto weak = weak_from_this();
+    RelayHooks hooks;
+    hooks.take = [weak] (Timestamp at, mesh::MeshUpdate update)
+    {
+        if (const auto self = weak.lock())
+            self->takeUpdate (at, std::move (update));
+    };
+    hooks.setReading = [weak] (bool reading)
+    {
+        const auto self = weak.lock();
+
+        if (self != nullptr && self->setReading)
+            self->setReading (reading, self->sourceAt);
+    };
+    hooks.sourceSound = [weak] (Timestamp)
+    {
+        const auto self = weak.lock();
+        return self != nullptr && self->sourceStatus && self->sourceStatus().sound;
+    };
+    hooks.zonePeers = [weak]
+    {
+        const auto self = weak.lock();
+        return self == nullptr ? std::vector<std::string>() : self->zonePeers();
+    };
+    return std::make_shared<Relay> (reactor, std::move (made), std::move (hooks), log);
+}
+
+bool Sidecar::hasFreshWord() const
+{
+    const auto at = now();
+    const bool own = sourceStatus && at - sourceStatus().lastSuccess < freshWord;
+    return own || (relay != nullptr && at - relay->upToDateAt() < freshWord);
+}
+
+void Sidecar::answerChanges (const ExchangePointer& exchange)
+{
+    const auto numbers = std::string_view (exchange->head.target).substr (changesPath.size());
+    const auto slash = numbers.find ('/');
+    std::uint64_t from = 0, version = 0;
+
+    if (slash == std::string_view::npos || ! ParseWholeNumber (numbers.substr (0, slash), from) ||
+        ! ParseWholeNumber (numbers.substr (slash + 1), version))
+        return exchange->respond (plainAnswer (400, "not a revision and a version"), true);
+
+    mesh::MeshUpdate update;
+    std::vector<mesh::ListedInstance> changes;
+    update.at = sourceAt;
+    update.complete = ! instances.changesSince (from, changes);
+
+    for (const auto& entry : changes)
+    {
+        const bool gone = entry.state != mesh::InstanceState::ready && ! entry.instance.draining;
+
+        if (! (gone && update.complete))
+            update.instances.push_back ({ entry.instance, entry.revision, gone,
+                                          entry.state != mesh::InstanceState::lapsed });
+    }
+
+    if (const auto& routes = configurations.routes();
+        routes != nullptr && routes->configuration().version > version)
+    {
+        const auto base = configurations.earlier (version);
+
+        if (base != nullptr)
+            update.configuration = mesh::difference (*base, routes->configuration(), sourceAt);
+        else
+            update.configuration =
+                mesh::ConfigurationChange{ sourceAt, 0, routes->configuration(), {} };
+    }
+
+    exchange->respond (
+        answerMessage (
+            { 200, {}, mesh::encode (update), exchange->mustClose(), exchange->isHead() }, {}),
+        exchange->mustClose());
+}
+
 void Sidecar::takeHopCall (const ExchangePointer& exchange)
 {
+    if (exchange->head.target.starts_with (changesPath))
+        return answerChanges (exchange);
+
     const auto facts = mesh::decodeHopRequest (onlyValue (exchange->head.fields, mesh::hopField));
 
     if (! facts)
@@ -254,8 +412,7 @@
 
 bool Sidecar::ready() const
 {
-    return stopAt == Timestamp{} && configurations.routes() != nullptr && sourceStatus &&
-           sourceStatus().listed;
+    return stopAt == Timestamp{} && configurations.routes() != nullptr && sourceAt > 0;
 }
 
 void Sidecar::answerReadiness (const ExchangePointer& exchange)
@@ -276,6 +433,10 @@
 {
     const auto at = now();
     lastHop->tick (at);
+
+    if (relay != nullptr)
+        relay->tick (at);
+
     log->flush();
 
     if (++ticks % ticksPerFileCheck == 0)
@@ -334,6 +495,10 @@
     const auto end = stopAt + settings.grace - killMargin - answerMargin;
     firstHop->setClosing (end);
     lastHop->setEnd (end);
+
+    if (relay != nullptr)
+        relay->resign();
+
     log->write (stopAt, EventKind::stopping,
                 { { "in_flight", static_cast<std::int64_t> (inFlight()) },
                   { "connections", static_cast<std::int64_t> (outbound->connections()) } });
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -13,6 +13,7 @@
 #include "sidecar/first_hop.h"
 #include "sidecar/http_server.h"
 #include "sidecar/last_hop.h"
+#include "sidecar/relay.h"
 #include "sidecar/sidecar_settings.h"
 
 namespace copperlead::sidecar
@@ -23,6 +24,7 @@
 {
     Timestamp lastSuccess{};
     bool listed = false;
+    bool sound = false; /**< Reached lately, and not failing. */
     std::uint64_t calls = 0;
 };
 
@@ -36,17 +38,21 @@
     /** Binds every address and starts. @returns kBadAddress or kAddressInUse naming the address */
     Result<Done> start();
 
-    // What the source tells. A configuration that isn't later than the running one is refused.
-    void takeConfiguration (Timestamp now, mesh::MeshConfiguration configuration,
-                            std::uint64_t revision);
+    /** Takes what the source told, or a node that has read it. A configuration that isn't later
+       than the running one is refused.
+    */
+    void takeUpdate (Timestamp now, mesh::MeshUpdate update);
+
+    /** After an update from the source itself: the zone's other nodes may want it. */
+    void announceUpdate();
     void refuseConfiguration (Timestamp now, const Error& error, std::uint64_t revision);
     void refuseEntry (Timestamp now, const std::string& key, const Error& error);
-    mesh::InstanceDirectory& directory() { return instances; }
-    /** After changes to the directory. */
-    void directoryChanged (Timestamp now);
 
     /** Another node runs a later version; asked to look at the source again. */
     std::function<void()> onBehind;
+
+    /** Whether to read the source, and the revision that was reached by other means. */
+    std::function<void (bool reading, std::uint64_t revision)> setReading;
     std::function<SourceStatus()> sourceStatus;
 
     /** Rereads the settings file and applies what can change while running. */
@@ -58,6 +64,12 @@
 
 private:
     void takeHopCall (const ExchangePointer& exchange);
+    void takeConfiguration (Timestamp now, mesh::ConfigurationChange change);
+    void directoryChanged (Timestamp now);
+    void answerChanges (const ExchangePointer& exchange);
+    std::vector<std::string> zonePeers() const;
+    std::shared_ptr<Relay> makeRelay();
+    bool hasFreshWord() const;
     void answerReadiness (const ExchangePointer& exchange);
     void answerMetrics (const ExchangePointer& exchange);
     mesh::ClientLimits clientLimits() const;
@@ -76,6 +88,8 @@
     mesh::InstanceDirectory instances;
     std::shared_ptr<LastHop> lastHop;
     std::shared_ptr<FirstHop> firstHop;
+    std::shared_ptr<Relay> relay; /**< Null when this node reads alone. */
+    std::uint64_t sourceAt = 0;   /**< The source's revision up to which nothing is missing. */
     std::shared_ptr<HttpServer> outbound, inbound, readiness, metrics;
     Timestamp stopAt{};
     std::function<void()> onStopped;
--- a/src/sidecar/sidecar_settings.cc
+++ b/src/sidecar/sidecar_settings.cc
@@ -36,6 +36,9 @@
         ("readiness-path", text()->default_value ("/readyz"), "PATH asked there")
         ("instance", text(), "IP:PORT of the instance on this machine (required)")
         ("source", text(), "IP:PORT of the configuration source (required)")
+        ("relay", text()->default_value (""), "IP:PORT, UDP, for beats between nodes; the port is the same on all; empty: each reads the source alone")
+        ("cpu-share", text()->default_value (""), "cores of this machine, 0.001 to 1024; empty: 1")
+        ("link-mbps", text()->default_value (""), "bandwidth of this machine, 0.001 to 1000000; empty: 1000")
         ("metrics", text()->default_value (""), "PORT/PATH for metrics, on the outbound IP")
         ("extra-slots", text()->default_value ("0"), "requests at the instance beyond its slots, 0 to 64")
         ("grace-s", text()->default_value (""), "seconds from SIGTERM until the kill, 1 to 3600; empty: 6")
@@ -145,6 +148,8 @@
     BOOST_LEAF_AUTO (window, values.number ("retry-window-s", 1, 3600, 10));
     BOOST_LEAF_ASSIGN (settings.retryRatio, values.number ("retry-ratio", 0, 10, 0.2));
     BOOST_LEAF_ASSIGN (settings.retrySlack, values.number ("retry-slack", 0, 1e6, 64));
+    BOOST_LEAF_ASSIGN (settings.cpuShare, values.number ("cpu-share", 0.001, 1024, 1));
+    BOOST_LEAF_ASSIGN (settings.linkMbps, values.number ("link-mbps", 0.001, 1e6, 1000));
     settings.grace = fromSeconds (grace);
     settings.drain = fromSeconds (drain / 1000);
     settings.retryWindow = fromSeconds (window);
@@ -197,6 +202,12 @@
     BOOST_LEAF_ASSIGN (settings.source, values.address ("source"));
     BOOST_LEAF_ASSIGN (settings.extraSlots, values.whole ("extra-slots", 0, mostExtraSlots));
     BOOST_LEAF_CHECK (readFigures (values, settings));
+
+    if (! values.text ("relay").empty())
+    {
+        BOOST_LEAF_ASSIGN (settings.relay, values.address ("relay"));
+    }
+
     BOOST_LEAF_CHECK (readMetrics (values, settings));
     settings.readinessPath = values.text ("readiness-path");
     readHeaderNames (values, settings.names);
--- a/src/sidecar/sidecar_settings.h
+++ b/src/sidecar/sidecar_settings.h
@@ -23,7 +23,9 @@
     std::string readinessPath;
     SocketAddress instance;
     SocketAddress source;
-    SocketAddress metrics; /**< Empty: none. */
+    SocketAddress relay;                  /**< For beats between nodes, UDP; empty: reads alone. */
+    SocketAddress metrics;                /**< Empty: none. */
+    double cpuShare = 1, linkMbps = 1000; /**< Of this machine; strong ones read the source. */
     std::string metricsPath;
     HeaderNames names;
     int extraSlots = 0;
--- a/src/sidecar/sockets.cc
+++ b/src/sidecar/sockets.cc
@@ -18,21 +18,34 @@
     setsockopt (socket.descriptor(), level, name, &value, sizeof (value));
 }
 
-} // namespace
-
-Result<Socket> listenOn (const SocketAddress& address)
+/** @returns a bound socket of the type; kBadAddress or kAddressInUse naming the address */
+Result<Socket> bindOn (const SocketAddress& address, int type)
 {
     const auto native = ToNative (address);
 
     if (! native)
         return Fail (ErrorKind::kBadAddress, ToString (address), "the IP must be numeric");
 
-    Socket made (
-        ::socket (native->storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-    setOption (made, SOL_SOCKET, SO_REUSEADDR, 1);
+    Socket made (::socket (native->storage.ss_family, type | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+
+    if (type == SOCK_STREAM)
+        setOption (made, SOL_SOCKET, SO_REUSEADDR, 1);
+
+    if (! made.open() || bind (made.descriptor(), native->pointer(), native->size) != 0)
+        return Fail (ErrorKind::kAddressInUse, ToString (address), std::strerror (errno));
+
+    return made;
+}
+
+} // namespace
+
+Result<Socket> bindDatagram (const SocketAddress& address) { return bindOn (address, SOCK_DGRAM); }
+
+Result<Socket> listenOn (const SocketAddress& address)
+{
+    BOOST_LEAF_AUTO (made, bindOn (address, SOCK_STREAM));
 
-    if (! made.open() || bind (made.descriptor(), native->pointer(), native->size) != 0 ||
-        ::listen (made.descriptor(), backlog) != 0)
+    if (::listen (made.descriptor(), backlog) != 0)
         return Fail (ErrorKind::kAddressInUse, ToString (address), std::strerror (errno));
 
     return made;
--- a/src/sidecar/sockets.h
+++ b/src/sidecar/sockets.h
@@ -12,6 +12,9 @@
 /** @returns a listening socket; kBadAddress or kAddressInUse naming the address */
 Result<Socket> listenOn (const SocketAddress& address);
 
+/** @returns a bound UDP socket; kBadAddress or kAddressInUse naming the address */
+Result<Socket> bindDatagram (const SocketAddress& address);
+
 void setNoDelay (const Socket& socket);
 
 /** Lets the connection fail when what was sent isn't acknowledged in time, or when a peer that
--- a/src/sidecar/source_reader.h
+++ b/src/sidecar/source_reader.h
@@ -50,6 +50,22 @@
 
     void start() { next(); }
 
+    /** Starts or stops reading. @param revision  reached by other means, 0 if none was */
+    void setActive (bool active, std::uint64_t revision)
+    {
+        if (active)
+        {
+            follower.resume (SteadyClock().Now(), revision);
+            return next();
+        }
+
+        follower.pause();
+        ++sent; // What comes of the call that is out no longer counts.
+
+        if (call != nullptr)
+            call->cancel();
+    }
+
     /** Another node runs a later version than this one. */
     void hurry()
     {
