--- a/src/mesh/source_follower.h
+++ b/src/mesh/source_follower.h
@@ -80,7 +80,7 @@
     Milliseconds answerTime{ 600 }; /**< Beyond the wait. */
     Milliseconds listTime{ 1200 };
     Milliseconds firstBackoff{ 100 };
-    Milliseconds longestBackoff{ 800 };
+    Milliseconds longestBackoff{ 400 };
     Milliseconds hurryAfter{ 200 };   /**< A watch younger than this may just be on its way. */
     Milliseconds unsoundTime{ 4000 }; /**< After a failure, absence isn't trusted for so long. */
 };
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -12,8 +12,8 @@
 #include "distribution/profiles.h"
 #include "node/agent_shell.h"
 #include "node/routing_feed.h"
-#include "source/source_client.h"
 #include "proxy/proxy_server.h"
+#include "source/source_client.h"
 #include "table/csv.h"
 #include "transport/transport.h"
 
--- a/src/sidecar/first_hop.h
+++ b/src/sidecar/first_hop.h
@@ -50,7 +50,10 @@
     /** Takes a client's request; its exchange is answered exactly once. */
     void take (const ExchangePointer& exchange);
 
-    void setRoutes (std::shared_ptr<const mesh::RouteTable> newRoutes) { routes = newRoutes; }
+    void setRoutes (std::shared_ptr<const mesh::RouteTable> newRoutes)
+    {
+        routes = std::move (newRoutes);
+    }
     void setDirectory (mesh::DirectoryPointer newDirectory);
     void setService (std::string service) { settings.service = std::move (service); }
 
--- a/src/sidecar/http_client.cc
+++ b/src/sidecar/http_client.cc
@@ -26,7 +26,7 @@
 CallPointer HttpClient::send (const SocketAddress& target, std::string message,
                               const CallOptions& options, std::function<void (CallResult)> callback)
 {
-    const auto call = std::make_shared<Call>();
+    auto call = std::make_shared<Call>();
     call->callback = std::move (callback);
     const auto name = ToString (target);
     auto connection = options.freshConnection ? nullptr : takeIdle (name);
@@ -63,7 +63,7 @@
     while (found != idle.end() && ! found->second.empty())
     {
         // The one used last is the one least likely to be closed by the server meanwhile.
-        const auto connection = std::move (found->second.back());
+        auto connection = std::move (found->second.back());
         found->second.pop_back();
 
         if (connection->usable (now))
--- a/src/sidecar/http_server.cc
+++ b/src/sidecar/http_server.cc
@@ -15,12 +15,12 @@
 namespace copperlead::sidecar
 {
 
-void Exchange::respond (std::string message, bool close)
+void Exchange::respond (const std::string& message, bool close)
 {
     onGone = nullptr;
 
     if (const auto open = connection.lock())
-        open->respond (*this, std::move (message), close || closeAfter);
+        open->respond (*this, message, close || closeAfter);
 
     connection.reset();
 }
--- a/src/sidecar/http_server.h
+++ b/src/sidecar/http_server.h
@@ -34,7 +34,7 @@
     /** Writes a whole message. Once; without effect when the client has left.
         @param close  the message says that the connection closes
     */
-    void respond (std::string message, bool close);
+    void respond (const std::string& message, bool close);
 
     /** True when the connection can't be kept, whatever the answer says. */
     bool mustClose() const { return closeAfter; }
--- a/src/sidecar/journey.cc
+++ b/src/sidecar/journey.cc
@@ -150,10 +150,10 @@
 void Journey::sendLocal (std::size_t index, HopCall call)
 {
     const auto id = hop->lastHop->start (std::move (call),
-                                         [weak = weak_from_this(), index] (HopAnswer answer)
+                                         [weak = weak_from_this(), index] (const HopAnswer& answer)
                                          {
                                              if (const auto self = weak.lock())
-                                                 self->onAnswer (index, std::move (answer));
+                                                 self->onAnswer (index, answer);
                                          });
     attempts[index].local = id;
 }
@@ -206,7 +206,7 @@
         hop->chooser.shun (now(), attempts[index].choice.instance.id, downShun);
     }
 
-    onAnswer (index, std::move (answer));
+    onAnswer (index, answer);
 }
 
 void Journey::avoid (const Attempt& attempt, const HopAnswer& answer)
@@ -292,7 +292,7 @@
     return known;
 }
 
-void Journey::onAnswer (std::size_t index, HopAnswer answer)
+void Journey::onAnswer (std::size_t index, const HopAnswer& answer)
 {
     if (done)
         return;
@@ -307,7 +307,7 @@
     if (step != NextStep::passOn || outcome != AttemptOutcome::answered)
         logAttempt (attempts[index], answer, outcome, step);
 
-    follow (step, outcome, std::move (answer));
+    follow (step, outcome, answer);
 }
 
 bool Journey::anyActive() const
@@ -315,7 +315,7 @@
     return std::any_of (attempts.begin(), attempts.end(), [] (const auto& a) { return a.active; });
 }
 
-void Journey::follow (NextStep step, AttemptOutcome outcome, HopAnswer answer)
+void Journey::follow (NextStep step, AttemptOutcome outcome, const HopAnswer& answer)
 {
     if (step == NextStep::passOn && outcome == AttemptOutcome::answered)
         return passOn (answer);
--- a/src/sidecar/journey.h
+++ b/src/sidecar/journey.h
@@ -40,9 +40,9 @@
     void sendLocal (std::size_t index, HopCall call);
     void sendRemote (std::size_t index, HopCall call);
     void onRemote (std::size_t index, CallResult result);
-    void onAnswer (std::size_t index, HopAnswer answer);
+    void onAnswer (std::size_t index, const HopAnswer& answer);
     mesh::AttemptOutcome learn (std::size_t index, const HopAnswer& answer);
-    void follow (mesh::NextStep step, mesh::AttemptOutcome outcome, HopAnswer answer);
+    void follow (mesh::NextStep step, mesh::AttemptOutcome outcome, const HopAnswer& answer);
     mesh::RetryFacts facts() const;
     void avoid (const Attempt& attempt, const HopAnswer& answer);
     void armHedge();
--- a/src/sidecar/last_hop.cc
+++ b/src/sidecar/last_hop.cc
@@ -399,7 +399,7 @@
     options.freshConnection = true;
     const HeaderFields fields{ { "Host", ToString (settings.instanceAddress) } };
     client->send (settings.instanceAddress, requestMessage ("GET", healthPath, fields, {}), options,
-                  [weak = weak_from_this()] (CallResult result)
+                  [weak = weak_from_this()] (const CallResult& result)
                   {
                       if (const auto self = weak.lock())
                       {
--- a/src/sidecar/relay.cc
+++ b/src/sidecar/relay.cc
@@ -90,27 +90,29 @@
     options.deadline = SteadyClock().Now() + pullTimeout;
     const HeaderFields fields{ { "Host", ip } };
     client->send ({ ip, settings.peerPort }, requestMessage ("GET", target, fields, {}), options,
-                  [weak = weak_from_this()] (CallResult result)
+                  [weak = weak_from_this()] (const CallResult& result)
                   {
                       if (const auto self = weak.lock())
-                          self->onPulled (std::move (result));
+                          self->onPulled (result);
                   });
 }
 
-void Relay::onPulled (CallResult result)
+void Relay::onPulled (const CallResult& result)
 {
     pulling = false;
-    const auto update = Resolve (
-        [&]() -> Result<mesh::MeshUpdate>
+    mesh::MeshUpdate update;
+    const auto taken = Resolve (
+        [&]() -> Result<Done>
         {
             if (result.end != CallEnd::answered || result.head.status != 200)
                 return Fail (ErrorKind::kUnreachable, "changes", result.cause);
 
-            return mesh::decodeMeshUpdate (result.body);
+            BOOST_LEAF_ASSIGN (update, mesh::decodeMeshUpdate (result.body));
+            return Done{};
         });
 
-    if (update)
-        hooks.take (SteadyClock().Now(), update.value());
+    if (taken)
+        hooks.take (SteadyClock().Now(), std::move (update));
     else
         ++counts.failedPulls;
 }
--- a/src/sidecar/relay.h
+++ b/src/sidecar/relay.h
@@ -78,7 +78,7 @@
 private:
     void hear (const SocketAddress& from, std::string_view datagram);
     void pull (const std::string& ip);
-    void onPulled (CallResult result);
+    void onPulled (const CallResult& result);
     void beat (bool sound);
 
     std::shared_ptr<Reactor> reactor;
--- a/src/sidecar/server_connection.cc
+++ b/src/sidecar/server_connection.cc
@@ -210,7 +210,7 @@
     write();
 }
 
-void ServerConnection::respond (const Exchange& answered, std::string message, bool close)
+void ServerConnection::respond (const Exchange& answered, const std::string& message, bool close)
 {
     if (state != State::answering || exchange.get() != &answered)
         return;
--- a/src/sidecar/server_connection.h
+++ b/src/sidecar/server_connection.h
@@ -20,7 +20,7 @@
     ~ServerConnection();
 
     void start();
-    void respond (const Exchange& exchange, std::string message, bool close);
+    void respond (const Exchange& answered, const std::string& message, bool close);
     void close();
 
     /** No request is being read or answered. */
--- a/src/source/source_client.cc
+++ b/src/source/source_client.cc
@@ -6,8 +6,8 @@
 #include <optional>
 #include <thread>
 
-#include "source/bounded_get.h"
 #include "snapshot/source_documents.h"
+#include "source/bounded_get.h"
 
 namespace copperlead {
 namespace {
--- a/src/standin/instance.cc
+++ b/src/standin/instance.cc
@@ -57,8 +57,7 @@
   listener_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const int on = 1;
   setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-  if (bind(listener_, native.get(), native.length) != 0 ||
-      listen(listener_, kBacklog) != 0) {
+  if (bind(listener_, native.get(), native.length) != 0 || listen(listener_, kBacklog) != 0) {
     close(listener_);
     listener_ = -1;
     return false;
@@ -289,11 +288,11 @@
   const auto number = [](std::uint32_t value) {
     return program_options::value<std::uint32_t>()->default_value(value);
   };
-  description.add_options()                                                          //
-      ("listen", text()->default_value("127.0.0.1:0"), "IP:PORT of the instance")    //
-      ("id", text()->required(), "id of this incarnation")                           //
-      ("slots", number(6), "requests worked on at a time")                           //
-      ("work-ms", number(5), "work of a request")                                    //
+  description.add_options()                                                        //
+      ("listen", text()->default_value("127.0.0.1:0"), "IP:PORT of the instance")  //
+      ("id", text()->required(), "id of this incarnation")                         //
+      ("slots", number(6), "requests worked on at a time")                         //
+      ("work-ms", number(5), "work of a request")                                  //
       ("fault", text()->default_value("none"),
        "none, lost, cut, extra, unframed, unsigned, error, shed, closing or silent");
   program_options::variables_map values;
--- a/src/standin/store.cc
+++ b/src/standin/store.cc
@@ -52,9 +52,9 @@
 
 std::optional<StoreTrouble> TroubleNamed(const std::string& name) {
   static const std::map<std::string, StoreTrouble> troubles = {
-      {"none", StoreTrouble::kNone},     {"busy", StoreTrouble::kBusy},
-      {"many", StoreTrouble::kMany},     {"reset", StoreTrouble::kReset},
-      {"silent", StoreTrouble::kSilent}, {"slow", StoreTrouble::kSlow},
+      {"none", StoreTrouble::kNone},      {"busy", StoreTrouble::kBusy},
+      {"many", StoreTrouble::kMany},      {"reset", StoreTrouble::kReset},
+      {"silent", StoreTrouble::kSilent},  {"slow", StoreTrouble::kSlow},
       {"garbled", StoreTrouble::kGarbled}};
   const auto found = troubles.find(name);
   if (found == troubles.end()) return std::nullopt;
@@ -284,9 +284,9 @@
   namespace program_options = boost::program_options;
   program_options::options_description description("copperlead-standin store");
   const auto text = [] { return program_options::value<std::string>(); };
-  description.add_options()                                                               //
-      ("listen", text()->default_value("127.0.0.1:0"), "IP:PORT of listener 0")           //
-      ("second-listen", text()->default_value("127.0.0.1:0"), "IP:PORT of listener 1")    //
+  description.add_options()                                                             //
+      ("listen", text()->default_value("127.0.0.1:0"), "IP:PORT of listener 0")         //
+      ("second-listen", text()->default_value("127.0.0.1:0"), "IP:PORT of listener 1")  //
       ("control", text()->default_value("127.0.0.1:0"), "IP:PORT of the control path");
   program_options::variables_map values;
   if (const auto code = ParseOptions(arguments, description, values)) return *code;
--- a/tests/integration/mesh_fleet.cc
+++ b/tests/integration/mesh_fleet.cc
@@ -68,6 +68,7 @@
     : outbound_port_(FreePort()),
       inbound_port_(FreePort()),
       readiness_port_(FreePort()),
+      relay_port_(FreePort()),
       folder_(NewFolder()) {
   store_.AddHandlers(first_.server(), 0);
   store_.AddHandlers(second_.server(), 1);
@@ -148,6 +149,7 @@
                                       "X-Not-Executed",
                                       "--header-caller",
                                       "X-Caller-Service"};
+  if (relay_) command.insert(command.end(), {"--relay", address(relay_port_)});
   command.insert(command.end(), flags.begin(), flags.end());
   machine.sidecar = std::make_unique<ChildProcess>(command, machine.log);
 }
--- a/tests/integration/mesh_fleet.h
+++ b/tests/integration/mesh_fleet.h
@@ -45,6 +45,8 @@
   // Adds a machine whose instance serves `service`; the instance runs and is listed at once.
   MeshMachine& Add(const std::string& service, const std::string& zone = "ank-a",
                    std::size_t store_listener = 0);
+  // Sidecars that are started from now on pass the store's changes on in their zone.
+  void UseRelay() { relay_ = true; }
   // Starts the sidecar; it is not waited for.
   void Start(MeshMachine& machine, const std::vector<std::string>& flags = {});
   // Starts all sidecars and waits until they are ready. @return false when they aren't in time.
@@ -72,6 +74,8 @@
   std::uint16_t outbound_port_ = 0;
   std::uint16_t inbound_port_ = 0;
   std::uint16_t readiness_port_ = 0;
+  std::uint16_t relay_port_ = 0;
+  bool relay_ = false;
   std::string folder_;
   std::vector<std::unique_ptr<MeshMachine>> machines_;
 };
--- /dev/null
+++ b/tests/integration/mesh_relay_test.cc
@@ -0,0 +1,102 @@
+// Sidecars of one zone that pass the store's changes on.
+#include <gtest/gtest.h>
+
+#include <thread>
+
+#include "tests/integration/mesh_fleet.h"
+#include "tests/integration/process_harness.h"
+
+namespace copperlead::standin {
+namespace {
+
+constexpr auto kInForce = std::chrono::milliseconds(2000);
+constexpr auto kSettled = std::chrono::milliseconds(3000);
+
+// Four machines of one zone; the first reads listener 0 of the store, the others listener 1.
+class MeshRelay : public ::testing::Test {
+ protected:
+  void SetUp() override {
+    fleet_.UseRelay();
+    fleet_.Configure(4);
+    fleet_.Add("desk", "ank-a", 0);
+    for (int more = 0; more < 2; ++more) fleet_.Add("desk", "ank-a", 1);
+    fleet_.Add("hub", "ank-a", 1);
+    // The strong machine reads once all have settled.
+    fleet_.Start(*fleet_.machines()[0], {"--cpu-share", "1"});
+    for (std::size_t index = 1; index < 4; ++index) {
+      fleet_.Start(*fleet_.machines()[index], {"--cpu-share", "0.1"});
+    }
+    for (const auto& machine : fleet_.machines()) ASSERT_TRUE(fleet_.AwaitReady(*machine));
+    std::this_thread::sleep_for(kSettled);
+  }
+
+  // @return whether the machines from `first` on serve `path` in time.
+  bool Served(const std::string& path, std::size_t first = 0) {
+    const auto until = std::chrono::steady_clock::now() + kInForce;
+    for (std::size_t index = first; index < 4;) {
+      MeshRequest request;
+      request.path = path;
+      request.id = "r-" + std::to_string(++sent_);
+      if (fleet_.Call(*fleet_.machines()[index], request).status == 200) {
+        ++index;
+        continue;
+      }
+      if (std::chrono::steady_clock::now() > until) return false;
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    return true;
+  }
+
+  MeshFleet fleet_;
+  int sent_ = 0;
+};
+
+TEST_F(MeshRelay, OneReaderCarriesTheChangesForItsZone) {
+  const auto before = fleet_.store().calls(1);
+  for (std::uint64_t version = 5; version < 15; ++version) {
+    const std::string name = "new" + std::to_string(version);
+    fleet_.Configure(version, ExtraRoute(name, "/" + name + "/", "hub"));
+    EXPECT_TRUE(Served("/" + name + "/1"));
+  }
+  // Three other machines with watches of their own would have made 30 calls and more.
+  EXPECT_LE(fleet_.store().calls(1) - before, 3U);
+}
+
+TEST_F(MeshRelay, AKilledReaderIsReplacedInTime) {
+  fleet_.machines()[0]->sidecar->Signal(SIGKILL);
+  fleet_.Configure(5, ExtraRoute("new", "/new/", "hub"));
+  EXPECT_TRUE(Served("/new/1", 1));
+}
+
+TEST_F(MeshRelay, APausedReaderIsReplacedInTime) {
+  const Paused paused(*fleet_.machines()[0]->sidecar);
+  fleet_.Configure(5, ExtraRoute("new", "/new/", "hub"));
+  EXPECT_TRUE(Served("/new/1", 1));
+}
+
+TEST_F(MeshRelay, AReaderThatTheStoreRefusesIsRelievedAndKeptUpToDate) {
+  fleet_.store().SetFault(0, {StoreTrouble::kBusy, {}});
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  fleet_.Configure(5, ExtraRoute("new", "/new/", "hub"));
+  EXPECT_TRUE(Served("/new/1", 0));
+}
+
+TEST_F(MeshRelay, ARestartedNodeThatTheStoreRefusesLearnsFromItsZone) {
+  fleet_.store().SetFault(1, {StoreTrouble::kMany, {}});
+  MeshMachine& machine = *fleet_.machines()[1];
+  machine.sidecar->Signal(SIGKILL);
+  machine.sidecar->Wait(std::chrono::seconds(5));
+  fleet_.Start(machine, {"--cpu-share", "0.1"});
+  EXPECT_TRUE(fleet_.AwaitReady(machine));
+  EXPECT_TRUE(Served("/look/1", 1));
+}
+
+TEST_F(MeshRelay, AStoppedReaderHandsOverWithoutADelay) {
+  fleet_.machines()[0]->sidecar->Signal(SIGTERM);
+  std::this_thread::sleep_for(std::chrono::milliseconds(800));
+  fleet_.Configure(5, ExtraRoute("new", "/new/", "hub"));
+  EXPECT_TRUE(Served("/new/1", 1));
+}
+
+}  // namespace
+}  // namespace copperlead::standin
--- a/tests/integration/two_hops_test.cc
+++ b/tests/integration/two_hops_test.cc
@@ -184,15 +184,17 @@
   std::atomic<int> served{0};
   for (int client = 0; client < 40; ++client) {
     clients.emplace_back([&, client] {
-      // What may run only once, so that no cancelled attempt frees a slot before its instance knows.
+      // What may run only once, so that no cancelled attempt frees a slot before its instance
+      // knows.
       MeshRequest request;
       request.method = "POST";
       request.path = "/buy/1";
       request.id = "many-" + std::to_string(client);
-      served += fleet_.Call(*fleet_.machines()[static_cast<std::size_t>(client) % 3], request)
-                        .status == 200
-                    ? 1
-                    : 0;
+      served +=
+          fleet_.Call(*fleet_.machines()[static_cast<std::size_t>(client) % 3], request).status ==
+                  200
+              ? 1
+              : 0;
     });
   }
   for (auto& client : clients) client.join();
--- /dev/null
+++ b/tests/mesh/mesh_update_test.cc
@@ -0,0 +1,116 @@
+#include "mesh/mesh_update.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "tests/mesh/fixtures.h"
+
+namespace copperlead::mesh::test
+{
+namespace
+{
+
+std::vector<Route> sorted (std::vector<Route> routes)
+{
+    std::sort (routes.begin(), routes.end(),
+               [] (const Route& a, const Route& b) { return a.name < b.name; });
+    return routes;
+}
+
+TEST (MeshUpdate, ADifferenceHoldsOnlyWhatChangedAndRebuildsTheWhole)
+{
+    const auto base = makeConfiguration (4);
+    auto next = makeConfiguration (9);
+    next.routes[0].timeout = Milliseconds (900);
+    next.routes[1] = makeRoute ("added", "/added/");
+    next.limits.idleTimeout = Milliseconds (77);
+    const auto change = difference (base, next, 12);
+    EXPECT_EQ (change.content.routes.size(), 2U);
+    EXPECT_EQ (change.removedRoutes, std::vector<std::string>{ "deep" });
+
+    const auto whole = Resolve ([&] { return rebuild (&base, change); });
+    ASSERT_TRUE (whole);
+    EXPECT_EQ (sorted (whole.value().routes), sorted (next.routes));
+    EXPECT_EQ (whole.value().limits.idleTimeout, Milliseconds (77));
+    EXPECT_EQ (whole.value().version, 9U);
+}
+
+TEST (MeshUpdate, ADifferenceAgainstAnotherVersionIsRefused)
+{
+    const auto change = difference (makeConfiguration (4), makeConfiguration (9), 12);
+    const auto other = makeConfiguration (5);
+
+    for (const auto* base : { static_cast<const MeshConfiguration*> (nullptr), &other })
+    {
+        const auto whole = Resolve ([&] { return rebuild (base, change); });
+        ASSERT_FALSE (whole);
+        EXPECT_EQ (whole.error().kind, ErrorKind::kUnknownBase);
+    }
+}
+
+MeshUpdate largeUpdate()
+{
+    MeshUpdate update;
+    update.complete = true;
+    update.at = 31;
+    update.instances = { { makeInstance ("a", "z1", 1), 7, false, true },
+                         { makeInstance ("b", "z1", 2), 9, true, false } };
+    auto config = makeConfiguration (9);
+
+    for (int route = 0; route < 300; ++route)
+        config.routes.push_back (
+            makeRoute ("idle-" + std::to_string (route), "/idle/" + std::to_string (route) + "/"));
+
+    update.configuration = ConfigurationChange{ 12, 0, config, {} };
+    return update;
+}
+
+TEST (MeshUpdate, ComesBackAsItWasAndIsSmall)
+{
+    const auto update = largeUpdate();
+    const auto bytes = encode (update);
+    EXPECT_LT (bytes.size(), 8000U);
+    const auto read = Resolve ([&] { return decodeMeshUpdate (bytes); });
+    ASSERT_TRUE (read);
+    EXPECT_TRUE (read.value().complete);
+    EXPECT_EQ (read.value().at, 31U);
+    ASSERT_EQ (read.value().instances.size(), 2U);
+    EXPECT_EQ (read.value().instances[0].instance.address, update.instances[0].instance.address);
+    EXPECT_TRUE (read.value().instances[1].gone);
+    EXPECT_FALSE (read.value().instances[1].trusted);
+    EXPECT_EQ (read.value().configuration->content.routes, update.configuration->content.routes);
+}
+
+TEST (MeshUpdate, DamagedBytesAreRefused)
+{
+    auto bytes = encode (largeUpdate());
+    const auto refused = [] (const std::string& damaged)
+    { return ! Resolve ([&] { return decodeMeshUpdate (damaged); }); };
+    EXPECT_TRUE (refused (""));
+    EXPECT_TRUE (refused ("x" + bytes));
+    EXPECT_TRUE (refused (bytes.substr (0, bytes.size() / 2)));
+    EXPECT_TRUE (refused (encode (MeshUpdate{}).substr (0, 4)));
+}
+
+TEST (InstanceDirectory, TellsWhatChangedSinceARevisionUntilItForgets)
+{
+    InstanceDirectory directory;
+    directory.put (at (0), makeInstance ("a", "z1", 1), 5);
+    directory.put (at (0), makeInstance ("b", "z1", 2), 6);
+    directory.remove (at (1), "b", 8, true);
+    std::vector<ListedInstance> changes;
+    EXPECT_TRUE (directory.changesSince (6, changes));
+    ASSERT_EQ (changes.size(), 1U);
+    EXPECT_EQ (changes[0].instance.id, "b");
+
+    directory.advance (at (40'000));
+    changes.clear();
+    EXPECT_FALSE (directory.changesSince (6, changes)); // It can't know that b is gone.
+    changes.clear();
+    EXPECT_TRUE (directory.changesSince (8, changes));
+    EXPECT_TRUE (changes.empty());
+}
+
+} // namespace
+} // namespace copperlead::mesh::test
--- /dev/null
+++ b/tests/mesh/reader_role_test.cc
@@ -0,0 +1,145 @@
+#include "mesh/reader_role.h"
+
+#include <gtest/gtest.h>
+
+#include "mesh/reader_beat_codec.h"
+#include "tests/mesh/fixtures.h"
+
+namespace copperlead::mesh::test
+{
+namespace
+{
+
+constexpr ReaderRank own{ 1, 50 }, better{ 1, 10 }, worse{ 1, 90 }, stronger{ 2, 90 },
+    weaker{ 0, 1 };
+
+ReaderBeat beat (ReaderRank rank, std::uint64_t revision = 5, bool sound = true)
+{
+    return { "other", rank, revision, 3, sound };
+}
+
+/** A node that has reached revision 5 and version 3. */
+class Role : public ::testing::Test
+{
+protected:
+    Role() { role.reached (at (0), 5, 3); }
+
+    /** Hears the beat each 250 ms. @returns whether the node reads at the end */
+    bool hear (const ReaderBeat& heard, std::int64_t from, std::int64_t until)
+    {
+        bool reading = role.reading();
+
+        for (auto now = from; now <= until; now += 250)
+        {
+            role.heard (at (now), heard);
+            reading = role.decide (at (now));
+        }
+
+        return reading;
+    }
+
+    /** @returns the time from which on the node reads, though it hears nothing */
+    std::int64_t readsFrom (std::int64_t now)
+    {
+        while (! role.decide (at (now)) && now < 60'000)
+            now += 50;
+
+        return now;
+    }
+
+    ReaderRole role{ "self", own, {}, 7 };
+};
+
+TEST_F (Role, ReadsWhileItKnowsOfNobody)
+{
+    EXPECT_TRUE (role.decide (at (0)));
+    EXPECT_TRUE (role.decide (at (5000)));
+}
+
+TEST_F (Role, StopsForABetterReaderAndOnlyForABetterOne)
+{
+    EXPECT_TRUE (hear (beat (worse), 0, 1000));
+    EXPECT_TRUE (hear (beat (weaker), 1000, 2000));
+    EXPECT_FALSE (hear (beat (better), 2000, 2250));
+}
+
+TEST_F (Role, DoesNotStopForAReaderThatItHasNotCaughtUpWith)
+{
+    EXPECT_TRUE (hear (beat (better, 9), 0, 500));
+    EXPECT_TRUE (role.behind());
+    role.reached (at (500), 9, 3);
+    EXPECT_FALSE (hear (beat (better, 9), 500, 750));
+}
+
+TEST_F (Role, ReadsAgainSoonAfterTheReaderFallsSilent)
+{
+    ASSERT_FALSE (hear (beat (better), 0, 1000));
+    const auto from = readsFrom (1000);
+    EXPECT_GE (from, 1700);
+    EXPECT_LE (from, 2050);
+}
+
+TEST_F (Role, ReadsAgainAtOnceWhenTheReaderSaysThatItCannot)
+{
+    ASSERT_FALSE (hear (beat (better), 0, 1000));
+    role.heard (at (1000), beat (better, 5, false));
+    EXPECT_LE (readsFrom (1000), 1350);
+}
+
+TEST_F (Role, ReadsWhenItCannotCatchUpWithTheReader)
+{
+    ASSERT_FALSE (hear (beat (better), 0, 1000));
+    EXPECT_TRUE (hear (beat (better, 9), 1250, 2500));
+}
+
+TEST_F (Role, ReadsWhenAnotherNodeShowsALaterVersionForAWhile)
+{
+    ASSERT_FALSE (hear (beat (better), 0, 1000));
+    role.sawVersion (at (1000), 4);
+    EXPECT_FALSE (hear (beat (better), 1000, 1250));
+    EXPECT_TRUE (hear (beat (better), 1500, 1500));
+    role.reached (at (1600), 6, 4);
+    EXPECT_FALSE (hear (beat (better, 6), 1600, 1850));
+}
+
+TEST_F (Role, RelievesAWeakerReaderAfterAWhile)
+{
+    ReaderRole strong{ "self", stronger, {}, 7 };
+    strong.reached (at (0), 5, 3);
+    strong.heard (at (0), beat ({ 3, 1 }));
+    ASSERT_FALSE (strong.decide (at (0)));
+    bool reading = false;
+
+    for (int now = 250; now <= 3500; now += 250)
+    {
+        strong.heard (at (now), beat (weaker));
+        reading = strong.decide (at (now));
+        EXPECT_TRUE (now > 2000 || ! reading) << now;
+    }
+
+    EXPECT_TRUE (reading);
+}
+
+TEST_F (Role, ItsOwnBeatTeachesNothing)
+{
+    auto echoed = beat (better);
+    echoed.node = "self";
+    EXPECT_TRUE (hear (echoed, 0, 1000));
+}
+
+TEST (ReaderBeatCodec, ComesBackAndStrayDatagramsAreRefused)
+{
+    const auto bytes = encode (beat (better, 77));
+    const auto read = decodeReaderBeat (bytes);
+    ASSERT_TRUE (read);
+    EXPECT_EQ (read->at, 77U);
+    EXPECT_EQ (read->rank.hash, better.hash);
+    EXPECT_TRUE (read->sound);
+
+    for (const auto& stray : { std::string(), std::string ("hello, who is there?"),
+                               bytes.substr (0, bytes.size() - 1), "x" + bytes })
+        EXPECT_FALSE (decodeReaderBeat (stray));
+}
+
+} // namespace
+} // namespace copperlead::mesh::test
--- a/tests/platform_adapter/store_dialect_test.cc
+++ b/tests/platform_adapter/store_dialect_test.cc
@@ -84,7 +84,7 @@
     EXPECT_EQ (dialect.target (list), "/v1/kv-range?path_prefix=");
     list.afterKey = "servers/a b&c";
     EXPECT_EQ (dialect.target (list), "/v1/kv-range?path_prefix=&after=servers/a%20b%26c");
-    mesh::SourceRequest watch { mesh::SourceCall::watch, {}, 41, Milliseconds (1500), {} };
+    mesh::SourceRequest watch{ mesh::SourceCall::watch, {}, 41, Milliseconds (1500), {} };
     EXPECT_EQ (dialect.target (watch), "/v1/kv-watch?path_prefix=&after=41&wait_ms=1500");
 }
 
@@ -98,8 +98,9 @@
         std::size_t entries;
     };
     const Case cases[] = {
-        { 200, R"({"items":[{"private_key":"a","value":"bm9kZS0x","revision":4,"created_at":2}],)"
-               R"("has_more":true,"at":9})",
+        { 200,
+          R"({"items":[{"private_key":"a","value":"bm9kZS0x","revision":4,"created_at":2}],)"
+          R"("has_more":true,"at":9})",
           SourceReply::entries, 1 },
         { 200, R"({"events":[{"private_key":"a","revision":5,"gone":true}],"at":5})",
           SourceReply::entries, 1 },
@@ -133,18 +134,20 @@
 
 TEST (ReadInstance, WholeAndDamaged)
 {
-    const auto read = [] (const std::string& value)
-    { return Resolve ([&] { return readInstance ({ "servers/i-1", value, 5, 3, false }); }); };
-    const auto instance
-        = read (R"({"service":"desk","address":"10.0.0.9:80","zone":"z","slots":6,"state":"draining"})");
+    const auto read = [] (const std::string& value) {
+        return Resolve ([&] { return readInstance ({ "servers/i-1", value, 5, 3, false }); });
+    };
+    const auto instance = read (
+        R"({"service":"desk","address":"10.0.0.9:80","zone":"z","slots":6,"state":"draining"})");
     ASSERT_TRUE (instance);
     EXPECT_EQ (instance.value().id, "i-1");
     EXPECT_EQ (instance.value().address.port, 80);
     EXPECT_TRUE (instance.value().draining);
     EXPECT_EQ (instance.value().createdAt, 3U);
 
-    for (const auto* value : { "", "{", "4", R"({"service":"desk","zone":"z","state":"ready"})",
-                               R"({"service":"desk","address":"nowhere","zone":"z","state":"ready"})" })
+    for (const auto* value :
+         { "", "{", "4", R"({"service":"desk","zone":"z","state":"ready"})",
+           R"({"service":"desk","address":"nowhere","zone":"z","state":"ready"})" })
         EXPECT_FALSE (read (value)) << value;
 }
 
--- a/tests/sidecar/decision_log_test.cc
+++ b/tests/sidecar/decision_log_test.cc
@@ -34,7 +34,7 @@
     std::vector<nlohmann::json> lines()
     {
         std::string text;
-        std::array<char, 65536> piece {};
+        std::array<char, 65536> piece{};
 
         for (;;)
         {
@@ -59,16 +59,15 @@
         return parsed;
     }
 
-    std::array<int, 2> ends {};
+    std::array<int, 2> ends{};
 };
 
 TEST_F (Logging, LinesAreJsonWithTheirFields)
 {
     DecisionLog log ("n1", ends[1]);
-    log.write (at (5), EventKind::requestFailed,
-               { { "request", "a\"b\\c\n\xff" },
-                 { "status", std::int64_t (502) },
-                 { "took_ms", 1.25 } });
+    log.write (
+        at (5), EventKind::requestFailed,
+        { { "request", "a\"b\\c\n\xff" }, { "status", std::int64_t (502) }, { "took_ms", 1.25 } });
     log.flush();
     const auto written = lines();
     ASSERT_EQ (written.size(), 1U);
@@ -92,8 +91,8 @@
     log.flush();
     const auto written = lines();
     EXPECT_EQ (log.leftOut(), 2U * static_cast<unsigned> (budget));
-    EXPECT_EQ (std::count_if (written.begin(), written.end(), [] (const auto& line)
-                              { return line["event"] == "lines_left_out"; }),
+    EXPECT_EQ (std::count_if (written.begin(), written.end(),
+                              [] (const auto& line) { return line["event"] == "lines_left_out"; }),
                1);
 }
 
--- a/tests/sidecar/http_test.cc
+++ b/tests/sidecar/http_test.cc
@@ -24,7 +24,8 @@
 class Serving : public ::testing::Test
 {
 protected:
-    Serving() : reactor (startReactor())
+    Serving()
+        : reactor (startReactor())
     {
         ServerSettings settings;
         settings.limits = []
@@ -62,16 +63,16 @@
             return;
         }
 
-        exchange->respond (answerMessage ({ 200, {}, exchange->body, exchange->mustClose(),
-                                            exchange->isHead() },
-                                          {}),
-                           exchange->mustClose());
+        exchange->respond (
+            answerMessage ({ 200, {}, exchange->body, exchange->mustClose(), exchange->isHead() },
+                           {}),
+            exchange->mustClose());
     }
 
     std::shared_ptr<Reactor> reactor;
     std::shared_ptr<HttpServer> server;
     SocketAddress address;
-    std::atomic<bool> gone { false };
+    std::atomic<bool> gone{ false };
 };
 
 constexpr const char* postHead = "POST / HTTP/1.1\r\nHost: h\r\n";
@@ -79,9 +80,9 @@
 TEST_F (Serving, RequestsOnOneConnectionAreAnsweredInOrder)
 {
     auto socket = RawSocket::Connect (address);
-    socket.Send (std::string (postHead) + "Content-Length: 3\r\n\r\none" + postHead
-                 + "Transfer-Encoding: chunked\r\n\r\n3\r\ntwo\r\n0\r\n\r\n" + postHead
-                 + "Content-Length: 0\r\n\r\n");
+    socket.Send (std::string (postHead) + "Content-Length: 3\r\n\r\none" + postHead +
+                 "Transfer-Encoding: chunked\r\n\r\n3\r\ntwo\r\n0\r\n\r\n" + postHead +
+                 "Content-Length: 0\r\n\r\n");
     EXPECT_EQ (socket.Read().body, "one");
     EXPECT_EQ (socket.Read().body, "two");
     EXPECT_EQ (socket.Read().status(), 200);
@@ -147,10 +148,11 @@
 class Calling : public ::testing::Test
 {
 protected:
-    Calling() : reactor (startReactor())
+    Calling()
+        : reactor (startReactor())
     {
         reactor->RunAndWait (
-            [&] { client = std::make_shared<HttpClient> (reactor, ClientSettings {}); });
+            [&] { client = std::make_shared<HttpClient> (reactor, ClientSettings{}); });
     }
 
     ~Calling() override { reactor->Stop(); }
--- a/tests/sidecar/sidecar_settings_test.cc
+++ b/tests/sidecar/sidecar_settings_test.cc
@@ -12,10 +12,10 @@
 
 using Arguments = std::vector<std::string>;
 
-const Arguments complete = { "--id",        "n1",             "--zone",   "z1",
-                             "--service",   "desk",           "--source", "127.0.0.1:9",
-                             "--outbound",  "127.0.0.1:1",    "--inbound", "127.0.0.1:2",
-                             "--readiness", "127.0.0.1:3",    "--instance", "127.0.0.1:4" };
+const Arguments complete = { "--id",        "n1",          "--zone",     "z1",
+                             "--service",   "desk",        "--source",   "127.0.0.1:9",
+                             "--outbound",  "127.0.0.1:1", "--inbound",  "127.0.0.1:2",
+                             "--readiness", "127.0.0.1:3", "--instance", "127.0.0.1:4" };
 
 auto parse (Arguments more)
 {
@@ -81,7 +81,8 @@
 TEST (SidecarSettings, FilesAreReadAndFlagsWin)
 {
     const std::string path = ::testing::TempDir() + "copperlead-sidecar-settings.conf";
-    std::ofstream (path) << "# a comment\nretry-ratio = 0.3\nzone = other\nmetrics = 9000/metrics\n";
+    std::ofstream (path)
+        << "# a comment\nretry-ratio = 0.3\nzone = other\nmetrics = 9000/metrics\n";
     const auto parsed = parse ({ "--settings", path });
     std::remove (path.c_str());
     ASSERT_TRUE (parsed);
