A paused follower is never due; a timer that re-arms itself in the past can't starve sockets

It needs a node that stops reading while it backs off (store refused, then a better reader heard). Ruled out: the idle list of the HTTP client (runs with counters in the reactor on a scratch copy showed timers only). Change: nextDue() and poll() while paused, the first watch after resuming answered at once (tests failed first); the reactor takes the due timers out before it runs them (ReactorTest failed first).

--- a/src/mesh/source_follower.cc
+++ b/src/mesh/source_follower.cc
@@ -22,9 +22,10 @@
     current = listed ? SourceCall::watch : SourceCall::list;
 
     if (current == SourceCall::watch)
-        return SourceRequest{
-            current, {}, at, settings.watchWait, settings.watchWait + settings.answerTime
-        };
+    {
+        const auto wait = std::exchange (firstWatch, false) ? Milliseconds (0) : settings.watchWait;
+        return SourceRequest{ current, {}, at, wait, wait + settings.answerTime };
+    }
 
     const auto after = pages.empty() ? std::string() : pages.back().key;
     return SourceRequest{ current, after, 0, Milliseconds (0), settings.listTime };
@@ -56,7 +57,7 @@
     return true;
 }
 
-Timestamp SourceFollower::nextDue() const { return out ? Timestamp::max() : due; }
+Timestamp SourceFollower::nextDue() const { return out || paused ? Timestamp::max() : due; }
 
 bool SourceFollower::reached (Timestamp now) const
 {
--- a/src/transport/reactor.cc
+++ b/src/transport/reactor.cc
@@ -143,12 +143,12 @@
 }
 
 void Reactor::RunDueTimers() {
-  const Timestamp now = SteadyClock().Now();
-  while (!timers_.empty() && timers_.begin()->first <= now) {
-    const Task task = std::move(timers_.begin()->second);
-    timers_.erase(timers_.begin());
-    task();
-  }
+  // Taken out first: a task that asks for a time already past waits until sockets had their turn.
+  const auto end = timers_.upper_bound(SteadyClock().Now());
+  std::vector<Task> due;
+  for (auto timer = timers_.begin(); timer != end; ++timer) due.push_back(std::move(timer->second));
+  timers_.erase(timers_.begin(), end);
+  for (const Task& task : due) task();
 }
 
 void Reactor::Dispatch(WatchId id, std::uint32_t events) {
--- a/tests/mesh/source_follower_test.cc
+++ b/tests/mesh/source_follower_test.cc
@@ -118,5 +118,29 @@
     EXPECT_FALSE (follower.failing());
 }
 
+TEST_F (Following, PausedItAsksForNothingAndIsNeverDue)
+{
+    follower.poll (at (5));
+    follower.answered (at (10), failure (SourceReply::refused));
+    follower.pause();
+    EXPECT_EQ (follower.nextDue(), Timestamp::max());
+    EXPECT_FALSE (follower.poll (at (60'000)));
+    EXPECT_FALSE (follower.reached (at (60'000)));
+}
+
+TEST_F (Following, ResumedItGoesOnFromTheRevisionReachedAndIsAnsweredAtOnceFirst)
+{
+    follower.pause();
+    follower.resume (at (9000), 40);
+    const auto first = follower.poll (at (9000));
+    ASSERT_TRUE (first);
+    EXPECT_EQ (first->call, SourceCall::watch);
+    EXPECT_EQ (first->afterRevision, 40U);
+    EXPECT_EQ (first->wait, Milliseconds (0));
+    follower.answered (at (9010), page ({}, 41));
+    EXPECT_TRUE (follower.reached (at (9010)));
+    EXPECT_GT (follower.poll (at (9010))->wait, Milliseconds (0));
+}
+
 } // namespace
 } // namespace copperlead::mesh::test
--- /dev/null
+++ b/tests/transport/reactor_test.cc
@@ -0,0 +1,32 @@
+#include "transport/reactor.h"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <thread>
+
+namespace copperlead {
+namespace {
+
+// Asks again and again for a time that has passed, a bounded number of times.
+void Rearm(Reactor& reactor, Timestamp past, std::atomic<int>& left) {
+  if (left.fetch_sub(1) <= 0) return;
+  reactor.RunAt(past, [&, past] { Rearm(reactor, past, left); });
+}
+
+TEST(ReactorTest, ATaskThatAsksForAPastTimeDoesNotKeepOthersFromTheirTurn) {
+  const auto started = Resolve([] { return Reactor::Start(); });
+  ASSERT_TRUE(started);
+  Reactor& reactor = *started.value();
+  std::atomic<int> left{2'000'000};
+  reactor.RunAndWait([&] { Rearm(reactor, SteadyClock().Now(), left); });
+  // Runs while the timers go on re-arming themselves.
+  std::this_thread::sleep_for(Milliseconds(5));
+  reactor.RunAndWait([] {});
+  EXPECT_GT(left, 0);
+  left = 0;
+  reactor.Stop();
+}
+
+}  // namespace
+}  // namespace copperlead
