Beats spaced by the size of the zone; readers step down as they hear a better one; idle list looked up anew

(2) HttpClient::takeIdle kept an iterator over a list that closing an expired connection could erase. Change: a reader steps down when it hears a better one, not at its next tick; beats come no closer than 20 ms or 2 ms a peer; takeIdle looks the list up again (test AnExpiredConnectionIsReplacedEvenBeforeItsTimerRan: it passed by luck on the old code too, undefined behaviour; the address sanitizer is to show it).

--- a/src/sidecar/http_client.cc
+++ b/src/sidecar/http_client.cc
@@ -57,15 +57,18 @@
 
 std::shared_ptr<ClientConnection> HttpClient::takeIdle (const std::string& target)
 {
-    const auto found = idle.find (target);
     const auto now = SteadyClock().Now();
 
-    while (found != idle.end() && ! found->second.empty())
+    // The list goes with its last connection, so it is looked up each time.
+    for (auto found = idle.find (target); found != idle.end(); found = idle.find (target))
     {
         // The one used last is the one least likely to be closed by the server meanwhile.
         auto connection = std::move (found->second.back());
         found->second.pop_back();
 
+        if (found->second.empty())
+            idle.erase (found);
+
         if (connection->usable (now))
             return connection;
 
--- a/src/sidecar/relay.cc
+++ b/src/sidecar/relay.cc
@@ -14,6 +14,8 @@
 {
 
 constexpr Milliseconds pullTimeout{ 500 };
+// Between two beats: each change costs a reader one datagram and one answer for each peer.
+constexpr Milliseconds leastInterval{ 20 }, intervalPerPeer{ 2 };
 
 ClientSettings pullClientSettings()
 {
@@ -69,8 +71,11 @@
     if (! heard)
         return;
 
+    const auto now = SteadyClock().Now();
     ++counts.beatsHeard;
-    role.heard (SteadyClock().Now(), *heard);
+    role.heard (now, *heard);
+    // Stepping down at once keeps a zone that starts together from all its nodes' beats.
+    applyRole (now);
 
     if (heard->sound && (heard->at > ownAt || heard->version > ownVersion))
         pull (from.ip);
@@ -129,9 +134,31 @@
 void Relay::announce()
 {
     const auto now = SteadyClock().Now();
+    const auto due = beatAt + shortestInterval();
+
+    if (announcing || ! role.reading() || ! hooks.sourceSound (now))
+        return;
+
+    if (now >= due)
+        return beat (true);
+
+    announcing = true;
+    reactor->RunAt (due,
+                    [weak = weak_from_this()]
+                    {
+                        const auto self = weak.lock();
+
+                        if (self == nullptr)
+                            return;
+
+                        self->announcing = false;
+                        self->announce();
+                    });
+}
 
-    if (role.reading() && hooks.sourceSound (now))
-        beat (true);
+Milliseconds Relay::shortestInterval() const
+{
+    return std::max (leastInterval, intervalPerPeer * std::int64_t (hooks.zonePeers().size()));
 }
 
 void Relay::beat (bool sound)
@@ -150,7 +177,7 @@
     }
 }
 
-void Relay::tick (Timestamp now)
+void Relay::applyRole (Timestamp now)
 {
     const bool reading = role.decide (now);
 
@@ -164,8 +191,13 @@
                       { "version", static_cast<std::int64_t> (ownVersion) } });
         hooks.setReading (reading);
     }
+}
+
+void Relay::tick (Timestamp now)
+{
+    applyRole (now);
 
-    if (reading && now - beatAt >= mesh::ReaderRoleSettings{}.beatInterval)
+    if (role.reading() && now - beatAt >= mesh::ReaderRoleSettings{}.beatInterval)
         beat (hooks.sourceSound (now));
 }
 
--- a/src/sidecar/relay.h
+++ b/src/sidecar/relay.h
@@ -80,6 +80,8 @@
     void pull (const std::string& ip);
     void onPulled (const CallResult& result);
     void beat (bool sound);
+    void applyRole (Timestamp now);
+    Milliseconds shortestInterval() const;
 
     std::shared_ptr<Reactor> reactor;
     RelaySettings settings;
@@ -92,6 +94,7 @@
     RelayCounters counts;
     std::uint64_t ownAt = 0, ownVersion = 0;
     Timestamp beatAt{};
+    bool announcing = false; /**< A beat is due as soon as the shortest interval allows. */
     bool pulling = false, wantsWhole = false, resigned = false, wasReading = true;
 };
 
--- a/tests/sidecar/http_test.cc
+++ b/tests/sidecar/http_test.cc
@@ -264,6 +264,37 @@
     }
 }
 
+TEST_F (Calling, AnExpiredConnectionIsReplacedEvenBeforeItsTimerRan)
+{
+    RawServer peer (
+        [&] (RawSocket& socket, int)
+        {
+            while (! socket.Read().head.empty())
+                socket.Send (answerFor ("q"));
+        });
+    reactor->RunAndWait (
+        [&]
+        {
+            ClientSettings settings;
+            settings.idleTime = Milliseconds (30);
+            client = std::make_shared<HttpClient> (reactor, settings);
+        });
+    EXPECT_EQ (call (peer.address()).end, CallEnd::answered);
+    // The reactor is held up beyond the idle time, and the next call comes before its timers.
+    std::promise<CallResult> promise;
+    reactor->RunAndWait (
+        [&]
+        {
+            std::this_thread::sleep_for (std::chrono::milliseconds (60));
+            CallOptions options;
+            options.deadline = SteadyClock().Now() + Milliseconds (1000);
+            client->send (peer.address(), "GET / HTTP/1.1\r\nHost: h\r\n\r\n", options,
+                          [&] (CallResult result) { promise.set_value (std::move (result)); });
+        });
+    EXPECT_EQ (promise.get_future().get().end, CallEnd::answered);
+    EXPECT_EQ (peer.connections(), 2);
+}
+
 TEST_F (Calling, TimesOutAndReportsARefusedConnection)
 {
     RawServer silent ([] (RawSocket& socket, int) { socket.ReadToEnd(); });
