MeshState: what a node knows of the mesh, apart from the sidecar's shell

Change: mesh::MeshState takes updates and gives those that others lack; the sidecar logs and hands on. 5 tests in which one state feeds another over the codec: nothing to everything, up to date, a difference against another version, damaged and older versions, departed and lapsed instances. No behaviour is meant to change.

--- /dev/null
+++ b/src/mesh/mesh_state.h
@@ -0,0 +1,50 @@
+/** What a node knows of the mesh: its configuration, the directory of instances, and up to which
+    revision of the source nothing is missing. Takes updates from the source or from other nodes and
+    gives those that others lack. Deciding code without I/O.
+*/
+#pragma once
+
+#include <optional>
+
+#include "mesh/configuration_holder.h"
+#include "mesh/mesh_update.h"
+
+namespace copperlead::mesh
+{
+
+/** What became of the configuration that an update held. */
+struct ConfigurationOutcome
+{
+    std::optional<ConfigurationVerdict> verdict; /**< Empty: it was refused by `error`. */
+    Error error;
+    std::uint64_t version = 0, before = 0, revision = 0;
+};
+
+struct UpdateOutcome
+{
+    bool instancesChanged = false;
+    std::optional<ConfigurationOutcome> configuration; /**< Empty: the update held none. */
+};
+
+/** Not thread-safe. */
+class MeshState
+{
+public:
+    UpdateOutcome take (Timestamp now, MeshUpdate update);
+
+    /** What a node lacks that has reached `revision` and runs `version` (0: none). */
+    MeshUpdate changesSince (std::uint64_t revision, std::uint64_t version) const;
+
+    const ConfigurationHolder& configurations() const { return holder; }
+    InstanceDirectory& directory() { return instances; }
+    std::uint64_t reached() const { return at; }
+
+private:
+    ConfigurationOutcome takeConfiguration (ConfigurationChange change);
+
+    ConfigurationHolder holder;
+    InstanceDirectory instances;
+    std::uint64_t at = 0;
+};
+
+} // namespace copperlead::mesh
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -128,7 +128,7 @@
     {
         const auto self = weak.lock();
 
-        if (self == nullptr || version <= self->configurations.version())
+        if (self == nullptr || version <= self->state.configurations().version())
             return;
 
         if (self->relay != nullptr)
@@ -168,39 +168,22 @@
 
 mesh::ClientLimits Sidecar::clientLimits() const
 {
-    const auto& routes = configurations.routes();
+    const auto& routes = state.configurations().routes();
     return routes == nullptr ? mesh::ClientLimits{} : routes->configuration().limits;
 }
 
 void Sidecar::takeUpdate (Timestamp at, mesh::MeshUpdate update)
 {
-    std::vector<std::string> listed;
+    const auto outcome = state.take (at, std::move (update));
 
-    for (auto& change : update.instances)
-    {
-        if (change.gone)
-        {
-            instances.remove (at, change.instance.id, change.revision, change.trusted);
-            continue;
-        }
-
-        listed.push_back (change.instance.id);
-        instances.put (at, std::move (change.instance), change.revision);
-    }
-
-    if (update.complete)
-        instances.removeAllBut (at, listed, update.at, update.trusted);
-
-    if (update.complete || ! update.instances.empty())
+    if (outcome.instancesChanged)
         directoryChanged (at);
 
-    if (update.configuration)
-        takeConfiguration (at, std::move (*update.configuration));
-
-    sourceAt = std::max (sourceAt, update.at);
+    if (outcome.configuration)
+        followConfiguration (at, *outcome.configuration);
 
     if (relay != nullptr)
-        relay->reached (at, sourceAt, configurations.version());
+        relay->reached (at, state.reached(), state.configurations().version());
 }
 
 void Sidecar::announceUpdate()
@@ -209,59 +192,35 @@
         relay->announce();
 }
 
-void Sidecar::takeConfiguration (Timestamp at, mesh::ConfigurationChange change)
+void Sidecar::followConfiguration (Timestamp at, const mesh::ConfigurationOutcome& outcome)
 {
-    const auto before = configurations.version();
-    const auto version = change.content.version;
-    const auto revision = change.revision;
-    const auto* base =
-        configurations.routes() == nullptr ? nullptr : &configurations.routes()->configuration();
-    const auto verdict = Resolve (
-        [&]() -> Result<mesh::ConfigurationVerdict>
-        {
-            if (version <= before)
-                return version == before ? mesh::ConfigurationVerdict::same
-                                         : mesh::ConfigurationVerdict::older;
-
-            BOOST_LEAF_AUTO (whole, mesh::rebuild (base, std::move (change)));
-            return configurations.take (std::move (whole));
-        });
-
-    if (! verdict)
-    {
-        if (relay != nullptr && verdict.error().kind == ErrorKind::kUnknownBase)
-            relay->wantWhole();
-
-        return refuseConfiguration (at, verdict.error(), revision);
-    }
+    if (outcome.error.kind == ErrorKind::kUnknownBase && relay != nullptr)
+        relay->wantWhole();
 
-    if (verdict.value() == mesh::ConfigurationVerdict::older)
-        return refuseConfiguration (at,
-                                    { ErrorKind::kRevisionBehind, "version",
-                                      std::to_string (version) + " is older than the running one" },
-                                    revision);
+    if (! outcome.verdict || outcome.verdict == mesh::ConfigurationVerdict::older)
+        return refuseConfiguration (at, outcome.error, outcome.revision);
 
-    if (verdict.value() != mesh::ConfigurationVerdict::taken)
+    if (outcome.verdict != mesh::ConfigurationVerdict::taken)
         return;
 
-    const auto& routes = configurations.routes();
+    const auto& routes = state.configurations().routes();
     const auto& services = routes->configuration().services;
     const auto own = services.find (settings.service);
     firstHop->setRoutes (routes);
-    lastHop->setConfigurationVersion (version);
+    lastHop->setConfigurationVersion (outcome.version);
     lastHop->setHealthPath (own == services.end() ? std::string() : own->second.healthPath);
     log->write (
         at, EventKind::configurationTaken,
-        { { "version", static_cast<std::int64_t> (version) },
-          { "before", static_cast<std::int64_t> (before) },
-          { "revision", static_cast<std::int64_t> (revision) },
+        { { "version", static_cast<std::int64_t> (outcome.version) },
+          { "before", static_cast<std::int64_t> (outcome.before) },
+          { "revision", static_cast<std::int64_t> (outcome.revision) },
           { "routes", static_cast<std::int64_t> (routes->configuration().routes.size()) } });
 }
 
 void Sidecar::refuseConfiguration (Timestamp at, const Error& error, std::uint64_t revision)
 {
     log->write (at, EventKind::configurationRefused,
-                { { "running", static_cast<std::int64_t> (configurations.version()) },
+                { { "running", static_cast<std::int64_t> (state.configurations().version()) },
                   { "place", error.place },
                   { "cause", error.cause },
                   { "revision", static_cast<std::int64_t> (revision) } });
@@ -275,7 +234,7 @@
 
 void Sidecar::directoryChanged (Timestamp at)
 {
-    const auto snapshot = instances.snapshot();
+    const auto snapshot = state.directory().snapshot();
     firstHop->setDirectory (snapshot);
     lastHop->setDirectory (at, *snapshot);
 }
@@ -306,7 +265,7 @@
         const auto self = weak.lock();
 
         if (self != nullptr && self->setReading)
-            self->setReading (reading, self->sourceAt);
+            self->setReading (reading, self->state.reached());
     };
     hooks.sourceSound = [weak] (Timestamp)
     {
@@ -338,32 +297,7 @@
         ! ParseWholeNumber (numbers.substr (slash + 1), version))
         return exchange->respond (plainAnswer (400, "not a revision and a version"), true);
 
-    mesh::MeshUpdate update;
-    std::vector<mesh::ListedInstance> changes;
-    update.at = sourceAt;
-    update.complete = ! instances.changesSince (from, changes);
-
-    for (const auto& entry : changes)
-    {
-        const bool gone = entry.state != mesh::InstanceState::ready && ! entry.instance.draining;
-
-        if (! (gone && update.complete))
-            update.instances.push_back ({ entry.instance, entry.revision, gone,
-                                          entry.state != mesh::InstanceState::lapsed });
-    }
-
-    if (const auto& routes = configurations.routes();
-        routes != nullptr && routes->configuration().version > version)
-    {
-        const auto base = configurations.earlier (version);
-
-        if (base != nullptr)
-            update.configuration = mesh::difference (*base, routes->configuration(), sourceAt);
-        else
-            update.configuration =
-                mesh::ConfigurationChange{ sourceAt, 0, routes->configuration(), {} };
-    }
-
+    const auto update = state.changesSince (from, version);
     exchange->respond (
         answerMessage (
             { 200, {}, mesh::encode (update), exchange->mustClose(), exchange->isHead() }, {}),
@@ -411,7 +345,8 @@
 
 bool Sidecar::ready() const
 {
-    return stopAt == Timestamp{} && configurations.routes() != nullptr && sourceAt > 0;
+    return stopAt == Timestamp{} && state.configurations().routes() != nullptr &&
+           state.reached() > 0;
 }
 
 void Sidecar::answerReadiness (const ExchangePointer& exchange)
@@ -437,8 +372,8 @@
     shown.running = lastHop->admission().running();
     shown.waiting = lastHop->admission().waiting();
     shown.connections = outbound->connections();
-    shown.configurationVersion = configurations.version();
-    shown.sourceRevision = sourceAt;
+    shown.configurationVersion = state.configurations().version();
+    shown.sourceRevision = state.reached();
     shown.sourceCalls = source.calls;
     shown.logLinesLeftOut = log->leftOut();
     shown.ready = ready();
@@ -477,7 +412,7 @@
 
     if (++ticks % ticksPerFileCheck == 0)
     {
-        instances.advance (at);
+        state.directory().advance (at);
         directoryChanged (at);
         checkSettingsFile();
     }
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -7,8 +7,7 @@
 #include <memory>
 #include <string>
 
-#include "mesh/configuration_holder.h"
-#include "mesh/instance_directory.h"
+#include "mesh/mesh_state.h"
 #include "sidecar/decision_log.h"
 #include "sidecar/first_hop.h"
 #include "sidecar/http_server.h"
@@ -65,7 +64,7 @@
 
 private:
     void takeHopCall (const ExchangePointer& exchange);
-    void takeConfiguration (Timestamp now, mesh::ConfigurationChange change);
+    void followConfiguration (Timestamp now, const mesh::ConfigurationOutcome& outcome);
     void directoryChanged (Timestamp now);
     void answerChanges (const ExchangePointer& exchange);
     std::vector<std::string> zonePeers() const;
@@ -86,12 +85,10 @@
     SidecarSettings settings;
     std::shared_ptr<Reactor> reactor;
     std::shared_ptr<DecisionLog> log;
-    mesh::ConfigurationHolder configurations;
-    mesh::InstanceDirectory instances;
+    mesh::MeshState state;
     std::shared_ptr<LastHop> lastHop;
     std::shared_ptr<FirstHop> firstHop;
     std::shared_ptr<Relay> relay; /**< Null when this node reads alone. */
-    std::uint64_t sourceAt = 0;   /**< The source's revision up to which nothing is missing. */
     std::shared_ptr<HttpServer> outbound, inbound, readiness, metrics;
     Timestamp stopAt{};
     std::function<void()> onStopped;
--- /dev/null
+++ b/tests/mesh/mesh_state_test.cc
@@ -0,0 +1,117 @@
+#include "mesh/mesh_state.h"
+
+#include <gtest/gtest.h>
+
+#include "tests/mesh/fixtures.h"
+
+namespace copperlead::mesh::test
+{
+namespace
+{
+
+MeshUpdate whole (std::uint64_t version, std::uint64_t revision)
+{
+    MeshUpdate update;
+    update.complete = true;
+    update.at = revision;
+    update.instances = { { makeInstance ("a", "z1", 1), 2, false, true },
+                         { makeInstance ("b", "z1", 2), 3, false, true } };
+    update.configuration = ConfigurationChange{ revision, 0, makeConfiguration (version), {} };
+    return update;
+}
+
+MeshUpdate gone (const std::string& id, std::uint64_t revision, bool trusted)
+{
+    MeshUpdate update;
+    update.at = revision;
+    InstanceChange change;
+    change.instance.id = id;
+    change.revision = revision;
+    change.gone = true;
+    change.trusted = trusted;
+    update.instances = { change };
+    return update;
+}
+
+std::size_t usable (MeshState& state)
+{
+    const auto snapshot = state.directory().snapshot();
+    const auto found = snapshot->byService.find ("desk");
+    return found == snapshot->byService.end() ? 0 : found->second.size();
+}
+
+/** Hands what `from` has and `to` lacks over the wire. */
+UpdateOutcome passOn (const MeshState& from, MeshState& to)
+{
+    const auto update = from.changesSince (to.reached(), to.configurations().version());
+    return to.take (at (5), Resolve ([&] { return decodeMeshUpdate (encode (update)); }).value());
+}
+
+TEST (MeshState, ANodeThatHasNothingGetsEverythingFromAnother)
+{
+    MeshState reader, node;
+    reader.take (at (0), whole (4, 9));
+    const auto outcome = passOn (reader, node);
+    EXPECT_EQ (outcome.configuration->verdict, ConfigurationVerdict::taken);
+    EXPECT_EQ (node.reached(), 9U);
+    EXPECT_EQ (usable (node), 2U);
+}
+
+TEST (MeshState, ANodeThatIsUpToDateGetsNothing)
+{
+    MeshState reader, node;
+    reader.take (at (0), whole (4, 9));
+    passOn (reader, node);
+    const auto again = reader.changesSince (9, 4);
+    EXPECT_FALSE (again.complete);
+    EXPECT_TRUE (again.instances.empty());
+    EXPECT_FALSE (again.configuration);
+}
+
+TEST (MeshState, ADifferenceIsTakenAndAnotherVersionInBetweenAsksForTheWhole)
+{
+    MeshState reader, node;
+    reader.take (at (0), whole (4, 9));
+    passOn (reader, node);
+    reader.take (at (1), whole (6, 12));
+    const auto change = reader.changesSince (9, 4);
+    EXPECT_EQ (change.configuration->baseVersion, 4U);
+
+    node.take (at (1), whole (5, 11)); // From the source itself, meanwhile.
+    const auto refused = node.take (at (2), change);
+    EXPECT_FALSE (refused.configuration->verdict);
+    EXPECT_EQ (refused.configuration->error.kind, ErrorKind::kUnknownBase);
+    EXPECT_EQ (node.configurations().version(), 5U);
+
+    node.take (at (3), reader.changesSince (9, 0));
+    EXPECT_EQ (node.configurations().version(), 6U);
+}
+
+TEST (MeshState, OlderVersionsAreRefusedAndDamagedOnesLeaveTheRunningOne)
+{
+    MeshState state;
+    state.take (at (0), whole (6, 9));
+    const auto older = state.take (at (1), whole (5, 10));
+    EXPECT_EQ (older.configuration->verdict, ConfigurationVerdict::older);
+    auto damaged = whole (7, 11);
+    damaged.configuration->content.routes[0].services = { { "nobody", 1 } };
+    const auto refused = state.take (at (2), damaged);
+    EXPECT_FALSE (refused.configuration->verdict);
+    EXPECT_EQ (refused.configuration->error.kind, ErrorKind::kUnknownService);
+    EXPECT_EQ (state.configurations().version(), 6U);
+}
+
+TEST (MeshState, DepartedAndLapsedInstancesAreToldApart)
+{
+    MeshState reader, node;
+    reader.take (at (0), whole (4, 9));
+    passOn (reader, node);
+    reader.take (at (1), gone ("a", 10, true));
+    reader.take (at (1), gone ("b", 11, false));
+    passOn (reader, node);
+    EXPECT_EQ (usable (node), 1U);
+    EXPECT_EQ (node.directory().snapshot()->byService.at ("desk")[0].state, InstanceState::lapsed);
+}
+
+} // namespace
+} // namespace copperlead::mesh::test
