Test of a request that can't end before a stopping node does

Change: MeshStop.ARequestThatCannotEndBeforeTheNodeDoesStillGetsItsAnswer, with a kept connection 2.5 s after SIGTERM. Shown failing on the source without the cap of the deadline (the connection ended without an answer), passing with it.

--- a/tests/integration/two_hops_test.cc
+++ b/tests/integration/two_hops_test.cc
@@ -6,6 +6,7 @@
 
 #include "tests/integration/mesh_fleet.h"
 #include "tests/integration/process_harness.h"
+#include "tests/proxy/raw_socket.h"
 
 namespace copperlead::standin {
 namespace {
@@ -290,6 +291,29 @@
   EXPECT_EQ(hub().sidecar->Wait(std::chrono::seconds(7)), 0);
 }
 
+TEST(MeshStop, ARequestThatCannotEndBeforeTheNodeDoesStillGetsItsAnswer) {
+  MeshFleet fleet;
+  fleet.Configure(4);
+  MeshMachine& desk = fleet.Add("desk");
+  MeshMachine& hub = fleet.Add("hub");
+  fleet.Start(desk);
+  fleet.Start(hub, {"--grace-s", "4"});
+  ASSERT_TRUE(fleet.AwaitReady(desk) && fleet.AwaitReady(hub));
+  desk.instance->SetWork(std::chrono::milliseconds(1700));
+  // A kept connection: by then no new one is accepted.
+  auto kept = RawSocket::Connect(fleet.outbound(hub));
+  hub.sidecar->Signal(SIGTERM);
+  std::this_thread::sleep_for(std::chrono::milliseconds(2500));
+  kept.Send(
+      "GET /look/1 HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: late\r\n"
+      "X-Deadline-Ms: 2000\r\n\r\n");
+  const RawMessage answer = kept.Read();
+  EXPECT_TRUE(answer.whole);
+  EXPECT_TRUE(answer.status() == 503 || answer.status() == 504) << answer.head;
+  EXPECT_EQ(answer.Header("connection"), "close");
+  EXPECT_EQ(hub.sidecar->Wait(std::chrono::seconds(3)), 0);
+}
+
 TEST_F(TwoHops, AKilledSidecarCostsItsOwnMachineOnly) {
   desk(0).sidecar->Signal(SIGKILL);
   desk(0).sidecar->Wait(std::chrono::seconds(5));
