Suspect instances whose attempts take much longer than expected

Change: at three usual runs (or the expected time and two usual runs) the instance is suspected for a second: it is chosen last, not excluded, since under load every instance may be slow; an answer clears it. Hedges as before. Ruled out: excluding it (under overload none would be left); a second attempt of what may run once.

--- a/src/mesh/instance_chooser.cc
+++ b/src/mesh/instance_chooser.cc
@@ -13,7 +13,7 @@
 constexpr double learningRate = 0.1;
 constexpr double slowestSpeed = 8, fastestSpeed = 0.25;
 constexpr double unheardRunShare = 0.3; // Of the target latency, before a route's first answer.
-constexpr double lapsedPenaltyMs = 10'000;
+constexpr double lapsedPenaltyMs = 10'000, suspectedPenaltyMs = 5'000;
 
 double milliseconds (Duration time)
 {
@@ -98,6 +98,9 @@
         if (candidate.state == InstanceState::lapsed)
             cost += lapsedPenaltyMs;
 
+        if (view.suspectedUntil > now)
+            cost += suspectedPenaltyMs;
+
         if (cost < bestCost)
         {
             best = &candidate;
@@ -147,6 +150,7 @@
     view.report = report;
     view.reportedAt = now;
     view.heard = true;
+    view.suspectedUntil = {};
     view.inFlightAtReport = view.inFlight;
 }
 
@@ -156,6 +160,12 @@
     until = std::max (until, now + howLong);
 }
 
+void InstanceChooser::suspect (Timestamp now, const std::string& id, Milliseconds howLong)
+{
+    auto& until = views[id].suspectedUntil;
+    until = std::max (until, now + howLong);
+}
+
 void InstanceChooser::forgetAllBut (const DirectorySnapshot& directory)
 {
     std::set<std::string> listed;
--- a/src/mesh/instance_chooser.h
+++ b/src/mesh/instance_chooser.h
@@ -73,6 +73,11 @@
     /** Keeps requests away from an instance for a while. */
     void shun (Timestamp now, const std::string& id, Milliseconds howLong);
 
+    /** An attempt there takes much longer than expected: others go first for a while, or until it
+        answers. Softer than shun(), since under load every instance may be slow.
+    */
+    void suspect (Timestamp now, const std::string& id, Milliseconds howLong);
+
     /** The usual time of a run of the route, in milliseconds. */
     double usualRunMs (const Route& route) const;
 
@@ -88,7 +93,7 @@
         int inFlight = 0;
         int inFlightAtReport = 0;
         double speed = 1; /**< Over 1: slower than usual. */
-        Timestamp shunnedUntil{};
+        Timestamp shunnedUntil{}, suspectedUntil{};
     };
 
     struct RouteHistory
--- a/src/sidecar/journey.cc
+++ b/src/sidecar/journey.cc
@@ -18,7 +18,8 @@
 
 constexpr Milliseconds deadlineGrace{ 30 }; // For the instance's own answer at the deadline.
 constexpr Milliseconds unreachableShun{ 600 }, downShun{ 400 }, stoppingShun{ 1500 };
-constexpr double hedgeAfterRuns = 3;
+constexpr double slowAfterRuns = 3, leastSlowMs = 30; // Of the usual time; then it is suspected.
+constexpr Milliseconds suspicionTime{ 1000 };
 constexpr double retryAfterShare = 0.15; // Of the time left; clients heed up to a third of it.
 
 double milliseconds (Duration time)
@@ -120,7 +121,7 @@
         sendRemote (index, std::move (call));
 
     if (! done)
-        armHedge();
+        armSlowCheck (index);
 
     return true;
 }
@@ -355,33 +356,41 @@
     }
 }
 
-void Journey::armHedge()
+void Journey::armSlowCheck (std::size_t index)
 {
-    if (! route.mayRepeat() || hedged || arrivals + 2 > route.maxAttempts || attempts.empty())
-        return;
-
     const auto usual = hop->chooser.usualRunMs (route);
-    const auto after =
-        std::max (hedgeAfterRuns * usual, attempts.back().choice.expectedMs + 2 * usual);
+    const auto after = std::max (
+        { slowAfterRuns * usual, leastSlowMs, attempts[index].choice.expectedMs + 2 * usual });
     const auto when = now() + fromMilliseconds (after);
 
-    if (when + fromMilliseconds (usual) >= deadline)
+    if (when >= deadline)
         return;
 
     hop->reactor->RunAt (when,
-                         [weak = weak_from_this()]
+                         [weak = weak_from_this(), index]
                          {
                              if (const auto self = weak.lock())
-                                 self->hedge();
+                                 self->onSlow (index);
                          });
 }
 
+void Journey::onSlow (std::size_t index)
+{
+    if (done || ! attempts[index].active)
+        return;
+
+    hop->chooser.suspect (now(), attempts[index].choice.instance.id, suspicionTime);
+    hedge();
+}
+
 void Journey::hedge()
 {
     const auto active = std::count_if (attempts.begin(), attempts.end(),
                                        [] (const auto& attempt) { return attempt.active; });
+    const auto usual = fromMilliseconds (hop->chooser.usualRunMs (route));
 
-    if (done || hedged || active != 1 || arrivals + 2 > route.maxAttempts)
+    if (! route.mayRepeat() || hedged || active != 1 || arrivals + 2 > route.maxAttempts ||
+        now() + usual >= deadline)
         return;
 
     if (! hop->budgetOf (service).take (now(), hop->nodes()))
@@ -411,8 +420,14 @@
 
 void Journey::onDeadline()
 {
-    if (! done)
-        end (504, "deadline");
+    if (done)
+        return;
+
+    for (const auto& attempt : attempts)
+        if (attempt.active)
+            hop->chooser.suspect (now(), attempt.choice.instance.id, suspicionTime);
+
+    end (504, "deadline");
 }
 
 void Journey::onClientLeft()
--- a/src/sidecar/journey.h
+++ b/src/sidecar/journey.h
@@ -45,7 +45,8 @@
     void follow (mesh::NextStep step, mesh::AttemptOutcome outcome, const HopAnswer& answer);
     mesh::RetryFacts facts() const;
     void avoid (const Attempt& attempt, const HopAnswer& answer);
-    void armHedge();
+    void armSlowCheck (std::size_t index);
+    void onSlow (std::size_t index);
     void hedge();
     void onDeadline();
     void onClientLeft();
--- a/tests/integration/two_hops_test.cc
+++ b/tests/integration/two_hops_test.cc
@@ -291,6 +291,28 @@
   EXPECT_EQ(hub().sidecar->Wait(std::chrono::seconds(7)), 0);
 }
 
+TEST_F(TwoHops, AFrozenSidecarIsAvoidedSoon) {
+  // Some requests, so that the usual time is known.
+  for (int sent = 0; sent < 10; ++sent) {
+    MeshRequest request;
+    request.id = "before-" + std::to_string(sent);
+    EXPECT_EQ(fleet_.Call(hub(), request).status, 200);
+  }
+  const Paused paused(*desk(0).sidecar);
+  int failed = 0;
+  for (int sent = 0; sent < 20; ++sent) {
+    MeshRequest request;
+    request.method = "POST";
+    request.path = "/buy/1";
+    request.body = "b";
+    request.deadline_ms = "400";
+    request.id = "frozen-" + std::to_string(sent);
+    failed += fleet_.Call(hub(), request).status == 200 ? 0 : 1;
+  }
+  // What reaches it first can't be saved, as it may run only once.
+  EXPECT_LE(failed, 2);
+}
+
 TEST(MeshStop, ARequestThatCannotEndBeforeTheNodeDoesStillGetsItsAnswer) {
   MeshFleet fleet;
   fleet.Configure(4);
--- a/tests/mesh/choice_test.cc
+++ b/tests/mesh/choice_test.cc
@@ -165,6 +165,26 @@
         chooser.choose (at (502), *directory.snapshot(), { &route, "desk", 0, { "far" } }, choice));
 }
 
+TEST_F (Choosing, ASuspectedInstanceIsAvoidedButNotExcluded)
+{
+    chooser.suspect (at (0), "near", Milliseconds (500));
+    EXPECT_EQ (choices (chooser, *directory.snapshot(), route)["far"], 10);
+    Choice choice;
+    ASSERT_TRUE (
+        chooser.choose (at (0), *directory.snapshot(), { &route, "desk", 0, { "far" } }, choice));
+    EXPECT_EQ (choice.instance.id, "near");
+    ASSERT_TRUE (
+        chooser.choose (at (501), *directory.snapshot(), { &route, "desk", 0, {} }, choice));
+    EXPECT_EQ (choice.instance.id, "near");
+}
+
+TEST_F (Choosing, AnAnswerClearsASuspicion)
+{
+    chooser.suspect (at (0), "near", Milliseconds (500));
+    chooser.reported (at (0), "near", { 0, 50 });
+    EXPECT_EQ (choices (chooser, *directory.snapshot(), route)["near"], 10);
+}
+
 TEST_F (Choosing, ALapsedInstanceIsTheLastChoice)
 {
     directory.remove (at (0), "near", 9, false);
