--- a/src/sidecar/relay.cc
+++ b/src/sidecar/relay.cc
@@ -14,6 +14,7 @@
 {
 
 constexpr Milliseconds pullTimeout{ 500 };
+constexpr Milliseconds unsoundInterval{ 1000 }; // In an outage every node of the zone may beat.
 // Between two beats: each change costs a reader one datagram and one answer for each peer.
 constexpr Milliseconds leastInterval{ 20 }, intervalPerPeer{ 2 };
 
@@ -168,6 +169,7 @@
         return;
 
     beatAt = SteadyClock().Now();
+    saidSound = sound;
     const auto bytes =
         mesh::encode ({ settings.node, rankOf (settings), ownAt, ownVersion, sound });
 
@@ -198,8 +200,17 @@
 {
     applyRole (now);
 
-    if (role.reading() && now - beatAt >= mesh::ReaderRoleSettings{}.beatInterval)
-        beat (hooks.sourceSound (now));
+    if (! role.reading())
+        return;
+
+    const bool sound = hooks.sourceSound (now);
+    // That it can't read on is news once; later it only helps nodes that have just started.
+    const auto interval = sound       ? mesh::ReaderRoleSettings{}.beatInterval
+                          : saidSound ? Milliseconds (0)
+                                      : unsoundInterval;
+
+    if (now - beatAt >= interval)
+        beat (sound);
 }
 
 void Relay::resign()
--- a/src/sidecar/relay.h
+++ b/src/sidecar/relay.h
@@ -94,6 +94,7 @@
     RelayCounters counts;
     std::uint64_t ownAt = 0, ownVersion = 0;
     Timestamp beatAt{};
+    bool saidSound = false;  /**< In the last beat. */
     bool announcing = false; /**< A beat is due as soon as the shortest interval allows. */
     bool pulling = false, wantsWhole = false, resigned = false, wasReading = true;
 };
--- a/tests/integration/mesh_soak_test.cc
+++ b/tests/integration/mesh_soak_test.cc
@@ -270,7 +270,8 @@
 TEST(MeshSoak, PromisesHoldUnderFaultsFromOutside) {
   const std::uint64_t chosen = NumberFrom("COPPERLEAD_SOAK_SEED", 0);
   const std::chrono::seconds duration(NumberFrom("COPPERLEAD_SOAK_SECONDS", 10));
-  std::vector<std::uint64_t> seeds = {1, 2};
+  // 103: a node that started while the store was down refused all, 78,143 times in 30 s.
+  std::vector<std::uint64_t> seeds = {1, 2, 103};
   if (chosen != 0) seeds = {chosen};
   for (const std::uint64_t seed : seeds) {
     Soak soak(seed);
