A request whose client left before it was read is not taken

The nodes beside the instances read the request and the end of its connection together, about 0.9 s late, and handed the request on before they saw the end. Change: the end of the connection is looked for when a request is whole, before it is handed on. Test that failed first: Serving.ARequestWhoseClientLeftBeforeItWasReadIsNotTaken.

--- a/src/sidecar/server_connection.cc
+++ b/src/sidecar/server_connection.cc
@@ -192,8 +192,18 @@
         handOn();
 }
 
+bool ServerConnection::clientLeft() const
+{
+    char byte = 0;
+    return ::recv (socket.descriptor(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 void ServerConnection::handOn()
 {
+    // After a stall the request and the end of its connection are read together.
+    if (clientLeft())
+        return close();
+
     state = State::answering;
     exchange->arrivedAt = now();
     exchange->connection = weak_from_this();
--- a/src/sidecar/server_connection.h
+++ b/src/sidecar/server_connection.h
@@ -41,6 +41,7 @@
     void advance();
     void takeHead();
     void takeBody();
+    bool clientLeft() const;
     void handOn();
     void fail (int status, std::string_view cause);
     void write();
--- a/tests/sidecar/http_test.cc
+++ b/tests/sidecar/http_test.cc
@@ -57,6 +57,8 @@
 
     void take (const ExchangePointer& exchange)
     {
+        ++taken;
+
         if (exchange->head.target == "/hold")
         {
             exchange->onGone = [this] { gone = true; };
@@ -73,6 +75,7 @@
     std::shared_ptr<HttpServer> server;
     SocketAddress address;
     std::atomic<bool> gone{ false };
+    std::atomic<int> taken{ 0 };
 };
 
 constexpr const char* postHead = "POST / HTTP/1.1\r\nHost: h\r\n";
@@ -136,6 +139,21 @@
     EXPECT_TRUE (Eventually ([&] { return gone.load(); }));
 }
 
+TEST_F (Serving, ARequestWhoseClientLeftBeforeItWasReadIsNotTaken)
+{
+    // The server is held up while the request and the end of its connection arrive.
+    reactor->Post ([] { std::this_thread::sleep_for (std::chrono::milliseconds (100)); });
+    {
+        auto socket = RawSocket::Connect (address);
+        socket.Send ("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n");
+    }
+    std::this_thread::sleep_for (std::chrono::milliseconds (300));
+    EXPECT_EQ (taken, 0);
+    auto next = RawSocket::Connect (address);
+    next.Send (std::string (postHead) + "Content-Length: 1\r\n\r\nx");
+    EXPECT_EQ (next.Read().status(), 200);
+}
+
 TEST_F (Serving, AConnectionThatAsksForItClosesAfterTheAnswer)
 {
     auto socket = RawSocket::Connect (address);
