Notice that a caller has left before a run or another attempt, not only when its event comes

On a machine of 0.1 core the end of a hop connection waits behind other events, and the queue dispatched the request meanwhile. Change: before a run at the instance, and before each attempt of the first hop, the connection is looked at (one recv that takes nothing).

--- a/src/sidecar/http_server.cc
+++ b/src/sidecar/http_server.cc
@@ -25,6 +25,12 @@
     connection.reset();
 }
 
+bool Exchange::clientLeft() const
+{
+    const auto open = connection.lock();
+    return open == nullptr || open->clientLeft();
+}
+
 HttpServer::HttpServer (std::shared_ptr<Reactor> reactorToUse, ServerSettings settingsToUse)
     : reactor (std::move (reactorToUse))
     , settings (std::move (settingsToUse))
--- a/src/sidecar/http_server.h
+++ b/src/sidecar/http_server.h
@@ -36,6 +36,9 @@
     */
     void respond (const std::string& message, bool close);
 
+    /** True when the client has closed the connection, also if that hasn't been handled yet. */
+    bool clientLeft() const;
+
     /** True when the connection can't be kept, whatever the answer says. */
     bool mustClose() const { return closeAfter; }
     bool isHead() const { return head.method == "HEAD"; }
--- a/src/sidecar/journey.cc
+++ b/src/sidecar/journey.cc
@@ -97,6 +97,12 @@
 
 bool Journey::startAttempt()
 {
+    if (exchange->clientLeft())
+    {
+        onClientLeft();
+        return true;
+    }
+
     mesh::ChoiceRequest wanted{ &route, service, exchange->body.size(), {} };
 
     for (const auto& attempt : attempts)
@@ -146,6 +152,7 @@
     call.target = exchange->head.target;
     call.fields = fields;
     call.body = exchange->body;
+    call.abandoned = [client = exchange] { return client->clientLeft(); };
     return call;
 }
 
--- a/src/sidecar/last_hop.cc
+++ b/src/sidecar/last_hop.cc
@@ -168,8 +168,25 @@
     return requestMessage (running.call.method, running.call.target, fields, running.call.body);
 }
 
+bool LastHop::dropAbandoned (CallId id)
+{
+    const auto found = calls.find (id);
+    const auto& abandoned = found->second.call.abandoned;
+
+    if (! abandoned || ! abandoned())
+        return false;
+
+    queue.cancel (id);
+    calls.erase (found);
+    return true;
+}
+
 void LastHop::run (CallId id)
 {
+    // On a machine that is short of processor time the caller's leaving may wait to be handled.
+    if (dropAbandoned (id))
+        return;
+
     auto& running = calls.at (id);
     const auto now = SteadyClock().Now();
     running.startedAt = now;
--- a/src/sidecar/last_hop.h
+++ b/src/sidecar/last_hop.h
@@ -28,6 +28,7 @@
     std::string method, target;
     HeaderFields fields; /**< End-to-end ones, with Host. */
     std::string body;
+    std::function<bool()> abandoned; /**< Whether its caller has left, also if unhandled so far. */
 };
 
 /** What came of it; everything but the report is empty unless the instance answered. */
@@ -100,6 +101,7 @@
 
     bool refuseAtOnce (Timestamp now, const HopCall& call, mesh::HopCause& cause) const;
     void run (CallId id);
+    bool dropAbandoned (CallId id);
     void pump();
     void armExpiry();
     void expire();
--- a/src/sidecar/server_connection.h
+++ b/src/sidecar/server_connection.h
@@ -23,6 +23,9 @@
     void respond (const Exchange& answered, const std::string& message, bool close);
     void close();
 
+    /** The client has closed its side, read or not. */
+    bool clientLeft() const;
+
     /** No request is being read or answered. */
     bool idle() const { return state == State::head && input.empty() && output.empty(); }
 
@@ -41,7 +44,6 @@
     void advance();
     void takeHead();
     void takeBody();
-    bool clientLeft() const;
     void handOn();
     void fail (int status, std::string_view cause);
     void write();
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -323,6 +323,12 @@
                         { "Host", std::string (onlyValue (exchange->head.fields, "Host")) });
     call.body = std::move (exchange->body);
 
+    call.abandoned = [weak = std::weak_ptr<Exchange> (exchange)]
+    {
+        const auto held = weak.lock();
+        return held == nullptr || held->clientLeft();
+    };
+
     auto id = std::make_shared<LastHop::CallId> (0);
     exchange->onGone = [weak = std::weak_ptr<LastHop> (lastHop), id]
     {
