The sidecar's integration tests are a test program of their own

Cause: integration_test had grown by some two minutes and could come near its bound of 600 s on a busy machine.

--- a/tests/integration/explain_test.cc
+++ b/tests/mesh_integration/explain_test.cc
@@ -7,8 +7,8 @@
 #include <mutex>
 #include <thread>
 
-#include "tests/integration/mesh_fleet.h"
 #include "tests/integration/process_harness.h"
+#include "tests/mesh_integration/mesh_fleet.h"
 
 namespace copperlead::standin {
 namespace {
--- a/tests/integration/mesh_fleet.cc
+++ b/tests/mesh_integration/mesh_fleet.cc
@@ -1,4 +1,4 @@
-#include "tests/integration/mesh_fleet.h"
+#include "tests/mesh_integration/mesh_fleet.h"
 
 #include <signal.h>
 #include <sys/socket.h>
--- a/tests/integration/mesh_relay_test.cc
+++ b/tests/mesh_integration/mesh_relay_test.cc
@@ -3,8 +3,8 @@
 
 #include <thread>
 
-#include "tests/integration/mesh_fleet.h"
 #include "tests/integration/process_harness.h"
+#include "tests/mesh_integration/mesh_fleet.h"
 
 namespace copperlead::standin {
 namespace {
--- a/tests/integration/mesh_soak_test.cc
+++ b/tests/mesh_integration/mesh_soak_test.cc
@@ -14,8 +14,8 @@
 #include <set>
 #include <thread>
 
-#include "tests/integration/mesh_fleet.h"
 #include "tests/integration/process_harness.h"
+#include "tests/mesh_integration/mesh_fleet.h"
 
 namespace copperlead::standin {
 namespace {
--- a/tests/integration/two_hops_test.cc
+++ b/tests/mesh_integration/two_hops_test.cc
@@ -4,8 +4,8 @@
 #include <atomic>
 #include <thread>
 
-#include "tests/integration/mesh_fleet.h"
 #include "tests/integration/process_harness.h"
+#include "tests/mesh_integration/mesh_fleet.h"
 #include "tests/proxy/raw_socket.h"
 
 namespace copperlead::standin {
