--- a/src/mesh/admission_queue.cc
+++ b/src/mesh/admission_queue.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "mesh/milliseconds.h"
+
 namespace copperlead::mesh
 {
 namespace
@@ -11,11 +13,6 @@
 constexpr double shortestRunShare = 0.7; // Of the usual time: a run may well be that short.
 constexpr std::size_t mostWaiting = 256;
 
-Duration milliseconds (double count)
-{
-    return std::chrono::duration_cast<Duration> (std::chrono::duration<double, std::milli> (count));
-}
-
 } // namespace
 
 double AdmissionQueue::runMsOf (const AdmissionRequest& request) const
@@ -46,7 +43,7 @@
 
 Timestamp AdmissionQueue::latestStart (const AdmissionRequest& request, Timestamp due) const
 {
-    return due - milliseconds (shortestRunShare * runMsOf (request));
+    return due - fromMilliseconds (shortestRunShare * runMsOf (request));
 }
 
 AdmissionDecision AdmissionQueue::offer (Timestamp now, const AdmissionRequest& request)
@@ -59,14 +56,14 @@
 
     Rank rank{ request.priority, false, request.target, request.id };
 
-    if (now + milliseconds (waitBehindMs (countBefore (rank))) >
+    if (now + fromMilliseconds (waitBehindMs (countBefore (rank))) >
         latestStart (request, request.target))
         rank = { request.priority, true, request.deadline, request.id };
 
     const auto startBy = latestStart (request, request.deadline);
 
     if (order.size() >= mostWaiting ||
-        now + milliseconds (waitBehindMs (countBefore (rank))) > startBy)
+        now + fromMilliseconds (waitBehindMs (countBefore (rank))) > startBy)
         return AdmissionDecision::refuse;
 
     waitingById.emplace (request.id, Held{ request, startBy, rank });
--- a/src/mesh/instance_chooser.cc
+++ b/src/mesh/instance_chooser.cc
@@ -5,6 +5,8 @@
 #include <limits>
 #include <set>
 
+#include "mesh/milliseconds.h"
+
 namespace copperlead::mesh
 {
 namespace
@@ -15,11 +17,6 @@
 constexpr double unheardRunShare = 0.3; // Of the target latency, before a route's first answer.
 constexpr double lapsedPenaltyMs = 10'000, suspectedPenaltyMs = 5'000;
 
-double milliseconds (Duration time)
-{
-    return std::chrono::duration<double, std::milli> (time).count();
-}
-
 } // namespace
 
 InstanceChooser::InstanceChooser (ChooserSettings settingsToUse, std::uint64_t seed)
@@ -45,7 +42,7 @@
     if (! view.heard)
         return own;
 
-    const auto age = milliseconds (now - view.reportedAt);
+    const auto age = toMilliseconds (now - view.reportedAt);
     const auto faded = view.report.load * std::exp2 (-age / settings.loadHalfLifeMs);
     return std::max (own, faded + view.inFlight - view.inFlightAtReport);
 }
@@ -115,7 +112,7 @@
     choice.instance = best->instance;
     choice.expectedMs = bestCost;
     choice.load = loadOf (now, view);
-    choice.ageMs = view.heard ? milliseconds (now - view.reportedAt) : -1;
+    choice.ageMs = view.heard ? toMilliseconds (now - view.reportedAt) : -1;
     return true;
 }
 
--- a/src/sidecar/http_server.cc
+++ b/src/sidecar/http_server.cc
@@ -4,7 +4,6 @@
 #include <sys/epoll.h>
 #include <unistd.h>
 
-#include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <vector>
@@ -96,10 +95,4 @@
             connection->close();
 }
 
-std::size_t HttpServer::busyConnections() const
-{
-    return static_cast<std::size_t> (
-        std::count_if (open.begin(), open.end(), [] (const auto& c) { return ! c->idle(); }));
-}
-
 } // namespace copperlead::sidecar
--- a/src/sidecar/http_server.h
+++ b/src/sidecar/http_server.h
@@ -79,7 +79,6 @@
     /** Closes the connections on which no request is being read or answered. */
     void closeIdle();
     std::size_t connections() const { return open.size(); }
-    std::size_t busyConnections() const;
 
 private:
     friend class ServerConnection;
--- a/src/sidecar/journey.cc
+++ b/src/sidecar/journey.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "mesh/milliseconds.h"
+
 #include "sidecar/messages.h"
 
 namespace copperlead::sidecar
@@ -12,9 +14,11 @@
 {
 
 using mesh::AttemptOutcome;
+using mesh::fromMilliseconds;
 using mesh::HopCause;
 using mesh::HopOutcome;
 using mesh::NextStep;
+using mesh::toMilliseconds;
 
 constexpr Milliseconds deadlineGrace{ 30 }; // For the instance's own answer at the deadline.
 constexpr Milliseconds unreachableShun{ 600 }, downShun{ 400 }, stoppingShun{ 1500 };
@@ -22,16 +26,6 @@
 constexpr Milliseconds suspicionTime{ 1000 };
 constexpr double retryAfterShare = 0.15; // Of the time left; clients heed up to a third of it.
 
-double milliseconds (Duration time)
-{
-    return std::chrono::duration<double, std::milli> (time).count();
-}
-
-Duration fromMilliseconds (double count)
-{
-    return std::chrono::duration_cast<Duration> (std::chrono::duration<double, std::milli> (count));
-}
-
 template <typename Enum, std::size_t count>
 std::string_view nameOf (Enum value, const std::string_view (&names)[count])
 {
@@ -57,7 +51,7 @@
 void Journey::setDone()
 {
     done = true;
-    hop->counts.whole.observe (milliseconds (now() - exchange->arrivedAt));
+    hop->counts.whole.observe (toMilliseconds (now() - exchange->arrivedAt));
     --hop->inFlightCount;
 }
 
@@ -478,7 +472,7 @@
     setDone();
     cancelAttempts();
     const auto left = std::max<Duration> (deadline - now(), Duration{});
-    const auto share = fromMilliseconds (milliseconds (left) * retryAfterShare);
+    const auto share = fromMilliseconds (toMilliseconds (left) * retryAfterShare);
     hop->answerOwn (exchange, status, cause, std::chrono::ceil<Milliseconds> (share));
 
     if (status == 503)
@@ -503,8 +497,8 @@
                        { "cause", cause },
                        { "attempts", static_cast<std::int64_t> (attempts.size()) },
                        { "arrivals", std::int64_t (arrivals) },
-                       { "took_ms", milliseconds (at - exchange->arrivedAt) },
-                       { "left_ms", milliseconds (deadline - at) },
+                       { "took_ms", toMilliseconds (at - exchange->arrivedAt) },
+                       { "left_ms", toMilliseconds (deadline - at) },
                        { "budget", hop->budgetOf (service).left (at, hop->nodes()) },
                        { "instance", attempts.empty() ? std::string_view()
                                                       : attempts.back().choice.instance.id } });
@@ -525,7 +519,7 @@
           { "load", attempt.choice.load },
           { "report_age_ms", attempt.choice.ageMs },
           { "expected_ms", attempt.choice.expectedMs },
-          { "took_ms", milliseconds (at - attempt.startedAt) },
+          { "took_ms", toMilliseconds (at - attempt.startedAt) },
           { "version", static_cast<std::int64_t> (answer.report.configurationVersion) } });
 }
 
--- a/src/sidecar/last_hop.cc
+++ b/src/sidecar/last_hop.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "mesh/milliseconds.h"
+
 #include "sidecar/messages.h"
 
 namespace copperlead::sidecar
@@ -11,15 +13,11 @@
 
 using mesh::HopCause;
 using mesh::HopOutcome;
+using mesh::toMilliseconds;
 
 constexpr Milliseconds probeTimeout{ 400 };
 constexpr Milliseconds deadlineGrace{ 20 }; // For the instance's own answer at the deadline.
 
-double milliseconds (Duration time)
-{
-    return std::chrono::duration<double, std::milli> (time).count();
-}
-
 std::string_view nameOf (HopCause cause)
 {
     return mesh::hopCauseNames[static_cast<std::size_t> (cause)];
@@ -119,7 +117,7 @@
                   { "cause", nameOf (cause) },
                   { "running", static_cast<std::int64_t> (queue.running()) },
                   { "waiting", static_cast<std::int64_t> (queue.waiting()) },
-                  { "left_ms", milliseconds (running.deadline - now) },
+                  { "left_ms", toMilliseconds (running.deadline - now) },
                   { "wait_ms", queue.expectedWaitMs (running.call.facts.priority) } });
 }
 
@@ -147,7 +145,7 @@
     const auto& running = found->second;
 
     if (running.startedAt != Timestamp{})
-        answer.report.waitedMs = milliseconds (running.startedAt - running.arrivedAt);
+        answer.report.waitedMs = toMilliseconds (running.startedAt - running.arrivedAt);
 
     const auto callback = std::move (found->second.callback);
     calls.erase (found);
@@ -273,7 +271,7 @@
 
     if (instance.answered (now))
         log->write (now, EventKind::instanceRegained,
-                    { { "instance", before }, { "after_ms", milliseconds (lostFor) } });
+                    { { "instance", before }, { "after_ms", toMilliseconds (lostFor) } });
 
     const auto spoken = onlyValue (result.head.fields, settings.names.instanceId);
 
@@ -294,10 +292,10 @@
     const auto outcome = judge (result, cause);
     const bool ran = outcome == HopOutcome::ran;
     const bool measured = ran && result.head.status < 300;
-    const auto took = milliseconds (SteadyClock().Now() - found->second.startedAt);
+    const auto took = toMilliseconds (SteadyClock().Now() - found->second.startedAt);
     queue.finished (id, measured ? took : 0);
     counts.instance.observe (took);
-    counts.queue.observe (milliseconds (found->second.startedAt - found->second.arrivedAt));
+    counts.queue.observe (toMilliseconds (found->second.startedAt - found->second.arrivedAt));
     learn (result);
     answer.report = report (outcome, cause);
     answer.report.tookMs = took;
