Readers tell other zones too, so a zone that the store turns away stays up to date

Cause: readers' beats went to their own zone only.

Ruled out: pulling from a peer whose answer showed a later version, since it does nothing for a node that knows no peer yet; beats to all nodes of all zones, whose number grows with the fleet.

Change: a beat carries its zone and goes to one random node elsewhere as well. A beat from elsewhere leads to a pull but says nothing about who reads for this zone. What comes from elsewhere is told to the zone at once when the source doesn't reach it. The peers are computed when the directory changes (mesh::peersOf), no longer at each beat.

Tests: MeshZones.* (four), all failing with the sidecar of the commit before (15 to 45 s each), passing after; peer_addresses_test.

--- a/src/mesh/reader_role.h
+++ b/src/mesh/reader_role.h
@@ -32,10 +32,13 @@
     }
 };
 
-/** What a reader tells its zone, some times a second and at each change. */
+/** What a reader tells its zone, some times a second and at each change; and each time one node
+    elsewhere, for a zone whose own readers don't reach the source.
+*/
 struct ReaderBeat
 {
     std::string node;
+    std::string zone;
     ReaderRank rank;
     std::uint64_t at = 0;      /**< The source's revision that it has read up to. */
     std::uint64_t version = 0; /**< Of the configuration that it runs. */
--- a/src/sidecar/first_hop.cc
+++ b/src/sidecar/first_hop.cc
@@ -3,7 +3,6 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <set>
 
 #include "sidecar/journey.h"
 #include "sidecar/messages.h"
@@ -55,19 +54,6 @@
     return least;
 }
 
-std::vector<std::string> FirstHop::peersIn (const std::string& zone,
-                                            const std::string& without) const
-{
-    std::set<std::string> ips;
-
-    if (directory != nullptr)
-        for (const auto& [address, listed] : directory->byAddress)
-            if (listed.instance.zone == zone && listed.instance.address.ip != without)
-                ips.insert (listed.instance.address.ip);
-
-    return { ips.begin(), ips.end() };
-}
-
 std::size_t FirstHop::nodes() const { return directory == nullptr ? 1 : directory->nodes; }
 
 mesh::RetryBudget& FirstHop::budgetOf (const std::string& service)
--- a/src/sidecar/first_hop.h
+++ b/src/sidecar/first_hop.h
@@ -74,9 +74,6 @@
     /** The age, in ms, of the last word that the routes are the newest. */
     std::function<double()> routesAge;
 
-    /** The IPs of the nodes in a zone, without one. */
-    std::vector<std::string> peersIn (const std::string& zone, const std::string& without) const;
-
     /** What is left of the poorest service's retry budget. */
     double retryBudgetLeft (Timestamp now);
 
--- a/src/sidecar/relay.cc
+++ b/src/sidecar/relay.cc
@@ -41,6 +41,7 @@
     , hooks (std::move (hooksToUse))
     , log (std::move (logToUse))
     , role (settings.node, rankOf (settings), {}, rankOf (settings).hash)
+    , random (static_cast<std::minstd_rand::result_type> (rankOf (settings).hash))
     , client (std::make_shared<HttpClient> (reactor, pullClientSettings()))
 {
 }
@@ -74,22 +75,28 @@
 
     const auto now = SteadyClock().Now();
     ++counts.beatsHeard;
-    role.heard (now, *heard);
-    // Stepping down at once keeps a zone that starts together from all its nodes' beats.
-    applyRole (now);
+    const bool elsewhere = heard->zone != settings.zone;
+
+    if (! elsewhere)
+    {
+        role.heard (now, *heard);
+        // Stepping down at once keeps a zone that starts together from all its nodes' beats.
+        applyRole (now);
+    }
 
     // Also from one that can't read on: what it has is later than what this node has.
     if (heard->at > ownAt || heard->version > ownVersion)
-        pull (from.ip);
+        pull (from.ip, elsewhere);
 }
 
-void Relay::pull (const std::string& ip)
+void Relay::pull (const std::string& ip, bool elsewhere)
 {
     if (pulling)
         return;
 
     pulling = true;
     ++counts.pulls;
+    counts.pullsElsewhere += elsewhere ? 1 : 0;
     const auto version = std::exchange (wantsWhole, false) ? 0 : ownVersion;
     const auto target =
         std::string (changesPath) + std::to_string (ownAt) + "/" + std::to_string (version);
@@ -97,14 +104,14 @@
     options.deadline = SteadyClock().Now() + pullTimeout;
     const HeaderFields fields{ { "Host", ip } };
     client->send ({ ip, settings.peerPort }, requestMessage ("GET", target, fields, {}), options,
-                  [weak = weak_from_this()] (const CallResult& result)
+                  [weak = weak_from_this(), elsewhere] (const CallResult& result)
                   {
                       if (const auto self = weak.lock())
-                          self->onPulled (result);
+                          self->onPulled (result, elsewhere);
                   });
 }
 
-void Relay::onPulled (const CallResult& result)
+void Relay::onPulled (const CallResult& result, bool elsewhere)
 {
     pulling = false;
     mesh::MeshUpdate update;
@@ -118,10 +125,18 @@
             return Done{};
         });
 
-    if (taken)
-        hooks.take (SteadyClock().Now(), std::move (update));
-    else
+    if (! taken)
+    {
         ++counts.failedPulls;
+        return;
+    }
+
+    const auto now = SteadyClock().Now();
+    hooks.take (now, std::move (update));
+
+    // The source didn't tell it, so nobody else of the zone may have it.
+    if (elsewhere && role.reading() && ! hooks.sourceSound (now))
+        beat (false);
 }
 
 void Relay::reached (Timestamp now, std::uint64_t at, std::uint64_t version)
@@ -160,7 +175,7 @@
 
 Milliseconds Relay::shortestInterval() const
 {
-    return std::max (leastInterval, intervalPerPeer * std::int64_t (hooks.zonePeers().size()));
+    return std::max (leastInterval, intervalPerPeer * std::int64_t (peers.inZone.size()));
 }
 
 void Relay::beat (bool sound)
@@ -170,14 +185,23 @@
 
     beatAt = SteadyClock().Now();
     saidSound = sound;
-    const auto bytes =
-        mesh::encode ({ settings.node, rankOf (settings), ownAt, ownVersion, sound });
+    const auto bytes = mesh::encode (
+        { settings.node, settings.zone, rankOf (settings), ownAt, ownVersion, sound });
 
-    for (const auto& ip : hooks.zonePeers())
-    {
-        ++counts.beatsSent;
-        channel->Send ({ ip, settings.address.port }, bytes);
-    }
+    for (const auto& ip : peers.inZone)
+        sendBeat (ip, bytes);
+
+    if (peers.elsewhere.empty())
+        return;
+
+    std::uniform_int_distribution<std::size_t> any (0, peers.elsewhere.size() - 1);
+    sendBeat (peers.elsewhere[any (random)], bytes);
+}
+
+void Relay::sendBeat (const std::string& ip, const std::string& bytes)
+{
+    ++counts.beatsSent;
+    channel->Send ({ ip, settings.address.port }, bytes);
 }
 
 void Relay::applyRole (Timestamp now)
--- a/src/sidecar/relay.h
+++ b/src/sidecar/relay.h
@@ -1,14 +1,19 @@
-/** Passes what the source told between the nodes of a zone: beats of the readers by datagram,
-   changes on request over HTTP. Runs a ReaderRole. Of the reactor's thread.
+/** Passes what the source told between the nodes: beats of the readers by datagram to their own
+   zone and each time to one node elsewhere, changes on request over HTTP. Runs a ReaderRole. Of the
+    reactor's thread.
+
+    A beat from elsewhere says nothing of who reads for this zone; it only tells that something
+    later is to be had, also while the source turns a whole zone away.
 */
 #pragma once
 
 #include <functional>
 #include <memory>
+#include <random>
 #include <string>
-#include <vector>
 
 #include "mesh/mesh_update.h"
+#include "mesh/peer_addresses.h"
 #include "mesh/reader_role.h"
 #include "sidecar/decision_log.h"
 #include "sidecar/http_client.h"
@@ -23,6 +28,7 @@
 struct RelaySettings
 {
     std::string node;
+    std::string zone;
     SocketAddress address;      /**< For beats; all nodes use the same port. */
     std::uint16_t peerPort = 0; /**< On which nodes take requests for changes. */
     int strength = 0;           /**< Of this machine, for the readers' rank. */
@@ -34,13 +40,13 @@
     std::function<void (Timestamp, mesh::MeshUpdate)> take;
     std::function<void (bool reading)> setReading;
     std::function<bool (Timestamp)> sourceSound;
-    std::function<std::vector<std::string>()> zonePeers; /**< IPs of the zone's other nodes. */
 };
 
 /** Counted since the start. */
 struct RelayCounters
 {
     std::uint64_t beatsSent = 0, beatsHeard = 0, pulls = 0, failedPulls = 0, roleChanges = 0;
+    std::uint64_t pullsElsewhere = 0; /**< Of the pulls: from a node of another zone. */
 };
 
 class Relay : public std::enable_shared_from_this<Relay>
@@ -53,6 +59,8 @@
     /** @returns kBadAddress or kAddressInUse naming the address */
     Result<Done> start();
 
+    void setPeers (mesh::PeerAddresses peersToUse) { peers = std::move (peersToUse); }
+
     /** This node's state is now up to date with this revision of the source and this version. */
     void reached (Timestamp now, std::uint64_t at, std::uint64_t version);
 
@@ -77,9 +85,10 @@
 
 private:
     void hear (const SocketAddress& from, std::string_view datagram);
-    void pull (const std::string& ip);
-    void onPulled (const CallResult& result);
+    void pull (const std::string& ip, bool elsewhere);
+    void onPulled (const CallResult& result, bool elsewhere);
     void beat (bool sound);
+    void sendBeat (const std::string& ip, const std::string& bytes);
     void applyRole (Timestamp now);
     Milliseconds shortestInterval() const;
 
@@ -88,10 +97,12 @@
     RelayHooks hooks;
     std::shared_ptr<DecisionLog> log;
     mesh::ReaderRole role;
+    std::minstd_rand random;
     std::shared_ptr<HttpClient> client;
     TransportCounters datagramCounters;
     std::unique_ptr<DatagramChannel> channel;
     RelayCounters counts;
+    mesh::PeerAddresses peers;
     std::uint64_t ownAt = 0, ownVersion = 0;
     Timestamp beatAt{};
     bool saidSound = false;  /**< In the last beat. */
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -237,17 +237,16 @@
     const auto snapshot = state.directory().snapshot();
     firstHop->setDirectory (snapshot);
     lastHop->setDirectory (at, *snapshot);
-}
 
-std::vector<std::string> Sidecar::zonePeers() const
-{
-    return firstHop->peersIn (settings.zone, settings.instance.ip);
+    if (relay != nullptr)
+        relay->setPeers (mesh::peersOf (*snapshot, settings.zone, settings.instance.ip));
 }
 
 std::shared_ptr<Relay> Sidecar::makeRelay()
 {
     RelaySettings made;
     made.node = settings.id;
+    made.zone = settings.zone;
     made.address = settings.relay;
     made.peerPort = settings.inbound.port;
     made.strength = (settings.cpuShare >= strongCpuShare ? 1 : 0) +
@@ -272,11 +271,6 @@
         const auto self = weak.lock();
         return self != nullptr && self->sourceStatus && self->sourceStatus().sound;
     };
-    hooks.zonePeers = [weak]
-    {
-        const auto self = weak.lock();
-        return self == nullptr ? std::vector<std::string>() : self->zonePeers();
-    };
     return std::make_shared<Relay> (reactor, std::move (made), std::move (hooks), log);
 }
 
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -67,7 +67,6 @@
     void followConfiguration (Timestamp now, const mesh::ConfigurationOutcome& outcome);
     void directoryChanged (Timestamp now);
     void answerChanges (const ExchangePointer& exchange);
-    std::vector<std::string> zonePeers() const;
     std::shared_ptr<Relay> makeRelay();
     double wordAgeMs() const;
     void answerReadiness (const ExchangePointer& exchange);
--- a/src/sidecar/sidecar_metrics.cc
+++ b/src/sidecar/sidecar_metrics.cc
@@ -136,12 +136,15 @@
     families.gauge ("copperlead_zone_word_age_milliseconds",
                     "Since this node was up to date with a reader of its zone",
                     figures.zoneWordAgeMs);
-    families.counter ("copperlead_reader_beats_sent_total", "Datagrams to the zone",
+    families.counter ("copperlead_reader_beats_sent_total", "Datagrams to other nodes",
                       figures.relay.beatsSent);
     families.counter ("copperlead_reader_beats_heard_total", "Datagrams of readers",
                       figures.relay.beatsHeard);
     families.counter ("copperlead_changes_pulled_total", "Requests for changes to a reader",
                       figures.relay.pulls);
+    families.counter ("copperlead_changes_pulled_elsewhere_total",
+                      "Requests for changes to a node of another zone",
+                      figures.relay.pullsElsewhere);
     families.counter ("copperlead_changes_pull_failures_total", "Those that failed",
                       figures.relay.failedPulls);
     families.counter ("copperlead_reader_role_changes_total", "Begins and ends of reading",
--- /dev/null
+++ b/tests/mesh/peer_addresses_test.cc
@@ -0,0 +1,51 @@
+#include "mesh/peer_addresses.h"
+
+#include <gtest/gtest.h>
+
+#include "tests/mesh/fixtures.h"
+
+namespace copperlead::mesh::test
+{
+namespace
+{
+
+constexpr bool sound = true;
+
+using Ips = std::vector<std::string>;
+
+/** b drains. */
+class Peers : public ::testing::Test
+{
+protected:
+    Peers()
+    {
+        directory.put (at (0), makeInstance ("own", "z1", 1), 1);
+        directory.put (at (0), makeInstance ("a", "z1", 3), 2);
+        auto draining = makeInstance ("b", "z1", 2);
+        draining.draining = true;
+        directory.put (at (0), draining, 3);
+        directory.put (at (0), makeInstance ("c", "z2", 4), 4);
+        directory.put (at (0), makeInstance ("d", "z3", 5), 5);
+    }
+
+    PeerAddresses peers() { return peersOf (*directory.snapshot(), "z1", "10.0.0.1"); }
+
+    InstanceDirectory directory;
+};
+
+TEST_F (Peers, AreTheNodesBesideAllInstancesButThisOne)
+{
+    EXPECT_EQ (peers().inZone, (Ips{ "10.0.0.2", "10.0.0.3" }));
+    EXPECT_EQ (peers().elsewhere, (Ips{ "10.0.0.4", "10.0.0.5" }));
+}
+
+TEST_F (Peers, OneForEachMachine)
+{
+    auto second = makeInstance ("e", "z2", 4);
+    second.address.port = 8001;
+    directory.put (at (0), second, 6);
+    EXPECT_EQ (peers().elsewhere, (Ips{ "10.0.0.4", "10.0.0.5" }));
+}
+
+} // namespace
+} // namespace copperlead::mesh::test
--- a/tests/mesh/reader_role_test.cc
+++ b/tests/mesh/reader_role_test.cc
@@ -15,7 +15,7 @@
 
 ReaderBeat beat (ReaderRank rank, std::uint64_t revision = 5, bool sound = true)
 {
-    return { "other", rank, revision, 3, sound };
+    return { "other", "ank-a", rank, revision, 3, sound };
 }
 
 /** A node that has reached revision 5 and version 3. */
@@ -133,6 +133,7 @@
     const auto read = decodeReaderBeat (bytes);
     ASSERT_TRUE (read);
     EXPECT_EQ (read->at, 77U);
+    EXPECT_EQ (read->zone, "ank-a");
     EXPECT_EQ (read->rank.hash, better.hash);
     EXPECT_TRUE (read->sound);
 
--- a/tests/mesh_integration/mesh_fleet.cc
+++ b/tests/mesh_integration/mesh_fleet.cc
@@ -21,14 +21,27 @@
 constexpr auto kStartTime = std::chrono::seconds(20);
 constexpr auto kPollInterval = std::chrono::milliseconds(20);
 
-// A port that is free on all of loopback now.
-std::uint16_t FreePort() {
+// Below the range from which the system takes the ports of those who name none.
+constexpr int kFirstPort = 10'000, kPortCount = 20'000;
+
+bool IsFree(std::uint16_t port) {
   const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  const SystemAddress any = ToSystem({"0.0.0.0", 0});
-  bind(descriptor, any.get(), any.length);
-  const auto port = BoundPort(descriptor);
+  const SystemAddress any = ToSystem({"0.0.0.0", port});
+  const bool free = bind(descriptor, any.get(), any.length) == 0;
   close(descriptor);
-  return port;
+  return free;
+}
+
+// A port that is free on all of loopback now and that nobody gets by chance before it is bound:
+// stand-ins and fault proxies on the same IPs listen where the system puts them.
+std::uint16_t FreePort() {
+  // Processes that run beside each other begin at different ports.
+  static std::atomic<int> next{getpid() * 16};
+  for (int tries = 0; tries < kPortCount; ++tries) {
+    const auto port = static_cast<std::uint16_t>(kFirstPort + next++ % kPortCount);
+    if (IsFree(port)) return port;
+  }
+  return 0;
 }
 
 std::string NewFolder() {
--- a/tests/mesh_integration/mesh_relay_test.cc
+++ b/tests/mesh_integration/mesh_relay_test.cc
@@ -1,4 +1,4 @@
-// Sidecars of one zone that pass the store's changes on.
+// Sidecars that pass the store's changes on, in their zone and between zones.
 #include <gtest/gtest.h>
 
 #include <thread>
@@ -12,20 +12,10 @@
 constexpr auto kInForce = std::chrono::milliseconds(2000);
 constexpr auto kSettled = std::chrono::milliseconds(3000);
 
-// Four machines of one zone; the first reads listener 0 of the store, the others listener 1.
-class MeshRelay : public ::testing::Test {
+// Four machines: what is in force on them.
+class MeshFour : public ::testing::Test {
  protected:
-  void SetUp() override {
-    fleet_.UseRelay();
-    fleet_.Configure(4);
-    fleet_.Add("desk", "ank-a", 0);
-    for (int more = 0; more < 2; ++more) fleet_.Add("desk", "ank-a", 1);
-    fleet_.Add("hub", "ank-a", 1);
-    // The strong machine reads once all have settled.
-    fleet_.Start(*fleet_.machines()[0], {"--cpu-share", "1"});
-    for (std::size_t index = 1; index < 4; ++index) {
-      fleet_.Start(*fleet_.machines()[index], {"--cpu-share", "0.1"});
-    }
+  void AwaitSettled() {
     for (const auto& machine : fleet_.machines()) ASSERT_TRUE(fleet_.AwaitReady(*machine));
     std::this_thread::sleep_for(kSettled);
   }
@@ -51,6 +41,47 @@
   int sent_ = 0;
 };
 
+// All in one zone; the first reads listener 0 of the store, the others listener 1.
+class MeshRelay : public MeshFour {
+ protected:
+  void SetUp() override {
+    fleet_.UseRelay();
+    fleet_.Configure(4);
+    fleet_.Add("desk", "ank-a", 0);
+    for (int more = 0; more < 2; ++more) fleet_.Add("desk", "ank-a", 1);
+    fleet_.Add("hub", "ank-a", 1);
+    // The strong machine reads once all have settled.
+    fleet_.Start(*fleet_.machines()[0], {"--cpu-share", "1"});
+    for (std::size_t index = 1; index < 4; ++index) {
+      fleet_.Start(*fleet_.machines()[index], {"--cpu-share", "0.1"});
+    }
+    AwaitSettled();
+  }
+};
+
+// Two zones of two; the first zone reads listener 0 of the store, the second listener 1.
+class MeshZones : public MeshFour {
+ protected:
+  void SetUp() override {
+    fleet_.UseRelay();
+    fleet_.Configure(4);
+    fleet_.Add("desk", "ank-a", 0);
+    fleet_.Add("hub", "ank-a", 0);
+    fleet_.Add("desk", "ank-b", 1);
+    fleet_.Add("hub", "ank-b", 1);
+    for (auto& machine : fleet_.machines()) fleet_.Start(*machine);
+    AwaitSettled();
+  }
+
+  void RestartSecondZone() {
+    for (std::size_t index : {2, 3}) {
+      fleet_.machines()[index]->sidecar->Signal(SIGKILL);
+      fleet_.machines()[index]->sidecar->Wait(std::chrono::seconds(5));
+    }
+    for (std::size_t index : {2, 3}) fleet_.Start(*fleet_.machines()[index]);
+  }
+};
+
 TEST_F(MeshRelay, OneReaderCarriesTheChangesForItsZone) {
   const auto before = fleet_.store().calls(1);
   for (std::uint64_t version = 5; version < 15; ++version) {
@@ -109,5 +140,37 @@
   EXPECT_TRUE(Served("/new/1", 1));
 }
 
+TEST_F(MeshZones, AZoneThatTheStoreRefusesIsKeptUpToDateByTheOthers) {
+  fleet_.store().SetFault(1, {StoreTrouble::kBusy, {}});
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  for (std::uint64_t version = 5; version < 8; ++version) {
+    const std::string name = "new" + std::to_string(version);
+    fleet_.Configure(version, ExtraRoute(name, "/" + name + "/", "hub"));
+    EXPECT_TRUE(Served("/" + name + "/1"));
+  }
+}
+
+TEST_F(MeshZones, AZoneThatTheStoreDropsIsKeptUpToDateByTheOthers) {
+  fleet_.store().SetFault(1, {StoreTrouble::kSilent, {}});
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  fleet_.Configure(5, ExtraRoute("new", "/new/", "hub"));
+  EXPECT_TRUE(Served("/new/1"));
+}
+
+TEST_F(MeshZones, AZoneThatStartsWhileTheStoreRefusesItLearnsFromTheOthers) {
+  fleet_.store().SetFault(1, {StoreTrouble::kMany, {}});
+  RestartSecondZone();
+  for (std::size_t index : {2, 3}) EXPECT_TRUE(fleet_.AwaitReady(*fleet_.machines()[index]));
+  EXPECT_TRUE(Served("/look/1"));
+}
+
+TEST_F(MeshZones, AZoneThatStartsWhileTheStoreIsDownForAllLearnsFromTheOthers) {
+  for (std::size_t listener : {0, 1}) fleet_.store().SetFault(listener, {StoreTrouble::kBusy, {}});
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  RestartSecondZone();
+  for (std::size_t index : {2, 3}) EXPECT_TRUE(fleet_.AwaitReady(*fleet_.machines()[index]));
+  EXPECT_TRUE(Served("/look/1"));
+}
+
 }  // namespace
 }  // namespace copperlead::standin
