--- a/src/mesh/milliseconds.h
+++ b/src/mesh/milliseconds.h
@@ -1,6 +1,8 @@
 /** Times as fractional milliseconds, in which estimates, logs and metrics are reckoned. */
 #pragma once
 
+#include <optional>
+
 #include "base/time.h"
 
 namespace copperlead::mesh
@@ -16,4 +18,13 @@
     return std::chrono::duration_cast<Duration> (std::chrono::duration<double, std::milli> (count));
 }
 
+/** @returns nothing when it has never been: `when` is the clock's zero */
+inline std::optional<double> ageInMilliseconds (Timestamp now, Timestamp when)
+{
+    if (when == Timestamp{})
+        return std::nullopt;
+
+    return toMilliseconds (now - when);
+}
+
 } // namespace copperlead::mesh
--- a/src/sidecar/first_hop.cc
+++ b/src/sidecar/first_hop.cc
@@ -14,6 +14,7 @@
 
 constexpr Milliseconds notReadyRetryAfter{ 200 };
 constexpr double freshWordMs = 2500; // After which an unknown route may be a new one.
+constexpr double neverMs = -1;       // An age in the log of what has never been.
 
 ClientSettings peerClientSettings()
 {
@@ -79,6 +80,14 @@
     exchange->respond (ownAnswer (status, cause, fields, close, exchange->isHead()), close);
 }
 
+std::optional<double> FirstHop::wordAgeMs() const { return routesAge ? routesAge() : std::nullopt; }
+
+bool FirstHop::wordIsFresh() const
+{
+    const auto age = wordAgeMs();
+    return age && *age <= freshWordMs;
+}
+
 void FirstHop::refuse (const ExchangePointer& exchange, int status, std::string_view cause)
 {
     ++(status == 404 ? counts.noRoute : counts.refused);
@@ -91,7 +100,7 @@
                   { "version", version },
                   { "status", std::int64_t (status) },
                   { "cause", cause },
-                  { "word_age_ms", routesAge ? routesAge() : -1.0 } });
+                  { "word_age_ms", wordAgeMs().value_or (neverMs) } });
     answerOwn (exchange, status, cause, notReadyRetryAfter);
 }
 
@@ -106,7 +115,7 @@
     const auto* route =
         routes->find (onlyValue (exchange->head.fields, "Host"), exchange->head.target);
 
-    if (route == nullptr && routesAge && routesAge() > freshWordMs)
+    if (route == nullptr && ! wordIsFresh())
         return refuse (exchange, 503, "the configuration may be out of date");
 
     if (route == nullptr)
--- a/src/sidecar/first_hop.h
+++ b/src/sidecar/first_hop.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "mesh/instance_chooser.h"
@@ -71,8 +72,8 @@
     /** Told of every version that another node runs. */
     std::function<void (std::uint64_t)> onPeerVersion;
 
-    /** The age, in ms, of the last word that the routes are the newest. */
-    std::function<double()> routesAge;
+    /** The age, in ms, of the last word that the routes are the newest; nothing without any. */
+    std::function<std::optional<double>()> routesAge;
 
     /** What is left of the poorest service's retry budget. */
     double retryBudgetLeft (Timestamp now);
@@ -87,6 +88,8 @@
     void refuse (const ExchangePointer& exchange, int status, std::string_view cause);
     void answerOwn (const ExchangePointer& exchange, int status, std::string_view cause,
                     Milliseconds retryAfter);
+    std::optional<double> wordAgeMs() const;
+    bool wordIsFresh() const;
     mesh::RetryBudget& budgetOf (const std::string& service);
     std::size_t nodes() const;
 
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "mesh/milliseconds.h"
 #include "sidecar/messages.h"
 
 namespace copperlead::sidecar
@@ -140,7 +141,7 @@
     firstHop->routesAge = [weak]
     {
         const auto self = weak.lock();
-        return self == nullptr ? 0.0 : self->wordAgeMs();
+        return self == nullptr ? std::nullopt : self->wordAgeMs();
     };
 
     BOOST_LEAF_CHECK (outbound->listen (settings.outbound));
@@ -274,11 +275,11 @@
     return std::make_shared<Relay> (reactor, std::move (made), std::move (hooks), log);
 }
 
-double Sidecar::wordAgeMs() const
+std::optional<double> Sidecar::wordAgeMs() const
 {
     const auto own = sourceStatus ? sourceStatus().lastSuccess : Timestamp{};
     const auto zone = relay == nullptr ? Timestamp{} : relay->upToDateAt();
-    return std::chrono::duration<double, std::milli> (now() - std::max (own, zone)).count();
+    return mesh::ageInMilliseconds (now(), std::max (own, zone));
 }
 
 void Sidecar::answerChanges (const ExchangePointer& exchange)
@@ -361,8 +362,6 @@
 SidecarFigures Sidecar::figures() const
 {
     const auto at = now();
-    const auto age = [&] (Timestamp when)
-    { return std::chrono::duration<double, std::milli> (at - when).count(); };
     const auto source = sourceStatus ? sourceStatus() : SourceStatus{};
     SidecarFigures shown;
     shown.first = firstHop->counters();
@@ -378,13 +377,13 @@
     shown.logLinesLeftOut = log->leftOut();
     shown.ready = ready();
     shown.reading = relay == nullptr || relay->reading();
-    shown.sourceWordAgeMs = age (source.lastSuccess);
+    shown.sourceWordAgeMs = mesh::ageInMilliseconds (at, source.lastSuccess);
     shown.retryBudgetLeft = firstHop->retryBudgetLeft (at);
 
     if (relay != nullptr)
     {
         shown.relay = relay->counters();
-        shown.zoneWordAgeMs = age (relay->upToDateAt());
+        shown.zoneWordAgeMs = mesh::ageInMilliseconds (at, relay->upToDateAt());
     }
 
     return shown;
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "mesh/mesh_state.h"
@@ -68,7 +69,7 @@
     void directoryChanged (Timestamp now);
     void answerChanges (const ExchangePointer& exchange);
     std::shared_ptr<Relay> makeRelay();
-    double wordAgeMs() const;
+    std::optional<double> wordAgeMs() const;
     void answerReadiness (const ExchangePointer& exchange);
     SidecarFigures figures() const;
     void answerMetrics (const ExchangePointer& exchange);
--- a/src/sidecar/sidecar_metrics.cc
+++ b/src/sidecar/sidecar_metrics.cc
@@ -131,11 +131,17 @@
     families.gauge ("copperlead_is_reader", "1 while this node reads the source itself",
                     figures.reading ? 1 : 0);
     families.counter ("copperlead_source_calls_total", "Calls to the source", figures.sourceCalls);
-    families.gauge ("copperlead_source_word_age_milliseconds",
-                    "Since the source last answered this node", figures.sourceWordAgeMs);
-    families.gauge ("copperlead_zone_word_age_milliseconds",
-                    "Since this node was up to date with a reader of its zone",
-                    figures.zoneWordAgeMs);
+
+    // An age of what has never been is left out, as is usual with Prometheus.
+    if (figures.sourceWordAgeMs)
+        families.gauge ("copperlead_source_word_age_milliseconds",
+                        "Since the source last answered this node", *figures.sourceWordAgeMs);
+
+    if (figures.zoneWordAgeMs)
+        families.gauge ("copperlead_zone_word_age_milliseconds",
+                        "Since this node was up to date with a reader of its zone",
+                        *figures.zoneWordAgeMs);
+
     families.counter ("copperlead_reader_beats_sent_total", "Datagrams to other nodes",
                       figures.relay.beatsSent);
     families.counter ("copperlead_reader_beats_heard_total", "Datagrams of readers",
--- a/src/sidecar/sidecar_metrics.h
+++ b/src/sidecar/sidecar_metrics.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "mesh/latency_histogram.h"
@@ -26,8 +27,10 @@
     std::uint64_t configurationVersion = 0, sourceRevision = 0, sourceCalls = 0,
                   logLinesLeftOut = 0;
     bool ready = false, reading = false;
-    double sourceWordAgeMs = 0; /**< Of the last answer of the source to this node. */
-    double zoneWordAgeMs = 0;   /**< Since this node was up to date with a reader of its zone. */
+    /** Of the last answer of the source to this node; nothing before the first. */
+    std::optional<double> sourceWordAgeMs;
+    /** Since this node was up to date with a reader of its zone; nothing if it never was. */
+    std::optional<double> zoneWordAgeMs;
     double retryBudgetLeft = 0; /**< The least over all services. */
 };
 
--- /dev/null
+++ b/tests/sidecar/sidecar_metrics_test.cc
@@ -0,0 +1,33 @@
+#include "sidecar/sidecar_metrics.h"
+
+#include <gtest/gtest.h>
+
+#include "mesh/milliseconds.h"
+
+namespace copperlead::sidecar::test
+{
+namespace
+{
+
+constexpr std::string_view sourceAge = "copperlead_source_word_age_milliseconds ";
+constexpr std::string_view zoneAge = "copperlead_zone_word_age_milliseconds ";
+
+TEST (SidecarMetrics, AgesOfWhatHasNeverBeenAreLeftOut)
+{
+    SidecarFigures figures;
+    EXPECT_EQ (metricsText (figures).find (sourceAge), std::string::npos);
+    EXPECT_EQ (metricsText (figures).find (zoneAge), std::string::npos);
+    figures.sourceWordAgeMs = 12.5;
+    EXPECT_NE (metricsText (figures).find (std::string (sourceAge) + "12.5\n"), std::string::npos);
+    EXPECT_EQ (metricsText (figures).find (zoneAge), std::string::npos);
+}
+
+TEST (Milliseconds, AnAgeIsKnownOnlyOfWhatHasBeen)
+{
+    const Timestamp now (std::chrono::milliseconds (1000));
+    EXPECT_FALSE (mesh::ageInMilliseconds (now, {}));
+    EXPECT_EQ (mesh::ageInMilliseconds (now, now - std::chrono::milliseconds (250)), 250.0);
+}
+
+} // namespace
+} // namespace copperlead::sidecar::test
