The sidecar's large files taken apart by job; names that need no explaining

Cause: journey.cc (526 lines), sidecar.cc (520), last_hop.cc (431) each did several jobs; "journey" was a metaphor of our own; a setting (drain-ms) and three name tables were read by nobody.

Ruled out: splitting by size alone; moving the configuration's log lines out of Sidecar (they belong to what it decides).

Change, no behaviour meant to change: Journey is ActiveRequest. HopCaller carries hop calls (local or to another node) and ActiveRequest only decides. Deciding parts became mesh modules with tests of their own: StopPlan (steps of a planned stop), avoidance (for how long an instance is avoided, when an attempt is slow, when a hedge is allowed). judgeInstanceAnswer, PeerEndpoint, SettingsFile stand alone. The drain-ms setting, SourceStatus::listed and the unused tables go.

Conclusion: the deciding code that hid in the shell is now tested without sockets.

--- a/src/mesh/admission_queue.h
+++ b/src/mesh/admission_queue.h
@@ -39,8 +39,6 @@
     refuse
 };
 
-inline constexpr std::string_view admissionDecisionNames[] = { "run", "wait", "refuse" };
-
 /** Not thread-safe. */
 class AdmissionQueue
 {
--- a/src/mesh/configuration_holder.h
+++ b/src/mesh/configuration_holder.h
@@ -17,8 +17,6 @@
     older /**< Refused: a proxy never goes back. */
 };
 
-inline constexpr std::string_view configurationVerdictNames[] = { "taken", "same", "older" };
-
 /** Not thread-safe. */
 class ConfigurationHolder
 {
--- a/src/mesh/instance_directory.h
+++ b/src/mesh/instance_directory.h
@@ -39,8 +39,6 @@
     leaving, /**< It drains or its entry is gone: nothing new. */
 };
 
-inline constexpr std::string_view instanceStateNames[] = { "ready", "lapsed", "leaving" };
-
 struct ListedInstance
 {
     Instance instance;
--- a/src/mesh/reader_beat_codec.cc
+++ b/src/mesh/reader_beat_codec.cc
@@ -16,7 +16,8 @@
 template <typename Archive>
 void serialize (Archive& archive, ReaderBeat& beat)
 {
-    archive (beat.node, beat.zone, beat.rank.strength, beat.rank.hash, beat.at, beat.version, beat.sound);
+    archive (beat.node, beat.zone, beat.rank.strength, beat.rank.hash, beat.at, beat.version,
+             beat.sound);
 }
 
 std::string encode (const ReaderBeat& beat)
--- a/src/sidecar/journey.cc
+++ b/src/sidecar/active_request.cc
@@ -1,11 +1,11 @@
-#include "sidecar/journey.h"
+#include "sidecar/active_request.h"
 
 #include <fmt/format.h>
 
 #include <algorithm>
 
+#include "mesh/avoidance.h"
 #include "mesh/milliseconds.h"
-
 #include "sidecar/messages.h"
 
 namespace copperlead::sidecar
@@ -20,11 +20,8 @@
 using mesh::NextStep;
 using mesh::toMilliseconds;
 
-constexpr Milliseconds deadlineGrace{ 30 }; // For the instance's own answer at the deadline.
-constexpr Milliseconds unreachableShun{ 600 }, downShun{ 400 }, stoppingShun{ 1500 };
-constexpr double slowAfterRuns = 3, leastSlowMs = 30; // Of the usual time; then it is suspected.
-constexpr Milliseconds suspicionTime{ 1000 };
-constexpr double retryAfterShare = 0.15; // Of the time left; clients heed up to a third of it.
+constexpr Milliseconds deadlineGrace{ 15 }; // For the instance's own answer at the deadline.
+constexpr double retryAfterShare = 0.15;    // Of the time left; clients heed up to a third of it.
 
 template <typename Enum, std::size_t count>
 std::string_view nameOf (Enum value, const std::string_view (&names)[count])
@@ -36,9 +33,9 @@
 
 } // namespace
 
-Journey::Journey (std::shared_ptr<FirstHop> owner, ExchangePointer exchangeToAnswer,
-                  std::shared_ptr<const mesh::RouteTable> routesToUse,
-                  const mesh::Route& routeToUse, std::string id)
+ActiveRequest::ActiveRequest (std::shared_ptr<FirstHop> owner, ExchangePointer exchangeToAnswer,
+                              std::shared_ptr<const mesh::RouteTable> routesToUse,
+                              const mesh::Route& routeToUse, std::string id)
     : hop (std::move (owner))
     , exchange (std::move (exchangeToAnswer))
     , routes (std::move (routesToUse))
@@ -48,16 +45,16 @@
     ++hop->inFlightCount;
 }
 
-void Journey::setDone()
+void ActiveRequest::setDone()
 {
     done = true;
     hop->counts.whole.observe (toMilliseconds (now() - exchange->arrivedAt));
     --hop->inFlightCount;
 }
 
-Journey::~Journey() = default;
+ActiveRequest::~ActiveRequest() = default;
 
-void Journey::begin()
+void ActiveRequest::begin()
 {
     const auto& names = hop->settings.names;
     const auto& received = exchange->head.fields;
@@ -81,15 +78,15 @@
         if (const auto self = weak.lock())
             self->onClientLeft();
     };
-    // Holds the journey until its end: every other reference to it is weak.
-    hop->reactor->RunAt (deadline + deadlineGrace / 2,
+    // Holds the request until its end: every other reference to it is weak.
+    hop->reactor->RunAt (deadline + deadlineGrace,
                          [self = shared_from_this()] { self->onDeadline(); });
 
     if (! startAttempt())
         end (503, "no instance");
 }
 
-bool Journey::startAttempt()
+bool ActiveRequest::startAttempt()
 {
     if (exchange->clientLeft())
     {
@@ -111,14 +108,9 @@
     auto& attempt = attempts.emplace_back();
     attempt.choice = choice;
     attempt.startedAt = now();
-    attempt.isLocal = choice.instance.address.ip == hop->settings.ownIp;
+    attempt.isLocal = hop->caller.isLocal (choice.instance.address.ip);
     hop->chooser.started (choice.instance.id);
-    auto call = makeCall (choice);
-
-    if (attempt.isLocal)
-        sendLocal (index, std::move (call));
-    else
-        sendRemote (index, std::move (call));
+    send (index, makeCall (choice));
 
     if (! done)
         armSlowCheck (index);
@@ -126,7 +118,7 @@
     return true;
 }
 
-HopCall Journey::makeCall (const mesh::Choice& choice) const
+HopCall ActiveRequest::makeCall (const mesh::Choice& choice) const
 {
     HopCall call;
     auto& told = call.facts;
@@ -150,87 +142,37 @@
     return call;
 }
 
-void Journey::sendLocal (std::size_t index, HopCall call)
-{
-    const auto id = hop->lastHop->start (std::move (call),
-                                         [weak = weak_from_this(), index] (const HopAnswer& answer)
-                                         {
-                                             if (const auto self = weak.lock())
-                                                 self->onAnswer (index, answer);
-                                         });
-    attempts[index].local = id;
-}
-
-void Journey::sendRemote (std::size_t index, HopCall call)
+void ActiveRequest::send (std::size_t index, HopCall call)
 {
-    call.fields.push_back ({ std::string (mesh::hopField), mesh::encode (call.facts) });
-    CallOptions options;
-    options.deadline = deadline + deadlineGrace;
-    options.isHead = call.method == "HEAD";
-    const SocketAddress peer{ attempts[index].choice.instance.address.ip, hop->settings.peerPort };
-    const auto remote = hop->client->send (
-        peer, requestMessage (call.method, call.target, call.fields, call.body), options,
-        [weak = weak_from_this(), index] (CallResult result)
+    const auto handle = hop->caller.send (
+        attempts[index].choice.instance.address.ip, std::move (call), deadline,
+        [weak = weak_from_this(), index] (HopDelivery delivery, const HopAnswer& answer)
         {
             if (const auto self = weak.lock())
-                self->onRemote (index, std::move (result));
+                self->onDelivery (index, delivery, answer);
         });
-    attempts[index].remote = remote;
+    // The answer may have come and led to further attempts by now.
+    attempts[index].call = handle;
 }
 
-void Journey::onRemote (std::size_t index, CallResult result)
+void ActiveRequest::onDelivery (std::size_t index, HopDelivery delivery, const HopAnswer& answer)
 {
-    HopAnswer answer;
-    answer.report.outcome = HopOutcome::unknown;
-    answer.report.cause = HopCause::answerLost;
-
-    if (result.end == CallEnd::notConnected)
-    {
-        answer.report.outcome = HopOutcome::notRun;
-        answer.report.cause = HopCause::instanceDown;
-        hop->chooser.shun (now(), attempts[index].choice.instance.id, unreachableShun);
-    }
-    else if (result.end == CallEnd::answered)
-    {
-        const auto told = mesh::decodeHopReport (onlyValue (result.head.fields, mesh::hopField));
+    const auto& id = attempts[index].choice.instance.id;
 
-        if (told)
-            answer.report = *told;
-
-        answer.status = result.head.status;
-        answer.reason = std::move (result.head.reason);
-        answer.fields = forwardedAnswerFields (result.head.fields);
-        std::erase_if (answer.fields, [] (const HeaderField& field)
-                       { return EqualsIgnoringCase (field.name, mesh::hopField); });
-        answer.body = std::move (result.body);
-    }
-    else
-    {
-        hop->chooser.shun (now(), attempts[index].choice.instance.id, downShun);
-    }
+    if (delivery == HopDelivery::unreachable)
+        hop->chooser.shun (now(), id, mesh::unreachableAvoidance);
+    else if (delivery == HopDelivery::lost)
+        hop->chooser.shun (now(), id, mesh::lostAvoidance);
 
     onAnswer (index, answer);
 }
 
-void Journey::avoid (const Attempt& attempt, const HopAnswer& answer)
+void ActiveRequest::avoid (const Attempt& attempt, const HopAnswer& answer)
 {
-    Milliseconds howLong{};
+    const auto howLong = mesh::avoidanceFor (answer.report.cause);
 
-    switch (answer.report.cause)
-    {
-    case HopCause::instanceLeaving:
-    case HopCause::otherService:
-    case HopCause::nodeStopping:
-        howLong = stoppingShun;
-        break;
-    case HopCause::instanceDown:
-    case HopCause::instanceUnknown:
-    case HopCause::otherInstance:
-        howLong = downShun;
-        break;
-    default:
+    if (howLong == Milliseconds (0))
         return;
-    }
 
     const auto at = now();
     hop->chooser.shun (at, attempt.choice.instance.id, howLong);
@@ -240,7 +182,7 @@
                        { "for_ms", static_cast<std::int64_t> (howLong.count()) } });
 }
 
-AttemptOutcome Journey::learn (std::size_t index, const HopAnswer& answer)
+AttemptOutcome ActiveRequest::learn (std::size_t index, const HopAnswer& answer)
 {
     auto& attempt = attempts[index];
     const auto& id = attempt.choice.instance.id;
@@ -282,7 +224,7 @@
     return AttemptOutcome::failedByApp;
 }
 
-mesh::RetryFacts Journey::facts() const
+mesh::RetryFacts ActiveRequest::facts() const
 {
     mesh::RetryFacts known;
     known.mayRepeat = route.mayRepeat();
@@ -295,7 +237,7 @@
     return known;
 }
 
-void Journey::onAnswer (std::size_t index, const HopAnswer& answer)
+void ActiveRequest::onAnswer (std::size_t index, const HopAnswer& answer)
 {
     if (done)
         return;
@@ -314,18 +256,19 @@
     follow (step, outcome, answer);
 }
 
-bool Journey::anyActive() const
+int ActiveRequest::activeCount() const
 {
-    return std::any_of (attempts.begin(), attempts.end(), [] (const auto& a) { return a.active; });
+    return static_cast<int> (std::count_if (attempts.begin(), attempts.end(),
+                                            [] (const auto& attempt) { return attempt.active; }));
 }
 
-void Journey::follow (NextStep step, AttemptOutcome outcome, const HopAnswer& answer)
+void ActiveRequest::follow (NextStep step, AttemptOutcome outcome, const HopAnswer& answer)
 {
     if (step == NextStep::passOn && outcome == AttemptOutcome::answered)
         return passOn (answer);
 
     // Another attempt may still bring the answer.
-    if (anyActive())
+    if (activeCount() > 0)
         return;
 
     if (step == NextStep::tryAgain && startAttempt())
@@ -357,12 +300,10 @@
     }
 }
 
-void Journey::armSlowCheck (std::size_t index)
+void ActiveRequest::armSlowCheck (std::size_t index)
 {
-    const auto usual = hop->chooser.usualRunMs (route);
-    const auto after = std::max (
-        { slowAfterRuns * usual, leastSlowMs, attempts[index].choice.expectedMs + 2 * usual });
-    const auto when = now() + fromMilliseconds (after);
+    const auto when = now() + mesh::slowAfter (hop->chooser.usualRunMs (route),
+                                               attempts[index].choice.expectedMs);
 
     if (when >= deadline)
         return;
@@ -375,23 +316,18 @@
                          });
 }
 
-void Journey::onSlow (std::size_t index)
+void ActiveRequest::onSlow (std::size_t index)
 {
     if (done || ! attempts[index].active)
         return;
 
-    hop->chooser.suspect (now(), attempts[index].choice.instance.id, suspicionTime);
+    hop->chooser.suspect (now(), attempts[index].choice.instance.id, mesh::suspicionTime);
     hedge();
 }
 
-void Journey::hedge()
+void ActiveRequest::hedge()
 {
-    const auto active = std::count_if (attempts.begin(), attempts.end(),
-                                       [] (const auto& attempt) { return attempt.active; });
-    const auto usual = fromMilliseconds (hop->chooser.usualRunMs (route));
-
-    if (! route.mayRepeat() || hedged || active != 1 || arrivals + 2 > route.maxAttempts ||
-        now() + usual >= deadline)
+    if (hedged || ! mesh::mayHedge (facts(), activeCount()))
         return;
 
     if (! hop->budgetOf (service).take (now(), hop->nodes()))
@@ -402,7 +338,7 @@
     startAttempt();
 }
 
-void Journey::cancelAttempts()
+void ActiveRequest::cancelAttempts()
 {
     for (auto& attempt : attempts)
     {
@@ -412,26 +348,23 @@
         attempt.active = false;
         hop->chooser.ended (attempt.choice.instance.id);
 
-        if (attempt.isLocal)
-            hop->lastHop->cancel (attempt.local);
-        else if (attempt.remote != nullptr)
-            attempt.remote->cancel();
+        attempt.call.cancel();
     }
 }
 
-void Journey::onDeadline()
+void ActiveRequest::onDeadline()
 {
     if (done)
         return;
 
     for (const auto& attempt : attempts)
         if (attempt.active)
-            hop->chooser.suspect (now(), attempt.choice.instance.id, suspicionTime);
+            hop->chooser.suspect (now(), attempt.choice.instance.id, mesh::suspicionTime);
 
     end (504, "deadline");
 }
 
-void Journey::onClientLeft()
+void ActiveRequest::onClientLeft()
 {
     if (done)
         return;
@@ -443,7 +376,7 @@
     release();
 }
 
-void Journey::passOn (const HopAnswer& answer)
+void ActiveRequest::passOn (const HopAnswer& answer)
 {
     setDone();
     cancelAttempts();
@@ -457,14 +390,14 @@
     release();
 }
 
-void Journey::release()
+void ActiveRequest::release()
 {
-    // The journey lives until its deadline's timer; what it carried need not.
+    // This lives until its deadline's timer; what it carried need not.
     std::string().swap (exchange->body);
     fields = {};
 }
 
-void Journey::end (int status, std::string_view cause)
+void ActiveRequest::end (int status, std::string_view cause)
 {
     if (done)
         return;
@@ -486,7 +419,7 @@
     release();
 }
 
-void Journey::logEnd (EventKind kind, int status, std::string_view cause)
+void ActiveRequest::logEnd (EventKind kind, int status, std::string_view cause)
 {
     const auto at = now();
     hop->log->write (at, kind,
@@ -504,8 +437,8 @@
                                                       : attempts.back().choice.instance.id } });
 }
 
-void Journey::logAttempt (const Attempt& attempt, const HopAnswer& answer, AttemptOutcome outcome,
-                          NextStep step)
+void ActiveRequest::logAttempt (const Attempt& attempt, const HopAnswer& answer,
+                                AttemptOutcome outcome, NextStep step)
 {
     const auto at = now();
     hop->log->write (
--- a/src/sidecar/journey.h
+++ b/src/sidecar/active_request.h
@@ -13,13 +13,13 @@
 namespace copperlead::sidecar
 {
 
-class Journey : public std::enable_shared_from_this<Journey>
+class ActiveRequest : public std::enable_shared_from_this<ActiveRequest>
 {
 public:
-    Journey (std::shared_ptr<FirstHop> owner, ExchangePointer exchangeToAnswer,
-             std::shared_ptr<const mesh::RouteTable> routesToUse, const mesh::Route& routeToUse,
-             std::string id);
-    ~Journey();
+    ActiveRequest (std::shared_ptr<FirstHop> owner, ExchangePointer exchangeToAnswer,
+                   std::shared_ptr<const mesh::RouteTable> routesToUse,
+                   const mesh::Route& routeToUse, std::string id);
+    ~ActiveRequest();
 
     void begin();
 
@@ -28,8 +28,7 @@
     struct Attempt
     {
         mesh::Choice choice;
-        CallPointer remote;
-        LastHop::CallId local = 0;
+        HopCallHandle call;
         bool isLocal = false;
         bool active = true;
         Timestamp startedAt{};
@@ -37,9 +36,8 @@
 
     bool startAttempt();
     HopCall makeCall (const mesh::Choice& choice) const;
-    void sendLocal (std::size_t index, HopCall call);
-    void sendRemote (std::size_t index, HopCall call);
-    void onRemote (std::size_t index, CallResult result);
+    void send (std::size_t index, HopCall call);
+    void onDelivery (std::size_t index, HopDelivery delivery, const HopAnswer& answer);
     void onAnswer (std::size_t index, const HopAnswer& answer);
     mesh::AttemptOutcome learn (std::size_t index, const HopAnswer& answer);
     void follow (mesh::NextStep step, mesh::AttemptOutcome outcome, const HopAnswer& answer);
@@ -53,7 +51,7 @@
     void cancelAttempts();
     void setDone();
     void release();
-    bool anyActive() const;
+    int activeCount() const;
     void passOn (const HopAnswer& answer);
     void end (int status, std::string_view cause);
     void logEnd (EventKind kind, int status, std::string_view cause);
--- a/src/sidecar/first_hop.cc
+++ b/src/sidecar/first_hop.cc
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 
-#include "sidecar/journey.h"
+#include "sidecar/active_request.h"
 #include "sidecar/messages.h"
 
 namespace copperlead::sidecar
@@ -16,15 +16,6 @@
 constexpr double freshWordMs = 2500; // After which an unknown route may be a new one.
 constexpr double neverMs = -1;       // An age in the log of what has never been.
 
-ClientSettings peerClientSettings()
-{
-    ClientSettings settings;
-    settings.connectTimeout = Milliseconds (300);
-    settings.unacknowledged = Milliseconds (600);
-    settings.idleTime = Milliseconds (10'000);
-    return settings;
-}
-
 } // namespace
 
 FirstHop::FirstHop (std::shared_ptr<Reactor> reactorToUse, FirstHopSettings settingsToUse,
@@ -32,9 +23,8 @@
                     std::uint64_t seed)
     : reactor (std::move (reactorToUse))
     , settings (std::move (settingsToUse))
-    , lastHop (std::move (lastHopToUse))
     , log (std::move (logToUse))
-    , client (std::make_shared<HttpClient> (reactor, peerClientSettings()))
+    , caller (reactor, std::move (lastHopToUse), settings.ownIp, settings.peerPort)
     , chooser ({ settings.zone }, seed)
 {
 }
@@ -124,7 +114,7 @@
     if (id.empty())
         return refuse (exchange, 400, "exactly one request id is needed");
 
-    std::make_shared<Journey> (shared_from_this(), exchange, routes, *route, std::string (id))
+    std::make_shared<ActiveRequest> (shared_from_this(), exchange, routes, *route, std::string (id))
         ->begin();
 }
 
--- a/src/sidecar/first_hop.h
+++ b/src/sidecar/first_hop.h
@@ -17,9 +17,9 @@
 #include "mesh/weighted_split.h"
 #include "sidecar/decision_log.h"
 #include "sidecar/header_names.h"
+#include "sidecar/hop_caller.h"
 #include "sidecar/http_client.h"
 #include "sidecar/http_server.h"
-#include "sidecar/last_hop.h"
 
 namespace copperlead::sidecar
 {
@@ -43,7 +43,7 @@
     mesh::LatencyHistogram whole; /**< From a request's last byte to its answer. */
 };
 
-class Journey;
+class ActiveRequest;
 
 class FirstHop : public std::enable_shared_from_this<FirstHop>
 {
@@ -82,7 +82,7 @@
     const FirstHopCounters& counters() const { return counts; }
 
 private:
-    friend class Journey;
+    friend class ActiveRequest;
 
     /** Answers a request that no route was found for, or none can be yet. */
     void refuse (const ExchangePointer& exchange, int status, std::string_view cause);
@@ -95,9 +95,8 @@
 
     std::shared_ptr<Reactor> reactor;
     FirstHopSettings settings;
-    std::shared_ptr<LastHop> lastHop;
     std::shared_ptr<DecisionLog> log;
-    std::shared_ptr<HttpClient> client;
+    HopCaller caller;
     mesh::InstanceChooser chooser;
     mesh::WeightedSplit split;
     std::map<std::string, mesh::RetryBudget> budgets;
--- a/src/sidecar/last_hop.cc
+++ b/src/sidecar/last_hop.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 
 #include "mesh/milliseconds.h"
-
+#include "sidecar/instance_answer.h"
 #include "sidecar/messages.h"
 
 namespace copperlead::sidecar
@@ -23,6 +23,11 @@
     return mesh::hopCauseNames[static_cast<std::size_t> (cause)];
 }
 
+std::string_view nameOf (mesh::IdentitySource source)
+{
+    return mesh::identitySourceNames[static_cast<std::size_t> (source)];
+}
+
 ClientSettings clientSettings()
 {
     ClientSettings settings;
@@ -207,49 +212,6 @@
         found->second.http = http;
 }
 
-HopOutcome LastHop::judge (const CallResult& result, HopCause& cause) const
-{
-    cause = HopCause::none;
-
-    switch (result.end)
-    {
-    case CallEnd::notConnected:
-        cause = HopCause::instanceDown;
-        return HopOutcome::notRun;
-
-    case CallEnd::connectionLost:
-    case CallEnd::timedOut:
-        cause = HopCause::answerLost;
-        return HopOutcome::unknown;
-
-    case CallEnd::broken:
-        cause = HopCause::answerBroken;
-        return HopOutcome::unknown;
-
-    case CallEnd::answered:
-        break;
-    }
-
-    const auto& fields = result.head.fields;
-
-    if (! ValuesOf (fields, settings.names.notRun).empty() || result.head.status == 421)
-    {
-        cause = result.head.status == 421 ? HopCause::otherInstance : HopCause::instanceRejected;
-        return HopOutcome::rejected;
-    }
-
-    const bool success = result.head.status >= 200 && result.head.status < 300;
-    const bool isSigned = ! onlyValue (fields, settings.names.signature).empty();
-
-    if (success && (! isSigned || ! ValuesOf (fields, "Content-Encoding").empty()))
-    {
-        cause = HopCause::answerBroken;
-        return HopOutcome::unknown;
-    }
-
-    return HopOutcome::ran;
-}
-
 void LastHop::learn (const CallResult& result)
 {
     const auto now = SteadyClock().Now();
@@ -277,7 +239,9 @@
 
     if (result.end == CallEnd::answered && instance.heard (std::string (spoken)))
         log->write (now, EventKind::identityLearned,
-                    { { "instance", spoken }, { "before", before }, { "by", "spoken" } });
+                    { { "instance", spoken },
+                      { "before", before },
+                      { "by", nameOf (mesh::IdentitySource::spoken) } });
 }
 
 void LastHop::onResult (CallId id, CallResult result)
@@ -287,9 +251,8 @@
     if (found == calls.end())
         return;
 
-    HopCause cause;
     HopAnswer answer;
-    const auto outcome = judge (result, cause);
+    const auto [outcome, cause] = judgeInstanceAnswer (result, settings.names);
     const bool ran = outcome == HopOutcome::ran;
     const bool measured = ran && result.head.status < 300;
     const auto took = toMilliseconds (SteadyClock().Now() - found->second.startedAt);
@@ -381,7 +344,9 @@
     if (instance.takeEntry (entry == directory.byAddress.end() ? nullptr : &entry->second))
     {
         log->write (now, EventKind::identityLearned,
-                    { { "instance", instance.id() }, { "before", before }, { "by", "entry" } });
+                    { { "instance", instance.id() },
+                      { "before", before },
+                      { "by", nameOf (mesh::IdentitySource::entry) } });
         client->dropIdle (settings.instanceAddress);
     }
 
--- a/src/sidecar/last_hop.h
+++ b/src/sidecar/last_hop.h
@@ -108,7 +108,6 @@
     void refuse (CallId id, mesh::HopCause cause);
     void refuseAll (const std::vector<CallId>& ids, mesh::HopCause cause);
     void onResult (CallId id, CallResult result);
-    mesh::HopOutcome judge (const CallResult& result, mesh::HopCause& cause) const;
     void learn (const CallResult& result);
     void complete (CallId id, HopAnswer answer);
     mesh::HopReport report (mesh::HopOutcome outcome, mesh::HopCause cause) const;
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -1,7 +1,5 @@
 #include "sidecar/sidecar.h"
 
-#include <sys/stat.h>
-
 #include <algorithm>
 
 #include "mesh/milliseconds.h"
@@ -19,25 +17,10 @@
 constexpr double strongCpuShare = 0.2, strongLinkMbps = 50; // Of machines that should read.
 constexpr std::size_t hopHeadBytes = 65536;
 constexpr Milliseconds hopIdleTime{ 60'000 };
-constexpr Milliseconds platformNotices{ 3000 }; // Until no new client is sent here.
-constexpr Milliseconds killMargin{ 300 };
-constexpr Milliseconds answerMargin{ 150 }; // For the last answers to be written.
-constexpr Milliseconds lastRunTime{ 1200 }; // Left for requests that were taken last.
+constexpr Milliseconds stopStepInterval{ 50 };
 
 Timestamp now() { return SteadyClock().Now(); }
 
-std::int64_t fileStamp (const std::string& path)
-{
-    struct stat facts
-    {
-    };
-
-    if (path.empty() || stat (path.c_str(), &facts) != 0)
-        return 0;
-
-    return facts.st_mtim.tv_sec * 1'000'000'000 + facts.st_mtim.tv_nsec + facts.st_size;
-}
-
 std::string plainAnswer (int status, std::string_view cause)
 {
     return ownAnswer (status, cause, {}, true, false);
@@ -70,12 +53,13 @@
     : settings (std::move (settingsToUse))
     , reactor (std::move (reactorToUse))
     , log (std::move (logToUse))
-    , settingsStamp (fileStamp (settings.file))
+    , settingsFile (settings.file)
 {
     lastHop = std::make_shared<LastHop> (
         reactor,
         LastHopSettings{ settings.names, settings.instance, settings.service, settings.extraSlots },
         log);
+    peerEndpoint = std::make_unique<PeerEndpoint> (settings.names, lastHop, state);
     firstHop = std::make_shared<FirstHop> (reactor, firstHopSettings (settings), lastHop, log,
                                            seedFrom (settings.id));
 }
@@ -106,44 +90,17 @@
         return limits;
     };
     const auto weak = weak_from_this();
-    auto takeRequest = [weak] (const ExchangePointer& exchange)
-    {
-        if (const auto self = weak.lock())
-            self->firstHop->take (exchange);
-    };
-
-    ServerSettings forClients;
-    forClients.limits = [weak]
+    const auto clientLimits = [weak]
     {
         const auto self = weak.lock();
         return self == nullptr ? mesh::ClientLimits{} : self->clientLimits();
     };
-    forClients.errorMessage = plainAnswer;
-    forClients.handler = takeRequest;
-    outbound = std::make_shared<HttpServer> (reactor, std::move (forClients));
-    inbound = makeServer (hopLimits, &Sidecar::takeHopCall);
+    outbound = makeServer (clientLimits, &Sidecar::takeRequest);
+    inbound = makeServer (hopLimits, &Sidecar::answerPeer);
     readiness = makeServer (hopLimits, &Sidecar::answerReadiness);
     metrics = makeServer (hopLimits, &Sidecar::answerMetrics);
 
-    firstHop->onPeerVersion = [weak] (std::uint64_t version)
-    {
-        const auto self = weak.lock();
-
-        if (self == nullptr || version <= self->state.configurations().version())
-            return;
-
-        if (self->relay != nullptr)
-            self->relay->sawVersion (version);
-
-        if (self->onBehind)
-            self->onBehind();
-    };
-    firstHop->routesAge = [weak]
-    {
-        const auto self = weak.lock();
-        return self == nullptr ? std::nullopt : self->wordAgeMs();
-    };
-
+    connectFirstHop();
     BOOST_LEAF_CHECK (outbound->listen (settings.outbound));
     BOOST_LEAF_CHECK (inbound->listen (settings.inbound));
     BOOST_LEAF_CHECK (readiness->listen (settings.readiness));
@@ -167,6 +124,29 @@
     return Done{};
 }
 
+void Sidecar::connectFirstHop()
+{
+    const auto weak = weak_from_this();
+    firstHop->onPeerVersion = [weak] (std::uint64_t version)
+    {
+        const auto self = weak.lock();
+
+        if (self == nullptr || version <= self->state.configurations().version())
+            return;
+
+        if (self->relay != nullptr)
+            self->relay->sawVersion (version);
+
+        if (self->onBehind)
+            self->onBehind();
+    };
+    firstHop->routesAge = [weak]
+    {
+        const auto self = weak.lock();
+        return self == nullptr ? std::nullopt : self->wordAgeMs();
+    };
+}
+
 mesh::ClientLimits Sidecar::clientLimits() const
 {
     const auto& routes = state.configurations().routes();
@@ -282,72 +262,13 @@
     return mesh::ageInMilliseconds (now(), std::max (own, zone));
 }
 
-void Sidecar::answerChanges (const ExchangePointer& exchange)
-{
-    const auto numbers = std::string_view (exchange->head.target).substr (changesPath.size());
-    const auto slash = numbers.find ('/');
-    std::uint64_t from = 0, version = 0;
-
-    if (slash == std::string_view::npos || ! ParseWholeNumber (numbers.substr (0, slash), from) ||
-        ! ParseWholeNumber (numbers.substr (slash + 1), version))
-        return exchange->respond (plainAnswer (400, "not a revision and a version"), true);
-
-    const auto update = state.changesSince (from, version);
-    exchange->respond (
-        answerMessage (
-            { 200, {}, mesh::encode (update), exchange->mustClose(), exchange->isHead() }, {}),
-        exchange->mustClose());
-}
-
-void Sidecar::takeHopCall (const ExchangePointer& exchange)
-{
-    if (exchange->head.target.starts_with (changesPath))
-        return answerChanges (exchange);
-
-    const auto facts = mesh::decodeHopRequest (onlyValue (exchange->head.fields, mesh::hopField));
-
-    if (! facts)
-        return exchange->respond (plainAnswer (400, "not a hop call"), true);
+void Sidecar::takeRequest (const ExchangePointer& exchange) { firstHop->take (exchange); }
 
-    HopCall call;
-    call.facts = *facts;
-    call.method = exchange->head.method;
-    call.target = exchange->head.target;
-    call.fields = forwardedFields (exchange->head.fields, settings.names);
-    call.fields.insert (call.fields.begin(),
-                        { "Host", std::string (onlyValue (exchange->head.fields, "Host")) });
-    call.body = std::move (exchange->body);
-
-    call.abandoned = [weak = std::weak_ptr<Exchange> (exchange)]
-    {
-        const auto held = weak.lock();
-        return held == nullptr || held->clientLeft();
-    };
-
-    auto id = std::make_shared<LastHop::CallId> (0);
-    exchange->onGone = [weak = std::weak_ptr<LastHop> (lastHop), id]
-    {
-        if (const auto hop = weak.lock())
-            hop->cancel (*id);
-    };
-    *id = lastHop->start (std::move (call),
-                          [exchange] (HopAnswer answer)
-                          {
-                              answer.fields.push_back (
-                                  { std::string (mesh::hopField), mesh::encode (answer.report) });
-                              const int status = answer.status == 0 ? 503 : answer.status;
-                              exchange->respond (
-                                  answerMessage ({ status, answer.reason, answer.body,
-                                                   exchange->mustClose(), exchange->isHead() },
-                                                 answer.fields),
-                                  exchange->mustClose());
-                          });
-}
+void Sidecar::answerPeer (const ExchangePointer& exchange) { peerEndpoint->take (exchange); }
 
 bool Sidecar::ready() const
 {
-    return stopAt == Timestamp{} && state.configurations().routes() != nullptr &&
-           state.reached() > 0;
+    return ! stopPlan && state.configurations().routes() != nullptr && state.reached() > 0;
 }
 
 void Sidecar::answerReadiness (const ExchangePointer& exchange)
@@ -426,7 +347,7 @@
 
 void Sidecar::checkSettingsFile()
 {
-    if (const auto stamp = fileStamp (settings.file); stamp != 0 && stamp != settingsStamp)
+    if (settingsFile.changed())
         reload ("file changed");
 }
 
@@ -435,7 +356,7 @@
     if (settings.file.empty())
         return;
 
-    settingsStamp = fileStamp (settings.file);
+    settingsFile.markRead();
     const auto parsed = Resolve (
         [&] {
             return parseSidecarSettings ({ "--settings", settings.file });
@@ -457,19 +378,19 @@
 
 void Sidecar::stop (std::function<void()> ended)
 {
-    if (stopAt != Timestamp{})
+    if (stopPlan)
         return;
 
-    stopAt = now();
+    const auto at = now();
+    stopPlan.emplace (at, settings.grace);
     onStopped = std::move (ended);
-    const auto end = stopAt + settings.grace - killMargin - answerMargin;
-    firstHop->setClosing (end);
-    lastHop->setEnd (end);
+    firstHop->setClosing (stopPlan->answersBy());
+    lastHop->setEnd (stopPlan->answersBy());
 
     if (relay != nullptr)
         relay->resign();
 
-    log->write (stopAt, EventKind::stopping,
+    log->write (at, EventKind::stopping,
                 { { "in_flight", static_cast<std::int64_t> (inFlight()) },
                   { "connections", static_cast<std::int64_t> (outbound->connections()) } });
     log->flush();
@@ -479,30 +400,27 @@
 void Sidecar::continueStop()
 {
     const auto at = now();
-    const auto since = duration_cast<Milliseconds> (at - stopAt);
-    const auto killAt = settings.grace - killMargin;
+    const auto step = stopPlan->at (at, inFlight() == 0 && outbound->connections() == 0);
 
-    if (since >= platformNotices)
+    if (step.stopListening)
     {
         outbound->stopListening();
         outbound->closeIdle();
     }
 
-    if (since >= killAt - lastRunTime)
+    if (step.stopTaking)
         lastHop->stopTaking();
 
-    const bool quiet = inFlight() == 0 && outbound->connections() == 0;
-
-    if (since >= killAt || (since >= platformNotices && quiet))
+    if (step.end)
     {
         log->write (at, EventKind::stopped,
                     { { "in_flight", static_cast<std::int64_t> (inFlight()) },
-                      { "after_ms", since.count() } });
+                      { "after_ms", duration_cast<Milliseconds> (stopPlan->since (at)).count() } });
         log->flush();
         return std::exchange (onStopped, nullptr)();
     }
 
-    reactor->RunAt (at + Milliseconds (50),
+    reactor->RunAt (at + stopStepInterval,
                     [weak = weak_from_this()]
                     {
                         if (const auto self = weak.lock())
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -9,11 +9,14 @@
 #include <string>
 
 #include "mesh/mesh_state.h"
+#include "mesh/stop_plan.h"
 #include "sidecar/decision_log.h"
 #include "sidecar/first_hop.h"
 #include "sidecar/http_server.h"
 #include "sidecar/last_hop.h"
+#include "sidecar/peer_endpoint.h"
 #include "sidecar/relay.h"
+#include "sidecar/settings_file.h"
 #include "sidecar/sidecar_metrics.h"
 #include "sidecar/sidecar_settings.h"
 
@@ -24,7 +27,6 @@
 struct SourceStatus
 {
     Timestamp lastSuccess{};
-    bool listed = false;
     bool sound = false; /**< Reached lately, and not failing. */
     std::uint64_t calls = 0;
 };
@@ -64,10 +66,11 @@
     void stop (std::function<void()> ended);
 
 private:
-    void takeHopCall (const ExchangePointer& exchange);
     void followConfiguration (Timestamp now, const mesh::ConfigurationOutcome& outcome);
     void directoryChanged (Timestamp now);
-    void answerChanges (const ExchangePointer& exchange);
+    void connectFirstHop();
+    void takeRequest (const ExchangePointer& exchange);
+    void answerPeer (const ExchangePointer& exchange);
     std::shared_ptr<Relay> makeRelay();
     std::optional<double> wordAgeMs() const;
     void answerReadiness (const ExchangePointer& exchange);
@@ -87,12 +90,13 @@
     std::shared_ptr<DecisionLog> log;
     mesh::MeshState state;
     std::shared_ptr<LastHop> lastHop;
+    std::unique_ptr<PeerEndpoint> peerEndpoint;
     std::shared_ptr<FirstHop> firstHop;
     std::shared_ptr<Relay> relay; /**< Null when this node reads alone. */
     std::shared_ptr<HttpServer> outbound, inbound, readiness, metrics;
-    Timestamp stopAt{};
+    std::optional<mesh::StopPlan> stopPlan; /**< Once a stop has begun. */
     std::function<void()> onStopped;
-    std::int64_t settingsStamp = 0;
+    SettingsFile settingsFile;
     int ticks = 0;
 };
 
--- a/src/sidecar/sidecar_settings.cc
+++ b/src/sidecar/sidecar_settings.cc
@@ -42,7 +42,6 @@
         ("metrics", text()->default_value (""), "PORT/PATH for metrics, on the outbound IP")
         ("extra-slots", text()->default_value ("0"), "requests at the instance beyond its slots, 0 to 64")
         ("grace-s", text()->default_value (""), "seconds from SIGTERM until the kill, 1 to 3600; empty: 6")
-        ("drain-ms", text()->default_value (""), "in which nothing new may reach a leaving instance, 0 to 600000; empty: 2000")
         ("retry-ratio", text()->default_value (""), "retries for each request, over the fleet, 0 to 10; empty: 0.2")
         ("retry-slack", text()->default_value (""), "retries beyond that in a window, over the fleet, 0 to 1000000; empty: 64")
         ("retry-window-s", text()->default_value (""), "the window of the two, 1 to 3600; empty: 10")
@@ -144,14 +143,12 @@
 Result<Done> readFigures (const Values& values, SidecarSettings& settings)
 {
     BOOST_LEAF_AUTO (grace, values.number ("grace-s", 1, 3600, 6));
-    BOOST_LEAF_AUTO (drain, values.number ("drain-ms", 0, 600'000, 2000));
     BOOST_LEAF_AUTO (window, values.number ("retry-window-s", 1, 3600, 10));
     BOOST_LEAF_ASSIGN (settings.retryRatio, values.number ("retry-ratio", 0, 10, 0.2));
     BOOST_LEAF_ASSIGN (settings.retrySlack, values.number ("retry-slack", 0, 1e6, 64));
     BOOST_LEAF_ASSIGN (settings.cpuShare, values.number ("cpu-share", 0.001, 1024, 1));
     BOOST_LEAF_ASSIGN (settings.linkMbps, values.number ("link-mbps", 0.001, 1e6, 1000));
     settings.grace = fromSeconds (grace);
-    settings.drain = fromSeconds (drain / 1000);
     settings.retryWindow = fromSeconds (window);
     return Done{};
 }
--- a/src/sidecar/sidecar_settings.h
+++ b/src/sidecar/sidecar_settings.h
@@ -30,7 +30,6 @@
     HeaderNames names;
     int extraSlots = 0;
     Milliseconds grace{ 6000 }; /**< From a stop's signal until the process is killed. */
-    Milliseconds drain{ 2000 }; /**< In which nothing new may reach a leaving instance. */
     double retryRatio = 0.2, retrySlack = 64;
     Milliseconds retryWindow{ 10'000 };
 };
