Any node's status tells of a refused version; the bytes of an edit by kind of message

Ruled out: keeping the refusal in each member's record, which spreads only by direct messages (in 1,000 nodes some 1,000 s) or with a raised incarnation; asking all readers from the command line, whose admin addresses a node doesn't know.

Change: every message carries the latest version that any node is known to have refused above the running one, with that node and at most 200 bytes of explanation (one byte while there is none). It spreads as an epidemic, is forgotten once overtaken, and `status` shows it (`fleet_refused`). A floor's refusal stays with its node. The ledger keeps its last refusal instead of searching 1,024 entries.

--- a/src/admin/node_status.cc
+++ b/src/admin/node_status.cc
@@ -58,21 +58,6 @@
   return fleet;
 }
 
-bool IsRefusal(VersionVerdict verdict) {
-  return verdict == VersionVerdict::kRefusedFaulty || verdict == VersionVerdict::kRefusedFloor ||
-         verdict == VersionVerdict::kRefusedConflict;
-}
-
-// The latest refusal that the running version has not overtaken.
-std::optional<LedgerEntry> LastRefused(const VersionLedger& ledger) {
-  const auto& entries = ledger.entries();
-  const auto found = std::find_if(entries.rbegin(), entries.rend(), [&](const LedgerEntry& entry) {
-    return IsRefusal(entry.verdict) && !IsNewer(ledger.running(), entry.offer.version);
-  });
-  if (found == entries.rend()) return std::nullopt;
-  return *found;
-}
-
 }  // namespace
 
 NodeStatus CollectStatus(const Agent& agent, Timestamp now) {
@@ -91,7 +76,8 @@
   if (const auto machines = agent.machines()) status.machines_sequence = machines->sequence;
   status.waiting = ledger.waiting();
   status.conflict = ledger.conflict();
-  status.last_refused = LastRefused(ledger);
+  status.last_refused = ledger.last_refused();
+  status.fleet_refused = agent.fleet_refused();
   status.source = CollectSource(agent.source(), now);
   status.fleet = CollectFleet(agent, now);
   return status;
--- a/src/admin/node_status.h
+++ b/src/admin/node_status.h
@@ -43,6 +43,7 @@
   std::optional<LedgerEntry> waiting;
   std::optional<LedgerEntry> conflict;
   std::optional<LedgerEntry> last_refused;  // Latest refusal of a version above the running one.
+  std::optional<RefusedVersion> fleet_refused;  // By any node, above the running version.
   SourceStatus source;
   std::vector<FleetEntry> fleet;  // This node included, by id.
 };
--- a/src/admin/status_json.cc
+++ b/src/admin/status_json.cc
@@ -56,6 +56,13 @@
           {"explanation", entry->explanation}};
 }
 
+Json ToJson(const std::optional<RefusedVersion>& refused) {
+  if (!refused) return nullptr;
+  return {{"revision", refused->version.major},
+          {"node", refused->node},
+          {"explanation", refused->explanation}};
+}
+
 template <class T>
 Json OrNull(const std::optional<T>& value) {
   return value ? Json(*value) : Json(nullptr);
@@ -157,6 +164,7 @@
       {"waiting", Summary(status.waiting)},
       {"conflict", Summary(status.conflict)},
       {"last_refused", Summary(status.last_refused)},
+      {"fleet_refused", ToJson(status.fleet_refused)},
       {"source", ToJson(status.source)},
       {"fleet", std::move(fleet)},
   };
--- a/src/distribution/agent.cc
+++ b/src/distribution/agent.cc
@@ -40,6 +40,9 @@
   return running() != nullptr;
 }
 
+const std::optional<RefusedVersion>& Agent::fleet_refused() const {
+  return implementation_->fleet_refusal_.known();
+}
 bool Agent::floor_unverified() const { return implementation_->gate_.unverified(); }
 
 }  // namespace copperlead
--- a/src/distribution/agent.h
+++ b/src/distribution/agent.h
@@ -88,6 +88,8 @@
   bool ready() const;
   // True when the wait for peers ended without any: the floor could not be checked.
   bool floor_unverified() const;
+  // A version above the running one that some node, not always this one, has refused.
+  const std::optional<RefusedVersion>& fleet_refused() const;
 
  private:
   class Implementation;
--- a/src/distribution/agent_implementation.cc
+++ b/src/distribution/agent_implementation.cc
@@ -83,10 +83,22 @@
   std::visit([&](const auto& typed) { On(now, typed); }, event);
   Pursue(now);
   membership_.SetVersions(configuration_.running(), machines_.running());
+  UpdateRefusal();
   UpdateDeadline(now);
   return outbox_.has_messages() ? outbox_.Take(membership_.Summary()) : outbox_.Take();
 }
 
+// A floor is this node's own; the other refusals say something of the version itself.
+void Agent::Implementation::UpdateRefusal() {
+  fleet_refusal_.SetRunning(configuration_.running());
+  const std::optional<LedgerEntry>& own = configuration_.ledger().last_refused();
+  if (own && own->verdict != VersionVerdict::kRefusedFloor) {
+    fleet_refusal_.Hear({own->offer.version, membership_.self().id,
+                         own->explanation.substr(0, kMaxExplanationBytes)});
+  }
+  membership_.SetRefused(fleet_refusal_.known());
+}
+
 void Agent::Implementation::Start(Timestamp now) {
   started_ = true;
   BeginJoin(now);
--- a/src/distribution/agent_implementation.h
+++ b/src/distribution/agent_implementation.h
@@ -8,6 +8,7 @@
 #include "distribution/admission.h"
 #include "distribution/agent.h"
 #include "distribution/configuration_stream.h"
+#include "distribution/fleet_refusal.h"
 #include "distribution/fleet_view.h"
 #include "distribution/join_gate.h"
 #include "distribution/machine_stream.h"
@@ -30,6 +31,7 @@
   Outbox outbox_;
   Membership membership_;
   FleetView view_;
+  FleetRefusal fleet_refusal_;
   ConfigurationStream configuration_;
   MachineStream machines_;
   std::array<SourceEtag, kStreamCount> etags_;
@@ -73,6 +75,7 @@
   void WakeFromPause(Timestamp now);
   void BeginJoin(Timestamp now);
   void UpdateGate(Timestamp now);
+  void UpdateRefusal();
   void HearSummary(Timestamp now, const NodeSummary& sender);
   void Pursue(Timestamp now);
   void PollSource(Timestamp now);
--- a/src/distribution/agent_messages.cc
+++ b/src/distribution/agent_messages.cc
@@ -28,6 +28,7 @@
 
 void Agent::Implementation::HearSummary(Timestamp now, const NodeSummary& sender) {
   const MemberRecord& record = sender.record;
+  if (sender.refused) fleet_refusal_.Hear(*sender.refused);
   if (gate_.waiting()) configuration_.ledger().RaiseFloor(record.configuration);
   configuration_pusher_.HearVersion(record.id, record.configuration);
   machine_pusher_.HearVersion(record.id, sender.machines);
--- a/src/distribution/version_ledger.cc
+++ b/src/distribution/version_ledger.cc
@@ -75,6 +75,11 @@
   return "unknown";
 }
 
+bool IsRefusal(VersionVerdict verdict) {
+  return verdict == VersionVerdict::kRefusedFaulty || verdict == VersionVerdict::kRefusedFloor ||
+         verdict == VersionVerdict::kRefusedConflict;
+}
+
 VersionVerdict DecideVersion(const LedgerState& state, const Offer& offer,
                              const LedgerFaults& faults) {
   const bool runs = !state.running.none();
@@ -127,6 +132,11 @@
   if (verdict == VersionVerdict::kRefusedConflict) conflict_ = entry;
   if (taken && conflict_ && offer.version.major > conflict_->offer.version.major) conflict_.reset();
 
+  if (IsRefusal(verdict) && !IsNewer(state_.running, offer.version)) last_refused_ = entry;
+  const bool overtaken =
+      taken && last_refused_ && IsNewer(offer.version, last_refused_->offer.version);
+  if (overtaken) last_refused_.reset();
+
   entries_.push_back(std::move(entry));
   if (entries_.size() > kMaxLedgerEntries) entries_.pop_front();
 }
--- a/src/distribution/version_ledger.h
+++ b/src/distribution/version_ledger.h
@@ -37,6 +37,9 @@
   std::string fault{};  // Of a faulty one: row, column and cause of the first fault, if known.
 };
 
+// True when the version itself was turned down, and not only what is older than the running one.
+bool IsRefusal(VersionVerdict verdict);
+
 // What a verdict rests on besides the offer.
 struct LedgerState {
   bool joining = true;  // While joining (at start, after a pause) nothing is taken.
@@ -84,6 +87,8 @@
   // The version that waits for a resource, and the one that conflicts with the running one.
   const std::optional<LedgerEntry>& waiting() const { return waiting_; }
   const std::optional<LedgerEntry>& conflict() const { return conflict_; }
+  // The latest refusal that the running version has not overtaken.
+  const std::optional<LedgerEntry>& last_refused() const { return last_refused_; }
   const std::deque<LedgerEntry>& entries() const { return entries_; }
 
  private:
@@ -93,6 +98,7 @@
   LedgerState state_;
   std::optional<LedgerEntry> waiting_;
   std::optional<LedgerEntry> conflict_;
+  std::optional<LedgerEntry> last_refused_;
   std::deque<LedgerEntry> entries_;  // At most kMaxLedgerEntries, oldest first.
 };
 
--- a/src/membership/member.h
+++ b/src/membership/member.h
@@ -1,7 +1,9 @@
 // What is known of one node, and what a node tells of itself in every message.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "base/address.h"
@@ -33,6 +35,17 @@
   bool operator==(const MemberRecord&) const = default;
 };
 
+// A version that a node has refused, as gossiped.
+struct RefusedVersion {
+  DocumentVersion version;
+  NodeId node;
+  std::string explanation;  // For operators; at most kMaxExplanationBytes.
+
+  bool operator==(const RefusedVersion&) const = default;
+};
+
+inline constexpr std::size_t kMaxExplanationBytes = 200;
+
 // What each message says of its sender. Every message is a heartbeat.
 struct NodeSummary {
   MemberRecord record;
@@ -40,6 +53,8 @@
   // Hash over (id, incarnation, state) of all members the sender believes alive; peers whose
   // hashes keep differing exchange their lists.
   std::uint64_t membership_hash = 0;
+  // The latest version above the sender's that any node is known to have refused.
+  std::optional<RefusedVersion> refused{};
 
   bool operator==(const NodeSummary&) const = default;
 };
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -117,6 +117,10 @@
   implementation_->machines() = machines;
 }
 
+void Membership::SetRefused(const std::optional<RefusedVersion>& refused) {
+  implementation_->refused() = refused;
+}
+
 NodeSummary Membership::Summary() const { return implementation_->Summary(); }
 
 const MemberRecord& Membership::self() const { return implementation_->members().self(); }
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -73,6 +73,7 @@
 
   // Sets what this node tells of itself in every summary.
   void SetVersions(const DocumentVersion& configuration, const DocumentVersion& machines);
+  void SetRefused(const std::optional<RefusedVersion>& refused);
   NodeSummary Summary() const;
 
   const MemberRecord& self() const;
--- a/src/membership/membership_implementation.h
+++ b/src/membership/membership_implementation.h
@@ -51,7 +51,8 @@
   Joiner& joiner() { return joiner_; }
   const Joiner& joiner() const { return joiner_; }
   DocumentVersion& machines() { return machines_; }
-  NodeSummary Summary() const { return {members_.self(), machines_, members_.hash()}; }
+  std::optional<RefusedVersion>& refused() { return refused_; }
+  NodeSummary Summary() const { return {members_.self(), machines_, members_.hash(), refused_}; }
   bool heard_fleet() const { return heard_fleet_; }
 
  private:
@@ -110,6 +111,7 @@
   Joiner joiner_;
   ListExchange exchange_;
   DocumentVersion machines_;
+  std::optional<RefusedVersion> refused_;
   // Members that this node alone found suspect or dead while it doubted its own connection.
   std::set<NodeId> provisional_;
   Timestamp next_forget_{};
--- a/src/membership/message.h
+++ b/src/membership/message.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <algorithm>
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -93,6 +94,11 @@
 using MessageBody = std::variant<Ping, PingAck, PingRequest, JoinRequest, JoinReply, Push, PushAck,
                                  Pull, Busy, StatusQuery, StatusReply>;
 
+// In the order of MessageBody.
+inline constexpr std::array<std::string_view, std::variant_size_v<MessageBody>> kMessageBodyNames =
+    {"ping",     "ping_ack", "ping_request", "join_request", "join_reply",  "push",
+     "push_ack", "pull",     "busy",         "status_query", "status_reply"};
+
 struct Message {
   NodeSummary sender;
   MessageBody body;
--- a/src/toolbox/fleet_report.cc
+++ b/src/toolbox/fleet_report.cc
@@ -40,6 +40,18 @@
   report.notes.push_back(std::string(key) + ": " + entry.at("explanation").get<std::string>());
 }
 
+// What another node refused; this node's own refusal is noted already.
+void AddFleetRefusal(const Json& status, FleetReport& report) {
+  const auto& refused = status.at("fleet_refused");
+  if (refused.is_null()) return;
+  const auto revision = refused.at("revision").get<std::uint64_t>();
+  const auto node = refused.at("node").get<std::string>();
+  report.refused_revision = std::max(report.refused_revision, revision);
+  if (node == report.node_id) return;
+  report.notes.push_back("revision " + std::to_string(revision) + " refused by " + node + ": " +
+                         refused.at("explanation").get<std::string>());
+}
+
 void AddNotes(const Json& status, FleetReport& report) {
   for (const char* key : {"waiting", "conflict", "last_refused"}) {
     AddVersionNote(status, key, report);
@@ -47,6 +59,7 @@
   const auto state = status.at("source").at("state").get<std::string>();
   const auto& refused = status.at("last_refused");
   if (!refused.is_null()) report.refused_revision = refused.at("revision").get<std::uint64_t>();
+  AddFleetRefusal(status, report);
   if (state == "failing") report.notes.push_back("source: reads are failing");
   if (state == "behind") {
     report.notes.push_back("source: shows revision " +
--- a/src/toolbox/hollow_fleet.cc
+++ b/src/toolbox/hollow_fleet.cc
@@ -100,6 +100,9 @@
     costs.unsealed_frames += counters.unsealed_frames;
     costs.send_failures += counters.send_failures;
     costs.refused_streams += counters.refused_streams;
+    for (std::size_t body = 0; body < costs.handed_bytes_by_body.size(); ++body) {
+      costs.handed_bytes_by_body[body] += counters.handed_bytes_by_body[body];
+    }
   }
   return costs;
 }
--- a/src/toolbox/hollow_fleet.h
+++ b/src/toolbox/hollow_fleet.h
@@ -1,6 +1,7 @@
 // Many hollow nodes in one process, and what they cost.
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -36,6 +37,8 @@
   std::uint64_t unsealed_frames = 0;
   std::uint64_t send_failures = 0;
   std::uint64_t refused_streams = 0;
+  // Handed over for sending, by body in the order of kMessageBodyNames.
+  std::array<std::uint64_t, kMessageBodyNames.size()> handed_bytes_by_body{};
 };
 
 // What the nodes of the process came to.
--- a/src/toolbox/hollow_report.cc
+++ b/src/toolbox/hollow_report.cc
@@ -57,6 +57,18 @@
           {"last_ms", ToMilliseconds(spread.last)}};
 }
 
+// Bytes of a node in the measured time, by what its messages carried.
+nlohmann::json BytesByBody(const HollowReport& report) {
+  nlohmann::json bytes = nlohmann::json::object();
+  const auto nodes = static_cast<double>(std::max<std::size_t>(report.nodes, 1));
+  for (std::size_t body = 0; body < kMessageBodyNames.size(); ++body) {
+    const std::uint64_t handed =
+        report.after.handed_bytes_by_body[body] - report.before.handed_bytes_by_body[body];
+    bytes[std::string(kMessageBodyNames[body])] = static_cast<double>(handed) / nodes;
+  }
+  return bytes;
+}
+
 }  // namespace
 
 std::string ToJsonText(const HollowReport& report) {
@@ -76,6 +88,7 @@
       {"received_messages_per_node_per_second", rates.received_messages},
       {"bytes_sent_before_per_node",
        static_cast<double>(report.before.bytes_sent) / static_cast<double>(report.nodes)},
+      {"bytes_per_node_by_message", BytesByBody(report)},
       {"running", report.outcome.nodes_by_version},
       {"ready_nodes", report.outcome.ready_nodes},
       {"readers", report.outcome.readers},
--- a/src/transport/message_codec.cc
+++ b/src/transport/message_codec.cc
@@ -1,6 +1,7 @@
 // EncodeMessage and DecodeMessage of frame.h: the fields of each message, by cereal.
 #include <arpa/inet.h>
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -173,11 +174,26 @@
 static void save(CompactOutputArchive& archive, const NodeSummary& summary) {
   archive(summary.record, summary.machines);
   archive.WriteFixed(summary.membership_hash, 8);
+  archive.WriteByte(summary.refused ? 1 : 0);
+  if (!summary.refused) return;
+  archive(summary.refused->version);
+  WriteName(archive, summary.refused->node);
+  const std::string& explanation = summary.refused->explanation;
+  const std::size_t size = std::min(explanation.size(), kMaxExplanationBytes);
+  archive.WriteNumber(size);
+  archive.WriteBytes(explanation.data(), size);
 }
 
 static void load(CompactInputArchive& archive, NodeSummary& summary) {
   archive(summary.record, summary.machines);
   summary.membership_hash = archive.ReadFixed(8);
+  const std::uint8_t presence = archive.ReadByte();
+  if (presence > 1) throw cereal::Exception("bad refusal");
+  if (presence == 0) return;
+  RefusedVersion& refused = summary.refused.emplace();
+  archive(refused.version);
+  refused.node = ReadName(archive);
+  refused.explanation = archive.ReadString(kMaxExplanationBytes);
 }
 
 static void save(CompactOutputArchive& archive, const Transfer& transfer) {
--- a/src/transport/transport.cc
+++ b/src/transport/transport.cc
@@ -80,6 +80,7 @@
     ++counters_.send_failures;
     return;
   }
+  counters_.handed_bytes_by_body.at(message.body.index()) += frame.size();
   if (frame.size() <= kMaxDatagramBytes) return datagrams_.Send(to, frame);
   stream_sender_->Send(to, std::move(frame));
 }
--- a/src/transport/transport.h
+++ b/src/transport/transport.h
@@ -2,12 +2,14 @@
 // A thin shell: owns its threads and sockets, decides nothing.
 #pragma once
 
+#include <array>
 #include <atomic>
 #include <cstdint>
 #include <functional>
 #include <memory>
 
 #include "base/result.h"
+#include "membership/message.h"
 #include "transport/frame.h"
 
 namespace copperlead {
@@ -17,6 +19,8 @@
   std::atomic<std::uint64_t> bytes_sent{0};  // Frames, without IP and UDP/TCP headers.
   std::atomic<std::uint64_t> bytes_received{0};
   std::atomic<std::uint64_t> messages_sent{0};
+  // Frames handed over for sending, by body in the order of kMessageBodyNames.
+  std::array<std::atomic<std::uint64_t>, kMessageBodyNames.size()> handed_bytes_by_body{};
   std::atomic<std::uint64_t> messages_received{0};
   std::atomic<std::uint64_t> bad_frames{0};       // kBadFrame and kFrameTooLarge.
   std::atomic<std::uint64_t> unsealed_frames{0};  // kUnsealFailed: wrong key or altered.
--- a/tests/integration/operator_journey_test.cc
+++ b/tests/integration/operator_journey_test.cc
@@ -207,6 +207,12 @@
   EXPECT_EQ(shown.exit_code, 1);
   EXPECT_THAT(shown.output, HasSubstr(place));
   EXPECT_THAT(shown.output, HasSubstr("was refused: correct it and publish a higher one"));
+  for (const auto& node : fleet_->nodes()) {
+    EXPECT_TRUE(WaitFor([&] {
+      const auto told = Copperlead({"status", "--node", Admin(node.plan.id)});
+      return told.output.find(place) != std::string::npos;
+    })) << node.plan.id;
+  }
   EXPECT_TRUE(fleet_->AllRun(before));
   PublishTable(Replaced(good_table, "/permits,100,0,", "/permits,99,1,"));
   EXPECT_EQ(Watch(reader).exit_code, 0);
--- a/tests/toolbox/fleet_report_test.cc
+++ b/tests/toolbox/fleet_report_test.cc
@@ -117,6 +117,19 @@
   }
 }
 
+TEST(FleetReportTest, TellsWhatAnotherNodeRefused) {
+  auto status = StatusOf({{"node-1", "ank-a", kAlive, 7, 0}});
+  RefusedVersion refused;
+  refused.version.major = 8;
+  refused.node = "node-2";
+  refused.explanation = "row 3, column 4: weights_sum";
+  status.fleet_refused = refused;
+  const auto report = Resolve([&] { return ReadFleetReport(StatusToJson(status), 8); }).value();
+  ASSERT_EQ(report.notes.size(), 1U);
+  EXPECT_EQ(report.notes[0], "revision 8 refused by node-2: row 3, column 4: weights_sum");
+  EXPECT_TRUE(report.WantedIsRefused());
+}
+
 TEST(FleetReportTest, PassesOnWhyAVersionIsNotRun) {
   auto status = StatusOf({{"node-1", "ank-a", kAlive, 7, 0}});
   LedgerEntry refused;
--- a/tests/transport/frame_test.cc
+++ b/tests/transport/frame_test.cc
@@ -80,6 +80,17 @@
   }
 }
 
+TEST(FrameTest, ARefusedVersionComesBackWithABoundedExplanation) {
+  Message message = MakeMessage(Ping{123'456, {}});
+  message.sender.refused =
+      RefusedVersion{{43, 0, 9}, "node-3", std::string(kMaxExplanationBytes + 50, 'e')};
+  const auto outcome = Resolve([&] { return DecodeMessage(EncodeMessage(message)); });
+  ASSERT_TRUE(outcome.ok()) << ToString(outcome.error());
+  RefusedVersion expected = *message.sender.refused;
+  expected.explanation.resize(kMaxExplanationBytes);
+  EXPECT_EQ(outcome.value().sender.refused, expected);
+}
+
 TEST(FrameTest, StaysSmall) {
   const std::string ping = EncodeMessage(MakeMessage(Ping{123'456, {}}));
   const std::string frame = SealFrame(MakeKeys('k'), ping);
