A stopped reactor drops what waits in it; a test reads no byte beyond its request

Cause: Address+UB over the whole suite reported two things. A connection in a watch or timer owned its client, which owned the reactor: nothing of them was ever freed (LastHopTest, leak of 2 calls). ProxyTest's "NUL in a value" made a string of 38 bytes of a literal of 36.

Ruled out: a leak while a sidecar runs (a connection that ends is unwatched; the cycle needs a reactor that stops under calls in flight).

Change: Reactor::Stop drops watches and timers after its thread has ended. The test takes the literal's own length; what it checks stays (the two stray bytes came after the request's end).

--- a/src/transport/reactor.cc
+++ b/src/transport/reactor.cc
@@ -106,7 +106,17 @@
   }
   Wake();
   const std::lock_guard lock(stop_mutex_);
-  if (thread_.joinable()) thread_.join();
+  if (!thread_.joinable()) return;
+  thread_.join();
+  DropAll();
+}
+
+// What waits may own who owns this reactor; nothing of it will run any more.
+void Reactor::DropAll() {
+  const auto handlers = std::move(handlers_);
+  const auto timers = std::move(timers_);
+  handlers_.clear();
+  timers_.clear();
 }
 
 void Reactor::Run() {
--- a/src/transport/reactor.h
+++ b/src/transport/reactor.h
@@ -47,7 +47,8 @@
   void Unwatch(WatchId id, const Socket& socket);
   void RunAt(Timestamp when, Task task);
 
-  // Ends the thread after the task that runs. Idempotent; not from the reactor's thread.
+  // Ends the thread after the task that runs, and drops watches and timers with what they own.
+  // Idempotent; not from the reactor's thread.
   void Stop();
 
  private:
@@ -58,6 +59,7 @@
   void RunPosted();
   void RunDueTimers();
   void Dispatch(WatchId id, std::uint32_t events);
+  void DropAll();
   void Wake();
 
   const Socket epoll_;
--- a/tests/proxy/bad_caller_test.cc
+++ b/tests/proxy/bad_caller_test.cc
@@ -7,6 +7,8 @@
 namespace copperlead {
 namespace {
 
+using std::string_literals::operator""s;
+
 struct BadRequestCase {
   const char* name;
   std::string request;
@@ -33,7 +35,7 @@
       {"no colon", "GET / HTTP/1.1\r\nHost: test\r\nnonsense\r\n\r\n", 400},
       {"bare line feeds", "GET / HTTP/1.1\nHost: test\n\n", 400},
       {"carriage return in a value", "GET / HTTP/1.1\r\nHost: test\r\nX: a\rb\r\n\r\n", 400},
-      {"NUL in a value", std::string("GET / HTTP/1.1\r\nHost: t\r\nX: a\0b\r\n\r\n", 38), 400},
+      {"NUL in a value", "GET / HTTP/1.1\r\nHost: t\r\nX: a\0b\r\n\r\n"s, 400},
       {"no host", "GET / HTTP/1.1\r\n\r\n", 400},
       {"two hosts", "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", 400},
       {"path that climbs", Get("/permits/../admin"), 400},
--- a/tests/transport/reactor_test.cc
+++ b/tests/transport/reactor_test.cc
@@ -1,6 +1,8 @@
 #include "transport/reactor.h"
 
 #include <gtest/gtest.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
 
 #include <atomic>
 #include <thread>
@@ -28,5 +30,20 @@
   reactor.Stop();
 }
 
+TEST(ReactorTest, StopDropsWhatTimersAndWatchesOwn) {
+  const auto started = Resolve([] { return Reactor::Start(); });
+  ASSERT_TRUE(started);
+  Reactor& reactor = *started.value();
+  const Socket socket(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK));
+  const auto owned = std::make_shared<int>(0);
+  reactor.RunAndWait([&] {
+    reactor.RunAt(SteadyClock().Now() + std::chrono::hours(1), [owned] {});
+    reactor.Watch(socket, EPOLLIN, [owned](std::uint32_t) {});
+  });
+  EXPECT_EQ(owned.use_count(), 3);
+  reactor.Stop();
+  EXPECT_EQ(owned.use_count(), 1);
+}
+
 }  // namespace
 }  // namespace copperlead
