--- a/src/sidecar/decision_log.cc
+++ b/src/sidecar/decision_log.cc
@@ -19,8 +19,12 @@
 constexpr std::size_t mostBufferedBytes = 256 << 10;
 constexpr std::size_t atomicWriteBytes = 4096; // PIPE_BUF: a writable pipe takes that much whole.
 
+// Of every line that ends a request.
+constexpr std::string_view requestFields =
+    "request route version status cause attempts arrivals took_ms left_ms budget instance";
+
 constexpr std::array<EventDescription, static_cast<std::size_t> (EventKind::count)> descriptions{ {
-    { EventKind::started, "started", 10, "version zone service outbound inbound readiness" },
+    { EventKind::started, "started", 10, "zone service outbound inbound readiness" },
     { EventKind::stopping, "stopping", 10, "in_flight connections" },
     { EventKind::stopped, "stopped", 10, "in_flight after_ms" },
     { EventKind::settingsReloaded, "settings_reloaded", 5, "cause service" },
@@ -30,21 +34,19 @@
     { EventKind::roleChanged, "role_changed", 5, "reading revision version" },
     { EventKind::configurationTaken, "configuration_taken", 20, "version before revision routes" },
     { EventKind::configurationRefused, "configuration_refused", 20,
-      "version running place cause revision" },
+      "running place cause revision" },
     { EventKind::entryRefused, "entry_refused", 5, "key place cause" },
     { EventKind::identityLearned, "identity_learned", 5, "instance before by" },
     { EventKind::instanceLost, "instance_lost", 5, "instance cause" },
     { EventKind::instanceRegained, "instance_regained", 5, "instance after_ms" },
+    { EventKind::instanceLeaving, "instance_leaving", 5, "instance running waiting" },
     { EventKind::peerAvoided, "peer_avoided", 10, "instance cause for_ms" },
-    { EventKind::requestServed, "request_served", 1,
-      "request route version status attempts took_ms instance" },
-    { EventKind::requestRefused, "request_refused", 20,
-      "request route version status cause attempts took_ms left_ms budget" },
-    { EventKind::requestFailed, "request_failed", 20,
-      "request route version status cause arrivals took_ms left_ms budget" },
+    { EventKind::requestServed, "request_served", 1, requestFields },
+    { EventKind::requestRefused, "request_refused", 20, requestFields },
+    { EventKind::requestFailed, "request_failed", 20, requestFields },
     { EventKind::requestUnrouted, "request_unrouted", 10,
       "request host target version status cause word_age_ms" },
-    { EventKind::clientLeft, "client_left", 3, "request route took_ms" },
+    { EventKind::clientLeft, "client_left", 3, requestFields },
     { EventKind::attemptEnded, "attempt_ended", 30,
       "request instance hop outcome cause next load report_age_ms expected_ms took_ms version" },
     { EventKind::admissionRefused, "admission_refused", 20,
--- a/src/sidecar/decision_log.h
+++ b/src/sidecar/decision_log.h
@@ -33,6 +33,7 @@
     identityLearned,
     instanceLost,
     instanceRegained,
+    instanceLeaving,
     peerAvoided,
     requestServed,
     requestRefused,
@@ -51,7 +52,7 @@
     EventKind kind;
     std::string_view name;
     int linesPerSecond;
-    std::string_view fields; /**< Names, for the reference page. */
+    std::string_view fields; /**< Names, in the order in which a line has them. */
 };
 
 const EventDescription& describe (EventKind kind);
--- a/src/sidecar/last_hop.cc
+++ b/src/sidecar/last_hop.cc
@@ -339,6 +339,7 @@
 void LastHop::setDirectory (Timestamp now, const mesh::DirectorySnapshot& directory)
 {
     const auto before = instance.id();
+    const bool wasLeaving = instance.leaving();
     const auto entry = directory.byAddress.find (ToString (settings.instanceAddress));
 
     if (instance.takeEntry (entry == directory.byAddress.end() ? nullptr : &entry->second))
@@ -352,6 +353,12 @@
 
     queue.setLimit (instance.slots() + settings.extraSlots);
 
+    if (instance.leaving() && ! wasLeaving)
+        log->write (now, EventKind::instanceLeaving,
+                    { { "instance", instance.id() },
+                      { "running", static_cast<std::int64_t> (queue.running()) },
+                      { "waiting", static_cast<std::int64_t> (queue.waiting()) } });
+
     if (instance.leaving())
         refuseAll (queue.clear(), HopCause::instanceLeaving);
     else
--- a/tests/mesh_integration/explain_test.cc
+++ b/tests/mesh_integration/explain_test.cc
@@ -5,8 +5,11 @@
 #include <atomic>
 #include <fstream>
 #include <mutex>
+#include <nlohmann/json.hpp>
+#include <optional>
 #include <thread>
 
+#include "sidecar/decision_log.h"
 #include "tests/integration/process_harness.h"
 #include "tests/mesh_integration/mesh_fleet.h"
 
@@ -57,10 +60,51 @@
     return explanation;
   }
 
+  // Each line must have the fields that its kind declares, in that order.
+  static void ExpectDeclaredFields(const std::vector<std::string>& logs) {
+    for (const auto& name : logs) {
+      std::ifstream file(name);
+      for (std::string text; std::getline(file, text);) {
+        const auto line = nlohmann::ordered_json::parse(text, nullptr, false);
+        if (line.is_discarded()) continue;
+        const auto declared = DeclaredFields(line.at("event"));
+        if (!declared) continue;
+        std::string written;
+        for (const auto& [key, value] : line.items()) {
+          if (key == "time" || key == "t" || key == "node" || key == "event") continue;
+          written += (written.empty() ? "" : " ") + key;
+        }
+        EXPECT_EQ(written, *declared) << text;
+      }
+    }
+  }
+
+  // @return nothing for an unknown kind
+  static std::optional<std::string> DeclaredFields(const std::string& event) {
+    for (int kind = 0; kind < static_cast<int>(sidecar::EventKind::count); ++kind) {
+      const auto& description = sidecar::describe(static_cast<sidecar::EventKind>(kind));
+      if (description.name == event) return std::string(description.fields);
+    }
+    return std::nullopt;
+  }
+
+  // Lines of that event in all logs.
+  static int CountLines(const std::vector<std::string>& logs, const std::string& event) {
+    int count = 0;
+    for (const auto& name : logs) {
+      std::ifstream file(name);
+      for (std::string text; std::getline(file, text);) {
+        if (text.find("\"event\":\"" + event + "\"") != std::string::npos) ++count;
+      }
+    }
+    return count;
+  }
+
   // Explains a request by all logs and checks that each of `parts` appears, in this order.
   void ExpectStory(const std::string& id, const std::vector<std::string>& parts) {
     std::vector<std::string> arguments = {id};
     const auto logs = GatherLogs();
+    ExpectDeclaredFields(logs);
     arguments.insert(arguments.end(), logs.begin(), logs.end());
     const Explanation explanation = Run(arguments);
     EXPECT_EQ(explanation.exit_code, 0);
@@ -100,6 +144,16 @@
               {"admission_refused", "cause=", "running=6", "request_refused", "status=503"});
 }
 
+TEST_F(Explain, ALeavingInstanceIsLoggedOnceBesideIt) {
+  fleet_.List(desk(), "draining");
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  fleet_.Configure(5);
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  const auto logs = GatherLogs();
+  EXPECT_EQ(CountLines(logs, "instance_leaving"), 1);
+  ExpectDeclaredFields(logs);
+}
+
 TEST_F(Explain, AnAnswerThatWasLost) {
   desk().instance->SetFault({InstanceTrouble::kLost, 1});
   MeshRequest request;
