A client that is let go drops its idle connections

Cause: Address+UB at still reported the calls of LastHopTest as a leak: an idle connection holds its client, and the client its idle connections.

Holding the client weakly in each connection: ten uses on the request path.

Change: owners of a client (LastHop, HopCaller, Relay, SourceReader) drop its idle connections in their destructors.

Before and after: LastHopTest.LeavesNothingBehindWhenItIsLetGo fails before (2 owners of the reactor), passes after.

Conclusion: the reactor and clients end whole; servers don't yet.

--- a/src/sidecar/hop_caller.cc
+++ b/src/sidecar/hop_caller.cc
@@ -89,6 +89,8 @@
 {
 }
 
+HopCaller::~HopCaller() { client->dropAllIdle(); }
+
 HopCallHandle HopCaller::send (const std::string& ip, HopCall call, Timestamp deadline,
                                Callback callback)
 {
--- a/src/sidecar/hop_caller.h
+++ b/src/sidecar/hop_caller.h
@@ -46,6 +46,7 @@
     */
     HopCaller (const std::shared_ptr<Reactor>& reactor, std::shared_ptr<LastHop> lastHopToUse,
                std::string ownIpToUse, std::uint16_t port);
+    ~HopCaller();
 
     bool isLocal (const std::string& ip) const { return ip == ownIp; }
 
--- a/src/sidecar/http_client.cc
+++ b/src/sidecar/http_client.cc
@@ -116,4 +116,14 @@
         connection->close();
 }
 
+void HttpClient::dropAllIdle()
+{
+    const auto lists = std::move (idle);
+    idle.clear();
+
+    for (const auto& [target, list] : lists)
+        for (const auto& connection : list)
+            connection->close();
+}
+
 } // namespace copperlead::sidecar
--- a/src/sidecar/http_client.h
+++ b/src/sidecar/http_client.h
@@ -101,6 +101,9 @@
     /** Closes the unused connections to a target. */
     void dropIdle (const SocketAddress& target);
 
+    /** To be called before the client is let go: it and its idle connections own each other. */
+    void dropAllIdle();
+
     const ClientCounters& counters() const { return counts; }
 
 private:
--- a/src/sidecar/last_hop.cc
+++ b/src/sidecar/last_hop.cc
@@ -49,6 +49,8 @@
 {
 }
 
+LastHop::~LastHop() { client->dropAllIdle(); }
+
 mesh::HopReport LastHop::report (HopOutcome outcome, HopCause cause) const
 {
     mesh::HopReport made;
--- a/src/sidecar/last_hop.h
+++ b/src/sidecar/last_hop.h
@@ -63,6 +63,7 @@
 
     LastHop (std::shared_ptr<Reactor> reactorToUse, LastHopSettings settingsToUse,
              std::shared_ptr<DecisionLog> logToUse);
+    ~LastHop();
 
     /** The callback may come before this returns; after cancel() it doesn't come. */
     CallId start (HopCall call, Callback callback);
--- a/src/sidecar/relay.cc
+++ b/src/sidecar/relay.cc
@@ -48,6 +48,8 @@
 
 Relay::~Relay()
 {
+    client->dropAllIdle();
+
     if (channel != nullptr)
         channel->Close();
 }
--- a/src/sidecar/source_reader.h
+++ b/src/sidecar/source_reader.h
@@ -48,6 +48,8 @@
     {
     }
 
+    ~SourceReader() { client->dropAllIdle(); }
+
     void start() { next(); }
 
     /** Starts or stops reading. @param revision  reached by other means, 0 if none was */
--- a/tests/sidecar/last_hop_test.cc
+++ b/tests/sidecar/last_hop_test.cc
@@ -90,5 +90,14 @@
     EXPECT_TRUE (Eventually ([&] { return status == 200; }));
 }
 
+TEST_F (LastHopTest, LeavesNothingBehindWhenItIsLetGo)
+{
+    start (false);
+    ASSERT_TRUE (Eventually ([&] { return status == 200; }));
+    reactor->RunAndWait ([&] { hop.reset(); });
+    reactor->Stop();
+    EXPECT_EQ (reactor.use_count(), 1);
+}
+
 } // namespace
 } // namespace copperlead::sidecar
