One nameOf, one plainAnswer, one way to kill a sidecar in the relay's tests

Ruled out: one reasonPhrase for the sidecar and proxy/forwarded_headers: their codes and defaults differ, and both are what clients see.

--- /dev/null
+++ b/src/mesh/enum_names.h
@@ -0,0 +1,17 @@
+/** The name of an enumerator by the table beside its enum. */
+#pragma once
+
+#include <cstddef>
+#include <string_view>
+
+namespace copperlead::mesh
+{
+
+/** @param names  one for each enumerator, in their order */
+template <typename Enum, std::size_t count>
+constexpr std::string_view nameOf (Enum value, const std::string_view (&names)[count])
+{
+    return names[static_cast<std::size_t> (value)];
+}
+
+} // namespace copperlead::mesh
--- a/src/sidecar/active_request.cc
+++ b/src/sidecar/active_request.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "mesh/avoidance.h"
+#include "mesh/enum_names.h"
 #include "mesh/milliseconds.h"
 #include "sidecar/messages.h"
 
@@ -17,18 +18,13 @@
 using mesh::fromMilliseconds;
 using mesh::HopCause;
 using mesh::HopOutcome;
+using mesh::nameOf;
 using mesh::NextStep;
 using mesh::toMilliseconds;
 
 constexpr Milliseconds deadlineGrace{ 15 }; // For the instance's own answer at the deadline.
 constexpr double retryAfterShare = 0.15;    // Of the time left; clients heed up to a third of it.
 
-template <typename Enum, std::size_t count>
-std::string_view nameOf (Enum value, const std::string_view (&names)[count])
-{
-    return names[static_cast<std::size_t> (value)];
-}
-
 Timestamp now() { return SteadyClock().Now(); }
 
 } // namespace
--- a/src/sidecar/client_connection.cc
+++ b/src/sidecar/client_connection.cc
@@ -8,6 +8,7 @@
 #include <cerrno>
 #include <cstring>
 
+#include "mesh/milliseconds.h"
 #include "sidecar/sockets.h"
 
 namespace copperlead::sidecar
@@ -101,7 +102,7 @@
         return finish (CallEnd::notConnected, std::strerror (error));
 
     const auto opened = now() - (connectBy - client->settings.connectTimeout);
-    client->counts.connect.observe (std::chrono::duration<double, std::milli> (opened).count());
+    client->counts.connect.observe (mesh::toMilliseconds (opened));
     state = State::waiting;
     armTimer (options.deadline);
     write();
--- a/src/sidecar/last_hop.cc
+++ b/src/sidecar/last_hop.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "mesh/enum_names.h"
 #include "mesh/milliseconds.h"
 #include "sidecar/instance_answer.h"
 #include "sidecar/messages.h"
@@ -13,21 +14,12 @@
 
 using mesh::HopCause;
 using mesh::HopOutcome;
+using mesh::nameOf;
 using mesh::toMilliseconds;
 
 constexpr Milliseconds probeTimeout{ 400 };
 constexpr Milliseconds deadlineGrace{ 20 }; // For the instance's own answer at the deadline.
 
-std::string_view nameOf (HopCause cause)
-{
-    return mesh::hopCauseNames[static_cast<std::size_t> (cause)];
-}
-
-std::string_view nameOf (mesh::IdentitySource source)
-{
-    return mesh::identitySourceNames[static_cast<std::size_t> (source)];
-}
-
 ClientSettings clientSettings()
 {
     ClientSettings settings;
@@ -121,7 +113,7 @@
     log->write (now, EventKind::admissionRefused,
                 { { "request", running.call.facts.requestId },
                   { "instance", instance.id() },
-                  { "cause", nameOf (cause) },
+                  { "cause", nameOf (cause, mesh::hopCauseNames) },
                   { "running", static_cast<std::int64_t> (queue.running()) },
                   { "waiting", static_cast<std::int64_t> (queue.waiting()) },
                   { "left_ms", toMilliseconds (running.deadline - now) },
@@ -243,7 +235,7 @@
         log->write (now, EventKind::identityLearned,
                     { { "instance", spoken },
                       { "before", before },
-                      { "by", nameOf (mesh::IdentitySource::spoken) } });
+                      { "by", nameOf (mesh::IdentitySource::spoken, mesh::identitySourceNames) } });
 }
 
 void LastHop::onResult (CallId id, CallResult result)
@@ -349,7 +341,7 @@
         log->write (now, EventKind::identityLearned,
                     { { "instance", instance.id() },
                       { "before", before },
-                      { "by", nameOf (mesh::IdentitySource::entry) } });
+                      { "by", nameOf (mesh::IdentitySource::entry, mesh::identitySourceNames) } });
         client->dropIdle (settings.instanceAddress);
     }
 
--- a/src/sidecar/messages.cc
+++ b/src/sidecar/messages.cc
@@ -91,6 +91,11 @@
     return answerMessage ({ status, {}, text, close, isHead }, all);
 }
 
+std::string plainAnswer (int status, std::string_view cause)
+{
+    return ownAnswer (status, cause, {}, true, false);
+}
+
 std::string_view reasonPhrase (int status)
 {
     switch (status)
--- a/src/sidecar/messages.h
+++ b/src/sidecar/messages.h
@@ -38,6 +38,9 @@
 std::string ownAnswer (int status, std::string_view cause, const HeaderFields& fields, bool close,
                        bool isHead);
 
+/** The same without further fields; its connection closes. */
+std::string plainAnswer (int status, std::string_view cause);
+
 std::string_view reasonPhrase (int status);
 
 /** @returns the value of the only field of that name; empty when there is none or several */
--- a/src/sidecar/peer_endpoint.cc
+++ b/src/sidecar/peer_endpoint.cc
@@ -6,16 +6,6 @@
 
 namespace copperlead::sidecar
 {
-namespace
-{
-
-std::string plainAnswer (int status, std::string_view cause)
-{
-    return ownAnswer (status, cause, {}, true, false);
-}
-
-} // namespace
-
 PeerEndpoint::PeerEndpoint (HeaderNames namesToUse, std::shared_ptr<LastHop> lastHopToUse,
                             const mesh::MeshState& stateToTell)
     : names (std::move (namesToUse))
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -21,11 +21,6 @@
 
 Timestamp now() { return SteadyClock().Now(); }
 
-std::string plainAnswer (int status, std::string_view cause)
-{
-    return ownAnswer (status, cause, {}, true, false);
-}
-
 std::uint64_t seedFrom (const std::string& id)
 {
     return std::hash<std::string>{}(id) ^
--- a/src/sidecar/source_reader.h
+++ b/src/sidecar/source_reader.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <string>
 
+#include "mesh/enum_names.h"
 #include "mesh/source_follower.h"
 #include "sidecar/decision_log.h"
 #include "sidecar/http_client.h"
@@ -166,8 +167,8 @@
 
         if (follower.failing() && ! wasFailing)
             log->write (now, EventKind::sourceLost,
-                        { { "call", callEndNames[static_cast<std::size_t> (result.end)] },
-                          { "cause", mesh::sourceReplyNames[static_cast<std::size_t> (reply)] },
+                        { { "call", mesh::nameOf (result.end, callEndNames) },
+                          { "cause", mesh::nameOf (reply, mesh::sourceReplyNames) },
                           { "last_word_ms", since },
                           { "revision", revision } });
         else if (wasFailing && ! follower.failing())
--- a/tests/mesh_integration/mesh_relay_test.cc
+++ b/tests/mesh_integration/mesh_relay_test.cc
@@ -20,6 +20,13 @@
     std::this_thread::sleep_for(kSettled);
   }
 
+  // Ends the sidecar of a machine and waits for its end.
+  void Kill(std::size_t index) {
+    ChildProcess& sidecar = *fleet_.machines()[index]->sidecar;
+    sidecar.Signal(SIGKILL);
+    sidecar.Wait(std::chrono::seconds(5));
+  }
+
   // @return whether the machines from `first` on serve `path` in time.
   bool Served(const std::string& path, std::size_t first = 0) {
     const auto until = std::chrono::steady_clock::now() + kInForce;
@@ -74,10 +81,7 @@
   }
 
   void RestartSecondZone() {
-    for (std::size_t index : {2, 3}) {
-      fleet_.machines()[index]->sidecar->Signal(SIGKILL);
-      fleet_.machines()[index]->sidecar->Wait(std::chrono::seconds(5));
-    }
+    for (std::size_t index : {2, 3}) Kill(index);
     for (std::size_t index : {2, 3}) fleet_.Start(*fleet_.machines()[index]);
   }
 };
@@ -114,9 +118,8 @@
 
 TEST_F(MeshRelay, ARestartedNodeThatTheStoreRefusesLearnsFromItsZone) {
   fleet_.store().SetFault(1, {StoreTrouble::kMany, {}});
+  Kill(1);
   MeshMachine& machine = *fleet_.machines()[1];
-  machine.sidecar->Signal(SIGKILL);
-  machine.sidecar->Wait(std::chrono::seconds(5));
   fleet_.Start(machine, {"--cpu-share", "0.1"});
   EXPECT_TRUE(fleet_.AwaitReady(machine));
   EXPECT_TRUE(Served("/look/1", 1));
@@ -125,9 +128,8 @@
 TEST_F(MeshRelay, ARestartedNodeLearnsFromItsZoneWhileTheStoreIsDownForAll) {
   for (std::size_t listener : {0, 1}) fleet_.store().SetFault(listener, {StoreTrouble::kBusy, {}});
   std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  Kill(1);
   MeshMachine& machine = *fleet_.machines()[1];
-  machine.sidecar->Signal(SIGKILL);
-  machine.sidecar->Wait(std::chrono::seconds(5));
   fleet_.Start(machine, {"--cpu-share", "0.1"});
   EXPECT_TRUE(fleet_.AwaitReady(machine));
   EXPECT_TRUE(Served("/look/1", 1));
