Requests of one connection are worked on side by side

Change: up to 16 requests of a connection are handed on before the first is answered, answers go out in order. Only routes whose requests may be repeated run beside an open answer: an answer that closes makes the client send what is behind it again, whatever its kind. A closing answer cancels what runs behind it and nothing behind it begins. While a node stops, nothing is handed on behind an open answer and only the latest request's answer closes, so that all that was passed on is answered. Bounded: 16 requests, 256 KB of unsent answers, 64 KB of unread input. A client that takes nothing of its answer for 30 s is let go (the old bound was renewed at each look and never came).

Ruled out: by the method instead of the route (a GET may be on a route that is not idempotent).

--- a/src/sidecar/active_request.cc
+++ b/src/sidecar/active_request.cc
@@ -377,7 +377,7 @@
     setDone();
     cancelAttempts();
     ++hop->counts.served;
-    const bool close = hop->closing || exchange->mustClose();
+    const bool close = hop->mustClose (*exchange);
     exchange->respond (
         answerMessage ({ answer.status, answer.reason, answer.body, close, exchange->isHead() },
                        answer.fields),
--- a/src/sidecar/first_hop.cc
+++ b/src/sidecar/first_hop.cc
@@ -66,10 +66,25 @@
             { "Retry-After",
               fmt::format ("{:.3f}", static_cast<double> (retryAfter.count()) / 1000) });
 
-    const bool close = closing || exchange->mustClose();
+    const bool close = mustClose (*exchange);
     exchange->respond (ownAnswer (status, cause, fields, close, exchange->isHead()), close);
 }
 
+bool FirstHop::mustClose (const Exchange& exchange) const
+{
+    // A close under a request that was passed on behind this one would cut that off.
+    return exchange.mustClose() || (closing && exchange.isLatest());
+}
+
+bool FirstHop::mayRunBeside (const RequestHead& head) const
+{
+    if (routes == nullptr)
+        return false;
+
+    const auto* route = routes->find (onlyValue (head.fields, "Host"), head.target);
+    return route != nullptr && route->mayRepeat();
+}
+
 std::optional<double> FirstHop::wordAgeMs() const { return routesAge ? routesAge() : std::nullopt; }
 
 bool FirstHop::wordIsFresh() const
--- a/src/sidecar/first_hop.h
+++ b/src/sidecar/first_hop.h
@@ -55,6 +55,11 @@
     /** Takes a client's request; its exchange is answered exactly once. */
     void take (const ExchangePointer& exchange);
 
+    /** Whether a request may be worked on while earlier ones of its connection are: only what may
+        be repeated, since an answer that closes the connection makes the client send it again.
+    */
+    bool mayRunBeside (const RequestHead& head) const;
+
     void setRoutes (std::shared_ptr<const mesh::RouteTable> newRoutes)
     {
         routes = std::move (newRoutes);
@@ -88,6 +93,7 @@
     void refuse (const ExchangePointer& exchange, int status, std::string_view cause);
     void answerOwn (const ExchangePointer& exchange, int status, std::string_view cause,
                     Milliseconds retryAfter);
+    bool mustClose (const Exchange& exchange) const;
     std::optional<double> wordAgeMs() const;
     bool wordIsFresh() const;
     mesh::RetryBudget& budgetOf (const std::string& service);
--- a/src/sidecar/http_server.cc
+++ b/src/sidecar/http_server.cc
@@ -30,6 +30,12 @@
     return open == nullptr || open->clientLeft();
 }
 
+bool Exchange::isLatest() const
+{
+    const auto open = connection.lock();
+    return open == nullptr || open->isLatest (*this);
+}
+
 HttpServer::HttpServer (std::shared_ptr<Reactor> reactorToUse, ServerSettings settingsToUse)
     : reactor (std::move (reactorToUse))
     , settings (std::move (settingsToUse))
--- a/src/sidecar/http_server.h
+++ b/src/sidecar/http_server.h
@@ -1,6 +1,7 @@
 /** Takes HTTP/1.1 requests whole and writes whole answers, on a reactor's thread. A request is
     handed on once its body has arrived; while it is worked on, the client's leaving is noticed at
-    once. Everything here belongs to the reactor's thread.
+    once. Pipelined requests are handed on beside open ones where the settings allow it; answers go
+    out in the order of the requests. Everything here belongs to the reactor's thread.
 */
 #pragma once
 
@@ -28,7 +29,8 @@
     std::string body;
     Timestamp arrivedAt{}; /**< When its last byte was read. */
 
-    /** Called at most once, when the client left before it was answered. */
+    /** Called at most once, when the client left, or its connection closed, before it was answered.
+     */
     std::function<void()> onGone;
 
     /** Writes a whole message. Once; without effect when the client has left.
@@ -41,6 +43,11 @@
 
     /** True when the connection can't be kept, whatever the answer says. */
     bool mustClose() const { return closeAfter; }
+
+    /** True when no request of the connection was handed on after this one, so that its answer may
+        close the connection without cutting off another.
+    */
+    bool isLatest() const;
     bool isHead() const { return head.method == "HEAD"; }
 
 private:
@@ -59,6 +66,11 @@
     std::function<mesh::ClientLimits()> limits;
     std::function<void (ExchangePointer)> handler;
     ErrorMessage errorMessage;
+
+    /** Whether a request may be handed on while earlier ones of its connection are unanswered. Such
+        a request may be cancelled, and be sent again by its client. Empty: none may.
+    */
+    std::function<bool (const RequestHead&)> mayRunBeside;
     std::size_t mostConnections = 3000;
     std::size_t mostBufferedBytes = 96 << 20; /**< Of all requests that are being read. */
 };
@@ -73,6 +85,10 @@
     Result<Done> listen (const SocketAddress& address);
     SocketAddress address() const { return bound; }
 
+    /** From now on no request is handed on beside an unanswered one, so that connections can close.
+     */
+    void drain() { draining = true; }
+
     /** New connections are refused from now on. */
     void stopListening();
 
@@ -93,6 +109,7 @@
     Reactor::WatchId watch = 0;
     std::set<std::shared_ptr<ServerConnection>> open;
     std::size_t bufferedBytes = 0;
+    bool draining = false;
 };
 
 } // namespace copperlead::sidecar
--- a/src/sidecar/server_connection.cc
+++ b/src/sidecar/server_connection.cc
@@ -13,7 +13,9 @@
 {
 
 constexpr std::size_t readSize = 65536;
-constexpr std::size_t mostPipelinedBytes = 65536;
+constexpr std::size_t mostUnreadBytes = 65536; // Of input that can't be taken yet.
+constexpr std::size_t mostOpenRequests = 16;
+constexpr std::size_t mostUnsentBytes = 256 << 10; // Of answers, beyond which none is worked on.
 constexpr Milliseconds lingerTime{ 1000 };
 constexpr Milliseconds bodyTime{ 30'000 };
 constexpr Milliseconds writeTime{ 30'000 };
@@ -50,9 +52,8 @@
         write();
 
     // Too much is buffered to read on, so the end of the stream is known by its event alone.
-    if (state == State::answering && input.size() >= mostPipelinedBytes &&
-        (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0)
-        return onEndOfStream();
+    if (blocked() && (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0)
+        return close();
 
     if (state != State::closed && (events & (EPOLLIN | EPOLLHUP | EPOLLERR | EPOLLRDHUP)) != 0)
         readAll();
@@ -61,22 +62,54 @@
         updateInterest();
 }
 
+bool ServerConnection::idle() const
+{
+    return state == State::head && input.empty() && output.empty() && open.empty();
+}
+
+bool ServerConnection::isLatest (const Exchange& asked) const
+{
+    return ! open.empty() && open.back().exchange.get() == &asked;
+}
+
+bool ServerConnection::mayTakeNext() const
+{
+    auto unsent = output.size() - written;
+
+    for (const auto& answer : open)
+        unsent += answer.message.size();
+
+    if (lastTaken || unsent >= mostUnsentBytes)
+        return false;
+
+    return open.empty() ||
+           (server->settings.mayRunBeside && ! server->draining && open.size() < mostOpenRequests);
+}
+
+bool ServerConnection::mayHandOn() const
+{
+    return mayTakeNext() && (open.empty() || server->settings.mayRunBeside (exchange->head));
+}
+
+bool ServerConnection::blocked() const
+{
+    const bool waits = state == State::held || (state == State::head && ! mayTakeNext());
+    return waits && input.size() >= mostUnreadBytes;
+}
+
 void ServerConnection::readAll()
 {
     static thread_local std::array<char, readSize> buffer;
 
-    while (state != State::closed)
+    while (state != State::closed && ! blocked())
     {
-        if (state == State::answering && input.size() >= mostPipelinedBytes)
-            return;
-
         const auto count = ::read (socket.descriptor(), buffer.data(), buffer.size());
 
         if (count < 0 && (errno == EAGAIN || errno == EINTR))
             return;
 
         if (count <= 0)
-            return onEndOfStream();
+            return close();
 
         if (state == State::lingering)
             continue;
@@ -94,13 +127,16 @@
 
 void ServerConnection::advance()
 {
-    if (reading)
+    if (advancing)
         return;
 
-    reading = true;
+    advancing = true;
     auto before = State::closed;
     std::size_t left = 0;
 
+    if (state == State::held && mayHandOn())
+        handOn();
+
     // Each turn takes a head or a part of a body; a turn that changes nothing waits for more bytes.
     while (! input.empty() && (state == State::head || state == State::body) &&
            (before != state || left != input.size()))
@@ -108,13 +144,13 @@
         before = state;
         left = input.size();
 
-        if (state == State::head)
-            takeHead();
-        else
+        if (state == State::body)
             takeBody();
+        else if (mayTakeNext())
+            takeHead();
     }
 
-    reading = false;
+    advancing = false;
 
     if (state != State::closed)
         armTimer (deadline());
@@ -155,21 +191,33 @@
                            ListHolds (exchange->head.fields, "Connection", "close");
     decoder.emplace (framing);
 
-    if (ListHolds (exchange->head.fields, "Expect", "100-continue") && input.empty() &&
-        ! decoder->complete())
-    {
-        output.append (continueMessage);
-        write();
-    }
-
+    owesContinue = ListHolds (exchange->head.fields, "Expect", "100-continue") && input.empty() &&
+                   ! decoder->complete();
     state = State::body;
+    sendContinue();
 
     if (decoder->complete())
-        handOn();
+        bodyTaken();
 }
 
-void ServerConnection::countBuffered (std::size_t bytes)
+void ServerConnection::sendContinue()
 {
+    // In front of earlier answers it would be taken for a part of them.
+    if (! owesContinue || ! open.empty())
+        return;
+
+    owesContinue = false;
+    output.append (continueMessage);
+    write();
+}
+
+void ServerConnection::countBuffered()
+{
+    std::size_t bytes = exchange == nullptr ? 0 : exchange->body.size();
+
+    for (const auto& answer : open)
+        bytes += answer.bodyBytes;
+
     server->bufferedBytes += bytes - buffered;
     buffered = bytes;
 }
@@ -177,7 +225,7 @@
 void ServerConnection::takeBody()
 {
     input.erase (0, decoder->feed (input, exchange->body));
-    countBuffered (exchange->body.size());
+    countBuffered();
 
     if (decoder->malformed())
         return fail (400, "malformed chunked framing");
@@ -189,6 +237,16 @@
         return fail (503, "too many bodies are being read");
 
     if (decoder->complete())
+        bodyTaken();
+}
+
+void ServerConnection::bodyTaken()
+{
+    exchange->arrivedAt = now();
+    owesContinue = false;
+    state = State::held;
+
+    if (mayHandOn())
         handOn();
 }
 
@@ -204,36 +262,70 @@
     if (clientLeft())
         return close();
 
-    state = State::answering;
-    exchange->arrivedAt = now();
-    exchange->connection = weak_from_this();
-    server->settings.handler (exchange);
+    const auto handed = std::exchange (exchange, nullptr);
+    state = State::head;
+    lastTaken = handed->closeAfter;
+    headStartedAt = now();
+    handed->connection = weak_from_this();
+    open.push_back ({ handed, {}, handed->body.size(), false });
+    countBuffered();
+    server->settings.handler (handed);
 }
 
 void ServerConnection::fail (int status, std::string_view cause)
 {
     exchange.reset();
     input.clear();
-    state = State::answering;
-    output.append (server->settings.errorMessage (status, cause));
-    closeAfterWrite = true;
-    write();
+    lastTaken = true;
+    state = State::head;
+    open.push_back ({ nullptr, server->settings.errorMessage (status, cause), 0, true });
+    writeAnswers();
 }
 
 void ServerConnection::respond (const Exchange& answered, const std::string& message, bool close)
 {
-    if (state != State::answering || exchange.get() != &answered)
+    const auto found =
+        std::find_if (open.begin(), open.end(),
+                      [&] (const auto& answer) { return answer.exchange.get() == &answered; });
+
+    if (found == open.end() || ! found->message.empty())
         return;
 
-    output.append (message);
-    closeAfterWrite = close;
-    write();
+    found->message = message;
+    found->close = close;
+    // A closing answer is the last one, so what was read behind it must not begin.
+    lastTaken = lastTaken || close;
+    writeAnswers();
+}
 
-    if (state != State::closed)
+void ServerConnection::writeAnswers()
+{
+    while (! open.empty() && ! open.front().message.empty() && ! closeAfterWrite)
     {
-        updateInterest();
-        armTimer (deadline());
+        output.append (open.front().message);
+        closeAfterWrite = open.front().close;
+        open.pop_front();
     }
+
+    countBuffered();
+    write();
+
+    if (state == State::closed || state == State::lingering)
+        return;
+
+    restingSince = now();
+
+    if (state == State::head)
+        headStartedAt = restingSince;
+
+    sendContinue();
+    advance();
+
+    if (state == State::closed)
+        return;
+
+    updateInterest();
+    armTimer (deadline());
 }
 
 void ServerConnection::write()
@@ -247,47 +339,45 @@
             return updateInterest();
 
         if (count < 0)
-            return onEndOfStream();
+            return close();
 
         written += static_cast<std::size_t> (count);
+        wroteAt = now();
     }
 
-    const bool wroteAnswer = written > 0 && state == State::answering;
+    const bool wrote = written > 0;
     output.clear();
     written = 0;
 
-    if (wroteAnswer)
-        finishWriting();
-}
-
-void ServerConnection::finishWriting()
-{
-    exchange.reset();
-    countBuffered (0);
-
     if (closeAfterWrite)
         return linger();
 
-    state = State::head;
-    restingSince = headStartedAt = now();
-    advance();
+    // What was not worked on while too much was unsent.
+    if (wrote)
+        advance();
 }
 
 void ServerConnection::linger()
 {
+    if (state == State::lingering)
+        return;
+
     state = State::lingering;
+    dropOpen();
     lingerUntil = now() + lingerTime;
     shutdown (socket.descriptor(), SHUT_WR);
     armTimer (deadline());
 }
 
-void ServerConnection::onEndOfStream()
+void ServerConnection::dropOpen()
 {
-    const auto left = exchange;
-    close();
+    exchange.reset();
+    const auto left = std::exchange (open, {});
+    countBuffered();
 
-    if (left != nullptr && left->onGone)
-        std::exchange (left->onGone, nullptr)();
+    for (const auto& answer : left)
+        if (answer.exchange != nullptr && answer.exchange->onGone)
+            std::exchange (answer.exchange->onGone, nullptr)();
 }
 
 void ServerConnection::close()
@@ -297,10 +387,10 @@
 
     const auto self = shared_from_this();
     state = State::closed;
-    countBuffered (0);
     server->reactor->Unwatch (watch, socket);
     socket.Close();
     server->remove (self);
+    dropOpen();
 }
 
 void ServerConnection::updateInterest()
@@ -308,9 +398,8 @@
     if (state == State::closed)
         return;
 
-    const bool full = state == State::answering && input.size() >= mostPipelinedBytes;
     const std::uint32_t wanted =
-        (full ? EPOLLRDHUP : EPOLLIN) | (written < output.size() ? EPOLLOUT : 0U);
+        (blocked() ? EPOLLRDHUP : EPOLLIN) | (written < output.size() ? EPOLLOUT : 0U);
 
     if (wanted == interest)
         return;
@@ -324,18 +413,19 @@
     const auto limits = server->settings.limits();
 
     if (written < output.size())
-        return now() + writeTime;
+        return wroteAt + writeTime;
 
     switch (state)
     {
     case State::head:
-        return input.empty() ? restingSince + limits.idleTimeout
-                             : headStartedAt + limits.headerTimeout;
+        if (! input.empty() && mayTakeNext())
+            return headStartedAt + limits.headerTimeout;
+        return open.empty() ? restingSince + limits.idleTimeout : Timestamp::max();
     case State::body:
         return headStartedAt + bodyTime;
     case State::lingering:
         return lingerUntil;
-    case State::answering:
+    case State::held:
     case State::closed:
         break;
     }
@@ -372,7 +462,7 @@
     if (now() < due)
         return armTimer (due);
 
-    if (state == State::head && ! input.empty())
+    if (state == State::head && ! input.empty() && output.empty())
         return fail (408, "the head did not arrive in time");
 
     close();
--- a/src/sidecar/server_connection.h
+++ b/src/sidecar/server_connection.h
@@ -1,8 +1,11 @@
-/** One client's connection: reads requests one after the other, writes their answers. Internal to
-    HttpServer.
+/** One client's connection: reads requests, writes their answers in the order of the requests.
+    Requests that come before the first is answered (HTTP/1.1 pipelining) are worked on side by
+    side when the server's settings allow it for them; others wait for those before them. Internal
+    to HttpServer.
 */
 #pragma once
 
+#include <deque>
 #include <memory>
 #include <optional>
 #include <string>
@@ -20,41 +23,63 @@
     ~ServerConnection();
 
     void start();
+
+    /** Gives the answer of one of the open requests; it is written once those before it are. */
     void respond (const Exchange& answered, const std::string& message, bool close);
+
+    /** Ends the connection; those whose requests are open are told that the client is gone. */
     void close();
 
     /** The client has closed its side, read or not. */
     bool clientLeft() const;
 
     /** No request is being read or answered. */
-    bool idle() const { return state == State::head && input.empty() && output.empty(); }
+    bool idle() const;
+
+    /** No request that was handed on came after this one. */
+    bool isLatest (const Exchange& exchange) const;
 
 private:
+    /** What is read at present. */
     enum class State : std::uint8_t
     {
-        head, /**< Reads a head, or rests between requests. */
+        head, /**< A head, or nothing while the connection rests. */
         body,
-        answering, /**< The request is being worked on. */
+        held,      /**< Nothing: a whole request waits for the answers before it. */
         lingering, /**< The last answer is written; what still arrives is dropped. */
         closed
     };
 
+    /** A request that was handed on, or refused by the connection itself, in its turn. */
+    struct OpenAnswer
+    {
+        ExchangePointer exchange; /**< Null when the connection itself refuses. */
+        std::string message;      /**< Empty until it is answered. */
+        std::size_t bodyBytes = 0;
+        bool close = false;
+    };
+
     void onEvents (std::uint32_t events);
     void readAll();
     void advance();
     void takeHead();
     void takeBody();
+    void bodyTaken();
     void handOn();
+    bool mayTakeNext() const;
+    bool mayHandOn() const;
+    bool blocked() const;
+    void sendContinue();
     void fail (int status, std::string_view cause);
+    void writeAnswers();
     void write();
-    void finishWriting();
-    void onEndOfStream();
     void linger();
+    void dropOpen();
     void updateInterest();
     void armTimer (Timestamp when);
     void onTimer();
     Timestamp deadline() const;
-    void countBuffered (std::size_t bytes);
+    void countBuffered();
 
     std::shared_ptr<HttpServer> server;
     Socket socket;
@@ -64,11 +89,14 @@
     std::string input, output;
     std::size_t written = 0;
     bool closeAfterWrite = false;
-    bool reading = false; /**< Guards against advance() from within advance(). */
-    ExchangePointer exchange;
+    bool lastTaken = false;    /**< What comes behind the requests taken so far isn't read. */
+    bool owesContinue = false; /**< The client waits for a word before it sends the body. */
+    bool advancing = false;    /**< Guards against advance() from within advance(). */
+    ExchangePointer exchange;  /**< That is being read, or held. */
     std::optional<BodyDecoder> decoder;
-    std::size_t buffered = 0;
-    Timestamp headStartedAt{}, restingSince{}, timerAt = Timestamp::max(), lingerUntil{};
+    std::deque<OpenAnswer> open;
+    std::size_t buffered = 0; /**< Bytes of bodies that the server has counted. */
+    Timestamp headStartedAt{}, restingSince{}, wroteAt{}, timerAt = Timestamp::max(), lingerUntil{};
 };
 
 } // namespace copperlead::sidecar
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -61,12 +61,15 @@
 
 Sidecar::~Sidecar() = default;
 
-std::shared_ptr<HttpServer> Sidecar::makeServer (std::function<mesh::ClientLimits()> limits,
-                                                 void (Sidecar::*handler) (const ExchangePointer&))
+std::shared_ptr<HttpServer>
+Sidecar::makeServer (std::function<mesh::ClientLimits()> limits,
+                     void (Sidecar::*handler) (const ExchangePointer&),
+                     std::function<bool (const RequestHead&)> mayRunBeside)
 {
     ServerSettings made;
     made.limits = std::move (limits);
     made.errorMessage = plainAnswer;
+    made.mayRunBeside = std::move (mayRunBeside);
     made.handler = [weak = weak_from_this(), handler] (const ExchangePointer& exchange)
     {
         if (const auto self = weak.lock())
@@ -90,7 +93,12 @@
         const auto self = weak.lock();
         return self == nullptr ? mesh::ClientLimits{} : self->clientLimits();
     };
-    outbound = makeServer (clientLimits, &Sidecar::takeRequest);
+    outbound = makeServer (clientLimits, &Sidecar::takeRequest,
+                           [weak] (const RequestHead& head)
+                           {
+                               const auto self = weak.lock();
+                               return self != nullptr && self->firstHop->mayRunBeside (head);
+                           });
     inbound = makeServer (hopLimits, &Sidecar::answerPeer);
     readiness = makeServer (hopLimits, &Sidecar::answerReadiness);
     metrics = makeServer (hopLimits, &Sidecar::answerMetrics);
@@ -381,6 +389,7 @@
     onStopped = std::move (ended);
     firstHop->setClosing (stopPlan->answersBy());
     lastHop->setEnd (stopPlan->answersBy());
+    outbound->drain();
 
     if (relay != nullptr)
         relay->resign();
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -82,8 +82,10 @@
     void checkSettingsFile();
     void continueStop();
     std::size_t inFlight() const;
-    std::shared_ptr<HttpServer> makeServer (std::function<mesh::ClientLimits()> limits,
-                                            void (Sidecar::*handler) (const ExchangePointer&));
+    std::shared_ptr<HttpServer>
+    makeServer (std::function<mesh::ClientLimits()> limits,
+                void (Sidecar::*handler) (const ExchangePointer&),
+                std::function<bool (const RequestHead&)> mayRunBeside = {});
 
     SidecarSettings settings;
     std::shared_ptr<Reactor> reactor;
--- a/tests/mesh_integration/two_hops_test.cc
+++ b/tests/mesh_integration/two_hops_test.cc
@@ -336,6 +336,39 @@
   EXPECT_EQ(hub.sidecar->Wait(std::chrono::seconds(3)), 0);
 }
 
+// Each of the pipelined requests that was passed on gets its answer; what comes behind them after
+// the signal is left to the client, who sends it again.
+TEST(MeshStop, PipelinedRequestsThatWerePassedOnAreAllAnswered) {
+  MeshFleet fleet;
+  fleet.Configure(4);
+  MeshMachine& desk = fleet.Add("desk");
+  MeshMachine& hub = fleet.Add("hub");
+  fleet.Start(desk);
+  fleet.Start(hub);
+  ASSERT_TRUE(fleet.AwaitReady(desk) && fleet.AwaitReady(hub));
+  desk.instance->SetWork(std::chrono::milliseconds(700));
+  const auto request = [](const std::string& id) {
+    return "GET /look/1 HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: " + id +
+           "\r\nX-Deadline-Ms: 3000\r\n\r\n";
+  };
+  auto kept = RawSocket::Connect(fleet.outbound(hub));
+  kept.Send(request("first") + request("second"));
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  EXPECT_EQ(fleet.RunsOf("second"), 1) << "it ran beside the first";
+  hub.sidecar->Signal(SIGTERM);
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  kept.Send(request("third"));
+  const RawMessage first = kept.Read();
+  const RawMessage second = kept.Read();
+  EXPECT_EQ(first.status(), 200);
+  EXPECT_NE(first.Header("connection"), "close");
+  EXPECT_EQ(second.status(), 200);
+  EXPECT_EQ(second.Header("connection"), "close");
+  EXPECT_TRUE(kept.AwaitClosed());
+  EXPECT_EQ(fleet.RunsOf("third"), 0);
+  EXPECT_EQ(hub.sidecar->Wait(std::chrono::seconds(8)), 0);
+}
+
 TEST_F(TwoHops, AKilledSidecarCostsItsOwnMachineOnly) {
   desk(0).sidecar->Signal(SIGKILL);
   desk(0).sidecar->Wait(std::chrono::seconds(5));
