Admission by what an answer is still worth: spread of runs, returns, late ones bounded

Change: a request counts as in time only while mean + 0.6 mean deviations of its route's runs at this instance still fit; returns are known by the wait that they announce (AttemptAges: less than the longest that many announce) and go behind first attempts and before late ones; late ones wait only as long as slots for late ones can be expected by the gaps between the last of them; what falls out is refused at once.

Ruled out: instances that slow down when nearly full (run times by concurrency: flat from 1 to 12).

--- a/src/mesh/admission_queue.cc
+++ b/src/mesh/admission_queue.cc
@@ -1,6 +1,8 @@
 #include "mesh/admission_queue.h"
 
 #include <algorithm>
+#include <cmath>
+#include <utility>
 
 #include "mesh/milliseconds.h"
 
@@ -10,15 +12,29 @@
 {
 
 constexpr double learningRate = 0.1;
-constexpr double shortestRunShare = 0.7; // Of the usual time: a run may well be that short.
+constexpr double lateLearningRate = 0.3;
+constexpr double shortRunShare = 0.7;       // Of the usual time: a run may well be that short.
+constexpr double unknownSpread = 0.3;       // Of the usual time, before the first run has ended.
+constexpr double longRunDeviations = 0.6;   // Above the usual time: most runs are shorter.
+constexpr double firstDeviationShare = 0.5; // Of the first run, before there is a second.
 constexpr std::size_t mostWaiting = 256;
 
 } // namespace
 
-double AdmissionQueue::runMsOf (const AdmissionRequest& request) const
+double AdmissionQueue::shortRunMs (const AdmissionRequest& request) const
 {
-    const auto known = runMsByRoute.find (request.route);
-    return known == runMsByRoute.end() ? request.usualRunMs : known->second;
+    const auto known = runsByRoute.find (request.route);
+    return shortRunShare * (known == runsByRoute.end() ? request.usualRunMs : known->second.meanMs);
+}
+
+double AdmissionQueue::longRunMs (const AdmissionRequest& request) const
+{
+    const auto known = runsByRoute.find (request.route);
+
+    if (known == runsByRoute.end())
+        return (1 + unknownSpread) * request.usualRunMs;
+
+    return known->second.meanMs + longRunDeviations * known->second.deviationMs;
 }
 
 double AdmissionQueue::waitBehindMs (std::size_t before) const
@@ -38,12 +54,41 @@
 
 double AdmissionQueue::expectedWaitMs (int priority) const
 {
-    return waitBehindMs (countBefore ({ priority, true, Timestamp::max(), 0 }));
+    return waitBehindMs (countBefore ({ priority, Timeliness::late, Timestamp::max(), 0 }));
 }
 
-Timestamp AdmissionQueue::latestStart (const AdmissionRequest& request, Timestamp due) const
+bool AdmissionQueue::lateMayWait (Timestamp now, Timestamp latestStart) const
 {
-    return due - fromMilliseconds (shortestRunShare * runMsOf (request));
+    const auto since = toMilliseconds (now - lateSlotAt);
+
+    // One may now and then, so that it is learned when slots are to be had again.
+    if (lateWaiting == 0 && since >= lateGapMs)
+        return true;
+
+    const auto gap = lateWaiting == 0 ? lateGapMs : std::max (lateGapMs, since);
+    return now + fromMilliseconds (gap * static_cast<double> (lateWaiting + 1)) <= latestStart;
+}
+
+bool AdmissionQueue::place (Timestamp now, const AdmissionRequest& request, Held& held) const
+{
+    held.request = request;
+    const auto fits = [&] (Timeliness timeliness, Timestamp due, double runMs)
+    {
+        held.rank = { request.priority, timeliness, due, request.id };
+        held.latestStart = due - fromMilliseconds (runMs);
+        return now + fromMilliseconds (waitBehindMs (countBefore (held.rank))) <= held.latestStart;
+    };
+    const auto longRun = longRunMs (request);
+
+    if (fits (Timeliness::inTime, request.target, longRun))
+        return true;
+
+    if (request.attemptTarget > request.target &&
+        fits (Timeliness::afterReturn, request.attemptTarget, longRun))
+        return true;
+
+    return fits (Timeliness::late, request.deadline, shortRunMs (request)) &&
+           lateMayWait (now, held.latestStart);
 }
 
 AdmissionDecision AdmissionQueue::offer (Timestamp now, const AdmissionRequest& request)
@@ -51,51 +96,72 @@
     if (static_cast<int> (running()) < limit && order.empty())
     {
         runningById.emplace (request.id, request.route);
+        const bool inTime = now + fromMilliseconds (longRunMs (request)) <= request.target;
+        ++begins[static_cast<std::size_t> (inTime ? Timeliness::inTime : Timeliness::late)];
         return AdmissionDecision::run;
     }
 
-    Rank rank{ request.priority, false, request.target, request.id };
-
-    if (now + fromMilliseconds (waitBehindMs (countBefore (rank))) >
-        latestStart (request, request.target))
-        rank = { request.priority, true, request.deadline, request.id };
-
-    const auto startBy = latestStart (request, request.deadline);
+    Held held;
 
-    if (order.size() >= mostWaiting ||
-        now + fromMilliseconds (waitBehindMs (countBefore (rank))) > startBy)
+    if (order.size() >= mostWaiting || ! place (now, request, held))
         return AdmissionDecision::refuse;
 
-    waitingById.emplace (request.id, Held{ request, startBy, rank });
-    order.insert (rank);
-    byLatestStart.emplace (startBy, request.id);
+    hold (now, held);
     return AdmissionDecision::wait;
 }
 
+void AdmissionQueue::hold (Timestamp now, const Held& held)
+{
+    const auto id = held.request.id;
+    waitingById.insert_or_assign (id, held);
+    order.insert (held.rank);
+    byLatestStart.emplace (held.latestStart, id);
+
+    if (held.rank.timeliness == Timeliness::late && lateWaiting++ == 0)
+        lateSlotAt = now;
+}
+
 void AdmissionQueue::forget (const Held& held)
 {
     const auto id = held.request.id;
+
+    if (held.rank.timeliness == Timeliness::late)
+        --lateWaiting;
+
     order.erase (held.rank);
     byLatestStart.erase ({ held.latestStart, id });
     waitingById.erase (id);
 }
 
-std::vector<std::uint64_t> AdmissionQueue::expire (Timestamp now)
+void AdmissionQueue::review (Timestamp now)
 {
-    std::vector<std::uint64_t> expired;
-
     while (! byLatestStart.empty() && byLatestStart.begin()->first < now)
     {
-        expired.push_back (byLatestStart.begin()->second);
-        forget (waitingById.at (expired.back()));
+        const auto held = waitingById.at (byLatestStart.begin()->second);
+        forget (held);
+        Held placed;
+
+        // Later than now by its latest start, so it can't take the rank again that it had.
+        if (place (now, held.request, placed))
+            hold (now, placed);
+        else
+            expired.push_back (held.request.id);
+
+        // It would have taken a slot that was to be had: there was none since the last.
+        if (held.rank.timeliness == Timeliness::late)
+            lateGapMs = std::max (lateGapMs, toMilliseconds (now - lateSlotAt));
     }
+}
 
-    return expired;
+std::vector<std::uint64_t> AdmissionQueue::expire (Timestamp now)
+{
+    review (now);
+    return std::exchange (expired, {});
 }
 
 std::vector<std::uint64_t> AdmissionQueue::clear()
 {
-    std::vector<std::uint64_t> all;
+    auto all = std::exchange (expired, {});
 
     for (const auto& rank : order)
         all.push_back (rank.id);
@@ -103,41 +169,38 @@
     order.clear();
     byLatestStart.clear();
     waitingById.clear();
+    lateWaiting = 0;
     return all;
 }
 
-void AdmissionQueue::demoteLate (Timestamp now)
+void AdmissionQueue::learnLateGap (Timestamp now)
 {
-    // Only the front of each priority can be taken next, so only it needs to be up to date.
-    for (auto it = order.begin(); it != order.end();)
-    {
-        if (it->late)
-        {
-            it = order.upper_bound ({ it->priority, true, Timestamp::max(), UINT64_MAX });
-            continue;
-        }
-
-        auto& held = waitingById.at (it->id);
+    lateGapMs += lateLearningRate * (toMilliseconds (now - lateSlotAt) - lateGapMs);
+    lateSlotAt = now;
+}
 
-        if (now <= latestStart (held.request, held.request.target))
-            return;
+void AdmissionQueue::countBegin (Timestamp now, const Rank& rank)
+{
+    ++begins[static_cast<std::size_t> (rank.timeliness)];
 
-        order.erase (it);
-        held.rank = { held.request.priority, true, held.request.deadline, held.request.id };
-        order.insert (held.rank);
-        it = order.begin();
-    }
+    if (rank.timeliness == Timeliness::late)
+        learnLateGap (now);
 }
 
 std::uint64_t AdmissionQueue::next (Timestamp now)
 {
-    if (order.empty() || static_cast<int> (running()) >= limit)
+    if (static_cast<int> (running()) >= limit)
         return 0;
 
-    demoteLate (now);
-    const auto id = order.begin()->id;
-    const auto& held = waitingById.at (id);
+    review (now);
+
+    if (order.empty())
+        return 0;
+
+    const auto held = waitingById.at (order.begin()->id);
+    const auto id = held.request.id;
     runningById.emplace (id, held.request.route);
+    countBegin (now, held.rank);
     forget (held);
     return id;
 }
@@ -146,10 +209,12 @@
 {
     if (const auto found = waitingById.find (id); found != waitingById.end())
     {
-        forget (found->second);
+        const auto held = found->second;
+        forget (held);
         return true;
     }
 
+    std::erase (expired, id);
     runningById.erase (id);
     return false;
 }
@@ -163,8 +228,11 @@
 
     if (runMs > 0)
     {
-        auto& usual = runMsByRoute.try_emplace (found->second, runMs).first->second;
-        usual += learningRate * (runMs - usual);
+        const RunTimes first{ runMs, firstDeviationShare * runMs };
+        auto& usual = runsByRoute.try_emplace (found->second, first).first->second;
+        const auto error = runMs - usual.meanMs;
+        usual.meanMs += learningRate * error;
+        usual.deviationMs += learningRate * (std::abs (error) - usual.deviationMs);
         meanRunMs = meanRunMs <= 0 ? runMs : meanRunMs + learningRate * (runMs - meanRunMs);
     }
 
@@ -173,6 +241,9 @@
 
 Timestamp AdmissionQueue::nextExpiry() const
 {
+    if (! expired.empty())
+        return Timestamp{};
+
     return byLatestStart.empty() ? Timestamp::max() : byLatestStart.begin()->first;
 }
 
--- a/src/mesh/admission_queue.h
+++ b/src/mesh/admission_queue.h
@@ -3,16 +3,22 @@
 
     At most `limit` requests are at the instance, so that its own queue stays empty; the others wait
     here, where they have not run and can still be refused truthfully. The most urgent priority goes
-    first; within it those that can still meet their target latency, the earliest target first; then
-    the others, the earliest deadline first. Under overload a queue by deadline alone makes every
-    request late; this one keeps as many in time as the slots allow. A request that can't be
-   expected to finish by its deadline is refused at once instead of being held.
+    first; within it by what an answer is still worth (see Timeliness), the earliest due first.
+    Under overload a queue by deadline alone makes every request late; this one keeps as many in
+    time as the slots allow.
+
+    A request counts as in time only if a run that takes longer than most would still meet its
+    target; the spread of run times is learned for each route. Late requests get the slots that
+    nothing in time wants, and wait only as long as such slots can be expected; what can't be
+    expected to run is refused at once instead of being held.
 */
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -21,15 +27,26 @@
 namespace copperlead::mesh
 {
 
+/** What an answer to a waiting request is expected to be, in the order of service. */
+enum class Timeliness : std::uint8_t
+{
+    inTime,      /**< Within its target, counted from its client's first attempt. */
+    afterReturn, /**< Within the target from this attempt on, an earlier one was refused. */
+    late
+};
+
+inline constexpr std::string_view timelinessNames[] = { "in_time", "after_return", "late" };
+
 /** A request as the queue sees it. */
 struct AdmissionRequest
 {
     std::uint64_t id = 0;
     std::string route;
     int priority = 0;
-    Timestamp target{};    /**< An answer after it is late. */
-    Timestamp deadline{};  /**< An answer after it is worthless. */
-    double usualRunMs = 0; /**< As the sender knows it; used until this node has learned its own. */
+    Timestamp target{};        /**< An answer after it is late. */
+    Timestamp deadline{};      /**< An answer after it is worthless. */
+    double usualRunMs = 0;     /**< As the sender knows it; used until this node has learned. */
+    Timestamp attemptTarget{}; /**< The target from this attempt on; `target` if not later. */
 };
 
 enum class AdmissionDecision : std::uint8_t
@@ -47,7 +64,9 @@
 
     AdmissionDecision offer (Timestamp now, const AdmissionRequest& request);
 
-    /** Takes out the waiting requests that can no longer finish in time. */
+    /** Takes out the waiting requests that can no longer be expected to run in time for their
+        deadline.
+    */
     std::vector<std::uint64_t> expire (Timestamp now);
 
     /** Takes every waiting request out. */
@@ -69,17 +88,21 @@
 
     std::size_t running() const { return runningById.size(); }
     std::size_t waiting() const { return order.size(); }
+    std::size_t waitingLate() const { return lateWaiting; }
     double usualRunMs() const { return meanRunMs; }
 
     /** The expected wait, in milliseconds, of a request of this priority that is already late. */
     double expectedWaitMs (int priority) const;
 
+    /** Runs begun since the start, by what their requests were then. */
+    const std::array<std::uint64_t, std::size (timelinessNames)>& begun() const { return begins; }
+
 private:
     struct Rank
     {
         int priority;
-        bool late;
-        Timestamp due; /**< The target, or the deadline of those that are late. */
+        Timeliness timeliness;
+        Timestamp due; /**< The target that it can meet, or the deadline of those that are late. */
         std::uint64_t id;
         auto operator<=> (const Rank&) const = default;
     };
@@ -87,25 +110,41 @@
     struct Held
     {
         AdmissionRequest request;
-        Timestamp latestStart;
+        Timestamp latestStart; /**< After which it isn't what its rank says. */
         Rank rank;
     };
 
+    /** Learned of a route's runs at this instance. */
+    struct RunTimes
+    {
+        double meanMs = 0;
+        double deviationMs = 0; /**< Mean absolute deviation. */
+    };
+
     double waitBehindMs (std::size_t before) const;
     std::size_t countBefore (const Rank& rank) const;
-    Timestamp latestStart (const AdmissionRequest& request, Timestamp due) const;
-    void demoteLate (Timestamp now);
-
-    double runMsOf (const AdmissionRequest& request) const;
+    double shortRunMs (const AdmissionRequest& request) const;
+    double longRunMs (const AdmissionRequest& request) const;
+    bool place (Timestamp now, const AdmissionRequest& request, Held& held) const;
+    bool lateMayWait (Timestamp now, Timestamp latestStart) const;
+    void hold (Timestamp now, const Held& held);
     void forget (const Held& held);
+    void review (Timestamp now);
+    void countBegin (Timestamp now, const Rank& rank);
+    void learnLateGap (Timestamp now);
 
     int limit = 1;
     double meanRunMs = 0;
-    std::unordered_map<std::string, double> runMsByRoute;
+    double lateGapMs = 0;   /**< Usual time between begins of late requests. */
+    Timestamp lateSlotAt{}; /**< When the last late one began, or began to wait. */
+    std::size_t lateWaiting = 0;
+    std::array<std::uint64_t, std::size (timelinessNames)> begins{};
+    std::unordered_map<std::string, RunTimes> runsByRoute;
     std::unordered_map<std::uint64_t, std::string> runningById; /**< The route of each. */
     std::unordered_map<std::uint64_t, Held> waitingById;
     std::set<Rank> order;
     std::set<std::pair<Timestamp, std::uint64_t>> byLatestStart;
+    std::vector<std::uint64_t> expired; /**< Taken out, and not yet told of. */
 };
 
 } // namespace copperlead::mesh
--- a/src/sidecar/active_request.cc
+++ b/src/sidecar/active_request.cc
@@ -7,6 +7,7 @@
 #include "mesh/avoidance.h"
 #include "mesh/enum_names.h"
 #include "mesh/milliseconds.h"
+#include "mesh/retry_after.h"
 #include "sidecar/messages.h"
 
 namespace copperlead::sidecar
@@ -22,8 +23,9 @@
 using mesh::NextStep;
 using mesh::toMilliseconds;
 
-constexpr Milliseconds deadlineGrace{ 15 }; // For the instance's own answer at the deadline.
-constexpr double retryAfterShare = 0.15;    // Of the time left; clients heed up to a third of it.
+constexpr std::string_view noInstanceCause = "no instance";
+constexpr Milliseconds deadlineGrace{ 15 };        // For the instance's own answer at the deadline.
+constexpr std::uint64_t longestWaitMs = 3'600'000; // That a client may announce.
 
 Timestamp now() { return SteadyClock().Now(); }
 
@@ -57,12 +59,16 @@
     std::uint64_t clientWaits = 0;
     deadline = exchange->arrivedAt + route.timeout;
 
+    clientLeaves = deadline;
+
     if (ParseWholeNumber (onlyValue (received, names.deadline), clientWaits))
-        deadline = std::min<Timestamp> (
-            deadline,
-            exchange->arrivedAt + Milliseconds (std::min<std::uint64_t> (clientWaits, 3'600'000)));
+    {
+        const Milliseconds announced (std::min (clientWaits, longestWaitMs));
+        clientLeaves = exchange->arrivedAt + announced;
+        age = hop->attemptAges.observe (exchange->arrivedAt, route.name, announced);
+    }
 
-    deadline = std::min (deadline, hop->endsAt);
+    deadline = std::min ({ deadline, clientLeaves, hop->endsAt });
     fields = forwardedFields (received, names);
     fields.insert (fields.begin(), { "Host", std::string (onlyValue (received, "Host")) });
     service = route.services[hop->split.next (route)].service;
@@ -79,7 +85,7 @@
                          [self = shared_from_this()] { self->onDeadline(); });
 
     if (! startAttempt())
-        end (503, "no instance");
+        refuse (HopCause::none);
 }
 
 bool ActiveRequest::startAttempt()
@@ -125,7 +131,8 @@
     told.route = route.name;
     told.timeLeft = std::chrono::floor<Milliseconds> (deadline - now());
     told.targetLeft =
-        std::chrono::floor<Milliseconds> (exchange->arrivedAt + route.targetLatency - now());
+        std::chrono::floor<Milliseconds> (exchange->arrivedAt + route.targetLatency - age - now());
+    told.attemptTargetLeft = told.targetLeft + age;
     told.priority = route.priority;
     told.mayRepeat = route.mayRepeat();
     told.isRepeat = mayHaveRun || hedged;
@@ -292,7 +299,7 @@
     case NextStep::giveUp:
         return end (502, cause);
     default:
-        return end (503, cause);
+        return refuse (answer.report.cause);
     }
 }
 
@@ -400,37 +407,53 @@
 
     setDone();
     cancelAttempts();
-    const auto left = std::max<Duration> (deadline - now(), Duration{});
-    const auto share = fromMilliseconds (toMilliseconds (left) * retryAfterShare);
-    hop->answerOwn (exchange, status, cause, std::chrono::ceil<Milliseconds> (share));
-
-    if (status == 503)
-        ++hop->counts.refused;
-    else if (status == 504)
-        ++hop->counts.timedOut;
-    else
-        ++hop->counts.failed;
-
-    logEnd (status == 503 ? EventKind::requestRefused : EventKind::requestFailed, status, cause);
+    hop->answerOwn (exchange, status, cause, {});
+    ++(status == 504 ? hop->counts.timedOut : hop->counts.failed);
+    logEnd (EventKind::requestFailed, status, cause);
     release();
 }
 
-void ActiveRequest::logEnd (EventKind kind, int status, std::string_view cause)
+void ActiveRequest::refuse (HopCause why)
+{
+    if (done)
+        return;
+
+    setDone();
+    cancelAttempts();
+    const auto cause = why == HopCause::none ? noInstanceCause : nameOf (why, mesh::hopCauseNames);
+    const auto spread = std::uniform_real_distribution<double> (0, 1) (hop->random);
+    const auto comeBack = mesh::retryAfter (why, clientLeaves - now(), spread);
+    hop->answerOwn (exchange, 503, cause, comeBack);
+    ++hop->counts.refused;
+    logEnd (EventKind::requestRefused, 503, cause, comeBack);
+    release();
+}
+
+void ActiveRequest::logEnd (EventKind kind, int status, std::string_view cause,
+                            std::optional<Milliseconds> retryAfter)
 {
     const auto at = now();
-    hop->log->write (at, kind,
-                     { { "request", requestId },
-                       { "route", route.name },
-                       { "version", static_cast<std::int64_t> (routes->configuration().version) },
-                       { "status", std::int64_t (status) },
-                       { "cause", cause },
-                       { "attempts", static_cast<std::int64_t> (attempts.size()) },
-                       { "arrivals", std::int64_t (arrivals) },
-                       { "took_ms", toMilliseconds (at - exchange->arrivedAt) },
-                       { "left_ms", toMilliseconds (deadline - at) },
-                       { "budget", hop->budgetOf (service).left (at, hop->nodes()) },
-                       { "instance", attempts.empty() ? std::string_view()
-                                                      : attempts.back().choice.instance.id } });
+    std::vector<Field> known{
+        { "request", requestId },
+        { "route", route.name },
+        { "version", static_cast<std::int64_t> (routes->configuration().version) },
+        { "status", std::int64_t (status) },
+        { "cause", cause },
+        { "attempts", static_cast<std::int64_t> (attempts.size()) },
+        { "arrivals", std::int64_t (arrivals) },
+        { "took_ms", toMilliseconds (at - exchange->arrivedAt) },
+        { "left_ms", toMilliseconds (deadline - at) },
+        { "budget", hop->budgetOf (service).left (at, hop->nodes()) },
+        { "instance", attempts.empty() ? std::string_view() : attempts.back().choice.instance.id }
+    };
+
+    if (retryAfter)
+    {
+        known.push_back ({ "age_ms", static_cast<std::int64_t> (age.count()) });
+        known.push_back ({ "retry_after_ms", static_cast<std::int64_t> (retryAfter->count()) });
+    }
+
+    hop->log->write (at, kind, known);
 }
 
 void ActiveRequest::logAttempt (const Attempt& attempt, const HopAnswer& answer,
--- a/src/sidecar/active_request.h
+++ b/src/sidecar/active_request.h
@@ -54,7 +54,9 @@
     int activeCount() const;
     void passOn (const HopAnswer& answer);
     void end (int status, std::string_view cause);
-    void logEnd (EventKind kind, int status, std::string_view cause);
+    void refuse (mesh::HopCause cause);
+    void logEnd (EventKind kind, int status, std::string_view cause,
+                 std::optional<Milliseconds> retryAfter = std::nullopt);
     void logAttempt (const Attempt& attempt, const HopAnswer& answer, mesh::AttemptOutcome outcome,
                      mesh::NextStep step);
 
@@ -65,6 +67,8 @@
     std::string requestId, service;
     HeaderFields fields;
     Timestamp deadline{};
+    Timestamp clientLeaves{}; /**< When its client waits no longer. */
+    Milliseconds age{};       /**< That earlier attempts of its client took. */
     std::vector<Attempt> attempts;
     int arrivals = 0, notOffered = 0;
     bool mayHaveRun = false, hedged = false, done = false;
--- a/src/sidecar/decision_log.cc
+++ b/src/sidecar/decision_log.cc
@@ -42,7 +42,9 @@
     { EventKind::instanceLeaving, "instance_leaving", 5, "instance running waiting" },
     { EventKind::peerAvoided, "peer_avoided", 10, "instance cause for_ms" },
     { EventKind::requestServed, "request_served", 1, requestFields },
-    { EventKind::requestRefused, "request_refused", 20, requestFields },
+    { EventKind::requestRefused, "request_refused", 20,
+      "request route version status cause attempts arrivals took_ms left_ms budget instance age_ms "
+      "retry_after_ms" },
     { EventKind::requestFailed, "request_failed", 20, requestFields },
     { EventKind::requestUnrouted, "request_unrouted", 10,
       "request host target version status cause word_age_ms" },
@@ -50,7 +52,7 @@
     { EventKind::attemptEnded, "attempt_ended", 30,
       "request instance hop outcome cause next load report_age_ms expected_ms took_ms version" },
     { EventKind::admissionRefused, "admission_refused", 20,
-      "request instance cause running waiting left_ms wait_ms" },
+      "request instance cause running waiting waiting_late target_ms left_ms wait_ms" },
     { EventKind::linesLeftOut, "lines_left_out", 1, "lines" },
 } };
 
@@ -192,7 +194,7 @@
 
 std::uint64_t DecisionLog::leftOut() const { return budgets->omitted + sink->refused; }
 
-void DecisionLog::write (Timestamp now, EventKind kind, std::initializer_list<Field> fields)
+void DecisionLog::write (Timestamp now, EventKind kind, std::span<const Field> fields)
 {
     if (! budgets->take (now, kind))
         return;
--- a/src/sidecar/decision_log.h
+++ b/src/sidecar/decision_log.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <initializer_list>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -74,7 +75,12 @@
     DecisionLog (std::string node, int descriptor);
     ~DecisionLog();
 
-    void write (Timestamp now, EventKind kind, std::initializer_list<Field> fields);
+    void write (Timestamp now, EventKind kind, std::span<const Field> fields);
+
+    void write (Timestamp now, EventKind kind, std::initializer_list<Field> fields)
+    {
+        write (now, kind, std::span<const Field> (fields.begin(), fields.size()));
+    }
 
     /** Hands what is buffered to the descriptor as far as it takes it without blocking. */
     void flush();
--- a/src/sidecar/first_hop.cc
+++ b/src/sidecar/first_hop.cc
@@ -26,6 +26,7 @@
     , log (std::move (logToUse))
     , caller (reactor, std::move (lastHopToUse), settings.ownIp, settings.peerPort)
     , chooser ({ settings.zone }, seed)
+    , random (static_cast<std::minstd_rand::result_type> (seed % std::minstd_rand::modulus))
 {
 }
 
--- a/src/sidecar/first_hop.h
+++ b/src/sidecar/first_hop.h
@@ -9,8 +9,10 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 
+#include "mesh/attempt_age.h"
 #include "mesh/instance_chooser.h"
 #include "mesh/latency_histogram.h"
 #include "mesh/retry_budget.h"
@@ -104,6 +106,8 @@
     std::shared_ptr<DecisionLog> log;
     HopCaller caller;
     mesh::InstanceChooser chooser;
+    mesh::AttemptAges attemptAges;
+    std::minstd_rand random; /**< Spreads the returns of refused clients. */
     mesh::WeightedSplit split;
     std::map<std::string, mesh::RetryBudget> budgets;
     std::shared_ptr<const mesh::RouteTable> routes;
--- a/src/sidecar/last_hop.cc
+++ b/src/sidecar/last_hop.cc
@@ -95,7 +95,7 @@
     const auto& facts = running.call.facts;
     const auto decision =
         queue.offer (now, { id, facts.route, facts.priority, now + facts.targetLeft,
-                            running.deadline, facts.usualRunMs });
+                            running.deadline, facts.usualRunMs, now + facts.attemptTargetLeft });
 
     if (decision == mesh::AdmissionDecision::run)
         run (id);
@@ -116,10 +116,17 @@
                   { "cause", nameOf (cause, mesh::hopCauseNames) },
                   { "running", static_cast<std::int64_t> (queue.running()) },
                   { "waiting", static_cast<std::int64_t> (queue.waiting()) },
+                  { "waiting_late", static_cast<std::int64_t> (queue.waitingLate()) },
+                  { "target_ms", toMilliseconds (targetOf (running) - now) },
                   { "left_ms", toMilliseconds (running.deadline - now) },
                   { "wait_ms", queue.expectedWaitMs (running.call.facts.priority) } });
 }
 
+Timestamp LastHop::targetOf (const Running& running)
+{
+    return running.arrivedAt + running.call.facts.targetLeft;
+}
+
 void LastHop::refuse (CallId id, HopCause cause)
 {
     logRefusal (calls.at (id), cause);
@@ -271,6 +278,8 @@
 
 void LastHop::pump()
 {
+    refuseAll (queue.expire (SteadyClock().Now()), HopCause::expired);
+
     while (const auto id = queue.next (SteadyClock().Now()))
         run (id);
 }
--- a/src/sidecar/last_hop.h
+++ b/src/sidecar/last_hop.h
@@ -114,6 +114,7 @@
     mesh::HopReport report (mesh::HopOutcome outcome, mesh::HopCause cause) const;
     std::string messageFor (const Running& running, Timestamp now) const;
     void probe();
+    static Timestamp targetOf (const Running& running);
     void logRefusal (const Running& running, mesh::HopCause cause);
 
     std::shared_ptr<Reactor> reactor;
--- a/tests/mesh/admission_queue_test.cc
+++ b/tests/mesh/admission_queue_test.cc
@@ -113,12 +113,103 @@
     fill (queue, 1);
     queue.offer (at (0), request (2, 1, 100, 200));
     queue.offer (at (0), request (3, 1, 100, 900));
+    EXPECT_EQ (queue.nextExpiry(), at (35)); // A long run of 65 ms would miss the target of 100.
+    EXPECT_TRUE (queue.expire (at (36)).empty());
+    EXPECT_EQ (queue.waitingLate(), 2U);
     EXPECT_EQ (queue.nextExpiry(), at (165)); // 200 less seven tenths of 50.
     EXPECT_TRUE (queue.expire (at (165)).empty());
     EXPECT_EQ (queue.expire (at (166)), (Ids{ 2 }));
     EXPECT_EQ (queue.waiting(), 1U);
 }
 
+/** A request that its client sends again: the first attempt's target, and this one's. */
+AdmissionRequest returning (std::uint64_t id, std::int64_t target, std::int64_t attemptTarget)
+{
+    auto made = request (id, 1, target, 2000);
+    made.attemptTarget = at (attemptTarget);
+    return made;
+}
+
+TEST (AdmissionQueue, AReturnGoesBehindFirstAttemptsAndBeforeWhatIsLate)
+{
+    AdmissionQueue queue;
+    queue.setLimit (1);
+    fill (queue, 1);
+    queue.offer (at (0), request (2, 1, -300, 2000));
+    queue.offer (at (0), returning (3, -300, 400));
+    queue.offer (at (0), request (4, 1, 500, 2000));
+    queue.offer (at (0), returning (5, 450, 1000)); // Still in time for its first attempt.
+    Ids taken;
+
+    for (std::uint64_t running = 1; running != 0;)
+    {
+        queue.finished (running, 0);
+        running = queue.next (at (10));
+
+        if (running != 0)
+            taken.push_back (running);
+    }
+
+    EXPECT_EQ (taken, (Ids{ 5, 4, 3, 2 }));
+    EXPECT_EQ (queue.begun()[static_cast<std::size_t> (Timeliness::inTime)], 3U);
+    EXPECT_EQ (queue.begun()[static_cast<std::size_t> (Timeliness::afterReturn)], 1U);
+    EXPECT_EQ (queue.begun()[static_cast<std::size_t> (Timeliness::late)], 1U);
+}
+
+TEST (AdmissionQueue, TheSpreadOfRunTimesDecidesWhatIsInTime)
+{
+    const auto lateAfterRuns = [] (double first, double second)
+    {
+        AdmissionQueue queue;
+        queue.setLimit (1);
+
+        for (int n = 0; n < 40; ++n)
+        {
+            fill (queue, 1);
+            queue.finished (1, n % 2 == 0 ? first : second);
+        }
+
+        fill (queue, 1);
+        queue.offer (at (0), request (2, 1, 220, 2000));
+        return queue.waitingLate() == 1;
+    };
+    // Both take 100 ms on the average, and a slot is free after about as long.
+    EXPECT_FALSE (lateAfterRuns (100, 100));
+    EXPECT_TRUE (lateAfterRuns (20, 180));
+}
+
+TEST (AdmissionQueue, ALateOneIsRefusedWhereNoSlotsAreToBeHadForLateOnes)
+{
+    AdmissionQueue queue;
+    queue.setLimit (1);
+    fill (queue, 1);
+    EXPECT_EQ (queue.offer (at (0), request (2, 1, -1, 1000)), AdmissionDecision::wait);
+    EXPECT_EQ (queue.offer (at (400), request (3, 1, -1, 1000)), AdmissionDecision::refuse);
+    EXPECT_EQ (queue.expire (at (966)), (Ids{ 2 }));
+    // Nothing late began for 966 ms, so it is tried again only after as long.
+    EXPECT_EQ (queue.offer (at (965), request (4, 1, -1, 1900)), AdmissionDecision::refuse);
+    EXPECT_EQ (queue.offer (at (970), request (5, 1, -1, 1900)), AdmissionDecision::wait);
+    EXPECT_EQ (queue.offer (at (980), request (6, 1, -1, 1900)), AdmissionDecision::refuse);
+}
+
+TEST (AdmissionQueue, LateOnesWaitWhileSlotsForThemComeSoon)
+{
+    AdmissionQueue queue;
+    queue.setLimit (1);
+    fill (queue, 1);
+    std::int64_t time = 0;
+
+    for (std::uint64_t id = 2; id < 30; ++id, time += 10)
+    {
+        EXPECT_EQ (queue.offer (at (time), request (id, 1, -1, 5000)), AdmissionDecision::wait);
+        queue.finished (id - 1, 0);
+        EXPECT_EQ (queue.next (at (time + 10)), id);
+    }
+
+    for (std::uint64_t id = 30; id < 34; ++id)
+        EXPECT_EQ (queue.offer (at (time), request (id, 1, -1, 5000)), AdmissionDecision::wait);
+}
+
 TEST (AdmissionQueue, CancelFreesASlotOrAPlace)
 {
     AdmissionQueue queue;
