Large bodies are held back until the other node calls for them; calls of repeated runs are charged to the retry budget

Change: a hop call with a body of 16 KB or more sends its head with Expect: 100-continue; the receiving node refuses by the head or calls for the body when its link has room (as many at a time as 80 ms of the link hold, ordered and bounded by an AdmissionQueue whose runs are transfers); a refused body is never sent and the connection stays good. Expected arrival is told with the load and counted in the choice for large bodies. A lost call whose body was held back has not run and goes elsewhere. Each node charges the share of repeats among the runs beside it to the budget of the requests that begin there.

--- a/src/mesh/hop_header.cc
+++ b/src/mesh/hop_header.cc
@@ -130,6 +130,7 @@
     writer.addMilliseconds ("run", report.runMs);
     writer.addMilliseconds ("took", report.tookMs);
     writer.addMilliseconds ("waited", report.waitedMs);
+    writer.addMilliseconds ("body", report.bodyMs);
     writer.add ("version", static_cast<std::int64_t> (report.configurationVersion));
     return writer.take();
 }
@@ -168,6 +169,7 @@
     report.runMs = static_cast<double> (reader.whole ("run"));
     report.tookMs = static_cast<double> (reader.whole ("took"));
     report.waitedMs = static_cast<double> (reader.whole ("waited"));
+    report.bodyMs = static_cast<double> (reader.whole ("body"));
     report.configurationVersion = static_cast<std::uint64_t> (reader.whole ("version"));
 
     if (! reader.isValid() || outcome < 0 || outcome >= std::ssize (hopOutcomeNames) || cause < 0 ||
--- a/src/mesh/hop_header.h
+++ b/src/mesh/hop_header.h
@@ -18,6 +18,9 @@
 /** The field's name in requests and answers. */
 inline constexpr std::string_view hopField = "copperlead-hop";
 
+/** Bodies of that many bytes are held back until the other node calls for them. */
+inline constexpr std::size_t largeBodyBytes = 16'384;
+
 /** From the node that took the request to the node beside the chosen instance. */
 struct HopRequest
 {
@@ -60,13 +63,14 @@
     otherInstance,    /**< Another instance has the address. */
     answerLost,       /**< The connection ended, or the time, without a whole answer. */
     answerBroken,     /**< The answer was not the instance's whole, signed one. */
-    nodeStopping
+    nodeStopping,
+    linkFull /**< Its body can't be expected to arrive in time over the node's link. */
 };
 
 inline constexpr std::string_view hopCauseNames[] = {
     "none",          "queue_full",    "expired",           "instance_leaving", "instance_unknown",
     "instance_down", "other_service", "instance_rejected", "other_instance",   "answer_lost",
-    "answer_broken", "node_stopping"
+    "answer_broken", "node_stopping", "link_full"
 };
 
 struct HopReport
@@ -78,6 +82,7 @@
     double runMs = 0;       /**< Usual time of a run there. */
     double tookMs = 0;      /**< This run's time at the instance. */
     double waitedMs = 0;    /**< In this node's queue. */
+    double bodyMs = 0;      /**< Until a large body would have arrived over its link. */
     std::uint64_t configurationVersion = 0;
 };
 
--- a/src/mesh/instance_chooser.cc
+++ b/src/mesh/instance_chooser.cc
@@ -5,6 +5,7 @@
 #include <limits>
 #include <set>
 
+#include "mesh/hop_header.h"
 #include "mesh/milliseconds.h"
 
 namespace copperlead::mesh
@@ -42,11 +43,15 @@
     if (! view.heard)
         return own;
 
-    const auto age = toMilliseconds (now - view.reportedAt);
-    const auto faded = view.report.load * std::exp2 (-age / settings.loadHalfLifeMs);
+    const auto faded = view.report.load * fading (now, view);
     return std::max (own, faded + view.inFlight - view.inFlightAtReport);
 }
 
+double InstanceChooser::fading (Timestamp now, const View& view) const
+{
+    return std::exp2 (-toMilliseconds (now - view.reportedAt) / settings.loadHalfLifeMs);
+}
+
 double InstanceChooser::expectedMs (Timestamp now, const ListedInstance& candidate,
                                     const View& view, const ChoiceRequest& request) const
 {
@@ -57,6 +62,9 @@
     const auto ahead = std::max (0.0, loadOf (now, view) + 1 - slots) / slots;
     auto expected = run + ahead * meanRun;
 
+    if (request.requestBytes >= largeBodyBytes)
+        expected += view.report.bodyMs * fading (now, view);
+
     if (instance.zone != settings.zone)
     {
         const auto history = routes.find (request.route->name);
--- a/src/mesh/instance_chooser.h
+++ b/src/mesh/instance_chooser.h
@@ -32,8 +32,9 @@
 /** What a node tells of the instance beside it, with each answer. */
 struct LoadReport
 {
-    double load = 0;  /**< Requests that run and wait there. */
-    double runMs = 0; /**< Usual time of a run there, over all routes; 0: unknown. */
+    double load = 0;   /**< Requests that run and wait there. */
+    double runMs = 0;  /**< Usual time of a run there, over all routes; 0: unknown. */
+    double bodyMs = 0; /**< Until a large body would have arrived over its node's link. */
 };
 
 /** What is asked for. */
@@ -103,6 +104,9 @@
     };
 
     double loadOf (Timestamp now, const View& view) const;
+
+    /** The share of what was told that is still counted on. */
+    double fading (Timestamp now, const View& view) const;
     double expectedMs (Timestamp now, const ListedInstance& candidate, const View& view,
                        const ChoiceRequest& request) const;
 
--- a/src/mesh/retry_after.cc
+++ b/src/mesh/retry_after.cc
@@ -17,7 +17,8 @@
 
 Milliseconds retryAfter (HopCause cause, Duration clientLeft, double spread)
 {
-    const bool overloaded = cause == HopCause::queueFull || cause == HopCause::expired;
+    const bool overloaded =
+        cause == HopCause::queueFull || cause == HopCause::expired || cause == HopCause::linkFull;
     const auto share =
         overloaded ? leastShareInOverload + spread * (mostShareInOverload - leastShareInOverload)
                    : usualShare;
--- a/src/mesh/retry_budget.cc
+++ b/src/mesh/retry_budget.cc
@@ -23,7 +23,12 @@
     return bucket;
 }
 
-void RetryBudget::countRequest (Timestamp now) { ++bucketAt (now).requests; }
+void RetryBudget::countRequest (Timestamp now, double inheritedShare)
+{
+    auto& bucket = bucketAt (now);
+    bucket.requests += 1;
+    bucket.retries += inheritedShare;
+}
 
 double RetryBudget::left (Timestamp now, std::size_t nodes)
 {
@@ -48,7 +53,7 @@
     if (left (now, nodes) < 1)
         return false;
 
-    ++bucketAt (now).retries;
+    bucketAt (now).retries += 1;
     return true;
 }
 
--- a/src/mesh/retry_budget.h
+++ b/src/mesh/retry_budget.h
@@ -2,8 +2,12 @@
 
     The fleet's budget over a sliding window is ratio x requests + slack. A node counts its own
     requests and takes ratio x those, and an equal part of the slack; since the requests of all
-   nodes add up to the fleet's, the parts can't add up to more than the whole. A margin covers
-   windows that the nodes cut at different moments.
+    nodes add up to the fleet's, the parts can't add up to more than the whole. A margin covers
+    windows that the nodes cut at different moments.
+
+    The calls that an instance makes in a repeated run are repeats at the service that it calls.
+    A node can't tell them from others, so it charges the share of repeats among the runs beside it
+    to the requests that begin there.
 */
 #pragma once
 
@@ -32,7 +36,8 @@
     {
     }
 
-    void countRequest (Timestamp now);
+    /** @param inheritedShare  of the runs beside this node that are repeats, 0 to 1 */
+    void countRequest (Timestamp now, double inheritedShare = 0);
 
     /** Spends one retry if the budget has one.
         @param nodes  how many nodes share the slack
@@ -48,7 +53,7 @@
     struct Bucket
     {
         std::int64_t index = -1;
-        std::uint32_t requests = 0, retries = 0;
+        double requests = 0, retries = 0; /**< Fractions: of what is inherited. */
     };
 
     Bucket& bucketAt (Timestamp now);
--- a/src/sidecar/active_request.cc
+++ b/src/sidecar/active_request.cc
@@ -72,7 +72,7 @@
     fields = forwardedFields (received, names);
     fields.insert (fields.begin(), { "Host", std::string (onlyValue (received, "Host")) });
     service = route.services[hop->split.next (route)].service;
-    hop->budgetOf (service).countRequest (exchange->arrivedAt);
+    hop->budgetOf (service).countRequest (exchange->arrivedAt, hop->lastHop->repeatShare());
 
     const auto weak = weak_from_this();
     exchange->onGone = [weak]
@@ -135,7 +135,7 @@
     told.attemptTargetLeft = told.targetLeft + age;
     told.priority = route.priority;
     told.mayRepeat = route.mayRepeat();
-    told.isRepeat = mayHaveRun || hedged;
+    told.isRepeat = arrivals > 0 || mayHaveRun || hedged;
     told.usualRunMs = hop->chooser.usualRunMs (route);
     call.method = exchange->head.method;
     call.target = exchange->head.target;
@@ -194,7 +194,7 @@
     hop->chooser.ended (id);
 
     if (! told.instanceId.empty() || told.outcome != HopOutcome::unknown)
-        hop->chooser.reported (now(), id, { told.load, told.runMs });
+        hop->chooser.reported (now(), id, { told.load, told.runMs, told.bodyMs });
 
     if (told.configurationVersion != 0 && hop->onPeerVersion)
         hop->onPeerVersion (told.configurationVersion);
--- /dev/null
+++ b/src/sidecar/body_admission.cc
@@ -0,0 +1,160 @@
+#include "sidecar/body_admission.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "mesh/milliseconds.h"
+
+namespace copperlead::sidecar
+{
+namespace
+{
+
+constexpr double bytesPerMsOfMbps = 1e6 / 8 / 1000;
+constexpr double mostQueueMs = 80; // Of bodies on the link, in front of small messages.
+constexpr int mostInTransfer = 64;
+constexpr double learningRate = 0.1;
+
+Timestamp now() { return SteadyClock().Now(); }
+
+} // namespace
+
+BodyAdmission::BodyAdmission (std::shared_ptr<Reactor> reactorToUse, double linkMbps)
+    : reactor (std::move (reactorToUse))
+    , bytesPerMs (linkMbps * bytesPerMsOfMbps)
+    , usualBytes (static_cast<double> (mesh::largeBodyBytes))
+{
+    learnSize (mesh::largeBodyBytes);
+}
+
+double BodyAdmission::transferMs (double bytes) const { return bytes / bytesPerMs; }
+
+void BodyAdmission::learnSize (std::size_t bytes)
+{
+    usualBytes += learningRate * (static_cast<double> (bytes) - usualBytes);
+    const auto fitting = std::lround (mostQueueMs / transferMs (usualBytes));
+    queue.setLimit (std::clamp (static_cast<int> (fitting), 1, mostInTransfer));
+}
+
+BodyAdmission::Id BodyAdmission::ask (const mesh::HopRequest& facts, std::size_t bytes,
+                                      Decision decision)
+{
+    const auto at = now();
+    const auto id = ++lastId;
+    const auto run = mesh::fromMilliseconds (facts.usualRunMs);
+    asked.emplace (id, Asked{ std::move (decision), at + facts.timeLeft, {} });
+    learnSize (bytes);
+
+    // By then it must be here for its run to end in time.
+    mesh::AdmissionRequest request;
+    request.id = id;
+    request.route = facts.route;
+    request.priority = facts.priority;
+    request.target = at + facts.targetLeft - run;
+    request.attemptTarget = at + facts.attemptTargetLeft - run;
+    request.deadline = at + facts.timeLeft - run;
+    request.usualRunMs = transferMs (static_cast<double> (bytes));
+    const auto decided = queue.offer (at, request);
+
+    if (decided == mesh::AdmissionDecision::run)
+        begin (id);
+    else if (decided == mesh::AdmissionDecision::refuse)
+        decline (id);
+    else
+        armExpiry();
+
+    return id;
+}
+
+void BodyAdmission::begin (Id id)
+{
+    auto& begun = asked.at (id);
+    begun.calledAt = now();
+    ++counts.called;
+    // A sender that falls silent must not keep its place on the link.
+    reactor->RunAt (begun.deadline,
+                    [weak = weak_from_this(), id]
+                    {
+                        if (const auto self = weak.lock())
+                            self->left (id);
+                    });
+    std::exchange (begun.decision, nullptr) (true);
+}
+
+void BodyAdmission::decline (Id id)
+{
+    const auto found = asked.find (id);
+
+    if (found == asked.end())
+        return;
+
+    ++counts.refused;
+    const auto decision = std::move (found->second.decision);
+    asked.erase (found);
+    decision (false);
+}
+
+void BodyAdmission::arrived (Id id, std::size_t bytes)
+{
+    const auto found = asked.find (id);
+
+    if (found == asked.end())
+        return;
+
+    const auto took = mesh::toMilliseconds (now() - found->second.calledAt);
+    asked.erase (found);
+    ++counts.arrived;
+    counts.bytes += bytes;
+    counts.transfer.observe (took);
+    queue.finished (id, took);
+    pump();
+}
+
+void BodyAdmission::left (Id id)
+{
+    if (asked.erase (id) == 0)
+        return;
+
+    queue.cancel (id);
+    pump();
+}
+
+void BodyAdmission::pump()
+{
+    for (const auto id : queue.expire (now()))
+        decline (id);
+
+    while (const auto id = queue.next (now()))
+        begin (id);
+
+    armExpiry();
+}
+
+void BodyAdmission::armExpiry()
+{
+    const auto when = queue.nextExpiry();
+
+    if (when >= expiryAt)
+        return;
+
+    expiryAt = when;
+    reactor->RunAt (when + Milliseconds (1),
+                    [weak = weak_from_this(), when]
+                    {
+                        const auto self = weak.lock();
+
+                        if (self == nullptr || self->expiryAt != when)
+                            return;
+
+                        self->expiryAt = Timestamp::max();
+                        self->pump();
+                    });
+}
+
+double BodyAdmission::expectedMs() const
+{
+    const auto before = static_cast<double> (queue.waiting() + queue.running());
+    return (before + 1) * transferMs (usualBytes);
+}
+
+} // namespace copperlead::sidecar
--- a/src/sidecar/client_connection.cc
+++ b/src/sidecar/client_connection.cc
@@ -19,6 +19,7 @@
 constexpr std::size_t readSize = 65536;
 constexpr std::size_t mostHeadBytes = 65536;
 constexpr Milliseconds keepAliveMargin{ 1200 };
+constexpr int continueStatus = 100;
 constexpr std::string_view keepAliveTimeout = "timeout=";
 
 Timestamp now() { return SteadyClock().Now(); }
@@ -70,6 +71,7 @@
     options = newOptions;
     output = std::move (message);
     written = 0;
+    sendable = options.headBytes == 0 ? output.size() : options.headBytes;
     result = {};
     result.reused = usedBefore;
     usedBefore = true;
@@ -110,10 +112,10 @@
 
 void ClientConnection::write()
 {
-    while (written < output.size())
+    while (written < sendable)
     {
-        const auto count = ::send (socket.descriptor(), output.data() + written,
-                                   output.size() - written, MSG_NOSIGNAL);
+        const auto count =
+            ::send (socket.descriptor(), output.data() + written, sendable - written, MSG_NOSIGNAL);
 
         if (count < 0 && (errno == EAGAIN || errno == EINTR))
             return setInterest (EPOLLIN | EPOLLOUT);
@@ -121,7 +123,7 @@
         // What the server said before it closed may still be read: that comes with EPOLLIN.
         if (count < 0)
         {
-            written = output.size();
+            written = sendable = output.size();
             keepable = false;
             break;
         }
@@ -130,7 +132,7 @@
         written += static_cast<std::size_t> (count);
     }
 
-    if (sentAt == Timestamp{} || written == output.size())
+    if (sentAt == Timestamp{} || written == sendable)
         sentAt = now();
 
     setInterest (EPOLLIN);
@@ -210,8 +212,14 @@
 
     input.erase (0, end);
 
+    if (result.head.status == continueStatus && holdsBodyBack())
+    {
+        sendable = output.size();
+        write();
+    }
+
     if (result.head.status < 200)
-        return true;
+        return state == State::waiting;
 
     foreign = false;
 
@@ -292,7 +300,7 @@
     const auto self = shared_from_this();
     // Bytes behind the answer belong to nobody, and a request cut short can't be followed by
     // another.
-    const bool kept = keepable && input.empty() && written == output.size();
+    const bool kept = keepable && input.empty() && written == sendable;
     output.clear();
     written = 0;
     sentAt = {};
@@ -314,7 +322,7 @@
 
 void ClientConnection::finish (CallEnd end, std::string cause)
 {
-    result.end = end;
+    result.end = holdsBodyBack() ? CallEnd::notConnected : end;
     result.cause = std::move (cause);
     result.took = sentAt == Timestamp{} ? Duration{} : now() - sentAt;
     const auto done = std::exchange (call, nullptr);
--- a/src/sidecar/client_connection.h
+++ b/src/sidecar/client_connection.h
@@ -46,6 +46,7 @@
     void advance();
     bool takeHead();
     void onAnswer();
+    bool holdsBodyBack() const { return sendable < output.size(); }
     void onEndOfStream (bool orderly);
     void finish (CallEnd end, std::string cause);
     void finishKept();
@@ -65,6 +66,7 @@
     CallResult result;
     std::string input, output;
     std::size_t written = 0;
+    std::size_t sendable = 0; /**< Bytes of `output` that may be written so far. */
     std::optional<BodyDecoder> decoder;
     bool foreign = false; /**< The answer that is being read belongs to another request. */
     bool keepable = true;
--- a/src/sidecar/decision_log.h
+++ b/src/sidecar/decision_log.h
@@ -43,6 +43,7 @@
     clientLeft,
     attemptEnded,
     admissionRefused,
+    bodyRefused,
     linesLeftOut,
     count
 };
--- a/src/sidecar/first_hop.cc
+++ b/src/sidecar/first_hop.cc
@@ -24,7 +24,8 @@
     : reactor (std::move (reactorToUse))
     , settings (std::move (settingsToUse))
     , log (std::move (logToUse))
-    , caller (reactor, std::move (lastHopToUse), settings.ownIp, settings.peerPort)
+    , lastHop (std::move (lastHopToUse))
+    , caller (reactor, lastHop, settings.ownIp, settings.peerPort)
     , chooser ({ settings.zone }, seed)
     , random (static_cast<std::minstd_rand::result_type> (seed % std::minstd_rand::modulus))
 {
--- a/src/sidecar/first_hop.h
+++ b/src/sidecar/first_hop.h
@@ -104,6 +104,7 @@
     std::shared_ptr<Reactor> reactor;
     FirstHopSettings settings;
     std::shared_ptr<DecisionLog> log;
+    std::shared_ptr<LastHop> lastHop;
     HopCaller caller;
     mesh::InstanceChooser chooser;
     mesh::AttemptAges attemptAges;
--- a/src/sidecar/hop_caller.cc
+++ b/src/sidecar/hop_caller.cc
@@ -117,15 +117,23 @@
     CallOptions options;
     options.deadline = deadline + answerGrace;
     options.isHead = call.method == "HEAD";
+    const bool large = call.body.size() >= mesh::largeBodyBytes;
+
+    if (large)
+        call.fields.push_back ({ "Expect", "100-continue" });
+
+    auto message = requestMessage (call.method, call.target, call.fields, call.body);
+
+    if (large)
+        options.headBytes = message.size() - call.body.size();
+
     HopCallHandle handle;
-    handle.remote =
-        client->send ({ ip, peerPort },
-                      requestMessage (call.method, call.target, call.fields, call.body), options,
-                      [callback = std::move (callback)] (CallResult result)
-                      {
-                          const auto delivery = deliveryOf (result.end);
-                          callback (delivery, answerOf (std::move (result)));
-                      });
+    handle.remote = client->send ({ ip, peerPort }, std::move (message), options,
+                                  [callback = std::move (callback)] (CallResult result)
+                                  {
+                                      const auto delivery = deliveryOf (result.end);
+                                      callback (delivery, answerOf (std::move (result)));
+                                  });
     return handle;
 }
 
--- a/src/sidecar/http_client.h
+++ b/src/sidecar/http_client.h
@@ -23,7 +23,7 @@
 enum class CallEnd : std::uint8_t
 {
     answered,       /**< A whole answer. */
-    notConnected,   /**< Nothing was sent. */
+    notConnected,   /**< Nothing was sent, or only a head whose body was held back. */
     connectionLost, /**< The connection ended before an answer began; the request may have run. */
     broken,         /**< An answer that is malformed or was cut off. */
     timedOut,       /**< No whole answer in time. */
@@ -52,6 +52,12 @@
         passed over; one that lacks it is broken.
     */
     std::string idField, id;
+
+    /** Bytes of the message after which the server is asked whether to go on; 0: none. The message
+        says so itself (Expect: 100-continue). A call that ends before has sent nothing that could
+        run.
+    */
+    std::size_t headBytes = 0;
 };
 
 struct ClientSettings
--- a/src/sidecar/http_server.cc
+++ b/src/sidecar/http_server.cc
@@ -24,6 +24,12 @@
     connection.reset();
 }
 
+void Exchange::continueBody()
+{
+    if (const auto open = connection.lock())
+        open->continueBody (*this);
+}
+
 bool Exchange::clientLeft() const
 {
     const auto open = connection.lock();
--- a/src/sidecar/http_server.h
+++ b/src/sidecar/http_server.h
@@ -38,6 +38,9 @@
     */
     void respond (const std::string& message, bool close);
 
+    /** Tells the client to send the body that it holds back (see ServerSettings::bodyGate). */
+    void continueBody();
+
     /** True when the client has closed the connection, also if that hasn't been handled yet. */
     bool clientLeft() const;
 
@@ -71,6 +74,12 @@
         a request may be cancelled, and be sent again by its client. Empty: none may.
     */
     std::function<bool (const RequestHead&)> mayRunBeside;
+
+    /** Asked with the head alone when a client holds a body back until it is told to send it
+        (Expect: 100-continue). It calls continueBody(), at any time, or respond(): then the body
+        never comes and the connection is as good as before. Empty: each is told at once.
+    */
+    std::function<void (const ExchangePointer&)> bodyGate;
     std::size_t mostConnections = 3000;
     std::size_t mostBufferedBytes = 96 << 20; /**< Of all requests that are being read. */
 };
--- a/src/sidecar/last_hop.cc
+++ b/src/sidecar/last_hop.cc
@@ -18,6 +18,7 @@
 using mesh::toMilliseconds;
 
 constexpr Milliseconds probeTimeout{ 400 };
+constexpr double repeatLearningRate = 0.03;
 constexpr Milliseconds deadlineGrace{ 20 }; // For the instance's own answer at the deadline.
 
 ClientSettings clientSettings()
@@ -51,28 +52,28 @@
     made.instanceId = instance.id();
     made.load = static_cast<double> (queue.running() + queue.waiting());
     made.runMs = queue.usualRunMs();
+    made.bodyMs = bodyMs ? bodyMs() : 0;
     made.configurationVersion = configurationVersion;
     return made;
 }
 
-bool LastHop::refuseAtOnce (Timestamp now, const HopCall& call, HopCause& cause) const
+HopCause LastHop::refusalOf (const mesh::HopRequest& facts) const
 {
-    cause = HopCause::none;
-
-    const auto usualRun = Milliseconds (static_cast<std::int64_t> (call.facts.usualRunMs));
-
-    if (stopping || (endsAt != Timestamp::max() && now + 2 * usualRun > endsAt))
-        cause = HopCause::nodeStopping;
-    else if (! instance.known())
-        cause = HopCause::instanceUnknown;
-    else if (instance.service() != call.facts.service)
-        cause = HopCause::otherService;
-    else if (instance.leaving())
-        cause = HopCause::instanceLeaving;
-    else if (instance.lost())
-        cause = HopCause::instanceDown;
-
-    return cause != HopCause::none;
+    const auto usualRun = mesh::fromMilliseconds (facts.usualRunMs);
+
+    if (stopping || (endsAt != Timestamp::max() && SteadyClock().Now() + 2 * usualRun > endsAt))
+        return HopCause::nodeStopping;
+
+    if (! instance.known())
+        return HopCause::instanceUnknown;
+
+    if (instance.service() != facts.service)
+        return HopCause::otherService;
+
+    if (instance.leaving())
+        return HopCause::instanceLeaving;
+
+    return instance.lost() ? HopCause::instanceDown : HopCause::none;
 }
 
 LastHop::CallId LastHop::start (HopCall call, Callback callback)
@@ -84,9 +85,8 @@
     running.callback = std::move (callback);
     running.arrivedAt = now;
     running.deadline = std::min<Timestamp> (now + running.call.facts.timeLeft, endsAt);
-    HopCause cause;
 
-    if (refuseAtOnce (now, running.call, cause))
+    if (const auto cause = refusalOf (running.call.facts); cause != HopCause::none)
     {
         refuse (id, cause);
         return id;
@@ -194,6 +194,7 @@
     auto& running = calls.at (id);
     const auto now = SteadyClock().Now();
     running.startedAt = now;
+    repeats += repeatLearningRate * ((running.call.facts.isRepeat ? 1 : 0) - repeats);
 
     CallOptions options;
     options.deadline = running.deadline + deadlineGrace;
--- a/src/sidecar/last_hop.h
+++ b/src/sidecar/last_hop.h
@@ -65,6 +65,18 @@
              std::shared_ptr<DecisionLog> logToUse);
     ~LastHop();
 
+    /** What would be said at once to a request, whatever runs and waits; none: nothing. */
+    mesh::HopCause refusalOf (const mesh::HopRequest& facts) const;
+
+    /** The report of a request that isn't run. */
+    mesh::HopReport refusal (mesh::HopCause cause) const
+    {
+        return report (mesh::HopOutcome::notRun, cause);
+    }
+
+    /** Until a large body would have come over this node's link, for its reports. */
+    std::function<double()> bodyMs;
+
     /** The callback may come before this returns; after cancel() it doesn't come. */
     CallId start (HopCall call, Callback callback);
 
@@ -86,6 +98,9 @@
     /** To be called some times a second: probes an instance that is lost or not known. */
     void tick (Timestamp now);
 
+    /** The share of repeats among the runs here lately. */
+    double repeatShare() const { return repeats; }
+
     std::size_t inFlight() const { return calls.size(); }
     const LastHopCounters& counters() const { return counts; }
     const mesh::AdmissionQueue& admission() const { return queue; }
@@ -100,7 +115,6 @@
         CallPointer http;
     };
 
-    bool refuseAtOnce (Timestamp now, const HopCall& call, mesh::HopCause& cause) const;
     void run (CallId id);
     bool dropAbandoned (CallId id);
     void pump();
@@ -126,6 +140,7 @@
     std::unordered_map<CallId, Running> calls;
     LastHopCounters counts;
     CallId lastId = 0;
+    double repeats = 0;
     std::string healthPath;
     std::uint64_t configurationVersion = 0;
     Timestamp expiryAt = Timestamp::max();
--- a/src/sidecar/peer_endpoint.cc
+++ b/src/sidecar/peer_endpoint.cc
@@ -1,15 +1,43 @@
 #include "sidecar/peer_endpoint.h"
 
+#include "mesh/enum_names.h"
 #include "mesh/mesh_update.h"
 #include "sidecar/messages.h"
 #include "sidecar/relay.h"
 
 namespace copperlead::sidecar
 {
+namespace
+{
+
+/** The answer to a hop call that carries its report. */
+void answerHopCall (const ExchangePointer& exchange, HopAnswer answer)
+{
+    answer.fields.push_back ({ std::string (mesh::hopField), mesh::encode (answer.report) });
+    const int status = answer.status == 0 ? 503 : answer.status;
+    exchange->respond (answerMessage ({ status, answer.reason, answer.body, exchange->mustClose(),
+                                        exchange->isHead() },
+                                      answer.fields),
+                       exchange->mustClose());
+}
+
+std::size_t announcedBytes (const Exchange& exchange)
+{
+    std::uint64_t bytes = 0;
+    ParseWholeNumber (onlyValue (exchange.head.fields, "Content-Length"), bytes);
+    return bytes;
+}
+
+} // namespace
+
 PeerEndpoint::PeerEndpoint (HeaderNames namesToUse, std::shared_ptr<LastHop> lastHopToUse,
+                            std::shared_ptr<BodyAdmission> bodiesToAdmit,
+                            std::shared_ptr<DecisionLog> logToUse,
                             const mesh::MeshState& stateToTell)
     : names (std::move (namesToUse))
     , lastHop (std::move (lastHopToUse))
+    , bodies (std::move (bodiesToAdmit))
+    , log (std::move (logToUse))
     , state (stateToTell)
 {
 }
@@ -39,8 +67,76 @@
         exchange->mustClose());
 }
 
+void PeerEndpoint::refuseBody (const ExchangePointer& exchange, const mesh::HopRequest& facts,
+                               std::size_t bytes, mesh::HopCause cause)
+{
+    log->write (SteadyClock().Now(), EventKind::bodyRefused,
+                { { "request", facts.requestId },
+                  { "cause", mesh::nameOf (cause, mesh::hopCauseNames) },
+                  { "bytes", static_cast<std::int64_t> (bytes) },
+                  { "waiting", static_cast<std::int64_t> (bodies->waiting()) },
+                  { "in_transfer", static_cast<std::int64_t> (bodies->inTransfer()) },
+                  { "expected_ms", bodies->expectedMs() },
+                  { "target_ms", static_cast<std::int64_t> (facts.targetLeft.count()) },
+                  { "left_ms", static_cast<std::int64_t> (facts.timeLeft.count()) } });
+    HopAnswer answer;
+    answer.report = lastHop->refusal (cause);
+    answerHopCall (exchange, std::move (answer));
+}
+
+void PeerEndpoint::admitBody (const ExchangePointer& exchange)
+{
+    const auto facts = mesh::decodeHopRequest (onlyValue (exchange->head.fields, mesh::hopField));
+
+    if (! facts)
+        return exchange->respond (plainAnswer (400, "not a hop call"), true);
+
+    const auto bytes = announcedBytes (*exchange);
+
+    if (const auto cause = lastHop->refusalOf (*facts); cause != mesh::HopCause::none)
+        return refuseBody (exchange, *facts, bytes, cause);
+
+    const auto* key = exchange.get();
+    // The connection owns the exchange, and the admission's callback must not keep it alive.
+    exchange->onGone = [weak = weak_from_this(), key]
+    {
+        if (const auto self = weak.lock())
+            self->bodyLeft (key);
+    };
+    const auto id =
+        bodies->ask (*facts, bytes,
+                     [weak = weak_from_this(), waiting = std::weak_ptr<Exchange> (exchange), facts,
+                      bytes] (bool granted)
+                     {
+                         const auto self = weak.lock();
+                         const auto held = waiting.lock();
+
+                         if (self == nullptr || held == nullptr)
+                             return;
+
+                         if (granted)
+                             return held->continueBody();
+
+                         self->admitted.erase (held.get());
+                         self->refuseBody (held, *facts, bytes, mesh::HopCause::linkFull);
+                     });
+
+    // A refusal has come already.
+    if (exchange->onGone)
+        admitted.emplace (key, id);
+}
+
+void PeerEndpoint::bodyLeft (const Exchange* exchange)
+{
+    if (const auto found = admitted.extract (exchange))
+        bodies->left (found.mapped());
+}
+
 void PeerEndpoint::takeHopCall (const ExchangePointer& exchange)
 {
+    if (const auto found = admitted.extract (exchange.get()))
+        bodies->arrived (found.mapped(), exchange->body.size());
+
     const auto facts = mesh::decodeHopRequest (onlyValue (exchange->head.fields, mesh::hopField));
 
     if (! facts)
@@ -67,18 +163,8 @@
         if (const auto hop = weak.lock())
             hop->cancel (*id);
     };
-    *id = lastHop->start (std::move (call),
-                          [exchange] (HopAnswer answer)
-                          {
-                              answer.fields.push_back (
-                                  { std::string (mesh::hopField), mesh::encode (answer.report) });
-                              const int status = answer.status == 0 ? 503 : answer.status;
-                              exchange->respond (
-                                  answerMessage ({ status, answer.reason, answer.body,
-                                                   exchange->mustClose(), exchange->isHead() },
-                                                 answer.fields),
-                                  exchange->mustClose());
-                          });
+    *id = lastHop->start (std::move (call), [exchange] (HopAnswer answer)
+                          { answerHopCall (exchange, std::move (answer)); });
 }
 
 } // namespace copperlead::sidecar
--- a/src/sidecar/peer_endpoint.h
+++ b/src/sidecar/peer_endpoint.h
@@ -1,11 +1,14 @@
-/** Answers what other nodes ask of this one: hop calls, and the changes that they lack. Of the
-    reactor's thread.
+/** Answers what other nodes ask of this one: hop calls, with or before their bodies, and the
+    changes that they lack. Of the reactor's thread.
 */
 #pragma once
 
 #include <memory>
+#include <unordered_map>
 
 #include "mesh/mesh_state.h"
+#include "sidecar/body_admission.h"
+#include "sidecar/decision_log.h"
 #include "sidecar/header_names.h"
 #include "sidecar/http_server.h"
 #include "sidecar/last_hop.h"
@@ -13,23 +16,35 @@
 namespace copperlead::sidecar
 {
 
-class PeerEndpoint
+class PeerEndpoint : public std::enable_shared_from_this<PeerEndpoint>
 {
 public:
     /** @param stateToTell  outlives this */
     PeerEndpoint (HeaderNames namesToUse, std::shared_ptr<LastHop> lastHopToUse,
-                  const mesh::MeshState& stateToTell);
+                  std::shared_ptr<BodyAdmission> bodiesToAdmit,
+                  std::shared_ptr<DecisionLog> logToUse, const mesh::MeshState& stateToTell);
 
     /** Answers the exchange now or once the instance has. */
     void take (const ExchangePointer& exchange);
 
+    /** Decides by the head of a hop call whether its body may come, and when. */
+    void admitBody (const ExchangePointer& exchange);
+
 private:
+    void refuseBody (const ExchangePointer& exchange, const mesh::HopRequest& facts,
+                     std::size_t bytes, mesh::HopCause cause);
+    void bodyLeft (const Exchange* exchange);
     void takeHopCall (const ExchangePointer& exchange);
     void answerChanges (const ExchangePointer& exchange);
 
     HeaderNames names;
     std::shared_ptr<LastHop> lastHop;
+    std::shared_ptr<BodyAdmission> bodies;
+    std::shared_ptr<DecisionLog> log;
     const mesh::MeshState& state;
+
+    /** Hop calls whose bodies were called for, or wait for that. */
+    std::unordered_map<const Exchange*, BodyAdmission::Id> admitted;
 };
 
 } // namespace copperlead::sidecar
--- a/src/sidecar/server_connection.cc
+++ b/src/sidecar/server_connection.cc
@@ -194,12 +194,47 @@
     owesContinue = ListHolds (exchange->head.fields, "Expect", "100-continue") && input.empty() &&
                    ! decoder->complete();
     state = State::body;
+
+    if (owesContinue && server->settings.bodyGate && open.empty())
+        return askGate();
+
     sendContinue();
 
     if (decoder->complete())
         bodyTaken();
 }
 
+void ServerConnection::askGate()
+{
+    exchange->connection = weak_from_this();
+    open.push_back ({ exchange, {}, 0, false });
+    const auto asked = exchange;
+    server->settings.bodyGate (asked);
+}
+
+bool ServerConnection::gated() const { return exchange != nullptr && isLatest (*exchange); }
+
+void ServerConnection::continueBody (const Exchange& asked)
+{
+    if (state != State::body || exchange.get() != &asked || ! owesContinue)
+        return;
+
+    owesContinue = false;
+    output.append (continueMessage);
+    write();
+}
+
+void ServerConnection::refuseBody (OpenAnswer& answer)
+{
+    // Behind the answer a body that was called for, or sent unasked, would be taken for a request.
+    if (! owesContinue || ! input.empty())
+        answer.close = lastTaken = true;
+
+    owesContinue = false;
+    exchange.reset();
+    state = State::head;
+}
+
 void ServerConnection::sendContinue()
 {
     // In front of earlier answers it would be taken for a part of them.
@@ -246,7 +281,7 @@
     owesContinue = false;
     state = State::held;
 
-    if (mayHandOn())
+    if (gated() || mayHandOn())
         handOn();
 }
 
@@ -262,18 +297,29 @@
     if (clientLeft())
         return close();
 
+    const bool isOpen = gated();
     const auto handed = std::exchange (exchange, nullptr);
     state = State::head;
     lastTaken = handed->closeAfter;
     headStartedAt = now();
     handed->connection = weak_from_this();
-    open.push_back ({ handed, {}, handed->body.size(), false });
+
+    if (! isOpen)
+        open.push_back ({ handed, {}, 0, false });
+
+    open.back().bodyBytes = handed->body.size();
     countBuffered();
     server->settings.handler (handed);
 }
 
 void ServerConnection::fail (int status, std::string_view cause)
 {
+    if (gated())
+    {
+        open.pop_back();
+        tellGone (*exchange);
+    }
+
     exchange.reset();
     input.clear();
     lastTaken = true;
@@ -295,6 +341,10 @@
     found->close = close;
     // A closing answer is the last one, so what was read behind it must not begin.
     lastTaken = lastTaken || close;
+
+    if (exchange.get() == &answered)
+        refuseBody (*found);
+
     writeAnswers();
 }
 
@@ -376,8 +426,14 @@
     countBuffered();
 
     for (const auto& answer : left)
-        if (answer.exchange != nullptr && answer.exchange->onGone)
-            std::exchange (answer.exchange->onGone, nullptr)();
+        if (answer.exchange != nullptr)
+            tellGone (*answer.exchange);
+}
+
+void ServerConnection::tellGone (Exchange& exchangeToLeave)
+{
+    if (exchangeToLeave.onGone)
+        std::exchange (exchangeToLeave.onGone, nullptr)();
 }
 
 void ServerConnection::close()
--- a/src/sidecar/server_connection.h
+++ b/src/sidecar/server_connection.h
@@ -27,6 +27,9 @@
     /** Gives the answer of one of the open requests; it is written once those before it are. */
     void respond (const Exchange& answered, const std::string& message, bool close);
 
+    /** Tells the client to send the body of the request that is being read. */
+    void continueBody (const Exchange& asked);
+
     /** Ends the connection; those whose requests are open are told that the client is gone. */
     void close();
 
@@ -65,6 +68,9 @@
     void takeHead();
     void takeBody();
     void bodyTaken();
+    void askGate();
+    bool gated() const;
+    void refuseBody (OpenAnswer& answer);
     void handOn();
     bool mayTakeNext() const;
     bool mayHandOn() const;
@@ -75,6 +81,7 @@
     void write();
     void linger();
     void dropOpen();
+    static void tellGone (Exchange& exchangeToLeave);
     void updateInterest();
     void armTimer (Timestamp when);
     void onTimer();
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -54,31 +54,30 @@
         reactor,
         LastHopSettings{ settings.names, settings.instance, settings.service, settings.extraSlots },
         log);
-    peerEndpoint = std::make_unique<PeerEndpoint> (settings.names, lastHop, state);
+    bodies = std::make_shared<BodyAdmission> (reactor, settings.linkMbps);
+    lastHop->bodyMs = [admission = bodies] { return admission->expectedMs(); };
+    peerEndpoint = std::make_shared<PeerEndpoint> (settings.names, lastHop, bodies, log, state);
     firstHop = std::make_shared<FirstHop> (reactor, firstHopSettings (settings), lastHop, log,
                                            seedFrom (settings.id));
 }
 
 Sidecar::~Sidecar() = default;
 
-std::shared_ptr<HttpServer>
-Sidecar::makeServer (std::function<mesh::ClientLimits()> limits,
-                     void (Sidecar::*handler) (const ExchangePointer&),
-                     std::function<bool (const RequestHead&)> mayRunBeside)
+ServerSettings Sidecar::serverSettings (std::function<mesh::ClientLimits()> limits,
+                                        void (Sidecar::*handler) (const ExchangePointer&))
 {
     ServerSettings made;
     made.limits = std::move (limits);
     made.errorMessage = plainAnswer;
-    made.mayRunBeside = std::move (mayRunBeside);
     made.handler = [weak = weak_from_this(), handler] (const ExchangePointer& exchange)
     {
         if (const auto self = weak.lock())
             (*self.*handler) (exchange);
     };
-    return std::make_shared<HttpServer> (reactor, std::move (made));
+    return made;
 }
 
-Result<Done> Sidecar::start()
+void Sidecar::makeServers()
 {
     const auto hopLimits = []
     {
@@ -88,21 +87,35 @@
         return limits;
     };
     const auto weak = weak_from_this();
-    const auto clientLimits = [weak]
+    const auto limitsOfClients = [weak]
     {
         const auto self = weak.lock();
         return self == nullptr ? mesh::ClientLimits{} : self->clientLimits();
     };
-    outbound = makeServer (clientLimits, &Sidecar::takeRequest,
-                           [weak] (const RequestHead& head)
-                           {
-                               const auto self = weak.lock();
-                               return self != nullptr && self->firstHop->mayRunBeside (head);
-                           });
-    inbound = makeServer (hopLimits, &Sidecar::answerPeer);
-    readiness = makeServer (hopLimits, &Sidecar::answerReadiness);
-    metrics = makeServer (hopLimits, &Sidecar::answerMetrics);
 
+    auto forClients = serverSettings (limitsOfClients, &Sidecar::takeRequest);
+    forClients.mayRunBeside = [weak] (const RequestHead& head)
+    {
+        const auto self = weak.lock();
+        return self != nullptr && self->firstHop->mayRunBeside (head);
+    };
+    auto forNodes = serverSettings (hopLimits, &Sidecar::answerPeer);
+    forNodes.bodyGate = [weak] (const ExchangePointer& exchange)
+    {
+        if (const auto self = weak.lock())
+            self->peerEndpoint->admitBody (exchange);
+    };
+    outbound = std::make_shared<HttpServer> (reactor, std::move (forClients));
+    inbound = std::make_shared<HttpServer> (reactor, std::move (forNodes));
+    readiness = std::make_shared<HttpServer> (
+        reactor, serverSettings (hopLimits, &Sidecar::answerReadiness));
+    metrics =
+        std::make_shared<HttpServer> (reactor, serverSettings (hopLimits, &Sidecar::answerMetrics));
+}
+
+Result<Done> Sidecar::start()
+{
+    makeServers();
     connectFirstHop();
     BOOST_LEAF_CHECK (outbound->listen (settings.outbound));
     BOOST_LEAF_CHECK (inbound->listen (settings.inbound));
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -82,17 +82,17 @@
     void checkSettingsFile();
     void continueStop();
     std::size_t inFlight() const;
-    std::shared_ptr<HttpServer>
-    makeServer (std::function<mesh::ClientLimits()> limits,
-                void (Sidecar::*handler) (const ExchangePointer&),
-                std::function<bool (const RequestHead&)> mayRunBeside = {});
+    ServerSettings serverSettings (std::function<mesh::ClientLimits()> limits,
+                                   void (Sidecar::*handler) (const ExchangePointer&));
+    void makeServers();
 
     SidecarSettings settings;
     std::shared_ptr<Reactor> reactor;
     std::shared_ptr<DecisionLog> log;
     mesh::MeshState state;
     std::shared_ptr<LastHop> lastHop;
-    std::unique_ptr<PeerEndpoint> peerEndpoint;
+    std::shared_ptr<BodyAdmission> bodies;
+    std::shared_ptr<PeerEndpoint> peerEndpoint;
     std::shared_ptr<FirstHop> firstHop;
     std::shared_ptr<Relay> relay; /**< Null when this node reads alone. */
     std::shared_ptr<HttpServer> outbound, inbound, readiness, metrics;
