--- a/src/mesh/source_follower.cc
+++ b/src/mesh/source_follower.cc
@@ -49,7 +49,9 @@
 
 bool SourceFollower::hurry (Timestamp now)
 {
-    if (! out || current != SourceCall::watch || now - sentAt < settings.hurryAfter)
+    const bool rests = ! out && ! paused && failures == 0 && now < due;
+
+    if (! rests && (! out || current != SourceCall::watch || now - sentAt < settings.hurryAfter))
         return false;
 
     out = false;
@@ -62,7 +64,7 @@
 bool SourceFollower::reached (Timestamp now) const
 {
     return listed && ! paused && failures == 0 &&
-           now - successAt <= settings.watchWait + settings.answerTime;
+           now - successAt <= settings.watchInterval + settings.watchWait + settings.answerTime;
 }
 
 bool SourceFollower::sound (Timestamp now) const { return failures == 0 && now >= unsoundUntil; }
@@ -103,6 +105,7 @@
         return takePage (std::move (answer));
 
     at = std::max (at, answer.at);
+    due = std::max<Timestamp> (now, sentAt + settings.watchInterval);
 
     if (answer.entries.empty())
         return std::nullopt;
--- a/src/mesh/source_follower.h
+++ b/src/mesh/source_follower.h
@@ -77,6 +77,11 @@
 struct FollowerSettings
 {
     Milliseconds watchWait{ 1500 };
+
+    /** Between the sendings of two watches, at least: entries that change all the time end each
+        watch at once, and their changes are better fetched together.
+    */
+    Milliseconds watchInterval{ 200 };
     Milliseconds answerTime{ 600 }; /**< Beyond the wait. */
     Milliseconds listTime{ 1200 };
     Milliseconds firstBackoff{ 100 };
@@ -100,7 +105,8 @@
     /** Takes the answer to the request that is out. @returns what it teaches, if anything */
     std::optional<SourceUpdate> answered (Timestamp now, SourceAnswer answer);
 
-    /** Another node runs a later version: the request that is out won't be waited for any longer.
+    /** Another node runs a later version: neither the request that is out nor the interval between
+        watches is waited for any longer.
         @returns true if it is to be dropped and poll() called again
     */
     bool hurry (Timestamp now);
--- a/tests/mesh/source_follower_test.cc
+++ b/tests/mesh/source_follower_test.cc
@@ -118,6 +118,27 @@
     EXPECT_FALSE (follower.failing());
 }
 
+TEST_F (Following, WatchesThatEndAtOnceAreSentAnIntervalApart)
+{
+    EXPECT_TRUE (follower.poll (at (5)));
+    EXPECT_TRUE (follower.answered (at (9), page ({ entry ("a", 8) }, 8)));
+    EXPECT_FALSE (follower.poll (at (204)));
+    EXPECT_EQ (follower.nextDue(), at (205));
+    EXPECT_EQ (follower.poll (at (205))->afterRevision, 8U);
+    // One that took longer than the interval is followed by the next at once.
+    follower.answered (at (700), page ({ entry ("a", 9) }, 9));
+    EXPECT_TRUE (follower.poll (at (700)));
+}
+
+TEST_F (Following, ALaterVersionElsewhereEndsTheIntervalBetweenWatches)
+{
+    EXPECT_FALSE (follower.hurry (at (5))) << "it is due already";
+    EXPECT_TRUE (follower.poll (at (5)));
+    EXPECT_TRUE (follower.answered (at (9), page ({ entry ("a", 8) }, 8)));
+    EXPECT_TRUE (follower.hurry (at (20)));
+    EXPECT_TRUE (follower.poll (at (20)));
+}
+
 TEST_F (Following, PausedItAsksForNothingAndIsNeverDue)
 {
     follower.poll (at (5));
--- /dev/null
+++ b/tests/sidecar/holding_server.h
@@ -0,0 +1,126 @@
+/** A server on a real socket that holds each request until the test answers it. */
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "sidecar/http_server.h"
+#include "sidecar/messages.h"
+#include "tests/proxy/raw_socket.h"
+
+namespace copperlead::sidecar::test
+{
+
+class HoldingServer : public ::testing::Test
+{
+protected:
+    using Adjustment = std::function<void (HoldingServer&, ServerSettings&)>;
+
+    /** @param adjust  completes the server's settings */
+    explicit HoldingServer (const Adjustment& adjust)
+        : reactor (Resolve ([] { return Reactor::Start(); }).value())
+    {
+        ServerSettings settings;
+        settings.limits = []
+        {
+            mesh::ClientLimits limits;
+            limits.headerBytes = 2000;
+            limits.bodyBytes = 100'000;
+            limits.headerTimeout = Milliseconds (2000);
+            limits.idleTimeout = Milliseconds (5000);
+            return limits;
+        };
+        settings.errorMessage = [] (int status, std::string_view cause)
+        { return ownAnswer (status, cause, {}, true, false); };
+        settings.handler = [this] (const ExchangePointer& exchange) { take (exchange); };
+        adjust (*this, settings);
+        reactor->RunAndWait (
+            [&]
+            {
+                server = std::make_shared<HttpServer> (reactor, settings);
+                EXPECT_TRUE (Resolve ([&] { return server->listen ({ "127.0.0.1", 0 }); }));
+                address = server->address();
+            });
+    }
+
+    ~HoldingServer() override
+    {
+        reactor->RunAndWait ([&] { server->stopListening(); });
+        reactor->Stop();
+    }
+
+    void take (const ExchangePointer& exchange)
+    {
+        const std::lock_guard lock (mutex);
+        exchange->onGone = [this, target = exchange->head.target]
+        {
+            const std::lock_guard lock (mutex);
+            gone.push_back (target);
+        };
+        taken.push_back (exchange);
+    }
+
+    static std::string request (const std::string& target, const std::string& fields = {},
+                                const std::string& body = {})
+    {
+        const auto length =
+            body.empty() ? std::string() : "Content-Length: " + std::to_string (body.size());
+        return (body.empty() ? "GET " : "POST ") + target + " HTTP/1.1\r\nHost: h\r\n" + fields +
+               (length.empty() ? "" : length + "\r\n") + "\r\n" + body;
+    }
+
+    std::size_t takenCount()
+    {
+        const std::lock_guard lock (mutex);
+        return taken.size();
+    }
+
+    bool awaitTaken (std::size_t count)
+    {
+        return Eventually ([&] { return takenCount() == count; });
+    }
+
+    /** @returns true if no more than `count` requests were handed on in a while */
+    bool staysAt (std::size_t count)
+    {
+        std::this_thread::sleep_for (std::chrono::milliseconds (60));
+        return takenCount() == count;
+    }
+
+    std::vector<std::string> goneTargets()
+    {
+        const std::lock_guard lock (mutex);
+        return gone;
+    }
+
+    /** Answers the request that was handed on as number `index`, with its target as the body. */
+    void answer (std::size_t index, bool close = false, const std::string& body = {})
+    {
+        reactor->RunAndWait (
+            [&]
+            {
+                ExchangePointer exchange;
+                {
+                    const std::lock_guard lock (mutex);
+                    exchange = taken.at (index);
+                }
+                const auto& text = body.empty() ? exchange->head.target : body;
+                const bool closes = close || exchange->mustClose();
+                exchange->respond (answerMessage ({ 200, {}, text, closes, false }, {}), closes);
+            });
+    }
+
+    std::shared_ptr<Reactor> reactor;
+    std::shared_ptr<HttpServer> server;
+    SocketAddress address;
+    std::mutex mutex;
+    std::vector<ExchangePointer> taken;
+    std::vector<std::string> gone;
+};
+
+} // namespace copperlead::sidecar::test
