--- a/src/sidecar/http_server.h
+++ b/src/sidecar/http_server.h
@@ -12,6 +12,7 @@
 
 #include "base/address.h"
 #include "base/time.h"
+#include "mesh/latency_histogram.h"
 #include "mesh/mesh_configuration.h"
 #include "proxy/http_message.h"
 #include "transport/reactor.h"
@@ -84,6 +85,13 @@
     std::size_t mostBufferedBytes = 96 << 20; /**< Of all requests that are being read. */
 };
 
+/** Counted since the start. */
+struct ServerCounters
+{
+    std::uint64_t besideOthers = 0;    /**< Requests handed on beside unanswered ones. */
+    mesh::LatencyHistogram answerHeld; /**< Of answers ready before earlier ones were. */
+};
+
 class HttpServer : public std::enable_shared_from_this<HttpServer>
 {
 public:
@@ -104,6 +112,7 @@
     /** Closes the connections on which no request is being read or answered. */
     void closeIdle();
     std::size_t connections() const { return open.size(); }
+    const ServerCounters& counters() const { return counts; }
 
 private:
     friend class ServerConnection;
@@ -119,6 +128,7 @@
     std::set<std::shared_ptr<ServerConnection>> open;
     std::size_t bufferedBytes = 0;
     bool draining = false;
+    ServerCounters counts;
 };
 
 } // namespace copperlead::sidecar
--- a/src/sidecar/server_connection.cc
+++ b/src/sidecar/server_connection.cc
@@ -7,6 +7,8 @@
 #include <array>
 #include <cerrno>
 
+#include "mesh/milliseconds.h"
+
 namespace copperlead::sidecar
 {
 namespace
@@ -207,7 +209,7 @@
 void ServerConnection::askGate()
 {
     exchange->connection = weak_from_this();
-    open.push_back ({ exchange, {}, 0, false });
+    open.push_back ({ exchange, {}, 0, false, false, {} });
     const auto asked = exchange;
     server->settings.bodyGate (asked);
 }
@@ -304,8 +306,10 @@
     headStartedAt = now();
     handed->connection = weak_from_this();
 
+    server->counts.besideOthers += open.empty() || isOpen ? 0 : 1;
+
     if (! isOpen)
-        open.push_back ({ handed, {}, 0, false });
+        open.push_back ({ handed, {}, 0, false, false, {} });
 
     open.back().bodyBytes = handed->body.size();
     countBuffered();
@@ -324,7 +328,8 @@
     input.clear();
     lastTaken = true;
     state = State::head;
-    open.push_back ({ nullptr, server->settings.errorMessage (status, cause), 0, true });
+    open.push_back (
+        { nullptr, server->settings.errorMessage (status, cause), 0, true, false, now() });
     writeAnswers();
 }
 
@@ -338,6 +343,8 @@
         return;
 
     found->message = message;
+    found->readyAt = now();
+    found->waited = found != open.begin();
     found->close = close;
     // A closing answer is the last one, so what was read behind it must not begin.
     lastTaken = lastTaken || close;
@@ -352,6 +359,9 @@
 {
     while (! open.empty() && ! open.front().message.empty() && ! closeAfterWrite)
     {
+        if (open.front().waited)
+            server->counts.answerHeld.observe (mesh::toMilliseconds (now() - open.front().readyAt));
+
         output.append (open.front().message);
         closeAfterWrite = open.front().close;
         open.pop_front();
--- a/src/sidecar/server_connection.h
+++ b/src/sidecar/server_connection.h
@@ -60,6 +60,8 @@
         std::string message;      /**< Empty until it is answered. */
         std::size_t bodyBytes = 0;
         bool close = false;
+        bool waited = false; /**< It was ready while earlier ones were not. */
+        Timestamp readyAt{}; /**< When it was given. */
     };
 
     void onEvents (std::uint32_t events);
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -308,6 +308,10 @@
     shown.running = lastHop->admission().running();
     shown.waiting = lastHop->admission().waiting();
     shown.connections = outbound->connections();
+    shown.clients = outbound->counters();
+    shown.bodies = bodies->counters();
+    shown.bodiesWaiting = bodies->waiting();
+    shown.begun = lastHop->admission().begun();
     shown.configurationVersion = state.configurations().version();
     shown.sourceRevision = state.reached();
     shown.sourceCalls = source.calls;
--- a/src/sidecar/sidecar_metrics.cc
+++ b/src/sidecar/sidecar_metrics.cc
@@ -97,6 +97,12 @@
                     static_cast<double> (figures.inFlight));
     families.gauge ("copperlead_client_connections", "Open connections of clients",
                     static_cast<double> (figures.connections));
+    families.counter ("copperlead_requests_beside_others_total",
+                      "Requests begun while earlier ones of their connection were unanswered",
+                      figures.clients.besideOthers);
+    families.histogram ("copperlead_answer_held_milliseconds",
+                        "Ready answers that waited for earlier ones of their connection",
+                        figures.clients.answerHeld);
     families.gauge ("copperlead_retry_budget_left", "Retries left, of the poorest service",
                     figures.retryBudgetLeft);
     families.histogram ("copperlead_request_milliseconds",
@@ -109,6 +115,9 @@
                     static_cast<double> (figures.running));
     families.gauge ("copperlead_instance_waiting", "Requests that wait for it here",
                     static_cast<double> (figures.waiting));
+    families.counters ("copperlead_instance_runs_begun_total",
+                       "Runs by what their answers were expected to be", "timeliness",
+                       mesh::timelinessNames, figures.begun);
     families.counter ("copperlead_instance_calls_total", "Requests sent to it",
                       figures.toInstance.calls);
     families.counter ("copperlead_instance_connections_total", "Connections opened to it",
@@ -121,6 +130,23 @@
                         "Time until a connection is open", figures.toInstance.connect);
 }
 
+void addBodies (Families& families, const SidecarFigures& figures)
+{
+    families.counter ("copperlead_bodies_called_total",
+                      "Large bodies that other nodes were to send", figures.bodies.called);
+    families.counter ("copperlead_bodies_refused_total",
+                      "Large bodies that couldn't arrive in time over this link",
+                      figures.bodies.refused);
+    families.counter ("copperlead_bodies_arrived_total", "Large bodies that arrived whole",
+                      figures.bodies.arrived);
+    families.counter ("copperlead_body_bytes_total", "Bytes of those that arrived",
+                      figures.bodies.bytes);
+    families.gauge ("copperlead_bodies_waiting", "Large bodies held back until the link has room",
+                    static_cast<double> (figures.bodiesWaiting));
+    families.histogram ("copperlead_body_transfer_milliseconds",
+                        "From the call for a body until it was there", figures.bodies.transfer);
+}
+
 void addConfiguration (Families& families, const SidecarFigures& figures)
 {
     families.gauge ("copperlead_ready", "1 while clients may be sent here", figures.ready ? 1 : 0);
@@ -166,6 +192,7 @@
     Families families;
     addRequests (families, figures);
     addInstance (families, figures);
+    addBodies (families, figures);
     addConfiguration (families, figures);
     return families.text();
 }
--- a/src/sidecar/sidecar_metrics.h
+++ b/src/sidecar/sidecar_metrics.h
@@ -3,13 +3,16 @@
 */
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <string>
 
 #include "mesh/latency_histogram.h"
+#include "sidecar/body_admission.h"
 #include "sidecar/first_hop.h"
 #include "sidecar/http_client.h"
+#include "sidecar/http_server.h"
 #include "sidecar/last_hop.h"
 #include "sidecar/relay.h"
 
@@ -23,7 +26,10 @@
     LastHopCounters last;
     ClientCounters toInstance;
     RelayCounters relay;
-    std::uint64_t inFlight = 0, running = 0, waiting = 0, connections = 0;
+    ServerCounters clients;
+    BodyCounters bodies;
+    std::array<std::uint64_t, std::size (mesh::timelinessNames)> begun{}; /**< Runs, by class. */
+    std::uint64_t inFlight = 0, running = 0, waiting = 0, connections = 0, bodiesWaiting = 0;
     std::uint64_t configurationVersion = 0, sourceRevision = 0, sourceCalls = 0,
                   logLinesLeftOut = 0;
     bool ready = false, reading = false;
--- a/tests/sidecar/pipelining_test.cc
+++ b/tests/sidecar/pipelining_test.cc
@@ -47,6 +47,12 @@
     EXPECT_EQ (socket.Read().body, "/safe/1");
     EXPECT_EQ (socket.Read().body, "/safe/2");
     EXPECT_EQ (socket.Read().body, "/safe/3");
+    reactor->RunAndWait (
+        [&]
+        {
+            EXPECT_EQ (server->counters().besideOthers, 2U);
+            EXPECT_EQ (server->counters().answerHeld.count(), 2U);
+        });
 }
 
 TEST_F (Pipelining, WhatMayRunOnlyOnceWaitsForTheAnswersBeforeIt)
