--- a/src/mesh/instance_directory.h
+++ b/src/mesh/instance_directory.h
@@ -61,8 +61,10 @@
 class InstanceDirectory
 {
 public:
-    /** How long an instance whose entry lapsed stays usable. */
-    static constexpr Milliseconds lapseTime{ 5000 };
+    /** How long an instance whose entry lapsed stays usable. One that lives and reaches the source
+        is listed again about 2 s after the source's return; one that isn't by then is gone.
+    */
+    static constexpr Milliseconds lapseTime{ 2500 };
     /** How long an instance that left is remembered, so that its address isn't mistaken. */
     static constexpr Milliseconds memoryTime{ 30'000 };
 
--- a/src/mesh/source_follower.h
+++ b/src/mesh/source_follower.h
@@ -87,7 +87,7 @@
     Milliseconds firstBackoff{ 100 };
     Milliseconds longestBackoff{ 400 };
     Milliseconds hurryAfter{ 200 };   /**< A watch younger than this may just be on its way. */
-    Milliseconds unsoundTime{ 4000 }; /**< After a failure, absence isn't trusted for so long. */
+    Milliseconds unsoundTime{ 2500 }; /**< After a failure, absence isn't trusted for so long. */
 };
 
 /** Not thread-safe. */
--- a/tests/mesh/instance_directory_test.cc
+++ b/tests/mesh/instance_directory_test.cc
@@ -58,9 +58,9 @@
     directory.removeAllBut (at (10), {}, 9, unsound);
     EXPECT_EQ (usable (directory), Ids{ "a" });
     EXPECT_EQ (directory.snapshot()->byService.at ("desk")[0].state, InstanceState::lapsed);
-    directory.advance (at (5000));
+    directory.advance (at (2500));
     EXPECT_EQ (usable (directory), Ids{ "a" });
-    directory.advance (at (5020));
+    directory.advance (at (2520));
     EXPECT_TRUE (usable (directory).empty());
 }
 
--- a/tests/mesh_integration/mesh_configuration_test.cc
+++ b/tests/mesh_integration/mesh_configuration_test.cc
@@ -92,6 +92,18 @@
   EXPECT_TRUE(Becomes("/look/1", 200, kInForce));
 }
 
+// Entries are back about 2 s after the store's return; an instance without one by then is gone.
+TEST_F(MeshConfigurationTest, AnInstanceThatIsNotListedAgainAfterAnOutageIsGone) {
+  for (std::size_t listener : {0, 1}) fleet_.store().SetFault(listener, {StoreTrouble::kBusy, {}});
+  // Longer than a watch, so that each node has noticed the outage.
+  std::this_thread::sleep_for(std::chrono::milliseconds(1800));
+  for (auto& machine : fleet_.machines()) fleet_.store().Remove("servers/" + machine->instance_id);
+  for (std::size_t listener : {0, 1}) fleet_.store().SetFault(listener, {StoreTrouble::kNone, {}});
+  std::this_thread::sleep_for(std::chrono::milliseconds(1200));
+  EXPECT_EQ(Status(1, "/look/1"), 200);
+  EXPECT_TRUE(Becomes("/look/1", 503, std::chrono::milliseconds(2600)));
+}
+
 struct TroubleCase {
   const char* name;
   StoreTrouble trouble;
