--- a/src/distribution/agent.h
+++ b/src/distribution/agent.h
@@ -1,6 +1,6 @@
 // The deciding code of one node's control plane: membership, reader election, push tree, repair,
-// activation. `Step(now, event) -> actions`; no I/O, no clock, no thread. The daemon, the
-// simulator and hollow nodes run this same class.
+// activation. `Step(now, event) -> actions`; no I/O, no clock, no thread. The daemon and
+// the simulator run this same class.
 //
 // Not thread-safe: each shell drives it under one lock.
 #pragma once
--- a/src/toolbox/command.h
+++ b/src/toolbox/command.h
@@ -28,7 +28,6 @@
 int RunStepback(const std::vector<std::string>& arguments);
 int RunStatus(const std::vector<std::string>& arguments);
 int RunSimulate(const std::vector<std::string>& arguments);
-int RunHollow(const std::vector<std::string>& arguments);
 int RunLoad(const std::vector<std::string>& arguments);
 int RunReplay(const std::vector<std::string>& arguments);
 
--- a/src/toolbox/commands.cc
+++ b/src/toolbox/commands.cc
@@ -13,7 +13,6 @@
       {"replay", "a journal run again: why each version was taken or not", RunReplay},
       {"explain", "one request's story from the decision logs of several nodes", RunExplain},
       {"stepback", "the table of an earlier revision, to publish again", RunStepback},
-      {"hollow", "many nodes without proxies on real sockets, and what they cost", RunHollow},
   };
   return commands;
 }
--- a/src/transport/reactor.h
+++ b/src/transport/reactor.h
@@ -1,5 +1,5 @@
 // One thread that waits for many sockets and timers (epoll). Every transport of a process may share
-// one: a daemon has a single transport, a process of hollow nodes has a thousand.
+// one.
 #pragma once
 
 #include <atomic>
