Large files of the sidecar taken apart by job: answers in order, bodies, log lines, servers

AnswerQueue (no I/O, tests of its own) out of server_connection.cc, which keeps reading and writing; bodies in server_connection_body.cc; the log lines of a request in active_request_log.cc; a sidecar's servers in sidecar_servers.cc. No behaviour changes: sidecar_test passes (59).

--- a/src/sidecar/server_connection.cc
+++ b/src/sidecar/server_connection.cc
@@ -21,7 +21,6 @@
 constexpr Milliseconds lingerTime{ 1000 };
 constexpr Milliseconds bodyTime{ 30'000 };
 constexpr Milliseconds writeTime{ 30'000 };
-constexpr std::string_view continueMessage = "HTTP/1.1 100 Continue\r\n\r\n";
 
 Timestamp now() { return SteadyClock().Now(); }
 
@@ -69,17 +68,11 @@
     return state == State::head && input.empty() && output.empty() && open.empty();
 }
 
-bool ServerConnection::isLatest (const Exchange& asked) const
-{
-    return ! open.empty() && open.back().exchange.get() == &asked;
-}
+bool ServerConnection::isLatest (const Exchange& asked) const { return open.isLatest (asked); }
 
 bool ServerConnection::mayTakeNext() const
 {
-    auto unsent = output.size() - written;
-
-    for (const auto& answer : open)
-        unsent += answer.message.size();
+    const auto unsent = output.size() - written + open.messageBytes();
 
     if (lastTaken || unsent >= mostUnsentBytes)
         return false;
@@ -206,87 +199,6 @@
         bodyTaken();
 }
 
-void ServerConnection::askGate()
-{
-    exchange->connection = weak_from_this();
-    open.push_back ({ exchange, {}, 0, false, false, {} });
-    const auto asked = exchange;
-    server->settings.bodyGate (asked);
-}
-
-bool ServerConnection::gated() const { return exchange != nullptr && isLatest (*exchange); }
-
-void ServerConnection::continueBody (const Exchange& asked)
-{
-    if (state != State::body || exchange.get() != &asked || ! owesContinue)
-        return;
-
-    owesContinue = false;
-    output.append (continueMessage);
-    write();
-}
-
-void ServerConnection::refuseBody (OpenAnswer& answer)
-{
-    // Behind the answer a body that was called for, or sent unasked, would be taken for a request.
-    if (! owesContinue || ! input.empty())
-        answer.close = lastTaken = true;
-
-    owesContinue = false;
-    exchange.reset();
-    state = State::head;
-}
-
-void ServerConnection::sendContinue()
-{
-    // In front of earlier answers it would be taken for a part of them.
-    if (! owesContinue || ! open.empty())
-        return;
-
-    owesContinue = false;
-    output.append (continueMessage);
-    write();
-}
-
-void ServerConnection::countBuffered()
-{
-    std::size_t bytes = exchange == nullptr ? 0 : exchange->body.size();
-
-    for (const auto& answer : open)
-        bytes += answer.bodyBytes;
-
-    server->bufferedBytes += bytes - buffered;
-    buffered = bytes;
-}
-
-void ServerConnection::takeBody()
-{
-    input.erase (0, decoder->feed (input, exchange->body));
-    countBuffered();
-
-    if (decoder->malformed())
-        return fail (400, "malformed chunked framing");
-
-    if (exchange->body.size() > server->settings.limits().bodyBytes)
-        return fail (413, "the body is too large");
-
-    if (server->bufferedBytes > server->settings.mostBufferedBytes)
-        return fail (503, "too many bodies are being read");
-
-    if (decoder->complete())
-        bodyTaken();
-}
-
-void ServerConnection::bodyTaken()
-{
-    exchange->arrivedAt = now();
-    owesContinue = false;
-    state = State::held;
-
-    if (gated() || mayHandOn())
-        handOn();
-}
-
 bool ServerConnection::clientLeft() const
 {
     char byte = 0;
@@ -309,9 +221,9 @@
     server->counts.besideOthers += open.empty() || isOpen ? 0 : 1;
 
     if (! isOpen)
-        open.push_back ({ handed, {}, 0, false, false, {} });
+        open.add (handed);
 
-    open.back().bodyBytes = handed->body.size();
+    open.setLatestBody (handed->body.size());
     countBuffered();
     server->settings.handler (handed);
 }
@@ -320,7 +232,7 @@
 {
     if (gated())
     {
-        open.pop_back();
+        open.dropLatest();
         tellGone (*exchange);
     }
 
@@ -328,43 +240,39 @@
     input.clear();
     lastTaken = true;
     state = State::head;
-    open.push_back (
-        { nullptr, server->settings.errorMessage (status, cause), 0, true, false, now() });
+    open.addOwn (now(), server->settings.errorMessage (status, cause));
     writeAnswers();
 }
 
 void ServerConnection::respond (const Exchange& answered, const std::string& message, bool close)
 {
-    const auto found =
-        std::find_if (open.begin(), open.end(),
-                      [&] (const auto& answer) { return answer.exchange.get() == &answered; });
+    const bool isBeingRead = exchange.get() == &answered;
+    // Behind the answer such a body would be taken for a request.
+    const bool closes = close || (isBeingRead && bodyMayFollow());
 
-    if (found == open.end() || ! found->message.empty())
+    if (! open.answer (now(), answered, message, closes))
         return;
 
-    found->message = message;
-    found->readyAt = now();
-    found->waited = found != open.begin();
-    found->close = close;
     // A closing answer is the last one, so what was read behind it must not begin.
-    lastTaken = lastTaken || close;
+    lastTaken = lastTaken || closes;
 
-    if (exchange.get() == &answered)
-        refuseBody (*found);
+    if (isBeingRead)
+        abandonBody();
 
     writeAnswers();
 }
 
 void ServerConnection::writeAnswers()
 {
-    while (! open.empty() && ! open.front().message.empty() && ! closeAfterWrite)
+    const auto at = now();
+
+    for (AnswerQueue::Due due; ! closeAfterWrite && open.takeDue (at, due);)
     {
-        if (open.front().waited)
-            server->counts.answerHeld.observe (mesh::toMilliseconds (now() - open.front().readyAt));
+        if (due.waited)
+            server->counts.answerHeld.observe (mesh::toMilliseconds (due.held));
 
-        output.append (open.front().message);
-        closeAfterWrite = open.front().close;
-        open.pop_front();
+        output.append (due.message);
+        closeAfterWrite = due.close;
     }
 
     countBuffered();
@@ -373,10 +281,10 @@
     if (state == State::closed || state == State::lingering)
         return;
 
-    restingSince = now();
+    restingSince = at;
 
     if (state == State::head)
-        headStartedAt = restingSince;
+        headStartedAt = at;
 
     sendContinue();
     advance();
@@ -432,12 +340,11 @@
 void ServerConnection::dropOpen()
 {
     exchange.reset();
-    const auto left = std::exchange (open, {});
+    const auto left = open.dropAll();
     countBuffered();
 
-    for (const auto& answer : left)
-        if (answer.exchange != nullptr)
-            tellGone (*answer.exchange);
+    for (const auto& exchangeToLeave : left)
+        tellGone (*exchangeToLeave);
 }
 
 void ServerConnection::tellGone (Exchange& exchangeToLeave)
--- a/src/sidecar/server_connection.h
+++ b/src/sidecar/server_connection.h
@@ -5,11 +5,11 @@
 */
 #pragma once
 
-#include <deque>
 #include <memory>
 #include <optional>
 #include <string>
 
+#include "sidecar/answer_queue.h"
 #include "sidecar/body_decoder.h"
 #include "sidecar/http_server.h"
 
@@ -53,17 +53,6 @@
         closed
     };
 
-    /** A request that was handed on, or refused by the connection itself, in its turn. */
-    struct OpenAnswer
-    {
-        ExchangePointer exchange; /**< Null when the connection itself refuses. */
-        std::string message;      /**< Empty until it is answered. */
-        std::size_t bodyBytes = 0;
-        bool close = false;
-        bool waited = false; /**< It was ready while earlier ones were not. */
-        Timestamp readyAt{}; /**< When it was given. */
-    };
-
     void onEvents (std::uint32_t events);
     void readAll();
     void advance();
@@ -72,7 +61,8 @@
     void bodyTaken();
     void askGate();
     bool gated() const;
-    void refuseBody (OpenAnswer& answer);
+    bool bodyMayFollow() const;
+    void abandonBody();
     void handOn();
     bool mayTakeNext() const;
     bool mayHandOn() const;
@@ -103,7 +93,7 @@
     bool advancing = false;    /**< Guards against advance() from within advance(). */
     ExchangePointer exchange;  /**< That is being read, or held. */
     std::optional<BodyDecoder> decoder;
-    std::deque<OpenAnswer> open;
+    AnswerQueue open;         /**< Requests that were handed on. */
     std::size_t buffered = 0; /**< Bytes of bodies that the server has counted. */
     Timestamp headStartedAt{}, restingSince{}, wroteAt{}, timerAt = Timestamp::max(), lingerUntil{};
 };
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -15,8 +15,6 @@
 constexpr Milliseconds tickInterval{ 250 };
 constexpr int ticksPerFileCheck = 4;
 constexpr double strongCpuShare = 0.2, strongLinkMbps = 50; // Of machines that should read.
-constexpr std::size_t hopHeadBytes = 65536;
-constexpr Milliseconds hopIdleTime{ 60'000 };
 constexpr Milliseconds stopStepInterval{ 50 };
 
 Timestamp now() { return SteadyClock().Now(); }
@@ -63,56 +61,6 @@
 
 Sidecar::~Sidecar() = default;
 
-ServerSettings Sidecar::serverSettings (std::function<mesh::ClientLimits()> limits,
-                                        void (Sidecar::*handler) (const ExchangePointer&))
-{
-    ServerSettings made;
-    made.limits = std::move (limits);
-    made.errorMessage = plainAnswer;
-    made.handler = [weak = weak_from_this(), handler] (const ExchangePointer& exchange)
-    {
-        if (const auto self = weak.lock())
-            (*self.*handler) (exchange);
-    };
-    return made;
-}
-
-void Sidecar::makeServers()
-{
-    const auto hopLimits = []
-    {
-        mesh::ClientLimits limits;
-        limits.headerBytes = hopHeadBytes;
-        limits.idleTimeout = hopIdleTime;
-        return limits;
-    };
-    const auto weak = weak_from_this();
-    const auto limitsOfClients = [weak]
-    {
-        const auto self = weak.lock();
-        return self == nullptr ? mesh::ClientLimits{} : self->clientLimits();
-    };
-
-    auto forClients = serverSettings (limitsOfClients, &Sidecar::takeRequest);
-    forClients.mayRunBeside = [weak] (const RequestHead& head)
-    {
-        const auto self = weak.lock();
-        return self != nullptr && self->firstHop->mayRunBeside (head);
-    };
-    auto forNodes = serverSettings (hopLimits, &Sidecar::answerPeer);
-    forNodes.bodyGate = [weak] (const ExchangePointer& exchange)
-    {
-        if (const auto self = weak.lock())
-            self->peerEndpoint->admitBody (exchange);
-    };
-    outbound = std::make_shared<HttpServer> (reactor, std::move (forClients));
-    inbound = std::make_shared<HttpServer> (reactor, std::move (forNodes));
-    readiness = std::make_shared<HttpServer> (
-        reactor, serverSettings (hopLimits, &Sidecar::answerReadiness));
-    metrics =
-        std::make_shared<HttpServer> (reactor, serverSettings (hopLimits, &Sidecar::answerMetrics));
-}
-
 Result<Done> Sidecar::start()
 {
     makeServers();
@@ -278,68 +226,11 @@
     return mesh::ageInMilliseconds (now(), std::max (own, zone));
 }
 
-void Sidecar::takeRequest (const ExchangePointer& exchange) { firstHop->take (exchange); }
-
-void Sidecar::answerPeer (const ExchangePointer& exchange) { peerEndpoint->take (exchange); }
-
 bool Sidecar::ready() const
 {
     return ! stopPlan && state.configurations().routes() != nullptr && state.reached() > 0;
 }
 
-void Sidecar::answerReadiness (const ExchangePointer& exchange)
-{
-    const bool known = exchange->head.target == settings.readinessPath;
-    const int status = ! known ? 404 : ready() ? 200 : 503;
-    exchange->respond (ownAnswer (status, status == 200 ? "ready" : "not ready", {},
-                                  exchange->mustClose(), exchange->isHead()),
-                       exchange->mustClose());
-}
-
-SidecarFigures Sidecar::figures() const
-{
-    const auto at = now();
-    const auto source = sourceStatus ? sourceStatus() : SourceStatus{};
-    SidecarFigures shown;
-    shown.first = firstHop->counters();
-    shown.last = lastHop->counters();
-    shown.toInstance = lastHop->clientCounters();
-    shown.inFlight = inFlight();
-    shown.running = lastHop->admission().running();
-    shown.waiting = lastHop->admission().waiting();
-    shown.connections = outbound->connections();
-    shown.clients = outbound->counters();
-    shown.bodies = bodies->counters();
-    shown.bodiesWaiting = bodies->waiting();
-    shown.begun = lastHop->admission().begun();
-    shown.configurationVersion = state.configurations().version();
-    shown.sourceRevision = state.reached();
-    shown.sourceCalls = source.calls;
-    shown.logLinesLeftOut = log->leftOut();
-    shown.ready = ready();
-    shown.reading = relay == nullptr || relay->reading();
-    shown.sourceWordAgeMs = mesh::ageInMilliseconds (at, source.lastSuccess);
-    shown.retryBudgetLeft = firstHop->retryBudgetLeft (at);
-
-    if (relay != nullptr)
-    {
-        shown.relay = relay->counters();
-        shown.zoneWordAgeMs = mesh::ageInMilliseconds (at, relay->upToDateAt());
-    }
-
-    return shown;
-}
-
-void Sidecar::answerMetrics (const ExchangePointer& exchange)
-{
-    const bool known = exchange->head.target == settings.metricsPath;
-    const auto text = known ? metricsText (figures()) : std::string ("no such path\n");
-    exchange->respond (
-        answerMessage ({ known ? 200 : 404, {}, text, exchange->mustClose(), exchange->isHead() },
-                       { { "Content-Type", "text/plain; version=0.0.4" } }),
-        exchange->mustClose());
-}
-
 void Sidecar::tick()
 {
     const auto at = now();
