A stopping node answers also what was begun before its signal

Ruled out: a cut connection (nothing unplanned on that machine); the pipelining (a POST alone on its connection). Change: at the time by which the last answers must be out, every request that is begun and unanswered gets its final answer (504). Test: MeshStop.ARequestThatWasBegunBeforeTheStopGetsItsAnswerBeforeTheNodeEnds fails before, passes after.

--- a/src/sidecar/active_request.cc
+++ b/src/sidecar/active_request.cc
@@ -40,17 +40,17 @@
     , route (routeToUse)
     , requestId (std::move (id))
 {
-    ++hop->inFlightCount;
+    hop->active.insert (this);
 }
 
 void ActiveRequest::setDone()
 {
     done = true;
     hop->counts.whole.observe (toMilliseconds (now() - exchange->arrivedAt));
-    --hop->inFlightCount;
+    hop->active.erase (this);
 }
 
-ActiveRequest::~ActiveRequest() = default;
+ActiveRequest::~ActiveRequest() { hop->active.erase (this); }
 
 void ActiveRequest::begin()
 {
--- a/src/sidecar/active_request.h
+++ b/src/sidecar/active_request.h
@@ -23,6 +23,9 @@
 
     void begin();
 
+    /** Its time is over: it gets its final answer now. Without effect once it has one. */
+    void onDeadline();
+
 private:
     /** One hop call that is under way, or ended. */
     struct Attempt
@@ -46,7 +49,6 @@
     void armSlowCheck (std::size_t index);
     void onSlow (std::size_t index);
     void hedge();
-    void onDeadline();
     void onClientLeft();
     void cancelAttempts();
     void setDone();
--- a/src/sidecar/first_hop.cc
+++ b/src/sidecar/first_hop.cc
@@ -37,6 +37,29 @@
     chooser.forgetAllBut (*directory);
 }
 
+void FirstHop::setClosing (Timestamp end)
+{
+    closing = true;
+    endsAt = end;
+    reactor->RunAt (end,
+                    [weak = weak_from_this()]
+                    {
+                        if (const auto self = weak.lock())
+                            self->endAll();
+                    });
+}
+
+void FirstHop::endAll()
+{
+    std::vector<std::shared_ptr<ActiveRequest>> left;
+
+    for (auto* request : active)
+        left.push_back (request->shared_from_this());
+
+    for (const auto& request : left)
+        request->onDeadline();
+}
+
 double FirstHop::retryBudgetLeft (Timestamp now)
 {
     auto least = settings.budget.slack;
--- a/src/sidecar/first_hop.h
+++ b/src/sidecar/first_hop.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <unordered_set>
 
 #include "mesh/attempt_age.h"
 #include "mesh/instance_chooser.h"
@@ -69,12 +70,10 @@
     void setDirectory (mesh::DirectoryPointer newDirectory);
     void setService (std::string service) { settings.service = std::move (service); }
 
-    /** Answers from now on close their connections, and none is given after `end`. */
-    void setClosing (Timestamp end)
-    {
-        closing = true;
-        endsAt = end;
-    }
+    /** Answers from now on close their connections, and the last are given at `end`, also to
+        requests that were begun before.
+    */
+    void setClosing (Timestamp end);
 
     /** Told of every version that another node runs. */
     std::function<void (std::uint64_t)> onPeerVersion;
@@ -85,7 +84,7 @@
     /** What is left of the poorest service's retry budget. */
     double retryBudgetLeft (Timestamp now);
 
-    std::size_t inFlight() const { return inFlightCount; }
+    std::size_t inFlight() const { return active.size(); }
     const FirstHopCounters& counters() const { return counts; }
 
 private:
@@ -93,6 +92,7 @@
 
     /** Answers a request that no route was found for, or none can be yet. */
     void refuse (const ExchangePointer& exchange, int status, std::string_view cause);
+    void endAll();
     void answerOwn (const ExchangePointer& exchange, int status, std::string_view cause,
                     Milliseconds retryAfter);
     bool mustClose (const Exchange& exchange) const;
@@ -114,7 +114,7 @@
     std::shared_ptr<const mesh::RouteTable> routes;
     mesh::DirectoryPointer directory;
     FirstHopCounters counts;
-    std::size_t inFlightCount = 0;
+    std::unordered_set<ActiveRequest*> active; /**< Begun and not answered. */
     bool closing = false;
     Timestamp endsAt = Timestamp::max();
 };
--- a/tests/mesh_integration/two_hops_test.cc
+++ b/tests/mesh_integration/two_hops_test.cc
@@ -336,6 +336,28 @@
   EXPECT_EQ(hub.sidecar->Wait(std::chrono::seconds(3)), 0);
 }
 
+TEST(MeshStop, ARequestThatWasBegunBeforeTheStopGetsItsAnswerBeforeTheNodeEnds) {
+  MeshFleet fleet;
+  fleet.Configure(4);
+  MeshMachine& desk = fleet.Add("desk");
+  MeshMachine& hub = fleet.Add("hub");
+  fleet.Start(desk);
+  fleet.Start(hub, {"--grace-s", "1"});
+  ASSERT_TRUE(fleet.AwaitReady(desk) && fleet.AwaitReady(hub));
+  desk.instance->SetWork(std::chrono::milliseconds(1800));
+  auto kept = RawSocket::Connect(fleet.outbound(hub));
+  kept.Send(
+      "GET /look/1 HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: begun\r\n"
+      "X-Deadline-Ms: 5000\r\n\r\n");
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  hub.sidecar->Signal(SIGTERM);
+  const RawMessage answer = kept.Read();
+  EXPECT_TRUE(answer.whole);
+  EXPECT_EQ(answer.status(), 504) << answer.head;
+  EXPECT_EQ(answer.Header("connection"), "close");
+  EXPECT_EQ(hub.sidecar->Wait(std::chrono::seconds(3)), 0);
+}
+
 // Each of the pipelined requests that was passed on gets its answer; what comes behind them after
 // the signal is left to the client, who sends it again.
 TEST(MeshStop, PipelinedRequestsThatWerePassedOnAreAllAnswered) {
