The fuzz test of pipelining no longer races with itself

ThreadSanitizer names three races, all in the test: the thread that answers and the one that sends drew from one generator, and the former read the list of requests while the server's thread appended to it. Change: the answering thread has a generator of its own, and requests are read under the lock. Each assertion stays.

--- a/tests/sidecar/body_gate_test.cc
+++ b/tests/sidecar/body_gate_test.cc
@@ -78,7 +78,7 @@
     EXPECT_TRUE (staysAt (0));
     socket.Send ("dy");
     ASSERT_TRUE (awaitTaken (1));
-    EXPECT_EQ (taken[0]->body, "body");
+    EXPECT_EQ (takenAt (0)->body, "body");
     answer (0);
     EXPECT_EQ (socket.Read().body, "/body");
     socket.Send (request ("/next"));
--- a/tests/sidecar/holding_server.h
+++ b/tests/sidecar/holding_server.h
@@ -80,6 +80,13 @@
         return taken.size();
     }
 
+    /** The request that was handed on as number `index`; more may come meanwhile. */
+    ExchangePointer takenAt (std::size_t index)
+    {
+        const std::lock_guard lock (mutex);
+        return taken.at (index);
+    }
+
     bool awaitTaken (std::size_t count)
     {
         return Eventually ([&] { return takenCount() == count; });
@@ -104,11 +111,7 @@
         reactor->RunAndWait (
             [&]
             {
-                ExchangePointer exchange;
-                {
-                    const std::lock_guard lock (mutex);
-                    exchange = taken.at (index);
-                }
+                const auto exchange = takenAt (index);
                 const auto& text = body.empty() ? exchange->head.target : body;
                 const bool closes = close || exchange->mustClose();
                 exchange->respond (answerMessage ({ 200, {}, text, closes, false }, {}), closes);
--- a/tests/sidecar/pipelining_test.cc
+++ b/tests/sidecar/pipelining_test.cc
@@ -63,7 +63,7 @@
     EXPECT_TRUE (staysAt (1));
     answer (0);
     ASSERT_TRUE (awaitTaken (3));
-    EXPECT_EQ (taken[1]->body, "body");
+    EXPECT_EQ (takenAt (1)->body, "body");
     answer (2);
     answer (1);
     EXPECT_EQ (socket.Read().body, "/safe/1");
@@ -175,7 +175,7 @@
     ASSERT_TRUE (awaitTaken (1));
     socket.Send (bytes.substr (40'000));
     ASSERT_TRUE (awaitTaken (3));
-    EXPECT_EQ (taken[1]->body, body);
+    EXPECT_EQ (takenAt (1)->body, body);
 
     for (const std::size_t index : { 0U, 1U, 2U })
         answer (index);
@@ -232,8 +232,8 @@
     reactor->RunAndWait (
         [&]
         {
-            EXPECT_FALSE (taken[0]->isLatest());
-            EXPECT_TRUE (taken[1]->isLatest());
+            EXPECT_FALSE (takenAt (0)->isLatest());
+            EXPECT_TRUE (takenAt (1)->isLatest());
         });
     answer (0);
     answer (1, true);
@@ -331,9 +331,12 @@
         }
     }
 
-    /** Answers what is open, in random order, until `count` requests were answered. */
-    void answerAll (std::size_t count)
+    /** Answers what is open, in random order, until `count` requests were answered. Runs beside
+        the sending, so it draws from a generator of its own.
+    */
+    void answerAll (std::size_t count, std::uint64_t seed)
     {
+        std::mt19937_64 order (seed);
         std::vector<std::size_t> open;
         std::size_t seen = 0, answered = 0;
 
@@ -349,10 +352,11 @@
             }
 
             const auto pick =
-                static_cast<std::size_t> (draw (0, static_cast<int> (open.size()) - 1));
+                std::uniform_int_distribution<std::size_t> (0, open.size() - 1) (order);
             const auto index = open[pick];
             open.erase (open.begin() + static_cast<std::ptrdiff_t> (pick));
-            answer (index, false, taken[index]->head.target + " " + taken[index]->body);
+            const auto request = takenAt (index);
+            answer (index, false, request->head.target + " " + request->body);
             ++answered;
         }
     }
@@ -379,7 +383,7 @@
             bytes += encode (each);
 
         auto socket = RawSocket::Connect (address);
-        std::thread answers ([&] { answerAll (sent.size()); });
+        std::thread answers ([&] { answerAll (sent.size(), seed); });
         sendInPieces (socket, bytes);
 
         for (const auto& each : sent)
