A run that begins at once is counted by what it is

Cause (reading the change again): copperlead_instance_runs_begun_total counted a return that began at once and was in time from its attempt on as late. Change: one function tells what a run that begins now is expected to be; nothing is decided by it, only counted. Test: AdmissionQueue.WhatRunsAtOnceIsCountedByWhatItIs fails before, passes after; mesh_test 95 of 95.

--- a/src/mesh/admission_queue.cc
+++ b/src/mesh/admission_queue.cc
@@ -91,13 +91,22 @@
            lateMayWait (now, held.latestStart);
 }
 
+Timeliness AdmissionQueue::timelinessAt (Timestamp begin, const AdmissionRequest& request) const
+{
+    const auto end = begin + fromMilliseconds (longRunMs (request));
+
+    if (end <= request.target)
+        return Timeliness::inTime;
+
+    return end <= request.attemptTarget ? Timeliness::afterReturn : Timeliness::late;
+}
+
 AdmissionDecision AdmissionQueue::offer (Timestamp now, const AdmissionRequest& request)
 {
     if (static_cast<int> (running()) < limit && order.empty())
     {
         runningById.emplace (request.id, request.route);
-        const bool inTime = now + fromMilliseconds (longRunMs (request)) <= request.target;
-        ++begins[static_cast<std::size_t> (inTime ? Timeliness::inTime : Timeliness::late)];
+        ++begins[static_cast<std::size_t> (timelinessAt (now, request))];
         return AdmissionDecision::run;
     }
 
--- a/src/mesh/admission_queue.h
+++ b/src/mesh/admission_queue.h
@@ -125,6 +125,7 @@
     std::size_t countBefore (const Rank& rank) const;
     double shortRunMs (const AdmissionRequest& request) const;
     double longRunMs (const AdmissionRequest& request) const;
+    Timeliness timelinessAt (Timestamp begin, const AdmissionRequest& request) const;
     bool place (Timestamp now, const AdmissionRequest& request, Held& held) const;
     bool lateMayWait (Timestamp now, Timestamp latestStart) const;
     void hold (Timestamp now, const Held& held);
--- a/tests/mesh/admission_queue_test.cc
+++ b/tests/mesh/admission_queue_test.cc
@@ -156,6 +156,18 @@
     EXPECT_EQ (queue.begun()[static_cast<std::size_t> (Timeliness::late)], 1U);
 }
 
+TEST (AdmissionQueue, WhatRunsAtOnceIsCountedByWhatItIs)
+{
+    AdmissionQueue queue;
+    queue.setLimit (3);
+    EXPECT_EQ (queue.offer (at (0), request (1, 1, 400, 2000)), AdmissionDecision::run);
+    EXPECT_EQ (queue.offer (at (0), returning (2, -300, 400)), AdmissionDecision::run);
+    EXPECT_EQ (queue.offer (at (0), request (3, 1, -300, 2000)), AdmissionDecision::run);
+
+    for (const auto count : queue.begun())
+        EXPECT_EQ (count, 1U);
+}
+
 TEST (AdmissionQueue, TheSpreadOfRunTimesDecidesWhatIsInTime)
 {
     const auto lateAfterRuns = [] (double first, double second)
