--- a/src/mesh/admission_queue.cc
+++ b/src/mesh/admission_queue.cc
@@ -21,10 +21,15 @@
 
 } // namespace
 
-double AdmissionQueue::shortRunMs (const AdmissionRequest& request) const
+double AdmissionQueue::usualRunOf (const AdmissionRequest& request) const
 {
     const auto known = runsByRoute.find (request.route);
-    return shortRunShare * (known == runsByRoute.end() ? request.usualRunMs : known->second.meanMs);
+    return known == runsByRoute.end() ? request.usualRunMs : known->second.meanMs;
+}
+
+double AdmissionQueue::shortRunMs (const AdmissionRequest& request) const
+{
+    return shortRunShare * usualRunOf (request);
 }
 
 double AdmissionQueue::longRunMs (const AdmissionRequest& request) const
@@ -101,9 +106,24 @@
     return end <= request.attemptTarget ? Timeliness::afterReturn : Timeliness::late;
 }
 
+AdmissionForecast AdmissionQueue::forecast (Timestamp now, const AdmissionRequest& request) const
+{
+    const auto run = usualRunOf (request);
+
+    if (hasFreeSlot())
+        return { AdmissionDecision::run, run };
+
+    Held held;
+
+    if (order.size() >= mostWaiting || ! place (now, request, held))
+        return { AdmissionDecision::refuse, 0 };
+
+    return { AdmissionDecision::wait, waitBehindMs (countBefore (held.rank)) + run };
+}
+
 AdmissionDecision AdmissionQueue::offer (Timestamp now, const AdmissionRequest& request)
 {
-    if (static_cast<int> (running()) < limit && order.empty())
+    if (hasFreeSlot())
     {
         runningById.emplace (request.id, request.route);
         ++begins[static_cast<std::size_t> (timelinessAt (now, request))];
--- a/src/mesh/admission_queue.h
+++ b/src/mesh/admission_queue.h
@@ -56,12 +56,22 @@
     refuse
 };
 
+/** What would become of a request that came now. */
+struct AdmissionForecast
+{
+    AdmissionDecision decision = AdmissionDecision::refuse;
+    double expectedMs = 0; /**< Until its end, its wait included. */
+};
+
 /** Not thread-safe. */
 class AdmissionQueue
 {
 public:
     void setLimit (int newLimit) { limit = newLimit; }
 
+    /** What offer() would decide, without taking the request. */
+    AdmissionForecast forecast (Timestamp now, const AdmissionRequest& request) const;
+
     AdmissionDecision offer (Timestamp now, const AdmissionRequest& request);
 
     /** Takes out the waiting requests that can no longer be expected to run in time for their
@@ -121,8 +131,10 @@
         double deviationMs = 0; /**< Mean absolute deviation. */
     };
 
+    bool hasFreeSlot() const { return static_cast<int> (running()) < limit && order.empty(); }
     double waitBehindMs (std::size_t before) const;
     std::size_t countBefore (const Rank& rank) const;
+    double usualRunOf (const AdmissionRequest& request) const;
     double shortRunMs (const AdmissionRequest& request) const;
     double longRunMs (const AdmissionRequest& request) const;
     Timeliness timelinessAt (Timestamp begin, const AdmissionRequest& request) const;
--- a/src/mesh/avoidance.h
+++ b/src/mesh/avoidance.h
@@ -19,6 +19,11 @@
 /** Chosen last after an answer that is far later than usual. */
 inline constexpr Milliseconds suspicionTime{ 1000 };
 
+/** Asked last after its node left a load query unanswered: a lost datagram costs it little traffic,
+    a node that is frozen or cut off is found out again each second by one query.
+*/
+inline constexpr Milliseconds silentAvoidance{ 1000 };
+
 /** @returns for how long its node's word is to be heeded; zero: it says nothing against it */
 Milliseconds avoidanceFor (HopCause cause);
 
--- a/src/mesh/instance_chooser.cc
+++ b/src/mesh/instance_chooser.cc
@@ -16,6 +16,8 @@
 constexpr double learningRate = 0.1;
 constexpr double slowestSpeed = 8, fastestSpeed = 0.25;
 constexpr double unheardRunShare = 0.3; // Of the target latency, before a route's first answer.
+constexpr std::size_t extraDraws =
+    5; // Of a sample, when some that were drawn are to be left alone.
 constexpr double lapsedPenaltyMs = 10'000, suspectedPenaltyMs = 5'000;
 
 } // namespace
@@ -65,16 +67,66 @@
     if (request.requestBytes >= largeBodyBytes)
         expected += view.report.bodyMs * fading (now, view);
 
-    if (instance.zone != settings.zone)
+    return expected + crossingMs (instance, request);
+}
+
+double InstanceChooser::crossingMs (const Instance& instance, const ChoiceRequest& request) const
+{
+    if (instance.zone == settings.zone)
+        return 0;
+
+    const auto history = routes.find (request.route->name);
+    const auto answer = history == routes.end() ? 1000.0 : history->second.answerBytes;
+    const auto kilobytes = (static_cast<double> (request.requestBytes) + answer) / 1000.0;
+    return static_cast<double> (request.route->targetLatency.count()) *
+           (settings.crossingShare + settings.crossingSharePerKilobyte * kilobytes);
+}
+
+bool InstanceChooser::mayPrefer (Timestamp now, const std::string& id) const
+{
+    const auto found = views.find (id);
+    return found == views.end() ||
+           (found->second.shunnedUntil <= now && found->second.suspectedUntil <= now);
+}
+
+std::vector<Instance> InstanceChooser::sample (Timestamp now, const DirectorySnapshot& directory,
+                                               const ChoiceRequest& request, std::size_t count,
+                                               bool elsewhere)
+{
+    std::vector<Instance> drawn;
+    const auto listed = directory.byService.find (request.service);
+
+    if (listed == directory.byService.end())
+        return drawn;
+
+    const auto& all = listed->second;
+    const auto own = zoneRangeOf (all, settings.zone);
+    const auto candidates = elsewhere ? all.size() - own.size() : own.size();
+    const auto most = std::min (candidates, count + extraDraws);
+    std::vector<std::size_t> tried;
+
+    while (drawn.size() < count && tried.size() < most)
     {
-        const auto history = routes.find (request.route->name);
-        const auto answer = history == routes.end() ? 1000.0 : history->second.answerBytes;
-        const auto kilobytes = (static_cast<double> (request.requestBytes) + answer) / 1000.0;
-        expected += static_cast<double> (request.route->targetLatency.count()) *
-                    (settings.crossingShare + settings.crossingSharePerKilobyte * kilobytes);
+        std::uniform_int_distribution<std::size_t> any (0, candidates - 1);
+        const auto place = any (random);
+
+        if (std::find (tried.begin(), tried.end(), place) != tried.end())
+            continue;
+
+        tried.push_back (place);
+        const auto index = ! elsewhere         ? own.begin + place
+                           : place < own.begin ? place
+                                               : place + own.size();
+        const auto& candidate = all[index];
+        const auto& id = candidate.instance.id;
+        const bool excluded = std::find (request.excluded.begin(), request.excluded.end(), id) !=
+                              request.excluded.end();
+
+        if (! excluded && candidate.state == InstanceState::ready && mayPrefer (now, id))
+            drawn.push_back (candidate.instance);
     }
 
-    return expected;
+    return drawn;
 }
 
 bool InstanceChooser::choose (Timestamp now, const DirectorySnapshot& directory,
--- a/src/mesh/instance_chooser.h
+++ b/src/mesh/instance_chooser.h
@@ -60,6 +60,19 @@
 public:
     InstanceChooser (ChooserSettings settingsToUse, std::uint64_t seed);
 
+    /** Draws instances at random that may get the request, for a poll. Those that are shunned,
+        suspected or lapsed aren't drawn.
+        @param elsewhere  of other zones instead of this node's
+    */
+    std::vector<Instance> sample (Timestamp now, const DirectorySnapshot& directory,
+                                  const ChoiceRequest& request, std::size_t count, bool elsewhere);
+
+    /** @returns true while the instance may be preferred: neither shunned nor suspected */
+    bool mayPrefer (Timestamp now, const std::string& id) const;
+
+    /** What it costs to reach the instance from this zone, as time. */
+    double crossingMs (const Instance& instance, const ChoiceRequest& request) const;
+
     /** @returns false when no instance may get the request now */
     bool choose (Timestamp now, const DirectorySnapshot& directory, const ChoiceRequest& request,
                  Choice& choice);
--- a/src/mesh/instance_directory.cc
+++ b/src/mesh/instance_directory.cc
@@ -88,6 +88,18 @@
     return ! whole;
 }
 
+ZoneRange zoneRangeOf (const std::vector<ListedInstance>& instances, const std::string& zone)
+{
+    const auto before = [] (const ListedInstance& listed, const std::string& name)
+    { return listed.instance.zone < name; };
+    const auto after = [] (const std::string& name, const ListedInstance& listed)
+    { return name < listed.instance.zone; };
+    const auto first = std::lower_bound (instances.begin(), instances.end(), zone, before);
+    const auto last = std::upper_bound (first, instances.end(), zone, after);
+    return { static_cast<std::size_t> (first - instances.begin()),
+             static_cast<std::size_t> (last - instances.begin()) };
+}
+
 DirectoryPointer InstanceDirectory::snapshot()
 {
     if (current != nullptr)
@@ -110,6 +122,11 @@
             newest = entry;
     }
 
+    for (auto& [service, listed] : made->byService)
+        std::stable_sort (listed.begin(), listed.end(),
+                          [] (const auto& a, const auto& b)
+                          { return a.instance.zone < b.instance.zone; });
+
     made->nodes = used.size();
     current = std::move (made);
     return current;
--- a/src/mesh/instance_directory.h
+++ b/src/mesh/instance_directory.h
@@ -50,11 +50,22 @@
 /** Everything known at one moment; immutable. */
 struct DirectorySnapshot
 {
-    std::map<std::string, std::vector<ListedInstance>> byService; /**< Ready and lapsed ones. */
+    /** Ready and lapsed ones, those of a zone side by side. */
+    std::map<std::string, std::vector<ListedInstance>> byService;
     std::map<std::string, ListedInstance> byAddress; /**< The newest at each address, any state. */
     std::size_t nodes = 0;                           /**< Distinct addresses in use. */
 };
 
+/** Where the instances of a zone stand in a list of DirectorySnapshot::byService. */
+struct ZoneRange
+{
+    std::size_t begin = 0, end = 0;
+
+    std::size_t size() const { return end - begin; }
+};
+
+ZoneRange zoneRangeOf (const std::vector<ListedInstance>& instances, const std::string& zone);
+
 using DirectoryPointer = std::shared_ptr<const DirectorySnapshot>;
 
 /** Not thread-safe. */
--- /dev/null
+++ b/src/mesh/instance_poll.cc
@@ -0,0 +1,113 @@
+#include "mesh/instance_poll.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace copperlead::mesh
+{
+namespace
+{
+
+constexpr double waitDoubtShare = 0.5;   // Of the usual run: a wait may be longer than forecast.
+constexpr double goodEnoughShare = 1.25; // Of the usual run: instances differ more than that.
+
+bool isAboutLoad (HopCause cause)
+{
+    return cause == HopCause::queueFull || cause == HopCause::linkFull;
+}
+
+} // namespace
+
+InstancePoll::InstancePoll (double usualRunMs, bool largeBodyToSend)
+    : usualRun (usualRunMs)
+    , largeBody (largeBodyToSend)
+{
+}
+
+void InstancePoll::ask (Instance instance, double crossingMs)
+{
+    asked.push_back ({ std::move (instance), crossingMs, false, {} });
+}
+
+PollStep InstancePoll::replied (const LoadReply& reply)
+{
+    const auto found = std::find_if (asked.begin(), asked.end(),
+                                     [&] (const auto& candidate)
+                                     { return candidate.instance.id == reply.instanceId; });
+
+    if (found != asked.end() && ! found->answered)
+    {
+        found->answered = true;
+        found->reply = reply;
+
+        if (reply.decision == AdmissionDecision::refuse && ! isAboutLoad (refusalCause))
+            refusalCause = reply.cause;
+    }
+
+    if (findBest() && isGoodEnough (best()))
+        return PollStep::take;
+
+    return pending() > 0 ? PollStep::wait : decide();
+}
+
+PollStep InstancePoll::timeUp()
+{
+    findBest();
+    return decide();
+}
+
+std::size_t InstancePoll::pending() const
+{
+    return static_cast<std::size_t> (std::count_if (
+        asked.begin(), asked.end(), [] (const auto& candidate) { return ! candidate.answered; }));
+}
+
+double InstancePoll::costOf (const PolledInstance& candidate) const
+{
+    const auto link = largeBody ? candidate.reply.bodyMs : 0;
+    const auto doubt =
+        candidate.reply.decision == AdmissionDecision::wait ? waitDoubtShare * usualRun : 0;
+    return candidate.reply.expectedMs + doubt + link + candidate.crossingMs;
+}
+
+bool InstancePoll::findBest()
+{
+    const auto usable = [] (const PolledInstance& candidate)
+    { return candidate.answered && candidate.reply.decision != AdmissionDecision::refuse; };
+    bool found = false;
+
+    for (std::size_t i = 0; i < asked.size(); ++i)
+    {
+        if (! usable (asked[i]) || (found && costOf (asked[i]) >= costOf (best())))
+            continue;
+
+        bestIndex = i;
+        found = true;
+    }
+
+    return found;
+}
+
+bool InstancePoll::isGoodEnough (const PolledInstance& candidate) const
+{
+    return candidate.reply.decision == AdmissionDecision::run &&
+           costOf (candidate) <= goodEnoughShare * usualRun + candidate.crossingMs;
+}
+
+PollStep InstancePoll::decide()
+{
+    const bool found = findBest();
+
+    if (found && best().reply.decision == AdmissionDecision::run)
+        return PollStep::take;
+
+    if (std::exchange (mayWiden, false))
+        return PollStep::widen;
+
+    if (found)
+        return PollStep::take;
+
+    return isAboutLoad (refusalCause) ? PollStep::refuse : PollStep::unheard;
+}
+
+} // namespace copperlead::mesh
--- a/src/mesh/mesh_state.cc
+++ b/src/mesh/mesh_state.cc
@@ -9,6 +9,11 @@
 {
     UpdateOutcome outcome;
     std::vector<std::string> listed;
+
+    // An old listing lacks what came after it.
+    if (update.complete && update.at < at)
+        return outcome;
+
     outcome.instancesChanged = update.complete || ! update.instances.empty();
 
     for (auto& change : update.instances)
--- a/src/mesh/reader_beat_codec.cc
+++ b/src/mesh/reader_beat_codec.cc
@@ -1,8 +1,6 @@
 #include "mesh/reader_beat_codec.h"
 
-#include <cereal/archives/portable_binary.hpp>
-#include <cereal/types/string.hpp>
-#include <sstream>
+#include "mesh/datagram_archive.h"
 
 namespace copperlead::mesh
 {
@@ -20,36 +18,11 @@
              beat.sound);
 }
 
-std::string encode (const ReaderBeat& beat)
-{
-    std::ostringstream stream;
-    cereal::PortableBinaryOutputArchive archive (stream);
-    archive (beatMark, beat);
-    return std::move (stream).str();
-}
+std::string encode (const ReaderBeat& beat) { return encodeDatagram (beatMark, beat); }
 
 std::optional<ReaderBeat> decodeReaderBeat (std::string_view bytes)
 {
-    std::uint32_t mark = 0;
-    ReaderBeat beat;
-
-    try
-    {
-        std::istringstream stream{ std::string (bytes) };
-        cereal::PortableBinaryInputArchive archive (stream);
-        archive (mark);
-
-        if (mark != beatMark)
-            return std::nullopt;
-
-        archive (beat);
-    }
-    catch (const std::exception&)
-    {
-        return std::nullopt;
-    }
-
-    return beat;
+    return decodeDatagram<ReaderBeat> (beatMark, bytes);
 }
 
 } // namespace copperlead::mesh
--- a/src/mesh/reader_role.cc
+++ b/src/mesh/reader_role.cc
@@ -1,6 +1,7 @@
 #include "mesh/reader_role.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace copperlead::mesh
 {
@@ -12,13 +13,42 @@
     , settings (settingsToUse)
     , random (static_cast<std::minstd_rand::result_type> (seed % std::minstd_rand::modulus))
 {
-    drawPatience();
+    drawPatience (settings.unlistedPatience + weaknessPatience(), settings.unlistedSpread);
 }
 
-void ReaderRole::drawPatience()
+void ReaderRole::drawPatience (Milliseconds least, Milliseconds spread)
 {
-    std::uniform_int_distribution<std::int64_t> spread (0, settings.patienceSpread.count());
-    currentPatience = settings.patience + Milliseconds (spread (random));
+    std::uniform_int_distribution<std::int64_t> any (0, spread.count());
+    currentPatience = least + Milliseconds (any (random));
+}
+
+Milliseconds ReaderRole::takeOverSpread() const
+{
+    return std::max (settings.patienceSpread,
+                     settings.zoneTryInterval * static_cast<std::int64_t> (zonePeers));
+}
+
+Milliseconds ReaderRole::weaknessPatience() const
+{
+    return settings.weakerPatience * std::max (0, topStrength - rank.strength);
+}
+
+void ReaderRole::listed (Timestamp now)
+{
+    if (lastSatisfied != Timestamp{} || isReading || hasBeenListed)
+        return;
+
+    hasBeenListed = true;
+    patientSince = now;
+    drawPatience (settings.listedPatience + weaknessPatience(), settings.listedSpread);
+}
+
+Milliseconds ReaderRole::tryInterval (Timestamp now) const
+{
+    const auto failing = std::count_if (failingReaders.begin(), failingReaders.end(),
+                                        [&] (const auto& item)
+                                        { return now - item.second <= settings.unsoundMemory; });
+    return std::min (settings.zoneTryInterval * failing, settings.longestTryInterval);
 }
 
 void ReaderRole::heard (Timestamp now, const ReaderBeat& beat)
@@ -28,13 +58,16 @@
 
     if (! beat.sound)
     {
+        failingReaders[beat.node] = now;
+
         // It says that it can't read on: no need to wait until it falls silent.
         if (readers.erase (beat.node) > 0 && readers.empty() && ! isReading)
-            lastSatisfied = std::min (lastSatisfied, now - settings.patience);
+            patientSince = std::min (patientSince, now - settings.patience);
 
         return;
     }
 
+    failingReaders.erase (beat.node);
     readers[beat.node] = { beat, now };
     heardAt = std::max (heardAt, beat.at);
     heardVersion = std::max (heardVersion, beat.version);
@@ -70,23 +103,35 @@
                                                beat.at <= ownAt && beat.version <= ownVersion;
                                     });
 
-    if (fresh)
-        lastSatisfied = now;
+    if (! fresh)
+        return;
+
+    // The patience of the start ends with the first word of a reader.
+    if (lastSatisfied == Timestamp{} && ! isReading)
+        drawPatience (settings.patience, takeOverSpread());
+
+    lastSatisfied = patientSince = now;
 }
 
-bool ReaderRole::relieved (Timestamp now) const
+bool ReaderRole::relieved (Timestamp now, bool ownSound) const
 {
     return std::any_of (readers.begin(), readers.end(),
                         [&] (const auto& item)
                         {
                             const auto& [beat, when] = item.second;
-                            return now - when <= settings.patience && beat.rank.betterThan (rank) &&
+                            return now - when <= settings.patience &&
+                                   (! ownSound || beat.rank.betterThan (rank)) &&
                                    beat.at <= ownAt && beat.version <= ownVersion;
                         });
 }
 
-bool ReaderRole::decide (Timestamp now)
+bool ReaderRole::decide (Timestamp now, bool ownSound)
 {
+    if (! std::exchange (begun, true))
+        patientSince = std::max (patientSince, now);
+
+    std::erase_if (failingReaders,
+                   [&] (const auto& item) { return now - item.second > settings.unsoundMemory; });
     std::erase_if (readers,
                    [&] (const auto& item) { return now - item.second.when > settings.patience; });
 
@@ -95,12 +140,12 @@
 
     if (isReading)
     {
-        isReading = seenLater || ! relieved (now);
+        isReading = seenLater || ! relieved (now, ownSound);
 
         if (! isReading)
         {
-            drawPatience();
-            lastSatisfied = now;
+            drawPatience (settings.patience, takeOverSpread());
+            lastSatisfied = patientSince = now;
             weakerSince = Timestamp::max();
         }
 
@@ -118,7 +163,7 @@
 
     const bool takeOver =
         weakerSince != Timestamp::max() && now - weakerSince > settings.takeOverTime;
-    isReading = seenLater || takeOver || now - lastSatisfied > currentPatience;
+    isReading = seenLater || takeOver || now - patientSince > currentPatience;
     return isReading;
 }
 
--- a/src/mesh/reader_role.h
+++ b/src/mesh/reader_role.h
@@ -6,7 +6,11 @@
    itself as soon as it hasn't been up to date with a sound reader for a while: because it hears
    none, the readers are unsound, it can't get from them what they have, or another node's answers
    show a later configuration. Two readers at once cost calls; none at all lasts no longer than
-   `patience`.
+   `patience`, since of a large zone somebody's is always short.
+
+   At its start a node waits for a beat before it reads: shortly if it is listed, so that a reader
+   can know it, longer if it isn't. While the source fails, the nodes of a zone share the calls that
+   find out when it is back: the more of them try, the rarer each does.
 */
 #pragma once
 
@@ -32,6 +36,9 @@
     }
 };
 
+/** The rank's strength of a machine that lacks nothing. */
+inline constexpr int topStrength = 2;
+
 /** What a reader tells its zone, some times a second and at each change; and each time one node
     elsewhere, for a zone whose own readers don't reach the source.
 */
@@ -50,6 +57,18 @@
     Milliseconds beatInterval{ 250 };
     Milliseconds patience{ 700 };       /**< Without being up to date with a sound reader. */
     Milliseconds patienceSpread{ 300 }; /**< So that not all begin to read at once. */
+
+    /** Of a node that has just started: a beat comes within 250 ms if a reader knows it; entries
+        of a fleet that starts together appear within about 2 s.
+    */
+    Milliseconds listedPatience{ 300 }, unlistedPatience{ 1500 };
+    Milliseconds listedSpread{ 300 }, unlistedSpread{ 1000 };
+    Milliseconds weakerPatience{ 300 }; /**< More at the start for each step under the strongest. */
+
+    /** The nodes of a zone together try a failing source about that often. */
+    Milliseconds zoneTryInterval{ 100 };
+    Milliseconds longestTryInterval{ 4000 };
+    Milliseconds unsoundMemory{ 6000 }; /**< For which a beat of a failing reader counts. */
     Milliseconds behindTime{ 400 };     /**< For which another node may show a later version. */
     Milliseconds takeOverTime{ 2000 }; /**< After which a stronger node relieves a weaker reader. */
 };
@@ -69,8 +88,21 @@
     /** Another node's answer showed the version that it runs. */
     void sawVersion (Timestamp now, std::uint64_t version);
 
-    /** Looks at what has been heard. @returns whether to read the source itself */
-    bool decide (Timestamp now);
+    /** The other nodes of this zone that are known. */
+    void setZonePeers (std::size_t count) { zonePeers = count; }
+
+    /** This node is listed, so that readers know it: at its start it needs less patience. */
+    void listed (Timestamp now);
+
+    /** Looks at what has been heard.
+        @param ownSound  this node reaches the source itself
+        @returns whether to read the source itself
+    */
+    bool decide (Timestamp now, bool ownSound = true);
+
+    /** How far apart this node's calls to a failing source, and its beats about it, are at least.
+     */
+    Milliseconds tryInterval (Timestamp now) const;
 
     bool reading() const { return isReading; }
 
@@ -87,21 +119,28 @@
         Timestamp when;
     };
 
-    void drawPatience();
+    void drawPatience (Milliseconds least, Milliseconds spread);
+    Milliseconds takeOverSpread() const;
+    Milliseconds weaknessPatience() const;
     void updateSatisfied (Timestamp now);
-    bool relieved (Timestamp now) const;
+    bool relieved (Timestamp now, bool ownSound) const;
 
     std::string name;
     ReaderRank rank;
     ReaderRoleSettings settings;
     std::minstd_rand random;
     std::map<std::string, Heard> readers;
+    std::map<std::string, Timestamp> failingReaders; /**< When each last said so. */
+    std::size_t zonePeers = 0;
     std::uint64_t ownAt = 0, ownVersion = 0, heardAt = 0, heardVersion = 0;
     std::uint64_t seenVersion = 0;
     Timestamp seenLaterSince = Timestamp::max();
     Timestamp lastSatisfied{}, weakerSince = Timestamp::max();
+    Timestamp patientSince{}; /**< When the patience began that now runs. */
     Milliseconds currentPatience{};
-    bool isReading = true; /**< At first everybody reads: nobody else is known. */
+    bool begun = false; /**< decide() was called. */
+    bool hasBeenListed = false;
+    bool isReading = false;
 };
 
 } // namespace copperlead::mesh
--- a/src/mesh/source_follower.cc
+++ b/src/mesh/source_follower.cc
@@ -9,42 +9,81 @@
 SourceFollower::SourceFollower (const FollowerSettings& settingsToUse, std::uint64_t seed)
     : settings (settingsToUse)
     , random (static_cast<std::minstd_rand::result_type> (seed % std::minstd_rand::modulus))
+    , stale (settingsToUse.firstListMayBeStale)
 {
 }
 
 std::optional<SourceRequest> SourceFollower::poll (Timestamp now)
 {
-    if (out || paused || now < due)
+    if (out || (paused && listed) || now < due)
         return std::nullopt;
 
     out = true;
     sentAt = now;
     current = listed ? SourceCall::watch : SourceCall::list;
 
+    const auto cause = causeOf (current);
+
     if (current == SourceCall::watch)
     {
-        const auto wait = std::exchange (firstWatch, false) ? Milliseconds (0) : settings.watchWait;
-        return SourceRequest{ current, {}, at, wait, wait + settings.answerTime };
+        // After a failure, too, an answer at once tells soonest that the source is back.
+        takingOver = std::exchange (firstWatch, false) || failures > 0;
+        const auto wait = takingOver ? Milliseconds (0) : settings.watchWait;
+        return SourceRequest{ current, {}, at, wait, wait + settings.answerTime, false, cause };
     }
 
     const auto after = pages.empty() ? std::string() : pages.back().key;
-    return SourceRequest{ current, after, 0, Milliseconds (0), settings.listTime };
+    return SourceRequest{ current, after, 0, Milliseconds (0), settings.listTime, stale, cause };
+}
+
+SourceCallCause SourceFollower::causeOf (SourceCall call) const
+{
+    if (failures > 0)
+        return SourceCallCause::retry;
+
+    if (call == SourceCall::watch)
+        return firstWatch ? SourceCallCause::takeOver : SourceCallCause::watch;
+
+    if (! pages.empty())
+        return SourceCallCause::page;
+
+    return historyLost ? SourceCallCause::historyLost : SourceCallCause::start;
+}
+
+bool SourceFollower::skipListing (std::uint64_t revision)
+{
+    if (listed || revision == 0)
+        return false;
+
+    listed = true;
+    pages.clear();
+    return true;
 }
 
-void SourceFollower::pause()
+bool SourceFollower::pause (std::uint64_t revision)
 {
+    const bool dropped = skipListing (revision) || listed;
     paused = true;
-    out = false;
+    at = std::max (at, revision);
+    out = out && ! dropped;
+    return dropped;
 }
 
-void SourceFollower::resume (Timestamp now, std::uint64_t revision)
+bool SourceFollower::resume (Timestamp now, std::uint64_t revision)
 {
+    const bool dropped = skipListing (revision);
     paused = false;
     firstWatch = true;
-    due = now;
     at = std::max (at, revision);
-    listed = listed || revision > 0;
-    pages.clear();
+    out = out && ! dropped;
+
+    if (! out)
+    {
+        due = now;
+        stale = stale && ! pages.empty();
+    }
+
+    return dropped;
 }
 
 bool SourceFollower::hurry (Timestamp now)
@@ -59,7 +98,10 @@
     return true;
 }
 
-Timestamp SourceFollower::nextDue() const { return out || paused ? Timestamp::max() : due; }
+Timestamp SourceFollower::nextDue() const
+{
+    return out || (paused && listed) ? Timestamp::max() : due;
+}
 
 bool SourceFollower::reached (Timestamp now) const
 {
@@ -74,7 +116,7 @@
     ++failures;
     unsoundUntil = now + settings.unsoundTime;
     const auto doubled = settings.firstBackoff * (1 << std::min (failures - 1, 4));
-    const auto longest = std::min (doubled, settings.longestBackoff);
+    const auto longest = std::max (std::min (doubled, settings.longestBackoff), tryInterval);
     std::uniform_int_distribution<std::int64_t> spread (longest.count() / 2, longest.count());
     due = now + Milliseconds (spread (random));
 }
@@ -86,6 +128,8 @@
     if (answer.reply == SourceReply::historyLost)
     {
         listed = false;
+        historyLost = true;
+        stale = false; // An old answer could name a revision whose history is gone, too.
         pages.clear();
         due = now;
         return std::nullopt;
@@ -98,25 +142,51 @@
     }
 
     failures = 0;
-    successAt = now;
     due = now;
 
+    if (current == SourceCall::list && stale)
+        return takePage (std::move (answer));
+
+    successAt = now;
+
     if (current == SourceCall::list)
         return takePage (std::move (answer));
 
     at = std::max (at, answer.at);
     due = std::max<Timestamp> (now, sentAt + settings.watchInterval);
 
-    if (answer.entries.empty())
+    // That the source is reached again is news to the zone, whatever it tells.
+    if (answer.entries.empty() && ! std::exchange (takingOver, false))
         return std::nullopt;
 
     return SourceUpdate{ false, std::move (answer.entries), at };
 }
 
+namespace
+{
+
+/** Up to which a page lacks nothing. What a stale answer says of the source's revision isn't
+    believed, only that it is no older than the latest of its entries.
+*/
+std::uint64_t completeUpTo (const SourceAnswer& answer, bool stale)
+{
+    if (! stale)
+        return answer.at;
+
+    std::uint64_t latest = 0;
+
+    for (const auto& entry : answer.entries)
+        latest = std::max (latest, entry.revision);
+
+    return std::min (latest, answer.at);
+}
+
+} // namespace
+
 std::optional<SourceUpdate> SourceFollower::takePage (SourceAnswer answer)
 {
-    if (pages.empty())
-        listingAt = answer.at;
+    const auto pageAt = completeUpTo (answer, stale);
+    listingAt = pages.empty() ? pageAt : std::min (listingAt, pageAt);
 
     const bool last = ! answer.hasMore || answer.entries.empty();
     pages.insert (pages.end(), std::make_move_iterator (answer.entries.begin()),
@@ -126,7 +196,14 @@
         return std::nullopt;
 
     at = std::max (at, listingAt);
-    listed = true;
+    listed = ! stale || listingAt > 0;
+    stale = ! listed && paused;
+    historyLost = false;
+
+    // An old answer that holds nothing says nothing.
+    if (stale)
+        due = sentAt + settings.emptyListInterval;
+
     return SourceUpdate{ true, std::exchange (pages, {}), listingAt };
 }
 
--- a/src/mesh/source_follower.h
+++ b/src/mesh/source_follower.h
@@ -2,12 +2,18 @@
     listing named. A state machine without I/O: the shell sends what poll() asks for and hands back
     what came of it.
 
+    Calls are priced. A node that isn't to read the source lists it once at its start, by an answer
+    that may be some seconds old and costs less, so that it can serve; what the listing lacks comes
+    from the zone's reader, or from this node's own watch if it has to read after all. Of such a
+    listing no revision is believed but those of the entries themselves.
+
     A watch that hears nothing says nothing: each one is short, and one that isn't answered in its
     time is asked again over a new connection. Failures back off, but never so far that a node which
     can reach the source again goes on with an old word.
 */
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <random>
@@ -38,6 +44,23 @@
 
 inline constexpr std::string_view sourceCallNames[] = { "list", "watch" };
 
+/** Why the source is called; for the count of calls. */
+enum class SourceCallCause : std::uint8_t
+{
+    start,       /**< The first page of the first listing. */
+    page,        /**< A further page of any listing. */
+    historyLost, /**< The first page of a listing after the source forgot its history. */
+    takeOver,    /**< The first watch of a node that begins to read. */
+    watch,       /**< A further watch. */
+    retry        /**< After a call that failed or was refused. */
+};
+
+inline constexpr std::string_view sourceCallCauseNames[] = { "start",     "page",  "history_lost",
+                                                             "take_over", "watch", "retry" };
+
+/** Calls, by cause. */
+using SourceCallCounts = std::array<std::uint64_t, std::size (sourceCallCauseNames)>;
+
 struct SourceRequest
 {
     SourceCall call = SourceCall::list;
@@ -45,6 +68,8 @@
     std::uint64_t afterRevision = 0; /**< Of a watch. */
     Milliseconds wait{};             /**< For which the source may hold a watch. */
     Milliseconds timeout{};          /**< After which the answer is taken for lost. */
+    bool mayBeStale = false;         /**< Of a listing: an answer some seconds old will do. */
+    SourceCallCause cause = SourceCallCause::start;
 };
 
 enum class SourceReply : std::uint8_t
@@ -88,6 +113,10 @@
     Milliseconds longestBackoff{ 400 };
     Milliseconds hurryAfter{ 200 };   /**< A watch younger than this may just be on its way. */
     Milliseconds unsoundTime{ 2500 }; /**< After a failure, absence isn't trusted for so long. */
+    Milliseconds emptyListInterval{
+        500
+    };                                /**< Until an old listing that held nothing is repeated. */
+    bool firstListMayBeStale = false; /**< Set where a reader of the zone tells what it lacks. */
 };
 
 /** Not thread-safe. */
@@ -111,13 +140,20 @@
     */
     bool hurry (Timestamp now);
 
-    /** Drops the request that is out; poll() gives nothing until resume(). */
-    void pause();
+    /** Watches no more until resume(). The first listing goes on, unless `revision` (0: none) was
+        reached by other means.
+        @returns true if the request that is out, if any, is to be dropped
+    */
+    bool pause (std::uint64_t revision = 0);
 
     /** Goes on from a revision that was reached by other means, 0 if none was. The first watch is
         answered at once, so that the source is known to be reached.
+        @returns true if the request that is out, if any, is to be dropped
     */
-    void resume (Timestamp now, std::uint64_t revision);
+    bool resume (Timestamp now, std::uint64_t revision);
+
+    /** How far apart calls to a failing source are at least, since other nodes try it too. */
+    void setTryInterval (Milliseconds interval) { tryInterval = interval; }
 
     /** True while nothing has failed lately, so that an entry's absence can be trusted. */
     bool sound (Timestamp now) const;
@@ -134,6 +170,8 @@
 
 private:
     void failed (Timestamp now);
+    bool skipListing (std::uint64_t revision);
+    SourceCallCause causeOf (SourceCall call) const;
     std::optional<SourceUpdate> takePage (SourceAnswer answer);
 
     FollowerSettings settings;
@@ -141,11 +179,15 @@
     bool out = false;
     bool paused = false;
     bool firstWatch = false; /**< Since the resumption. */
+    bool takingOver = false; /**< The watch that is out is the first since the resumption. */
     bool listed = false;
     SourceCall current = SourceCall::list;
     Timestamp due{}, sentAt{};
     std::uint64_t at = 0;
-    std::uint64_t listingAt = 0; /**< Of the first page: pages are no snapshot. */
+    std::uint64_t listingAt = 0; /**< Up to which the pages lack nothing: they are no snapshot. */
+    bool stale = false;          /**< Of the listing under way. */
+    bool historyLost = false;
+    Milliseconds tryInterval{};
     std::vector<SourceEntry> pages;
     int failures = 0;
     Timestamp successAt{};
--- a/src/sidecar/active_request.cc
+++ b/src/sidecar/active_request.cc
@@ -84,28 +84,83 @@
     hop->reactor->RunAt (deadline + deadlineGrace,
                          [self = shared_from_this()] { self->onDeadline(); });
 
-    if (! startAttempt())
-        refuse (HopCause::none);
+    startAttempt();
 }
 
-bool ActiveRequest::startAttempt()
+mesh::ChoiceRequest ActiveRequest::choiceRequest() const
 {
-    if (exchange->clientLeft())
-    {
-        onClientLeft();
-        return true;
-    }
-
     mesh::ChoiceRequest wanted{ &route, service, exchange->body.size(), {} };
 
     for (const auto& attempt : attempts)
         wanted.excluded.push_back (attempt.choice.instance.id);
 
+    return wanted;
+}
+
+Milliseconds ActiveRequest::targetLeft() const
+{
+    return std::chrono::floor<Milliseconds> (exchange->arrivedAt + route.targetLatency - age -
+                                             now());
+}
+
+mesh::LoadQuery ActiveRequest::loadQuery() const
+{
+    mesh::LoadQuery query;
+    query.service = service;
+    query.route = route.name;
+    query.priority = route.priority;
+    query.timeLeft = std::chrono::floor<Milliseconds> (deadline - now());
+    query.targetLeft = targetLeft();
+    query.attemptTargetLeft = query.targetLeft + age;
+    query.usualRunMs = hop->chooser.usualRunMs (route);
+    return query;
+}
+
+void ActiveRequest::startAttempt()
+{
+    if (exchange->clientLeft())
+        return onClientLeft();
+
+    search = std::make_shared<InstanceSearch> (hop->searchContext, hop->directory, choiceRequest(),
+                                               loadQuery());
+    const auto begun = search; // Its callback, which lets it go, may come at once.
+    begun->begin (
+        [weak = weak_from_this()] (const Found& found)
+        {
+            if (const auto self = weak.lock())
+                self->onFound (found);
+        });
+}
+
+void ActiveRequest::onFound (const Found& found)
+{
+    search.reset();
+
+    if (done)
+        return;
+
+    if (found.step == mesh::PollStep::take)
+        return launch (found.choice);
+
+    logSearch (found);
     mesh::Choice choice;
 
-    if (! hop->chooser.choose (now(), *hop->directory, wanted, choice))
-        return false;
+    // Without any answer what was known before has to do.
+    if (found.step == mesh::PollStep::unheard &&
+        hop->chooser.choose (now(), *hop->directory, choiceRequest(), choice))
+        return launch (choice);
+
+    if (activeCount() > 0)
+        return;
+
+    if (found.step == mesh::PollStep::refuse)
+        lastAnswer.report.cause = found.cause;
+
+    finish (withoutRetry (facts(), lastOutcome), lastAnswer);
+}
 
+void ActiveRequest::launch (const mesh::Choice& choice)
+{
     const auto index = attempts.size();
     auto& attempt = attempts.emplace_back();
     attempt.choice = choice;
@@ -116,8 +171,6 @@
 
     if (! done)
         armSlowCheck (index);
-
-    return true;
 }
 
 HopCall ActiveRequest::makeCall (const mesh::Choice& choice) const
@@ -130,8 +183,7 @@
     told.instanceId = choice.instance.id;
     told.route = route.name;
     told.timeLeft = std::chrono::floor<Milliseconds> (deadline - now());
-    told.targetLeft =
-        std::chrono::floor<Milliseconds> (exchange->arrivedAt + route.targetLatency - age - now());
+    told.targetLeft = targetLeft();
     told.attemptTargetLeft = told.targetLeft + age;
     told.priority = route.priority;
     told.mayRepeat = route.mayRepeat();
@@ -271,33 +323,33 @@
         return passOn (answer);
 
     // Another attempt may still bring the answer.
-    if (activeCount() > 0)
+    if (activeCount() > 0 || search != nullptr)
         return;
 
-    if (step == NextStep::tryAgain && startAttempt())
-        return;
+    const bool again =
+        step == NextStep::tryAgain ||
+        (step == NextStep::spendRetry && hop->budgetOf (service).take (now(), hop->nodes()));
 
-    if (step == NextStep::spendRetry && hop->budgetOf (service).take (now(), hop->nodes()))
-    {
-        ++hop->counts.retries;
+    if (! again)
+        return finish (step == NextStep::spendRetry ? withoutRetry (facts(), outcome) : step,
+                       answer);
 
-        if (startAttempt())
-            return;
-    }
-
-    const auto last = step == NextStep::tryAgain || step == NextStep::spendRetry
-                          ? withoutRetry (facts(), outcome)
-                          : step;
-    const auto cause = nameOf (answer.report.cause, mesh::hopCauseNames);
+    hop->counts.retries += step == NextStep::spendRetry ? 1 : 0;
+    lastOutcome = outcome;
+    lastAnswer = answer;
+    startAttempt();
+}
 
-    switch (last)
+void ActiveRequest::finish (NextStep step, const HopAnswer& answer)
+{
+    switch (step)
     {
     case NextStep::passOn:
         return passOn (answer);
     case NextStep::timeOut:
         return end (504, "deadline");
     case NextStep::giveUp:
-        return end (502, cause);
+        return end (502, nameOf (answer.report.cause, mesh::hopCauseNames));
     default:
         return refuse (answer.report.cause);
     }
@@ -330,7 +382,7 @@
 
 void ActiveRequest::hedge()
 {
-    if (hedged || ! mesh::mayHedge (facts(), activeCount()))
+    if (hedged || search != nullptr || ! mesh::mayHedge (facts(), activeCount()))
         return;
 
     if (! hop->budgetOf (service).take (now(), hop->nodes()))
@@ -343,6 +395,8 @@
 
 void ActiveRequest::cancelAttempts()
 {
+    search.reset();
+
     for (auto& attempt : attempts)
     {
         if (! attempt.active)
@@ -398,6 +452,7 @@
     // This lives until its deadline's timer; what it carried need not.
     std::string().swap (exchange->body);
     fields = {};
+    lastAnswer = {};
 }
 
 void ActiveRequest::end (int status, std::string_view cause)
--- a/src/sidecar/active_request.h
+++ b/src/sidecar/active_request.h
@@ -37,13 +37,19 @@
         Timestamp startedAt{};
     };
 
-    bool startAttempt();
+    void startAttempt();
+    mesh::ChoiceRequest choiceRequest() const;
+    mesh::LoadQuery loadQuery() const;
+    void onFound (const Found& found);
+    void launch (const mesh::Choice& choice);
     HopCall makeCall (const mesh::Choice& choice) const;
     void send (std::size_t index, HopCall call);
     void onDelivery (std::size_t index, HopDelivery delivery, const HopAnswer& answer);
     void onAnswer (std::size_t index, const HopAnswer& answer);
     mesh::AttemptOutcome learn (std::size_t index, const HopAnswer& answer);
     void follow (mesh::NextStep step, mesh::AttemptOutcome outcome, const HopAnswer& answer);
+    void finish (mesh::NextStep step, const HopAnswer& answer);
+    Milliseconds targetLeft() const;
     mesh::RetryFacts facts() const;
     void avoid (const Attempt& attempt, const HopAnswer& answer);
     void armSlowCheck (std::size_t index);
@@ -59,6 +65,7 @@
     void refuse (mesh::HopCause cause);
     void logEnd (EventKind kind, int status, std::string_view cause,
                  std::optional<Milliseconds> retryAfter = std::nullopt);
+    void logSearch (const Found& found);
     void logAttempt (const Attempt& attempt, const HopAnswer& answer, mesh::AttemptOutcome outcome,
                      mesh::NextStep step);
 
@@ -72,6 +79,11 @@
     Timestamp clientLeaves{}; /**< When its client waits no longer. */
     Milliseconds age{};       /**< That earlier attempts of its client took. */
     std::vector<Attempt> attempts;
+    std::shared_ptr<InstanceSearch> search; /**< For the next attempt's instance; null: none. */
+
+    /** How the last attempt ended, for the case that no further instance is found. */
+    mesh::AttemptOutcome lastOutcome = mesh::AttemptOutcome::notOffered;
+    HopAnswer lastAnswer;
     int arrivals = 0, notOffered = 0;
     bool mayHaveRun = false, hedged = false, done = false;
 };
--- a/src/sidecar/active_request_log.cc
+++ b/src/sidecar/active_request_log.cc
@@ -42,6 +42,20 @@
     hop->log->write (at, kind, known);
 }
 
+void ActiveRequest::logSearch (const Found& found)
+{
+    hop->log->write (now(), EventKind::searchFailed,
+                     { { "request", requestId },
+                       { "service", service },
+                       { "outcome", nameOf (found.step, mesh::pollStepNames) },
+                       { "cause", nameOf (found.cause, mesh::hopCauseNames) },
+                       { "asked", static_cast<std::int64_t> (found.asked) },
+                       { "replies", static_cast<std::int64_t> (found.replies) },
+                       { "widened", found.widened ? "yes" : "no" },
+                       { "took_ms", found.tookMs },
+                       { "attempts", static_cast<std::int64_t> (attempts.size()) } });
+}
+
 void ActiveRequest::logAttempt (const Attempt& attempt, const HopAnswer& answer,
                                 mesh::AttemptOutcome outcome, mesh::NextStep step)
 {
--- a/src/sidecar/decision_log.cc
+++ b/src/sidecar/decision_log.cc
@@ -49,6 +49,8 @@
     { EventKind::requestUnrouted, "request_unrouted", 10,
       "request host target version status cause word_age_ms" },
     { EventKind::clientLeft, "client_left", 3, requestFields },
+    { EventKind::searchFailed, "search_failed", 20,
+      "request service outcome cause asked replies widened took_ms attempts" },
     { EventKind::attemptEnded, "attempt_ended", 30,
       "request instance hop outcome cause next load report_age_ms expected_ms took_ms version" },
     { EventKind::admissionRefused, "admission_refused", 20,
--- a/src/sidecar/decision_log.h
+++ b/src/sidecar/decision_log.h
@@ -41,6 +41,7 @@
     requestFailed,
     requestUnrouted,
     clientLeft,
+    searchFailed,
     attemptEnded,
     admissionRefused,
     bodyRefused,
--- a/src/sidecar/first_hop.cc
+++ b/src/sidecar/first_hop.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "mesh/avoidance.h"
 #include "sidecar/active_request.h"
 #include "sidecar/messages.h"
 
@@ -31,6 +32,43 @@
 {
 }
 
+Result<Done> FirstHop::start()
+{
+    searchContext = { reactor, lastHop, nullptr, &chooser, settings.ownIp, &searches };
+
+    if (settings.loadQueries.empty())
+        return Done{};
+
+    const auto weak = weak_from_this();
+    queries = std::make_shared<LoadQueries> (
+        reactor, settings.loadQueries,
+        [hop = lastHop] (const mesh::LoadQuery& query) { return hop->forecast (query); },
+        [weak] (const mesh::LoadReply& reply)
+        {
+            if (const auto self = weak.lock())
+                self->hear (reply);
+        });
+    searchContext.queries = queries;
+    return queries->start();
+}
+
+LoadQueryCounters FirstHop::queryCounters() const
+{
+    return queries == nullptr ? LoadQueryCounters{} : queries->counters();
+}
+
+void FirstHop::hear (const mesh::LoadReply& reply)
+{
+    const auto at = SteadyClock().Now();
+    const auto howLong = mesh::avoidanceFor (reply.cause);
+
+    // A datagram may be forged: it makes an instance the last choice, never none.
+    if (howLong > Milliseconds (0))
+        return chooser.suspect (at, reply.instanceId, howLong);
+
+    chooser.reported (at, reply.instanceId, { reply.load, reply.runMs, reply.bodyMs });
+}
+
 void FirstHop::setDirectory (mesh::DirectoryPointer newDirectory)
 {
     directory = std::move (newDirectory);
--- a/src/sidecar/first_hop.h
+++ b/src/sidecar/first_hop.h
@@ -23,6 +23,7 @@
 #include "sidecar/hop_caller.h"
 #include "sidecar/http_client.h"
 #include "sidecar/http_server.h"
+#include "sidecar/instance_search.h"
 
 namespace copperlead::sidecar
 {
@@ -34,6 +35,7 @@
     std::string service;        /**< Of the instance on this machine. */
     std::string ownIp;          /**< Instances there are reached without a connection. */
     std::uint16_t peerPort = 0; /**< On which every node takes hop calls. */
+    SocketAddress loadQueries;  /**< For load queries, UDP; empty: instances are chosen unasked. */
     mesh::RetryBudgetSettings budget;
 };
 
@@ -55,6 +57,9 @@
               std::shared_ptr<LastHop> lastHopToUse, std::shared_ptr<DecisionLog> logToUse,
               std::uint64_t seed);
 
+    /** Binds the address for load queries. @returns kBadAddress or kAddressInUse naming it */
+    Result<Done> start();
+
     /** Takes a client's request; its exchange is answered exactly once. */
     void take (const ExchangePointer& exchange);
 
@@ -86,10 +91,14 @@
 
     std::size_t inFlight() const { return active.size(); }
     const FirstHopCounters& counters() const { return counts; }
+    const SearchCounters& searchCounters() const { return searches; }
+    LoadQueryCounters queryCounters() const;
 
 private:
     friend class ActiveRequest;
 
+    void hear (const mesh::LoadReply& reply);
+
     /** Answers a request that no route was found for, or none can be yet. */
     void refuse (const ExchangePointer& exchange, int status, std::string_view cause);
     void endAll();
@@ -107,6 +116,9 @@
     std::shared_ptr<LastHop> lastHop;
     HopCaller caller;
     mesh::InstanceChooser chooser;
+    std::shared_ptr<LoadQueries> queries; /**< Null without an address for them. */
+    SearchCounters searches;
+    SearchContext searchContext;
     mesh::AttemptAges attemptAges;
     std::minstd_rand random; /**< Spreads the returns of refused clients. */
     mesh::WeightedSplit split;
--- /dev/null
+++ b/src/sidecar/instance_search.cc
@@ -0,0 +1,188 @@
+#include "sidecar/instance_search.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "mesh/avoidance.h"
+#include "mesh/milliseconds.h"
+
+namespace copperlead::sidecar
+{
+namespace
+{
+
+// Three know nearly as much as all would, and cost as little in a fleet of any size.
+constexpr std::size_t askedAtOnce = 3;
+
+// Several times the way to another zone and back, and what a busy machine of a tenth of a core
+// needs; far less than any target.
+constexpr Milliseconds longestWait{ 25 };
+
+Timestamp now() { return SteadyClock().Now(); }
+
+} // namespace
+
+InstanceSearch::InstanceSearch (const SearchContext& contextToUse,
+                                mesh::DirectoryPointer directoryToUse,
+                                mesh::ChoiceRequest wantedToUse, mesh::LoadQuery queryToUse)
+    : context (contextToUse)
+    , directory (std::move (directoryToUse))
+    , wanted (std::move (wantedToUse))
+    , query (std::move (queryToUse))
+    , poll (query.usualRunMs, wanted.requestBytes >= mesh::largeBodyBytes)
+{
+}
+
+InstanceSearch::~InstanceSearch()
+{
+    if (number != 0)
+        context.queries->forget (number);
+}
+
+void InstanceSearch::begin (Callback callbackToUse)
+{
+    callback = std::move (callbackToUse);
+    begunAt = now();
+
+    if (takeLocal())
+        return;
+
+    if (context.queries == nullptr)
+        return end ({});
+
+    number = context.queries->begin (
+        [weak = weak_from_this()] (const mesh::LoadReply& reply)
+        {
+            if (const auto self = weak.lock())
+                self->follow (self->poll.replied (reply));
+        });
+    query.number = number;
+
+    if (ask (false) == 0)
+        return follow (poll.timeUp());
+
+    armTimer();
+}
+
+bool InstanceSearch::takeLocal()
+{
+    const auto& id = context.lastHop->instanceId();
+    const auto listed = directory->byService.find (wanted.service);
+    const bool excluded =
+        std::find (wanted.excluded.begin(), wanted.excluded.end(), id) != wanted.excluded.end();
+
+    if (listed == directory->byService.end() || id.empty() || excluded ||
+        ! context.chooser->mayPrefer (begunAt, id))
+        return false;
+
+    const auto found = std::find_if (listed->second.begin(), listed->second.end(),
+                                     [&] (const auto& candidate) {
+                                         return candidate.instance.id == id &&
+                                                candidate.instance.address.ip == context.ownIp;
+                                     });
+
+    if (found == listed->second.end())
+        return false;
+
+    query.instanceId = id;
+    poll.ask (found->instance, 0);
+
+    if (poll.replied (context.lastHop->forecast (query)) != mesh::PollStep::take)
+        return false;
+
+    ++context.counts->local;
+    take (poll.best());
+    return true;
+}
+
+std::size_t InstanceSearch::ask (bool elsewhere)
+{
+    auto drawn = wanted;
+    drawn.excluded.push_back (context.lastHop->instanceId());
+
+    for (const auto& asked : poll.all())
+        drawn.excluded.push_back (asked.instance.id);
+
+    const auto instances =
+        context.chooser->sample (begunAt, *directory, drawn, askedAtOnce, elsewhere);
+
+    for (const auto& instance : instances)
+    {
+        query.instanceId = instance.id;
+        poll.ask (instance, context.chooser->crossingMs (instance, wanted));
+        context.queries->ask (instance.address.ip, query);
+    }
+
+    return instances.size();
+}
+
+void InstanceSearch::armTimer()
+{
+    context.reactor->RunAt (now() + longestWait,
+                            [weak = weak_from_this(), armed = ++round]
+                            {
+                                const auto self = weak.lock();
+
+                                if (self == nullptr || self->round != armed)
+                                    return;
+
+                                self->suspectSilent();
+                                self->follow (self->poll.timeUp());
+                            });
+}
+
+void InstanceSearch::suspectSilent()
+{
+    for (const auto& asked : poll.all())
+        if (! asked.answered)
+            context.chooser->suspect (now(), asked.instance.id, mesh::silentAvoidance);
+}
+
+void InstanceSearch::follow (mesh::PollStep step)
+{
+    if (callback == nullptr || step == mesh::PollStep::wait)
+        return;
+
+    if (step == mesh::PollStep::take)
+        return take (poll.best());
+
+    if (step == mesh::PollStep::widen)
+    {
+        widened = true;
+        ++context.counts->widened;
+
+        const auto further = ask (false) + ask (true);
+        return further == 0 ? follow (poll.timeUp()) : armTimer();
+    }
+
+    Found found;
+    found.step = step;
+    found.cause = poll.refusal();
+    end (found);
+}
+
+void InstanceSearch::take (const mesh::PolledInstance& taken)
+{
+    Found found;
+    found.step = mesh::PollStep::take;
+    found.choice.instance = taken.instance;
+    found.choice.expectedMs = taken.reply.expectedMs;
+    found.choice.load = taken.reply.load;
+    found.choice.ageMs = mesh::toMilliseconds (now() - begunAt);
+    end (found);
+}
+
+void InstanceSearch::end (Found found)
+{
+    ++round; // A timer that is armed is no longer waited for.
+    ++context.counts->ends[static_cast<std::size_t> (found.step)];
+    found.asked = poll.all().size();
+    found.replies = static_cast<std::size_t> (std::count_if (
+        poll.all().begin(), poll.all().end(), [] (const auto& asked) { return asked.answered; }));
+    found.widened = widened;
+    found.tookMs = mesh::toMilliseconds (now() - begunAt);
+    const auto told = std::exchange (callback, nullptr);
+    told (found);
+}
+
+} // namespace copperlead::sidecar
--- /dev/null
+++ b/src/sidecar/instance_search.h
@@ -0,0 +1,83 @@
+/** Finds the instance for one attempt of a request: the one beside this node if it is free, else by
+    asking a few others for their load. Of the reactor's thread.
+*/
+#pragma once
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <optional>
+
+#include "mesh/instance_chooser.h"
+#include "mesh/instance_poll.h"
+#include "sidecar/last_hop.h"
+#include "sidecar/load_queries.h"
+
+namespace copperlead::sidecar
+{
+
+/** What a search has come to. */
+struct Found
+{
+    mesh::PollStep step = mesh::PollStep::unheard; /**< take, refuse or unheard. */
+    mesh::Choice choice;                           /**< If taken. */
+    mesh::HopCause cause = mesh::HopCause::none;   /**< If refused. */
+    std::size_t asked = 0, replies = 0;
+    bool widened = false; /**< Instances of other zones were asked, too. */
+    double tookMs = 0;
+};
+
+/** Counted since the start. */
+struct SearchCounters
+{
+    std::uint64_t local = 0; /**< The instance beside this node was free. */
+    std::uint64_t widened = 0;
+    std::array<std::uint64_t, std::size (mesh::pollStepNames)> ends{};
+};
+
+/** What the searches of a node share. */
+struct SearchContext
+{
+    std::shared_ptr<Reactor> reactor;
+    std::shared_ptr<LastHop> lastHop;
+    std::shared_ptr<LoadQueries> queries; /**< Null: nobody is asked. */
+    mesh::InstanceChooser* chooser = nullptr;
+    std::string ownIp;
+    SearchCounters* counts = nullptr;
+};
+
+/** One search. Gives no answer once it is destroyed. */
+class InstanceSearch : public std::enable_shared_from_this<InstanceSearch>
+{
+public:
+    using Callback = std::function<void (const Found&)>;
+
+    InstanceSearch (const SearchContext& contextToUse, mesh::DirectoryPointer directoryToUse,
+                    mesh::ChoiceRequest wantedToUse, mesh::LoadQuery queryToUse);
+    ~InstanceSearch();
+
+    /** The callback may come before this returns. */
+    void begin (Callback callbackToUse);
+
+private:
+    bool takeLocal();
+    std::size_t ask (bool elsewhere);
+    void armTimer();
+    void follow (mesh::PollStep step);
+    void take (const mesh::PolledInstance& taken);
+    void suspectSilent();
+    void end (Found found);
+
+    const SearchContext& context;
+    mesh::DirectoryPointer directory;
+    mesh::ChoiceRequest wanted;
+    mesh::LoadQuery query;
+    mesh::InstancePoll poll;
+    Callback callback;
+    Timestamp begunAt{};
+    std::uint64_t number = 0;
+    int round = 0;
+    bool widened = false;
+};
+
+} // namespace copperlead::sidecar
--- a/src/sidecar/last_hop.cc
+++ b/src/sidecar/last_hop.cc
@@ -1,6 +1,7 @@
 #include "sidecar/last_hop.h"
 
 #include <algorithm>
+#include <limits>
 
 #include "mesh/enum_names.h"
 #include "mesh/milliseconds.h"
@@ -19,6 +20,7 @@
 
 constexpr Milliseconds probeTimeout{ 400 };
 constexpr double repeatLearningRate = 0.03;
+constexpr std::uint64_t newestId = std::numeric_limits<std::uint64_t>::max(); // Behind its equals.
 constexpr Milliseconds deadlineGrace{ 20 }; // For the instance's own answer at the deadline.
 
 ClientSettings clientSettings()
@@ -59,7 +61,12 @@
 
 HopCause LastHop::refusalOf (const mesh::HopRequest& facts) const
 {
-    const auto usualRun = mesh::fromMilliseconds (facts.usualRunMs);
+    return refusalOf (facts.service, facts.usualRunMs);
+}
+
+HopCause LastHop::refusalOf (const std::string& service, double usualRunMs) const
+{
+    const auto usualRun = mesh::fromMilliseconds (usualRunMs);
 
     if (stopping || (endsAt != Timestamp::max() && SteadyClock().Now() + 2 * usualRun > endsAt))
         return HopCause::nodeStopping;
@@ -67,7 +74,7 @@
     if (! instance.known())
         return HopCause::instanceUnknown;
 
-    if (instance.service() != facts.service)
+    if (instance.service() != service)
         return HopCause::otherService;
 
     if (instance.leaving())
@@ -76,6 +83,36 @@
     return instance.lost() ? HopCause::instanceDown : HopCause::none;
 }
 
+mesh::LoadReply LastHop::forecast (const mesh::LoadQuery& query) const
+{
+    const auto now = SteadyClock().Now();
+    mesh::LoadReply reply;
+    reply.number = query.number;
+    reply.instanceId = query.instanceId;
+    reply.load = static_cast<double> (queue.running() + queue.waiting());
+    reply.runMs = queue.usualRunMs();
+    reply.bodyMs = bodyMs ? bodyMs() : 0;
+    reply.cause = refusalOf (query.service, query.usualRunMs);
+
+    if (reply.cause == HopCause::none && query.instanceId != instance.id())
+        reply.cause = HopCause::otherInstance;
+
+    if (reply.cause != HopCause::none)
+        return reply;
+
+    const auto deadline = std::min<Timestamp> (now + query.timeLeft, endsAt);
+    const auto expected =
+        queue.forecast (now, { newestId, query.route, query.priority, now + query.targetLeft,
+                               deadline, query.usualRunMs, now + query.attemptTargetLeft });
+    reply.decision = expected.decision;
+    reply.expectedMs = expected.expectedMs;
+
+    if (reply.decision == mesh::AdmissionDecision::refuse)
+        reply.cause = HopCause::queueFull;
+
+    return reply;
+}
+
 LastHop::CallId LastHop::start (HopCall call, Callback callback)
 {
     const auto now = SteadyClock().Now();
--- a/src/sidecar/last_hop.h
+++ b/src/sidecar/last_hop.h
@@ -13,6 +13,7 @@
 #include "mesh/hop_header.h"
 #include "mesh/instance_directory.h"
 #include "mesh/latency_histogram.h"
+#include "mesh/load_query.h"
 #include "mesh/local_instance.h"
 #include "sidecar/decision_log.h"
 #include "sidecar/header_names.h"
@@ -74,6 +75,12 @@
         return report (mesh::HopOutcome::notRun, cause);
     }
 
+    /** How a request would be taken that came now. */
+    mesh::LoadReply forecast (const mesh::LoadQuery& query) const;
+
+    /** The instance beside this node. */
+    const std::string& instanceId() const { return instance.id(); }
+
     /** Until a large body would have come over this node's link, for its reports. */
     std::function<double()> bodyMs;
 
@@ -115,6 +122,7 @@
         CallPointer http;
     };
 
+    mesh::HopCause refusalOf (const std::string& service, double usualRunMs) const;
     void run (CallId id);
     bool dropAbandoned (CallId id);
     void pump();
--- /dev/null
+++ b/src/sidecar/load_queries.cc
@@ -0,0 +1,85 @@
+#include "sidecar/load_queries.h"
+
+#include <utility>
+
+#include "sidecar/sockets.h"
+
+namespace copperlead::sidecar
+{
+
+LoadQueries::LoadQueries (std::shared_ptr<Reactor> reactorToUse, SocketAddress address,
+                          Answer answer, Taker heard)
+    : reactor (std::move (reactorToUse))
+    , ownAddress (std::move (address))
+    , answerQuery (std::move (answer))
+    , hearReply (std::move (heard))
+{
+}
+
+LoadQueries::~LoadQueries()
+{
+    if (channel != nullptr)
+        channel->Close();
+}
+
+Result<Done> LoadQueries::start()
+{
+    BOOST_LEAF_AUTO (socket, bindDatagram (ownAddress));
+    channel = std::make_unique<DatagramChannel> (
+        *reactor, std::move (socket), datagramCounters,
+        [weak = weak_from_this()] (const SocketAddress& from, std::string_view datagram)
+        {
+            if (const auto self = weak.lock())
+                self->receive (from, datagram);
+        });
+    channel->Open();
+    return Done{};
+}
+
+std::uint64_t LoadQueries::begin (Taker taker)
+{
+    waiting[++lastNumber] = std::move (taker);
+    return lastNumber;
+}
+
+void LoadQueries::ask (const std::string& ip, const mesh::LoadQuery& query)
+{
+    ++counts.asked;
+    channel->Send ({ ip, ownAddress.port }, mesh::encode (query));
+}
+
+void LoadQueries::receive (const SocketAddress& from, std::string_view datagram)
+{
+    if (const auto query = mesh::decodeLoadQuery (datagram))
+    {
+        ++counts.answered;
+        channel->Send (from, mesh::encode (answerQuery (*query)));
+    }
+    else if (const auto reply = mesh::decodeLoadReply (datagram))
+    {
+        takeReply (*reply);
+    }
+    else
+    {
+        ++counts.unreadable;
+    }
+}
+
+void LoadQueries::takeReply (const mesh::LoadReply& reply)
+{
+    ++counts.replies;
+    hearReply (reply);
+    const auto found = waiting.find (reply.number);
+
+    if (found == waiting.end())
+    {
+        ++counts.lateReplies;
+        return;
+    }
+
+    // It may forget itself, or begin other queries.
+    const auto taker = found->second;
+    taker (reply);
+}
+
+} // namespace copperlead::sidecar
--- a/src/sidecar/relay.cc
+++ b/src/sidecar/relay.cc
@@ -146,6 +146,16 @@
     ownAt = std::max (ownAt, at);
     ownVersion = std::max (ownVersion, version);
     role.reached (now, ownAt, ownVersion);
+
+    // Of what a peer told, nothing needs to be listed again.
+    if (ownAt > 0 && ! std::exchange (reachedOnce, true) && ! role.reading())
+        hooks.setReading (false);
+}
+
+void Relay::setPeers (mesh::PeerAddresses peersToUse)
+{
+    peers = std::move (peersToUse);
+    role.setZonePeers (peers.inZone.size());
 }
 
 void Relay::sawVersion (std::uint64_t version) { role.sawVersion (SteadyClock().Now(), version); }
@@ -208,7 +218,8 @@
 
 void Relay::applyRole (Timestamp now)
 {
-    const bool reading = role.decide (now);
+    const bool reading = role.decide (now, hooks.sourceSound (now));
+    hooks.setTryInterval (role.tryInterval (now));
 
     if (reading != wasReading)
     {
@@ -233,7 +244,7 @@
     // That it can't read on is news once; later it only helps nodes that have just started.
     const auto interval = sound       ? mesh::ReaderRoleSettings{}.beatInterval
                           : saidSound ? Milliseconds (0)
-                                      : unsoundInterval;
+                                      : std::max (unsoundInterval, role.tryInterval (now));
 
     if (now - beatAt >= interval)
         beat (sound);
--- a/src/sidecar/relay.h
+++ b/src/sidecar/relay.h
@@ -40,6 +40,7 @@
     std::function<void (Timestamp, mesh::MeshUpdate)> take;
     std::function<void (bool reading)> setReading;
     std::function<bool (Timestamp)> sourceSound;
+    std::function<void (Milliseconds)> setTryInterval; /**< Of calls to a failing source. */
 };
 
 /** Counted since the start. */
@@ -59,7 +60,10 @@
     /** @returns kBadAddress or kAddressInUse naming the address */
     Result<Done> start();
 
-    void setPeers (mesh::PeerAddresses peersToUse) { peers = std::move (peersToUse); }
+    void setPeers (mesh::PeerAddresses peersToUse);
+
+    /** This node is listed, so that the readers know it. */
+    void listed (Timestamp now) { role.listed (now); }
 
     /** This node's state is now up to date with this revision of the source and this version. */
     void reached (Timestamp now, std::uint64_t at, std::uint64_t version);
@@ -107,7 +111,8 @@
     Timestamp beatAt{};
     bool saidSound = false;  /**< In the last beat. */
     bool announcing = false; /**< A beat is due as soon as the shortest interval allows. */
-    bool pulling = false, wantsWhole = false, resigned = false, wasReading = true;
+    bool pulling = false, wantsWhole = false, resigned = false, wasReading = false;
+    bool reachedOnce = false; /**< Something is known, by whatever way. */
 };
 
 } // namespace copperlead::sidecar
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -33,6 +33,7 @@
     made.service = settings.service;
     made.ownIp = settings.instance.ip;
     made.peerPort = settings.inbound.port;
+    made.loadQueries = settings.loadQueries;
     made.budget.ratio = settings.retryRatio;
     made.budget.slack = settings.retrySlack;
     made.budget.window = settings.retryWindow;
@@ -65,6 +66,7 @@
 {
     makeServers();
     connectFirstHop();
+    BOOST_LEAF_CHECK (firstHop->start());
     BOOST_LEAF_CHECK (outbound->listen (settings.outbound));
     BOOST_LEAF_CHECK (inbound->listen (settings.inbound));
     BOOST_LEAF_CHECK (readiness->listen (settings.readiness));
@@ -184,7 +186,12 @@
     lastHop->setDirectory (at, *snapshot);
 
     if (relay != nullptr)
+    {
         relay->setPeers (mesh::peersOf (*snapshot, settings.zone, settings.instance.ip));
+
+        if (snapshot->byAddress.contains (ToString (settings.instance)))
+            relay->listed (at);
+    }
 }
 
 std::shared_ptr<Relay> Sidecar::makeRelay()
@@ -216,6 +223,13 @@
         const auto self = weak.lock();
         return self != nullptr && self->sourceStatus && self->sourceStatus().sound;
     };
+    hooks.setTryInterval = [weak] (Milliseconds interval)
+    {
+        const auto self = weak.lock();
+
+        if (self != nullptr && self->setSourceTryInterval)
+            self->setSourceTryInterval (interval);
+    };
     return std::make_shared<Relay> (reactor, std::move (made), std::move (hooks), log);
 }
 
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "mesh/mesh_state.h"
+#include "mesh/source_follower.h"
 #include "mesh/stop_plan.h"
 #include "sidecar/decision_log.h"
 #include "sidecar/first_hop.h"
@@ -28,7 +29,7 @@
 {
     Timestamp lastSuccess{};
     bool sound = false; /**< Reached lately, and not failing. */
-    std::uint64_t calls = 0;
+    mesh::SourceCallCounts calls{};
 };
 
 class Sidecar : public std::enable_shared_from_this<Sidecar>
@@ -58,6 +59,9 @@
     std::function<void (bool reading, std::uint64_t revision)> setReading;
     std::function<SourceStatus()> sourceStatus;
 
+    /** How far apart this node's calls to a failing source are at least. */
+    std::function<void (Milliseconds)> setSourceTryInterval;
+
     /** Rereads the settings file and applies what can change while running. */
     void reload (std::string_view cause);
 
--- a/src/sidecar/sidecar_metrics.cc
+++ b/src/sidecar/sidecar_metrics.cc
@@ -130,6 +130,27 @@
                         "Time until a connection is open", figures.toInstance.connect);
 }
 
+void addSearches (Families& families, const SidecarFigures& figures)
+{
+    families.counters ("copperlead_searches_ended_total",
+                       "Searches for an instance by what they came to", "outcome",
+                       mesh::pollStepNames, figures.searches.ends);
+    families.counter ("copperlead_searches_local_total",
+                      "Of those: the instance beside this node was free", figures.searches.local);
+    families.counter ("copperlead_searches_widened_total", "Of those: other zones were asked, too",
+                      figures.searches.widened);
+    families.counter ("copperlead_load_queries_sent_total", "Load queries to other nodes",
+                      figures.queries.asked);
+    families.counter ("copperlead_load_queries_answered_total", "Load queries of other nodes",
+                      figures.queries.answered);
+    families.counter ("copperlead_load_replies_total", "Replies to load queries",
+                      figures.queries.replies);
+    families.counter ("copperlead_load_replies_late_total", "Of those: the search had ended before",
+                      figures.queries.lateReplies);
+    families.counter ("copperlead_load_datagrams_unreadable_total",
+                      "Datagrams that were neither query nor reply", figures.queries.unreadable);
+}
+
 void addBodies (Families& families, const SidecarFigures& figures)
 {
     families.counter ("copperlead_bodies_called_total",
@@ -156,7 +177,8 @@
                     static_cast<double> (figures.sourceRevision));
     families.gauge ("copperlead_is_reader", "1 while this node reads the source itself",
                     figures.reading ? 1 : 0);
-    families.counter ("copperlead_source_calls_total", "Calls to the source", figures.sourceCalls);
+    families.counters ("copperlead_source_calls_total", "Calls to the source, by cause", "cause",
+                       mesh::sourceCallCauseNames, figures.sourceCalls);
 
     // An age of what has never been is left out, as is usual with Prometheus.
     if (figures.sourceWordAgeMs)
@@ -193,6 +215,7 @@
     addRequests (families, figures);
     addInstance (families, figures);
     addBodies (families, figures);
+    addSearches (families, figures);
     addConfiguration (families, figures);
     return families.text();
 }
--- a/src/sidecar/sidecar_metrics.h
+++ b/src/sidecar/sidecar_metrics.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "mesh/latency_histogram.h"
+#include "mesh/source_follower.h"
 #include "sidecar/body_admission.h"
 #include "sidecar/first_hop.h"
 #include "sidecar/http_client.h"
@@ -28,10 +29,12 @@
     RelayCounters relay;
     ServerCounters clients;
     BodyCounters bodies;
+    SearchCounters searches;
+    LoadQueryCounters queries;
     std::array<std::uint64_t, std::size (mesh::timelinessNames)> begun{}; /**< Runs, by class. */
     std::uint64_t inFlight = 0, running = 0, waiting = 0, connections = 0, bodiesWaiting = 0;
-    std::uint64_t configurationVersion = 0, sourceRevision = 0, sourceCalls = 0,
-                  logLinesLeftOut = 0;
+    std::uint64_t configurationVersion = 0, sourceRevision = 0, logLinesLeftOut = 0;
+    mesh::SourceCallCounts sourceCalls{};
     bool ready = false, reading = false;
     /** Of the last answer of the source to this node; nothing before the first. */
     std::optional<double> sourceWordAgeMs;
--- a/src/sidecar/sidecar_servers.cc
+++ b/src/sidecar/sidecar_servers.cc
@@ -92,6 +92,8 @@
     shown.connections = outbound->connections();
     shown.clients = outbound->counters();
     shown.bodies = bodies->counters();
+    shown.searches = firstHop->searchCounters();
+    shown.queries = firstHop->queryCounters();
     shown.bodiesWaiting = bodies->waiting();
     shown.begun = lastHop->admission().begun();
     shown.configurationVersion = state.configurations().version();
--- a/src/sidecar/sidecar_settings.cc
+++ b/src/sidecar/sidecar_settings.cc
@@ -37,10 +37,13 @@
         ("instance", text(), "IP:PORT of the instance on this machine (required)")
         ("source", text(), "IP:PORT of the configuration source (required)")
         ("relay", text()->default_value (""), "IP:PORT, UDP, for beats between nodes; the port is the same on all; empty: each reads the source alone")
+        ("load-queries", text()->default_value (""), "IP:PORT, UDP, by which nodes ask each other for the load of instances; the port is the same on all; empty: none are asked")
         ("cpu-share", text()->default_value (""), "cores of this machine, 0.001 to 1024; empty: 1")
         ("link-mbps", text()->default_value (""), "bandwidth of this machine, 0.001 to 1000000; empty: 1000")
         ("metrics", text()->default_value (""), "PORT/PATH for metrics, on the outbound IP")
         ("extra-slots", text()->default_value ("0"), "requests at the instance beyond its slots, 0 to 64")
+        ("changes-within-ms", text()->default_value (""), "in which a configuration is to be in force on every node, 100 to 600000; empty: 800")
+        ("drain-within-ms", text()->default_value (""), "in which a leaving instance is to get nothing new, 100 to 600000; empty: 800")
         ("grace-s", text()->default_value (""), "seconds from SIGTERM until the kill, 1 to 3600; empty: 6")
         ("retry-ratio", text()->default_value (""), "retries for each request, over the fleet, 0 to 10; empty: 0.2")
         ("retry-slack", text()->default_value (""), "retries beyond that in a window, over the fleet, 0 to 1000000; empty: 64")
@@ -140,6 +143,16 @@
     return Milliseconds (static_cast<std::int64_t> (1000 * seconds));
 }
 
+/** A quarter of the bound, so that a lost call and a change of reader still leave time. Shorter
+   ones would be priced for nothing, longer ones would delay what is found out by watching alone.
+*/
+Milliseconds watchIntervalFor (double boundMs)
+{
+    constexpr double share = 0.25, shortestMs = 200, longestMs = 1000;
+    return Milliseconds (
+        static_cast<std::int64_t> (std::clamp (share * boundMs, shortestMs, longestMs)));
+}
+
 Result<Done> readFigures (const Values& values, SidecarSettings& settings)
 {
     BOOST_LEAF_AUTO (grace, values.number ("grace-s", 1, 3600, 6));
@@ -148,6 +161,9 @@
     BOOST_LEAF_ASSIGN (settings.retrySlack, values.number ("retry-slack", 0, 1e6, 64));
     BOOST_LEAF_ASSIGN (settings.cpuShare, values.number ("cpu-share", 0.001, 1024, 1));
     BOOST_LEAF_ASSIGN (settings.linkMbps, values.number ("link-mbps", 0.001, 1e6, 1000));
+    BOOST_LEAF_AUTO (changes, values.number ("changes-within-ms", 100, 600'000, 800));
+    BOOST_LEAF_AUTO (drain, values.number ("drain-within-ms", 100, 600'000, 800));
+    settings.watchInterval = watchIntervalFor (std::min (changes, drain));
     settings.grace = fromSeconds (grace);
     settings.retryWindow = fromSeconds (window);
     return Done{};
@@ -205,6 +221,11 @@
         BOOST_LEAF_ASSIGN (settings.relay, values.address ("relay"));
     }
 
+    if (! values.text ("load-queries").empty())
+    {
+        BOOST_LEAF_ASSIGN (settings.loadQueries, values.address ("load-queries"));
+    }
+
     BOOST_LEAF_CHECK (readMetrics (values, settings));
     settings.readinessPath = values.text ("readiness-path");
     readHeaderNames (values, settings.names);
--- a/src/sidecar/sidecar_settings.h
+++ b/src/sidecar/sidecar_settings.h
@@ -23,13 +23,15 @@
     std::string readinessPath;
     SocketAddress instance;
     SocketAddress source;
-    SocketAddress relay;                  /**< For beats between nodes, UDP; empty: reads alone. */
-    SocketAddress metrics;                /**< Empty: none. */
+    SocketAddress relay;       /**< For beats between nodes, UDP; empty: reads alone. */
+    SocketAddress loadQueries; /**< Between nodes, UDP; empty: instances are chosen unasked. */
+    SocketAddress metrics;     /**< Empty: none. */
     double cpuShare = 1, linkMbps = 1000; /**< Of this machine; strong ones read the source. */
     std::string metricsPath;
     HeaderNames names;
     int extraSlots = 0;
-    Milliseconds grace{ 6000 }; /**< From a stop's signal until the process is killed. */
+    Milliseconds grace{ 6000 };        /**< From a stop's signal until the process is killed. */
+    Milliseconds watchInterval{ 200 }; /**< Between two watches of the source, at least. */
     double retryRatio = 0.2, retrySlack = 64;
     Milliseconds retryWindow{ 10'000 };
 };
--- a/src/sidecar/source_reader.h
+++ b/src/sidecar/source_reader.h
@@ -37,12 +37,12 @@
     using Taker = std::function<void (Timestamp, const mesh::SourceUpdate&, bool sound)>;
 
     SourceReader (std::shared_ptr<Reactor> reactorToUse, SocketAddress sourceAddress,
-                  Dialect dialectToUse, std::uint64_t seed, std::shared_ptr<DecisionLog> logToUse,
-                  Taker takerToUse)
+                  Dialect dialectToUse, const mesh::FollowerSettings& followerSettings,
+                  std::uint64_t seed, std::shared_ptr<DecisionLog> logToUse, Taker takerToUse)
         : reactor (std::move (reactorToUse))
         , address (std::move (sourceAddress))
         , dialect (std::move (dialectToUse))
-        , follower ({}, seed)
+        , follower (followerSettings, seed)
         , log (std::move (logToUse))
         , taker (std::move (takerToUse))
         , client (std::make_shared<HttpClient> (reactor, clientSettings()))
@@ -56,19 +56,23 @@
     /** Starts or stops reading. @param revision  reached by other means, 0 if none was */
     void setActive (bool active, std::uint64_t revision)
     {
-        if (active)
+        const bool drop =
+            active ? follower.resume (SteadyClock().Now(), revision) : follower.pause (revision);
+
+        if (drop)
         {
-            follower.resume (SteadyClock().Now(), revision);
-            return next();
-        }
+            ++sent; // What comes of the call that is out no longer counts.
 
-        follower.pause();
-        ++sent; // What comes of the call that is out no longer counts.
+            if (call != nullptr)
+                call->cancel();
+        }
 
-        if (call != nullptr)
-            call->cancel();
+        next();
     }
 
+    /** The least time between calls while the source fails, since other nodes try it too. */
+    void setTryInterval (Milliseconds interval) { follower.setTryInterval (interval); }
+
     /** Another node runs a later version than this one. */
     void hurry()
     {
@@ -81,7 +85,9 @@
     }
 
     const mesh::SourceFollower& state() const { return follower; }
-    const ClientCounters& counters() const { return client->counters(); }
+
+    /** Calls since the start, by cause. */
+    const mesh::SourceCallCounts& calls() const { return counts; }
 
 private:
     static ClientSettings clientSettings()
@@ -122,6 +128,7 @@
         options.deadline = now + request.timeout;
         const HeaderFields fields{ { "Host", ToString (address) } };
         const auto number = ++sent;
+        ++counts[static_cast<std::size_t> (request.cause)];
         // The callback may come before send() returns; a call that has ended is safe to cancel.
         call = client->send (address, requestMessage ("GET", dialect.target (request), fields, {}),
                              options,
@@ -184,6 +191,7 @@
     Taker taker;
     std::shared_ptr<HttpClient> client;
     CallPointer call;
+    mesh::SourceCallCounts counts{};
     std::uint64_t sent = 0;
     Timestamp armedFor{};
 };
--- a/tests/mesh/admission_queue_test.cc
+++ b/tests/mesh/admission_queue_test.cc
@@ -41,6 +41,30 @@
     EXPECT_EQ (queue.waiting(), 0U);
 }
 
+TEST (AdmissionQueue, AForecastSaysWhatAnOfferWouldAndTakesNothing)
+{
+    AdmissionQueue queue;
+    queue.setLimit (2);
+    fill (queue, 1);
+    auto forecast = queue.forecast (at (0), request (9, 0, 200, 500));
+    EXPECT_EQ (forecast.decision, AdmissionDecision::run);
+    EXPECT_EQ (forecast.expectedMs, 50);
+    EXPECT_EQ (queue.running(), 1U);
+
+    queue.offer (at (0), request (2, 0, 10'000, 20'000));
+    end (queue, 1);
+    queue.offer (at (0), request (3, 0, 10'000, 20'000));
+    forecast = queue.forecast (at (0), request (9, 0, 200, 500));
+    EXPECT_EQ (forecast.decision, AdmissionDecision::wait);
+    EXPECT_EQ (forecast.expectedMs, 75) << "half a run until a slot of two is free, and the run";
+    EXPECT_EQ (queue.waiting(), 0U);
+    EXPECT_EQ (queue.offer (at (0), request (9, 0, 200, 500)), AdmissionDecision::wait);
+
+    forecast = queue.forecast (at (0), request (10, 0, 20, 20));
+    EXPECT_EQ (forecast.decision, AdmissionDecision::refuse);
+    EXPECT_EQ (queue.offer (at (0), request (10, 0, 20, 20)), AdmissionDecision::refuse);
+}
+
 TEST (AdmissionQueue, UrgentFirstThenTheEarliestTarget)
 {
     AdmissionQueue queue;
--- a/tests/mesh/choice_test.cc
+++ b/tests/mesh/choice_test.cc
@@ -165,6 +165,92 @@
         chooser.choose (at (502), *directory.snapshot(), { &route, "desk", 0, { "far" } }, choice));
 }
 
+/** Thirty instances in each of six zones. */
+class Sampling : public ::testing::Test
+{
+protected:
+    Sampling()
+    {
+        for (int n = 0; n < 180; ++n)
+            directory.put (at (0),
+                           makeInstance ("i" + std::to_string (n), "z" + std::to_string (n % 6), n),
+                           static_cast<std::uint64_t> (n + 1));
+    }
+
+    std::vector<Instance> draw (std::size_t count, bool elsewhere,
+                                std::vector<std::string> excluded = {})
+    {
+        return chooser.sample (at (0), *directory.snapshot(),
+                               { &route, "desk", 0, std::move (excluded) }, count, elsewhere);
+    }
+
+    Route route = makeRoute ("lookup", "/look/");
+    InstanceDirectory directory;
+    InstanceChooser chooser{ { "z2" }, 1 };
+};
+
+TEST_F (Sampling, DrawsDifferentInstancesOfTheOwnZoneEvenly)
+{
+    std::map<std::string, int> counts;
+
+    for (int draws = 0; draws < 1000; ++draws)
+    {
+        const auto drawn = draw (3, false);
+        ASSERT_EQ (drawn.size(), 3U);
+        EXPECT_NE (drawn[0].id, drawn[1].id);
+        EXPECT_NE (drawn[1].id, drawn[2].id);
+        EXPECT_NE (drawn[0].id, drawn[2].id);
+
+        for (const auto& instance : drawn)
+        {
+            EXPECT_EQ (instance.zone, "z2");
+            ++counts[instance.id];
+        }
+    }
+
+    EXPECT_EQ (counts.size(), 30U);
+
+    for (const auto& [id, count] : counts)
+        EXPECT_NEAR (count, 100, 45) << id;
+}
+
+TEST_F (Sampling, DrawsOfAllOtherZones)
+{
+    std::map<std::string, int> zones;
+
+    for (int draws = 0; draws < 1000; ++draws)
+        for (const auto& instance : draw (3, true))
+            ++zones[instance.zone];
+
+    EXPECT_EQ (zones.size(), 5U);
+    EXPECT_FALSE (zones.contains ("z2"));
+
+    for (const auto& [zone, count] : zones)
+        EXPECT_NEAR (count, 600, 120) << zone;
+}
+
+TEST_F (Sampling, LeavesOutWhatIsExcludedShunnedSuspectedOrLapsed)
+{
+    for (int n = 2; n < 180 - 18; n += 6)
+        chooser.suspect (at (0), "i" + std::to_string (n), Milliseconds (1000));
+
+    chooser.shun (at (0), "i164", Milliseconds (1000));
+    directory.remove (at (0), "i170", 900, false);
+
+    for (int draws = 0; draws < 100; ++draws)
+        for (const auto& instance : draw (3, false, { "i176" }))
+            ADD_FAILURE() << instance.id;
+}
+
+TEST_F (Sampling, AZoneWithoutInstancesGivesNone)
+{
+    InstanceChooser elsewhere{ { "nowhere" }, 1 };
+    const auto snapshot = directory.snapshot();
+    const ChoiceRequest wanted{ &route, "desk", 0, {} };
+    EXPECT_TRUE (elsewhere.sample (at (0), *snapshot, wanted, 3, false).empty());
+    EXPECT_EQ (elsewhere.sample (at (0), *snapshot, wanted, 3, true).size(), 3U);
+}
+
 TEST_F (Choosing, ASuspectedInstanceIsAvoidedButNotExcluded)
 {
     chooser.suspect (at (0), "near", Milliseconds (500));
--- /dev/null
+++ b/tests/mesh/instance_poll_test.cc
@@ -0,0 +1,148 @@
+#include "mesh/instance_poll.h"
+
+#include <gtest/gtest.h>
+
+#include "tests/mesh/fixtures.h"
+
+namespace copperlead::mesh::test
+{
+namespace
+{
+
+LoadReply free (const std::string& id, double expectedMs = 100)
+{
+    return { 1, id, AdmissionDecision::run, HopCause::none, expectedMs, 1, 100, 0 };
+}
+
+LoadReply busy (const std::string& id, double expectedMs)
+{
+    return { 1, id, AdmissionDecision::wait, HopCause::none, expectedMs, 6, 100, 0 };
+}
+
+LoadReply refusing (const std::string& id, HopCause cause = HopCause::queueFull)
+{
+    return { 1, id, AdmissionDecision::refuse, cause, 0, 9, 100, 0 };
+}
+
+/** Asks a, b and c of the own zone. Runs usually take 100 ms. */
+class Poll : public ::testing::Test
+{
+protected:
+    Poll()
+    {
+        for (const auto* id : { "a", "b", "c" })
+            poll.ask (makeInstance (id, "z1", 1), 0);
+    }
+
+    void askElsewhere()
+    {
+        for (const auto* id : { "x", "y" })
+            poll.ask (makeInstance (id, "z2", 2), 30);
+    }
+
+    InstancePoll poll{ 100, false };
+};
+
+TEST_F (Poll, AFreeInstanceIsTakenAtOnce)
+{
+    EXPECT_EQ (poll.replied (busy ("a", 180)), PollStep::wait);
+    EXPECT_EQ (poll.replied (free ("b")), PollStep::take);
+    EXPECT_EQ (poll.best().instance.id, "b");
+}
+
+TEST_F (Poll, ASlowFreeInstanceIsTakenOnlyIfNoneIsBetter)
+{
+    EXPECT_EQ (poll.replied (free ("a", 220)), PollStep::wait);
+    EXPECT_EQ (poll.replied (busy ("b", 150)), PollStep::wait);
+    EXPECT_EQ (poll.replied (refusing ("c")), PollStep::widen);
+    EXPECT_EQ (poll.timeUp(), PollStep::take);
+    EXPECT_EQ (poll.best().instance.id, "b");
+}
+
+TEST_F (Poll, OtherZonesAreAskedOnlyWhenNothingInTheOwnIsFree)
+{
+    poll.replied (busy ("a", 160));
+    poll.replied (busy ("b", 150));
+    EXPECT_EQ (poll.replied (refusing ("c")), PollStep::widen);
+    askElsewhere();
+    EXPECT_EQ (poll.replied (free ("x")), PollStep::take);
+    EXPECT_EQ (poll.best().instance.id, "x");
+}
+
+TEST_F (Poll, AShortWaitIsBetterThanAnExpensiveWay)
+{
+    poll.replied (busy ("a", 120));
+    poll.replied (busy ("b", 150));
+    poll.replied (refusing ("c"));
+    poll.ask (makeInstance ("far", "z2", 2), 400);
+    EXPECT_EQ (poll.replied (free ("far")), PollStep::take);
+    EXPECT_EQ (poll.best().instance.id, "a");
+}
+
+TEST_F (Poll, WithoutOtherZonesTheShortestWaitIsTaken)
+{
+    poll.closeWidening();
+    poll.replied (busy ("a", 160));
+    poll.replied (busy ("b", 150));
+    EXPECT_EQ (poll.replied (refusing ("c")), PollStep::take);
+    EXPECT_EQ (poll.best().instance.id, "b");
+}
+
+TEST_F (Poll, WhenAllRefuseForLoadTheRequestIsRefused)
+{
+    for (const auto* id : { "a", "b" })
+        EXPECT_EQ (poll.replied (refusing (id)), PollStep::wait);
+
+    EXPECT_EQ (poll.replied (refusing ("c")), PollStep::widen);
+    askElsewhere();
+    EXPECT_EQ (poll.replied (refusing ("x")), PollStep::wait);
+    EXPECT_EQ (poll.replied (refusing ("y", HopCause::instanceLeaving)), PollStep::refuse);
+    EXPECT_EQ (poll.refusal(), HopCause::queueFull);
+}
+
+TEST_F (Poll, RefusalsThatAreNotAboutLoadSayNothingOfTheService)
+{
+    poll.closeWidening();
+    poll.replied (refusing ("a", HopCause::instanceDown));
+    poll.replied (refusing ("b", HopCause::instanceUnknown));
+    EXPECT_EQ (poll.replied (refusing ("c", HopCause::nodeStopping)), PollStep::unheard);
+}
+
+TEST_F (Poll, WhoeverIsSilentIsNotWaitedForLonger)
+{
+    poll.replied (busy ("a", 150));
+    EXPECT_EQ (poll.timeUp(), PollStep::widen);
+    EXPECT_EQ (poll.timeUp(), PollStep::take);
+    EXPECT_EQ (poll.best().instance.id, "a");
+}
+
+TEST_F (Poll, WithoutAnyAnswerItIsUnheard)
+{
+    EXPECT_EQ (poll.timeUp(), PollStep::widen);
+    EXPECT_EQ (poll.timeUp(), PollStep::unheard);
+}
+
+TEST_F (Poll, AnswersOfOthersAndSecondAnswersChangeNothing)
+{
+    EXPECT_EQ (poll.replied (free ("stranger")), PollStep::wait);
+    EXPECT_EQ (poll.replied (busy ("a", 150)), PollStep::wait);
+    EXPECT_EQ (poll.replied (free ("a")), PollStep::wait);
+    EXPECT_EQ (poll.replied (refusing ("b")), PollStep::wait);
+    EXPECT_EQ (poll.replied (refusing ("c")), PollStep::widen);
+    EXPECT_EQ (poll.best().reply.expectedMs, 150);
+}
+
+TEST (PollOfALargeBody, TheWayOverTheLinkCounts)
+{
+    InstancePoll poll (100, true);
+    poll.ask (makeInstance ("a", "z1", 1), 0);
+    poll.ask (makeInstance ("b", "z1", 2), 0);
+    auto narrow = free ("a");
+    narrow.bodyMs = 900;
+    EXPECT_EQ (poll.replied (narrow), PollStep::wait);
+    EXPECT_EQ (poll.replied (free ("b", 200)), PollStep::take);
+    EXPECT_EQ (poll.best().instance.id, "b");
+}
+
+} // namespace
+} // namespace copperlead::mesh::test
--- a/tests/mesh/mesh_state_test.cc
+++ b/tests/mesh/mesh_state_test.cc
@@ -57,6 +57,20 @@
     EXPECT_EQ (usable (node), 2U);
 }
 
+TEST (MeshState, AListingOlderThanWhatIsKnownTeachesNothing)
+{
+    MeshState node;
+    node.take (at (0), whole (4, 9));
+    node.take (at (1), gone ("a", 10, true));
+    auto late = whole (3, 8);
+    late.instances.push_back ({ makeInstance ("c", "z1", 3), 7, false, true });
+    const auto outcome = node.take (at (2), late);
+    EXPECT_FALSE (outcome.instancesChanged);
+    EXPECT_FALSE (outcome.configuration);
+    EXPECT_EQ (usable (node), 1U);
+    EXPECT_EQ (node.reached(), 10U);
+}
+
 TEST (MeshState, ANodeThatIsUpToDateGetsNothing)
 {
     MeshState reader, node;
--- a/tests/mesh/source_follower_test.cc
+++ b/tests/mesh/source_follower_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <memory>
+
 #include "tests/mesh/fixtures.h"
 
 namespace copperlead::mesh::test
@@ -163,5 +165,103 @@
     EXPECT_GT (follower.poll (at (9010))->wait, Milliseconds (0));
 }
 
+TEST_F (Following, AfterAFailureTheNextWatchIsAnsweredAtOnceAndTold)
+{
+    follower.poll (at (5));
+    follower.answered (at (10), failure (SourceReply::refused));
+    const auto again = follower.poll (at (1000));
+    EXPECT_EQ (again->wait, Milliseconds (0));
+    EXPECT_EQ (again->cause, SourceCallCause::retry);
+    EXPECT_TRUE (follower.answered (at (1005), page ({}, 7)));
+}
+
+/** A follower of a node that isn't to read, before its first listing. */
+class PausedAtStart : public ::testing::Test
+{
+protected:
+    PausedAtStart()
+    {
+        FollowerSettings settings;
+        settings.firstListMayBeStale = true;
+        follower = std::make_unique<SourceFollower> (settings, 1);
+        follower->pause();
+    }
+
+    std::unique_ptr<SourceFollower> follower;
+};
+
+TEST_F (PausedAtStart, ListsOnceByAnOldAnswerAndWatchesNothing)
+{
+    const auto list = follower->poll (at (0));
+    ASSERT_TRUE (list);
+    EXPECT_EQ (list->call, SourceCall::list);
+    EXPECT_TRUE (list->mayBeStale);
+    EXPECT_TRUE (follower->answered (at (5), page ({ entry ("a", 3) }, 7))->complete);
+    EXPECT_FALSE (follower->poll (at (60'000)));
+    EXPECT_EQ (follower->lastSuccess(), Timestamp{}) << "an old answer is no word of the source";
+}
+
+TEST_F (PausedAtStart, OfAnOldListingOnlyTheRevisionsOfItsEntriesAreBelieved)
+{
+    follower->poll (at (0));
+    follower->answered (at (1), page ({ entry ("a", 3), entry ("b", 6) }, 9, true));
+    EXPECT_EQ (follower->poll (at (1))->cause, SourceCallCause::page);
+    const auto update = follower->answered (at (2), page ({ entry ("c", 5) }, 9));
+    EXPECT_EQ (update->at, 5U);
+    follower->resume (at (10), 0);
+    EXPECT_EQ (follower->poll (at (10))->afterRevision, 5U);
+}
+
+TEST_F (PausedAtStart, AnOldListingThatHoldsNothingIsRepeatedLater)
+{
+    follower->poll (at (0));
+    follower->answered (at (1), page ({}, 9));
+    EXPECT_FALSE (follower->hasListed());
+    EXPECT_FALSE (follower->poll (at (400)));
+    EXPECT_TRUE (follower->poll (at (500))->mayBeStale);
+}
+
+TEST_F (PausedAtStart, AReaderWithoutAListingAsksForAnExactOne)
+{
+    follower->poll (at (0));
+    follower->answered (at (1), page ({}, 9));
+    follower->resume (at (100), 0);
+    const auto list = follower->poll (at (100));
+    EXPECT_EQ (list->call, SourceCall::list);
+    EXPECT_FALSE (list->mayBeStale);
+}
+
+TEST_F (PausedAtStart, ListingsAfterALostHistoryAreExact)
+{
+    follower->poll (at (0));
+    follower->answered (at (1), page ({ entry ("a", 3) }, 7));
+    follower->resume (at (10), 0);
+    follower->poll (at (10));
+    follower->answered (at (11), failure (SourceReply::historyLost));
+    const auto list = follower->poll (at (11));
+    EXPECT_FALSE (list->mayBeStale);
+    EXPECT_EQ (list->cause, SourceCallCause::historyLost);
+}
+
+TEST_F (PausedAtStart, WhatAPeerToldEndsAListingThatTheSourceRefuses)
+{
+    follower->poll (at (0));
+    follower->answered (at (1), failure (SourceReply::refused));
+    follower->poll (at (500));
+    EXPECT_TRUE (follower->pause (40)) << "the request that is out is dropped";
+    EXPECT_FALSE (follower->poll (at (60'000)));
+    follower->resume (at (60'000), 40);
+    EXPECT_EQ (follower->poll (at (60'000))->afterRevision, 40U);
+}
+
+TEST_F (PausedAtStart, ATryIntervalKeepsCallsToAFailingSourceApart)
+{
+    follower->setTryInterval (Milliseconds (4000));
+    follower->poll (at (0));
+    follower->answered (at (0), failure (SourceReply::refused));
+    EXPECT_GE (follower->nextDue(), at (2000));
+    EXPECT_LE (follower->nextDue(), at (4000));
+}
+
 } // namespace
 } // namespace copperlead::mesh::test
--- /dev/null
+++ b/tests/mesh/zone_outage_test.cc
@@ -0,0 +1,197 @@
+// The nodes of one zone, each with its role and its follower, before a source that fails.
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "mesh/reader_role.h"
+#include "mesh/source_follower.h"
+#include "tests/mesh/fixtures.h"
+
+namespace copperlead::mesh::test
+{
+namespace
+{
+
+constexpr int stepMs = 10;
+constexpr std::int64_t beatMs = 250, callMs = 10;
+
+/** A zone whose beats arrive at once and whose source answers or refuses after 10 ms. */
+class Zone
+{
+public:
+    explicit Zone (int size)
+    {
+        for (int n = 0; n < size; ++n)
+        {
+            FollowerSettings settings;
+            settings.firstListMayBeStale = true;
+            settings.watchInterval = Milliseconds (750);
+            const auto name = "n" + std::to_string (n);
+            const auto seed = static_cast<std::uint64_t> (n + 1);
+            auto node =
+                std::make_unique<Node> (Node{ ReaderRole (name, { topStrength, seed }, {}, seed),
+                                              SourceFollower (settings, seed), name, seed });
+            node->follower.pause();
+            node->role.setZonePeers (static_cast<std::size_t> (size - 1));
+            nodes.push_back (std::move (node));
+        }
+    }
+
+    void runUntil (std::int64_t endMs)
+    {
+        for (; now < endMs; now += stepMs)
+            for (auto& node : nodes)
+                step (*node);
+    }
+
+    int readers() const
+    {
+        int count = 0;
+
+        for (const auto& node : nodes)
+            count += node->role.reading() ? 1 : 0;
+
+        return count;
+    }
+
+    /** @returns the nodes that haven't been up to date with the source in the last second */
+    int outOfDate() const
+    {
+        int count = 0;
+
+        for (const auto& node : nodes)
+        {
+            const bool told = at (now) - node->role.satisfiedAt() <= Milliseconds (1000);
+            count += told || node->follower.reached (at (now)) ? 0 : 1;
+        }
+
+        return count;
+    }
+
+    bool failing = false;
+    int calls = 0, staleCalls = 0;
+
+private:
+    struct Node
+    {
+        ReaderRole role;
+        SourceFollower follower;
+        std::string name;
+        std::uint64_t hash = 0;
+        std::int64_t answerAt = -1, beatAt = -10'000;
+        bool saidSound = false;
+    };
+
+    void step (Node& node)
+    {
+        answer (node);
+        decide (node);
+        beat (node);
+
+        if (const auto request = node.follower.poll (at (now)))
+        {
+            ++(request->mayBeStale ? staleCalls : calls);
+            const bool holds = request->call == SourceCall::watch && ! failing;
+            node.answerAt = now + callMs + (holds ? request->wait.count() : 0);
+        }
+    }
+
+    void answer (Node& node)
+    {
+        if (node.answerAt < 0 || now < node.answerAt)
+            return;
+
+        node.answerAt = -1;
+        SourceAnswer answer;
+        answer.reply = failing ? SourceReply::refused : SourceReply::entries;
+        answer.at = 9;
+        answer.entries = { { "a", "v", 9, 1, false } };
+        node.follower.answered (at (now), std::move (answer));
+
+        if (node.follower.revision() > 0)
+        {
+            node.role.reached (at (now), 9, 1);
+            node.role.listed (at (now));
+        }
+    }
+
+    void decide (Node& node)
+    {
+        const bool before = node.role.reading();
+        const bool reading = node.role.decide (at (now), node.follower.reached (at (now)));
+        node.follower.setTryInterval (node.role.tryInterval (at (now)));
+
+        if (reading == before)
+            return;
+
+        const bool dropped = reading ? node.follower.resume (at (now), node.follower.revision())
+                                     : node.follower.pause (node.follower.revision());
+
+        if (dropped)
+            node.answerAt = -1;
+    }
+
+    void beat (Node& node)
+    {
+        const bool sound = node.follower.reached (at (now));
+        const auto interval =
+            sound == node.saidSound
+                ? (sound ? beatMs
+                         : std::max<std::int64_t> (1000, node.role.tryInterval (at (now)).count()))
+                : 0;
+
+        if (! node.role.reading() || now - node.beatAt < interval)
+            return;
+
+        node.beatAt = now;
+        node.saidSound = sound;
+        const ReaderBeat said{ node.name, "z", { topStrength, node.hash }, 9, 1, sound };
+
+        for (auto& other : nodes)
+            if (other.get() != &node)
+                other->role.heard (at (now), said);
+    }
+
+    std::vector<std::unique_ptr<Node>> nodes;
+    std::int64_t now = 0;
+};
+
+TEST (ZoneOfReaders, StartsTogetherWithOneOldListingEachAndFewOtherCalls)
+{
+    Zone zone (50);
+    zone.runUntil (3000);
+    EXPECT_EQ (zone.readers(), 1);
+    EXPECT_EQ (zone.outOfDate(), 0);
+    EXPECT_EQ (zone.staleCalls, 50);
+    EXPECT_LE (zone.calls, 20);
+}
+
+TEST (ZoneOfReaders, SharesTheCallsOfAnOutageAndComesBackAtOnce)
+{
+    Zone zone (50);
+    zone.runUntil (5000);
+    zone.failing = true;
+    zone.calls = 0;
+    zone.runUntil (14'000);
+    EXPECT_LE (zone.calls, 200);
+    zone.failing = false;
+    zone.runUntil (15'200);
+    EXPECT_EQ (zone.outOfDate(), 0);
+    zone.runUntil (17'000);
+    EXPECT_EQ (zone.readers(), 1);
+}
+
+TEST (ZoneOfReaders, ASmallZoneTriesAsOftenAsBefore)
+{
+    Zone zone (3);
+    zone.runUntil (5000);
+    zone.failing = true;
+    zone.calls = 0;
+    zone.runUntil (14'000);
+    EXPECT_GE (zone.calls, 40);
+}
+
+} // namespace
+} // namespace copperlead::mesh::test
--- /dev/null
+++ b/tests/mesh_integration/load_query_test.cc
@@ -0,0 +1,118 @@
+// Instances are asked for their load before a request is sent there; what the answers can't do.
+#include "mesh/load_query.h"
+
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <thread>
+
+#include "tests/integration/process_harness.h"
+#include "tests/mesh_integration/mesh_fleet.h"
+
+namespace copperlead::standin {
+namespace {
+
+constexpr auto kWork = std::chrono::milliseconds(200);
+
+// Four machines with an instance of `desk`, one with `hub`, which takes the clients' requests.
+class LoadQueries : public ::testing::Test {
+ protected:
+  void SetUp() override {
+    fleet_.Configure(4);
+    for (int desks = 0; desks < 4; ++desks) fleet_.Add("desk");
+    fleet_.Add("hub");
+    ASSERT_TRUE(fleet_.StartAll());
+    for (int sent = 0; sent < 12; ++sent) EXPECT_EQ(Call(Hub()), 200);
+  }
+
+  MeshMachine& Hub() { return *fleet_.machines()[4]; }
+  MeshMachine& Desk(std::size_t index) { return *fleet_.machines()[index]; }
+
+  int Call(const MeshMachine& machine, const std::string& path = "/look/1",
+           const std::string& deadline = "2000") {
+    MeshRequest request;
+    request.path = path;
+    request.id = "q-" + std::to_string(++sent_);
+    request.deadline_ms = deadline;
+    return fleet_.Call(machine, request).status;
+  }
+
+  // Sends a datagram to the port for load queries of every machine, from outside the fleet.
+  void Forge(const std::string& datagram) {
+    const int descriptor = ::socket(AF_INET, SOCK_DGRAM, 0);
+    for (const auto& machine : fleet_.machines()) {
+      sockaddr_in to{};
+      to.sin_family = AF_INET;
+      to.sin_port = htons(fleet_.query_port());
+      ::inet_pton(AF_INET, machine->ip.c_str(), &to.sin_addr);
+      ::sendto(descriptor, datagram.data(), datagram.size(), 0,
+               reinterpret_cast<const sockaddr*>(&to), sizeof(to));
+    }
+    ::close(descriptor);
+  }
+
+  MeshFleet fleet_;
+  std::atomic<int> sent_{0};
+};
+
+TEST_F(LoadQueries, BusyInstancesAreLeftAloneByANodeThatHasSentThemNothing) {
+  for (int desk = 0; desk < 4; ++desk) Desk(desk).instance->SetWork(kWork);
+  for (int sent = 0; sent < 8; ++sent) {
+    for (int desk = 0; desk < 4; ++desk) EXPECT_EQ(Call(Desk(desk)), 200);
+  }
+  // Desks 0 to 2 are busy by the requests of their own machines, of which the hub's node hears
+  // nothing by itself.
+  std::vector<std::thread> clients;
+  for (int desk = 0; desk < 3; ++desk) {
+    for (int client = 0; client < 6; ++client) {
+      clients.emplace_back([this, desk] { Call(Desk(desk)); });
+    }
+  }
+  std::this_thread::sleep_for(kWork / 4);
+  const auto before = Desk(3).instance->runs().size();
+  std::vector<std::thread> others;
+  for (int sent = 0; sent < 4; ++sent) others.emplace_back([this] { Call(Hub()); });
+  for (auto& other : others) other.join();
+  EXPECT_EQ(Desk(3).instance->runs().size() - before, 4U);
+  for (auto& client : clients) client.join();
+}
+
+TEST_F(LoadQueries, ANodeThatIsFrozenCostsAFewMilliseconds) {
+  const Paused first(*Desk(0).sidecar);
+  const Paused second(*Desk(1).sidecar);
+  const auto began = std::chrono::steady_clock::now();
+  for (int sent = 0; sent < 20; ++sent) EXPECT_EQ(Call(Hub(), "/look/1", "400"), 200);
+  EXPECT_LT(std::chrono::steady_clock::now() - began, std::chrono::seconds(2));
+}
+
+TEST_F(LoadQueries, ForgedAndStrayDatagramsStrandNothing) {
+  for (int round = 0; round < 50; ++round) {
+    for (const auto* id : {"i-1", "i-2", "i-3", "i-4"}) {
+      mesh::LoadReply lie;
+      lie.number = static_cast<std::uint64_t>(round);
+      lie.instanceId = id;
+      lie.cause = round % 2 == 0 ? mesh::HopCause::instanceLeaving : mesh::HopCause::queueFull;
+      lie.load = 1000;
+      Forge(mesh::encode(lie));
+    }
+    Forge("stray");
+    EXPECT_EQ(Call(Hub()), 200);
+  }
+}
+
+TEST_F(LoadQueries, ALeavingInstanceGetsNothingThoughItWasAskedBefore) {
+  fleet_.List(Desk(0), "draining");
+  std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+  const auto before = Desk(0).instance->runs().size();
+  for (int sent = 0; sent < 20; ++sent) {
+    EXPECT_EQ(Call(Hub()), 200);
+    EXPECT_EQ(Call(Desk(0)), 200);
+  }
+  EXPECT_EQ(Desk(0).instance->runs().size(), before);
+}
+
+}  // namespace
+}  // namespace copperlead::standin
--- a/tests/mesh_integration/mesh_fleet.cc
+++ b/tests/mesh_integration/mesh_fleet.cc
@@ -95,6 +95,7 @@
       readiness_port_(FreePort()),
       relay_port_(FreePort()),
       metrics_port_(FreePort()),
+      query_port_(FreePort()),
       folder_(NewFolder()) {
   store_.AddHandlers(first_.server(), 0);
   store_.AddHandlers(second_.server(), 1);
@@ -167,6 +168,8 @@
                                       ToString(machine.instance_address),
                                       "--source",
                                       ToString(machine.store),
+                                      "--load-queries",
+                                      address(query_port_),
                                       "--header-request-id",
                                       "X-Request-Id",
                                       "--header-deadline",
--- a/tests/mesh_integration/mesh_fleet.h
+++ b/tests/mesh_integration/mesh_fleet.h
@@ -71,6 +71,8 @@
   SocketAddress outbound(const MeshMachine& machine) const { return {machine.ip, outbound_port_}; }
   // A port that is free for a sidecar's metrics.
   std::uint16_t metrics_port() const { return metrics_port_; }
+  // The port on which sidecars ask each other for the load of instances.
+  std::uint16_t query_port() const { return query_port_; }
   // Runs of a request at all instances.
   int RunsOf(const std::string& request_id) const;
 
@@ -85,6 +87,7 @@
   std::uint16_t readiness_port_ = 0;
   std::uint16_t relay_port_ = 0;
   std::uint16_t metrics_port_ = 0;
+  std::uint16_t query_port_ = 0;
   bool relay_ = false;
   bool fault_proxies_ = false;
   std::string folder_;
--- a/tests/platform_adapter/store_dialect_test.cc
+++ b/tests/platform_adapter/store_dialect_test.cc
@@ -84,6 +84,8 @@
     EXPECT_EQ (dialect.target (list), "/v1/kv-range?path_prefix=");
     list.afterKey = "servers/a b&c";
     EXPECT_EQ (dialect.target (list), "/v1/kv-range?path_prefix=&after=servers/a%20b%26c");
+    list.mayBeStale = true;
+    EXPECT_EQ (dialect.target (list), "/v1/kv-range?stale=1&path_prefix=&after=servers/a%20b%26c");
     mesh::SourceRequest watch{ mesh::SourceCall::watch, {}, 41, Milliseconds (1500), {} };
     EXPECT_EQ (dialect.target (watch), "/v1/kv-watch?path_prefix=&after=41&wait_ms=1500");
 }
--- a/tests/sidecar/sidecar_settings_test.cc
+++ b/tests/sidecar/sidecar_settings_test.cc
@@ -36,6 +36,21 @@
     EXPECT_TRUE (settings.metrics.empty());
 }
 
+TEST (SidecarSettings, TheSourceIsWatchedAQuarterOfTheTighterBoundApart)
+{
+    const auto intervalOf = [] (const char* changes, const char* drain)
+    {
+        return parse ({ "--changes-within-ms", changes, "--drain-within-ms", drain })
+            .value()
+            .settings.watchInterval;
+    };
+    EXPECT_EQ (intervalOf ("3000", "2000"), Milliseconds (500));
+    EXPECT_EQ (intervalOf ("2000", "3000"), Milliseconds (500));
+    EXPECT_EQ (intervalOf ("300", "3000"), Milliseconds (200));
+    EXPECT_EQ (intervalOf ("60000", "60000"), Milliseconds (1000));
+    EXPECT_EQ (intervalOf ("", ""), Milliseconds (200));
+}
+
 TEST (SidecarSettings, BadValuesNameTheKeyTheValueAndWhatIsAllowed)
 {
     struct Case
@@ -46,6 +61,8 @@
         { "grace-s", "soon", "a number from 1 to 3600" },
         { "grace-s", "0", "a number from 1 to 3600" },
         { "grace-s", "6s", "a number from 1 to 3600" },
+        { "changes-within-ms", "0", "a number from 100 to 600000" },
+        { "drain-within-ms", "2s", "a number from 100 to 600000" },
         { "retry-ratio", "nan", "a number from 0 to 10" },
         { "retry-slack", "-1", "a number from 0 to 1000000" },
         { "extra-slots", "65", "a whole number from 0 to 64" },
