--- a/src/sidecar/active_request.cc
+++ b/src/sidecar/active_request.cc
@@ -118,9 +118,6 @@
 
 void ActiveRequest::startAttempt()
 {
-    if (exchange->clientLeft())
-        return onClientLeft();
-
     search = std::make_shared<InstanceSearch> (hop->searchContext, hop->directory, choiceRequest(),
                                                loadQuery());
     const auto begun = search; // Its callback, which lets it go, may come at once.
@@ -139,6 +136,9 @@
     if (done)
         return;
 
+    if (exchange->clientLeft())
+        return onClientLeft();
+
     if (found.step == mesh::PollStep::take)
         return launch (found.choice);
 
--- a/src/sidecar/instance_search.cc
+++ b/src/sidecar/instance_search.cc
@@ -118,19 +118,26 @@
 
 void InstanceSearch::armTimer()
 {
-    context.reactor->RunAt (now() + longestWait,
-                            [weak = weak_from_this(), armed = ++round]
+    const auto due = now() + longestWait;
+    context.reactor->RunAt (due,
+                            [weak = weak_from_this(), armed = ++round, due]
                             {
                                 const auto self = weak.lock();
 
-                                if (self == nullptr || self->round != armed)
-                                    return;
-
-                                self->suspectSilent();
-                                self->follow (self->poll.timeUp());
+                                if (self != nullptr && self->round == armed)
+                                    self->onTimeUp (now() - due);
                             });
 }
 
+void InstanceSearch::onTimeUp (Duration overdue)
+{
+    // Whoever comes this late itself has replies that it hasn't read yet.
+    if (overdue < longestWait)
+        suspectSilent();
+
+    follow (poll.timeUp());
+}
+
 void InstanceSearch::suspectSilent()
 {
     for (const auto& asked : poll.all())
--- a/src/sidecar/instance_search.h
+++ b/src/sidecar/instance_search.h
@@ -65,6 +65,7 @@
     void armTimer();
     void follow (mesh::PollStep step);
     void take (const mesh::PolledInstance& taken);
+    void onTimeUp (Duration overdue);
     void suspectSilent();
     void end (Found found);
 
