An instance that fails its runs doesn't count as free

Ruled out: missing retry budget (140 of 207 went on to another instance, many of which failed as well). Change: the node beside an instance learns the share of its latest runs that failed (half-life 2 s) and tells it in its reply; it counts as ten usual runs times the share, and such an instance ends no search early.

--- a/src/mesh/instance_poll.cc
+++ b/src/mesh/instance_poll.cc
@@ -8,8 +8,10 @@
 namespace
 {
 
-constexpr double waitDoubtShare = 0.5;   // Of the usual run: a wait may be longer than forecast.
-constexpr double goodEnoughShare = 1.25; // Of the usual run: instances differ more than that.
+constexpr double waitDoubtShare = 0.5;    // Of the usual run: a wait may be longer than forecast.
+constexpr double failedRunCost = 10;      // In usual runs: much of the time that a request has.
+constexpr double tolerableFailures = 0.1; // Beyond it others are asked first.
+constexpr double goodEnoughShare = 1.25;  // Of the usual run: instances differ more than that.
 
 bool isAboutLoad (HopCause cause)
 {
@@ -67,7 +69,8 @@
     const auto link = largeBody ? candidate.reply.bodyMs : 0;
     const auto doubt =
         candidate.reply.decision == AdmissionDecision::wait ? waitDoubtShare * usualRun : 0;
-    return candidate.reply.expectedMs + doubt + link + candidate.crossingMs;
+    const auto failures = candidate.reply.failureShare * failedRunCost * usualRun;
+    return candidate.reply.expectedMs + doubt + failures + link + candidate.crossingMs;
 }
 
 bool InstancePoll::findBest()
@@ -98,7 +101,8 @@
 {
     const bool found = findBest();
 
-    if (found && best().reply.decision == AdmissionDecision::run)
+    if (found && best().reply.decision == AdmissionDecision::run &&
+        best().reply.failureShare <= tolerableFailures)
         return PollStep::take;
 
     if (std::exchange (mayWiden, false))
--- a/src/mesh/load_query.cc
+++ b/src/mesh/load_query.cc
@@ -52,7 +52,7 @@
     archive (reply.number, reply.instanceId);
     archiveEnum (archive, reply.decision);
     archiveEnum (archive, reply.cause);
-    archive (reply.expectedMs, reply.load, reply.runMs, reply.bodyMs);
+    archive (reply.expectedMs, reply.load, reply.runMs, reply.bodyMs, reply.failureShare);
 }
 
 std::string encode (const LoadQuery& query) { return encodeDatagram (queryMark, query); }
@@ -78,7 +78,8 @@
     if (! reply || reply->decision > AdmissionDecision::refuse ||
         static_cast<std::size_t> (reply->cause) >= std::size (hopCauseNames) ||
         ! inRange (reply->expectedMs, longestMs) || ! inRange (reply->load, mostLoad) ||
-        ! inRange (reply->runMs, longestMs) || ! inRange (reply->bodyMs, longestMs))
+        ! inRange (reply->runMs, longestMs) || ! inRange (reply->bodyMs, longestMs) ||
+        ! inRange (reply->failureShare, 1))
         return std::nullopt;
 
     return reply;
--- a/src/mesh/load_query.h
+++ b/src/mesh/load_query.h
@@ -39,6 +39,7 @@
     double load = 0;                 /**< Requests that run and wait there. */
     double runMs = 0;                /**< Usual time of a run there, over all routes. */
     double bodyMs = 0;               /**< Until a large body would have arrived. */
+    double failureShare = 0;         /**< Of the latest runs there. */
 };
 
 std::string encode (const LoadQuery& query);
--- a/src/sidecar/last_hop.cc
+++ b/src/sidecar/last_hop.cc
@@ -19,6 +19,7 @@
 using mesh::toMilliseconds;
 
 constexpr Milliseconds probeTimeout{ 400 };
+constexpr int serverFailure = 500, gatewayTimeout = 504; // Statuses of HTTP.
 constexpr double repeatLearningRate = 0.03;
 constexpr std::uint64_t newestId = std::numeric_limits<std::uint64_t>::max(); // Behind its equals.
 constexpr Milliseconds deadlineGrace{ 20 }; // For the instance's own answer at the deadline.
@@ -92,6 +93,7 @@
     reply.load = static_cast<double> (queue.running() + queue.waiting());
     reply.runMs = queue.usualRunMs();
     reply.bodyMs = bodyMs ? bodyMs() : 0;
+    reply.failureShare = failures.at (now);
     reply.cause = refusalOf (query.service, query.usualRunMs);
 
     if (reply.cause == HopCause::none && query.instanceId != instance.id())
@@ -283,6 +285,17 @@
                       { "by", nameOf (mesh::IdentitySource::spoken, mesh::identitySourceNames) } });
 }
 
+void LastHop::learnFailure (HopOutcome outcome, const CallResult& result)
+{
+    // One that says that it didn't run has not failed; at a deadline the request's time was short.
+    if (outcome == HopOutcome::rejected || outcome == HopOutcome::notRun ||
+        (outcome == HopOutcome::ran && result.head.status == gatewayTimeout))
+        return;
+
+    const bool failed = outcome != HopOutcome::ran || result.head.status >= serverFailure;
+    failures.observe (SteadyClock().Now(), failed);
+}
+
 void LastHop::onResult (CallId id, CallResult result)
 {
     const auto found = calls.find (id);
@@ -297,6 +310,7 @@
     const auto took = toMilliseconds (SteadyClock().Now() - found->second.startedAt);
     queue.finished (id, measured ? took : 0);
     counts.instance.observe (took);
+    learnFailure (outcome, result);
     counts.queue.observe (toMilliseconds (found->second.startedAt - found->second.arrivedAt));
     learn (result);
     answer.report = report (outcome, cause);
--- a/src/sidecar/last_hop.h
+++ b/src/sidecar/last_hop.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 
 #include "mesh/admission_queue.h"
+#include "mesh/failure_share.h"
 #include "mesh/hop_header.h"
 #include "mesh/instance_directory.h"
 #include "mesh/latency_histogram.h"
@@ -132,6 +133,7 @@
     void refuseAll (const std::vector<CallId>& ids, mesh::HopCause cause);
     void onResult (CallId id, CallResult result);
     void learn (const CallResult& result);
+    void learnFailure (mesh::HopOutcome outcome, const CallResult& result);
     void complete (CallId id, HopAnswer answer);
     mesh::HopReport report (mesh::HopOutcome outcome, mesh::HopCause cause) const;
     std::string messageFor (const Running& running, Timestamp now) const;
@@ -149,6 +151,7 @@
     LastHopCounters counts;
     CallId lastId = 0;
     double repeats = 0;
+    mesh::FailureShare failures;
     std::string healthPath;
     std::uint64_t configurationVersion = 0;
     Timestamp expiryAt = Timestamp::max();
--- a/tests/mesh/instance_poll_test.cc
+++ b/tests/mesh/instance_poll_test.cc
@@ -11,17 +11,17 @@
 
 LoadReply free (const std::string& id, double expectedMs = 100)
 {
-    return { 1, id, AdmissionDecision::run, HopCause::none, expectedMs, 1, 100, 0 };
+    return { 1, id, AdmissionDecision::run, HopCause::none, expectedMs, 1, 100, 0, 0 };
 }
 
 LoadReply busy (const std::string& id, double expectedMs)
 {
-    return { 1, id, AdmissionDecision::wait, HopCause::none, expectedMs, 6, 100, 0 };
+    return { 1, id, AdmissionDecision::wait, HopCause::none, expectedMs, 6, 100, 0, 0 };
 }
 
 LoadReply refusing (const std::string& id, HopCause cause = HopCause::queueFull)
 {
-    return { 1, id, AdmissionDecision::refuse, cause, 0, 9, 100, 0 };
+    return { 1, id, AdmissionDecision::refuse, cause, 0, 9, 100, 0, 0 };
 }
 
 /** Asks a, b and c of the own zone. Runs usually take 100 ms. */
@@ -108,6 +108,28 @@
     EXPECT_EQ (poll.replied (refusing ("c", HopCause::nodeStopping)), PollStep::unheard);
 }
 
+TEST_F (Poll, AnInstanceThatFailsItsRunsDoesNotCountAsFree)
+{
+    auto failing = free ("a", 5);
+    failing.failureShare = 0.4;
+    EXPECT_EQ (poll.replied (failing), PollStep::wait);
+    EXPECT_EQ (poll.replied (busy ("b", 250)), PollStep::wait);
+    EXPECT_EQ (poll.replied (refusing ("c")), PollStep::widen);
+    EXPECT_EQ (poll.timeUp(), PollStep::take);
+    EXPECT_EQ (poll.best().instance.id, "b");
+}
+
+TEST_F (Poll, AnInstanceThatFailsIsTakenIfTheOthersRefuse)
+{
+    poll.closeWidening();
+    auto failing = free ("a", 5);
+    failing.failureShare = 0.4;
+    poll.replied (failing);
+    poll.replied (refusing ("b"));
+    EXPECT_EQ (poll.replied (refusing ("c")), PollStep::take);
+    EXPECT_EQ (poll.best().instance.id, "a");
+}
+
 TEST_F (Poll, WhoeverIsSilentIsNotWaitedForLonger)
 {
     poll.replied (busy ("a", 150));
--- a/tests/mesh/load_query_test.cc
+++ b/tests/mesh/load_query_test.cc
@@ -26,7 +26,7 @@
 
 LoadReply reply()
 {
-    return { 7, "i-1", AdmissionDecision::wait, HopCause::none, 130.5, 6, 96, 12 };
+    return { 7, "i-1", AdmissionDecision::wait, HopCause::none, 130.5, 6, 96, 12, 0.25 };
 }
 
 TEST (LoadQueryCodec, QueriesAndRepliesComeBack)
@@ -53,6 +53,7 @@
     EXPECT_EQ (told->load, 6);
     EXPECT_EQ (told->runMs, 96);
     EXPECT_EQ (told->bodyMs, 12);
+    EXPECT_EQ (told->failureShare, 0.25);
 }
 
 TEST (LoadQueryCodec, StrayDatagramsAreRefused)
@@ -86,6 +87,9 @@
         told = reply();
         told.load = bad;
         EXPECT_FALSE (decodeLoadReply (encode (told))) << bad;
+        told = reply();
+        told.failureShare = bad;
+        EXPECT_FALSE (decodeLoadReply (encode (told))) << bad;
         auto asked = query();
         asked.usualRunMs = bad;
         EXPECT_FALSE (decodeLoadQuery (encode (asked))) << bad;
--- a/tests/mesh_integration/load_query_test.cc
+++ b/tests/mesh_integration/load_query_test.cc
@@ -84,6 +84,17 @@
   for (auto& client : clients) client.join();
 }
 
+TEST_F(LoadQueries, AnInstanceThatLosesItsAnswersAtOnceDrawsFewRequests) {
+  Desk(0).instance->SetFault({InstanceTrouble::kLost});
+  // Of the machine beside it, too, for which it is nearest.
+  int failed = 0;
+  for (int sent = 0; sent < 30; ++sent) {
+    failed += Buy(Desk(0)) == 200 ? 0 : 1;
+    failed += Buy(Hub()) == 200 ? 0 : 1;
+  }
+  EXPECT_LE(failed, 6);
+}
+
 TEST_F(LoadQueries, ANodeThatIsFrozenCostsAFewMilliseconds) {
   const Paused first(*Desk(0).sidecar);
   const Paused second(*Desk(1).sidecar);
