--- a/src/sidecar/decision_log.cc
+++ b/src/sidecar/decision_log.cc
@@ -40,6 +40,8 @@
     { EventKind::instanceLost, "instance_lost", 5, "instance cause" },
     { EventKind::instanceRegained, "instance_regained", 5, "instance after_ms" },
     { EventKind::instanceLeaving, "instance_leaving", 5, "instance running waiting" },
+    { EventKind::instanceFailing, "instance_failing", 5,
+      "instance share outcome status cause running" },
     { EventKind::peerAvoided, "peer_avoided", 10, "instance cause for_ms" },
     { EventKind::requestServed, "request_served", 1, requestFields },
     { EventKind::requestRefused, "request_refused", 20,
--- a/src/sidecar/decision_log.h
+++ b/src/sidecar/decision_log.h
@@ -35,6 +35,7 @@
     instanceLost,
     instanceRegained,
     instanceLeaving,
+    instanceFailing,
     peerAvoided,
     requestServed,
     requestRefused,
--- a/src/sidecar/last_hop.cc
+++ b/src/sidecar/last_hop.cc
@@ -20,6 +20,7 @@
 
 constexpr Milliseconds probeTimeout{ 400 };
 constexpr int serverFailure = 500, gatewayTimeout = 504; // Statuses of HTTP.
+constexpr double failingShare = 0.3; // Worth a line: several of the latest runs, not one alone.
 constexpr double repeatLearningRate = 0.03;
 constexpr std::uint64_t newestId = std::numeric_limits<std::uint64_t>::max(); // Behind its equals.
 constexpr Milliseconds deadlineGrace{ 20 }; // For the instance's own answer at the deadline.
@@ -293,7 +294,18 @@
         return;
 
     const bool failed = outcome != HopOutcome::ran || result.head.status >= serverFailure;
-    failures.observe (SteadyClock().Now(), failed);
+    const auto now = SteadyClock().Now();
+    const bool wasFailing = failures.at (now) > failingShare;
+    failures.observe (now, failed);
+
+    if (! wasFailing && failures.at (now) > failingShare)
+        log->write (now, EventKind::instanceFailing,
+                    { { "instance", instance.id() },
+                      { "share", failures.at (now) },
+                      { "outcome", nameOf (outcome, mesh::hopOutcomeNames) },
+                      { "status", std::int64_t (result.head.status) },
+                      { "cause", result.cause },
+                      { "running", static_cast<std::int64_t> (queue.running()) } });
 }
 
 void LastHop::onResult (CallId id, CallResult result)
--- a/src/sidecar/last_hop.h
+++ b/src/sidecar/last_hop.h
@@ -109,6 +109,9 @@
     /** The share of repeats among the runs here lately. */
     double repeatShare() const { return repeats; }
 
+    /** The share of failures among the runs here lately. */
+    double failureShare (Timestamp now) const { return failures.at (now); }
+
     std::size_t inFlight() const { return calls.size(); }
     const LastHopCounters& counters() const { return counts; }
     const mesh::AdmissionQueue& admission() const { return queue; }
--- a/src/sidecar/sidecar_metrics.cc
+++ b/src/sidecar/sidecar_metrics.cc
@@ -115,6 +115,8 @@
                     static_cast<double> (figures.running));
     families.gauge ("copperlead_instance_waiting", "Requests that wait for it here",
                     static_cast<double> (figures.waiting));
+    families.gauge ("copperlead_instance_failure_share", "Share of its latest runs that failed",
+                    figures.failureShare);
     families.counters ("copperlead_instance_runs_begun_total",
                        "Runs by what their answers were expected to be", "timeliness",
                        mesh::timelinessNames, figures.begun);
--- a/src/sidecar/sidecar_metrics.h
+++ b/src/sidecar/sidecar_metrics.h
@@ -36,6 +36,7 @@
     std::uint64_t configurationVersion = 0, sourceRevision = 0, logLinesLeftOut = 0;
     mesh::SourceCallCounts sourceCalls{};
     bool ready = false, reading = false;
+    double failureShare = 0; /**< Of the latest runs at the instance. */
     /** Of the last answer of the source to this node; nothing before the first. */
     std::optional<double> sourceWordAgeMs;
     /** Since this node was up to date with a reader of its zone; nothing if it never was. */
--- a/src/sidecar/sidecar_servers.cc
+++ b/src/sidecar/sidecar_servers.cc
@@ -88,6 +88,7 @@
     shown.toInstance = lastHop->clientCounters();
     shown.inFlight = inFlight();
     shown.running = lastHop->admission().running();
+    shown.failureShare = lastHop->failureShare (at);
     shown.waiting = lastHop->admission().waiting();
     shown.connections = outbound->connections();
     shown.clients = outbound->counters();
