A busy instance beside a node no longer keeps its searches from other zones

Cause: the reply of the instance beside the node was taken while nobody else was asked yet, so the poll took it for all replies there are, and used up its one widening. Change: that reply counts once the others are asked.

--- a/src/mesh/instance_poll.cc
+++ b/src/mesh/instance_poll.cc
@@ -31,6 +31,8 @@
     asked.push_back ({ std::move (instance), crossingMs, false, {} });
 }
 
+bool InstancePoll::endsSearch (const LoadReply& reply) const { return isGoodEnough (reply, 0); }
+
 PollStep InstancePoll::replied (const LoadReply& reply)
 {
     const auto found = std::find_if (asked.begin(), asked.end(),
@@ -46,7 +48,7 @@
             refusalCause = reply.cause;
     }
 
-    if (findBest() && isGoodEnough (best()))
+    if (findBest() && isGoodEnough (best().reply, best().crossingMs))
         return PollStep::take;
 
     return pending() > 0 ? PollStep::wait : decide();
@@ -64,13 +66,17 @@
         asked.begin(), asked.end(), [] (const auto& candidate) { return ! candidate.answered; }));
 }
 
+double InstancePoll::costOf (const LoadReply& reply, double crossingMs) const
+{
+    const auto link = largeBody ? reply.bodyMs : 0;
+    const auto doubt = reply.decision == AdmissionDecision::wait ? waitDoubtShare * usualRun : 0;
+    const auto failures = reply.failureShare * failedRunCost * usualRun;
+    return reply.expectedMs + doubt + failures + link + crossingMs;
+}
+
 double InstancePoll::costOf (const PolledInstance& candidate) const
 {
-    const auto link = largeBody ? candidate.reply.bodyMs : 0;
-    const auto doubt =
-        candidate.reply.decision == AdmissionDecision::wait ? waitDoubtShare * usualRun : 0;
-    const auto failures = candidate.reply.failureShare * failedRunCost * usualRun;
-    return candidate.reply.expectedMs + doubt + failures + link + candidate.crossingMs;
+    return costOf (candidate.reply, candidate.crossingMs);
 }
 
 bool InstancePoll::findBest()
@@ -91,10 +97,10 @@
     return found;
 }
 
-bool InstancePoll::isGoodEnough (const PolledInstance& candidate) const
+bool InstancePoll::isGoodEnough (const LoadReply& reply, double crossingMs) const
 {
-    return candidate.reply.decision == AdmissionDecision::run &&
-           costOf (candidate) <= goodEnoughShare * usualRun + candidate.crossingMs;
+    return reply.decision == AdmissionDecision::run &&
+           costOf (reply, crossingMs) <= goodEnoughShare * usualRun + crossingMs;
 }
 
 PollStep InstancePoll::decide()
--- a/src/mesh/instance_poll.h
+++ b/src/mesh/instance_poll.h
@@ -51,6 +51,9 @@
 
     void ask (Instance instance, double crossingMs);
 
+    /** An instance of the own zone that answers so is taken without asking any other. */
+    bool endsSearch (const LoadReply& reply) const;
+
     /** No further instance is to be asked. */
     void closeWidening() { mayWiden = false; }
 
@@ -65,9 +68,10 @@
     const std::vector<PolledInstance>& all() const { return asked; }
 
 private:
+    double costOf (const LoadReply& reply, double crossingMs) const;
     double costOf (const PolledInstance& candidate) const;
     bool findBest();
-    bool isGoodEnough (const PolledInstance& candidate) const;
+    bool isGoodEnough (const LoadReply& reply, double crossingMs) const;
     PollStep decide();
     std::size_t pending() const;
 
--- a/src/sidecar/instance_search.cc
+++ b/src/sidecar/instance_search.cc
@@ -44,8 +44,20 @@
     callback = std::move (callbackToUse);
     begunAt = now();
 
-    if (takeLocal())
-        return;
+    const auto local = findLocal();
+    mesh::LoadReply localReply;
+
+    if (local)
+    {
+        query.instanceId = local->id;
+        localReply = context.lastHop->forecast (query);
+
+        if (poll.endsSearch (localReply))
+        {
+            ++context.counts->local;
+            return take (*local, localReply);
+        }
+    }
 
     if (context.queries == nullptr)
         return end ({});
@@ -57,14 +69,24 @@
                 self->follow (self->poll.replied (reply));
         });
     query.number = number;
+    const auto asked = ask (false);
 
-    if (ask (false) == 0)
-        return follow (poll.timeUp());
+    if (local)
+    {
+        // Counts as one of those that answered, now that others are waited for.
+        poll.ask (*local, 0);
+        follow (poll.replied (localReply));
+    }
+    else if (asked == 0)
+    {
+        follow (poll.timeUp());
+    }
 
-    armTimer();
+    if (callback != nullptr && ! widened)
+        armTimer();
 }
 
-bool InstanceSearch::takeLocal()
+std::optional<mesh::Instance> InstanceSearch::findLocal() const
 {
     const auto& id = context.lastHop->instanceId();
     const auto listed = directory->byService.find (wanted.service);
@@ -73,7 +95,7 @@
 
     if (listed == directory->byService.end() || id.empty() || excluded ||
         ! context.chooser->mayPrefer (begunAt, id))
-        return false;
+        return std::nullopt;
 
     const auto found = std::find_if (listed->second.begin(), listed->second.end(),
                                      [&] (const auto& candidate) {
@@ -82,17 +104,9 @@
                                      });
 
     if (found == listed->second.end())
-        return false;
-
-    query.instanceId = id;
-    poll.ask (found->instance, 0);
-
-    if (poll.replied (context.lastHop->forecast (query)) != mesh::PollStep::take)
-        return false;
+        return std::nullopt;
 
-    ++context.counts->local;
-    take (poll.best());
-    return true;
+    return found->instance;
 }
 
 std::size_t InstanceSearch::ask (bool elsewhere)
@@ -151,7 +165,7 @@
         return;
 
     if (step == mesh::PollStep::take)
-        return take (poll.best());
+        return take (poll.best().instance, poll.best().reply);
 
     if (step == mesh::PollStep::widen)
     {
@@ -168,13 +182,13 @@
     end (found);
 }
 
-void InstanceSearch::take (const mesh::PolledInstance& taken)
+void InstanceSearch::take (const mesh::Instance& instance, const mesh::LoadReply& reply)
 {
     Found found;
     found.step = mesh::PollStep::take;
-    found.choice.instance = taken.instance;
-    found.choice.expectedMs = taken.reply.expectedMs;
-    found.choice.load = taken.reply.load;
+    found.choice.instance = instance;
+    found.choice.expectedMs = reply.expectedMs;
+    found.choice.load = reply.load;
     found.choice.ageMs = mesh::toMilliseconds (now() - begunAt);
     end (found);
 }
--- a/src/sidecar/instance_search.h
+++ b/src/sidecar/instance_search.h
@@ -60,11 +60,11 @@
     void begin (Callback callbackToUse);
 
 private:
-    bool takeLocal();
+    std::optional<mesh::Instance> findLocal() const;
     std::size_t ask (bool elsewhere);
     void armTimer();
     void follow (mesh::PollStep step);
-    void take (const mesh::PolledInstance& taken);
+    void take (const mesh::Instance& instance, const mesh::LoadReply& reply);
     void onTimeUp (Duration overdue);
     void suspectSilent();
     void end (Found found);
--- a/tests/mesh_integration/load_query_test.cc
+++ b/tests/mesh_integration/load_query_test.cc
@@ -84,6 +84,40 @@
   for (auto& client : clients) client.join();
 }
 
+TEST_F(LoadQueries, ABusyInstanceBesideANodeDoesNotKeepItFromOtherZones) {
+  MeshFleet fleet;
+  fleet.Configure(4);
+  MeshMachine& own = fleet.Add("desk", "ank-a");
+  MeshMachine& near = fleet.Add("desk", "ank-a");
+  MeshMachine& far = fleet.Add("desk", "ank-b");
+  ASSERT_TRUE(fleet.StartAll());
+  for (MeshMachine* machine : {&own, &near}) machine->instance->SetWork(kLongWork);
+  std::vector<std::thread> clients;
+  std::atomic<int> number{0};
+  const auto buy = [&](const MeshMachine& machine) {
+    MeshRequest request;
+    request.method = "POST";
+    request.path = "/buy/1";
+    request.body = "b";
+    request.id = "b-" + std::to_string(++number);
+    return fleet.Call(machine, request).status;
+  };
+  // So that it is known how long they take.
+  for (MeshMachine* machine : {&own, &near}) EXPECT_EQ(buy(*machine), 200);
+  for (MeshMachine* machine : {&own, &near}) {
+    for (int client = 0; client < kSlots; ++client) {
+      clients.emplace_back([&buy, machine] { buy(*machine); });
+    }
+  }
+  std::this_thread::sleep_for(kLongWork / 4);
+  const auto before = far.instance->runs().size();
+  const auto began = std::chrono::steady_clock::now();
+  for (int sent = 0; sent < 5; ++sent) EXPECT_EQ(buy(own), 200);
+  EXPECT_LT(std::chrono::steady_clock::now() - began, kLongWork / 2);
+  EXPECT_EQ(far.instance->runs().size() - before, 5U);
+  for (auto& client : clients) client.join();
+}
+
 TEST_F(LoadQueries, AnInstanceThatLosesItsAnswersAtOnceDrawsFewRequests) {
   Desk(0).instance->SetFault({InstanceTrouble::kLost});
   // Of the machine beside it, too, for which it is nearest.
