Less in the choice of an instance: one check of what is excluded, no second look for the best

Cause: a reading of the diff. The test whether an instance was tried stood three times (choose, sample, findLocal): ChoiceRequest::excludes. timeUp() looked for the best before decide() did. closeWidening() was called by tests alone; they use the widening up by timeUp() now, one assertion more each, none changed.

--- a/src/mesh/instance_chooser.cc
+++ b/src/mesh/instance_chooser.cc
@@ -16,12 +16,17 @@
 constexpr double learningRate = 0.1;
 constexpr double slowestSpeed = 8, fastestSpeed = 0.25;
 constexpr double unheardRunShare = 0.3; // Of the target latency, before a route's first answer.
-constexpr std::size_t extraDraws =
-    5; // Of a sample, when some that were drawn are to be left alone.
+// Of a sample, when some that were drawn are to be left alone.
+constexpr std::size_t extraDraws = 5;
 constexpr double lapsedPenaltyMs = 10'000, suspectedPenaltyMs = 5'000;
 
 } // namespace
 
+bool ChoiceRequest::excludes (const std::string& id) const
+{
+    return std::find (excluded.begin(), excluded.end(), id) != excluded.end();
+}
+
 InstanceChooser::InstanceChooser (ChooserSettings settingsToUse, std::uint64_t seed)
     : settings (std::move (settingsToUse))
     , random (static_cast<std::minstd_rand::result_type> (seed % std::minstd_rand::modulus))
@@ -119,10 +124,9 @@
                                                : place + own.size();
         const auto& candidate = all[index];
         const auto& id = candidate.instance.id;
-        const bool excluded = std::find (request.excluded.begin(), request.excluded.end(), id) !=
-                              request.excluded.end();
 
-        if (! excluded && candidate.state == InstanceState::ready && mayPrefer (now, id))
+        if (! request.excludes (id) && candidate.state == InstanceState::ready &&
+            mayPrefer (now, id))
             drawn.push_back (candidate.instance);
     }
 
@@ -146,8 +150,7 @@
         const auto& id = candidate.instance.id;
         const auto& view = views[id];
 
-        if (view.shunnedUntil > now || std::find (request.excluded.begin(), request.excluded.end(),
-                                                  id) != request.excluded.end())
+        if (view.shunnedUntil > now || request.excludes (id))
             continue;
 
         auto cost = expectedMs (now, candidate, view, request) * spread (random);
--- a/src/mesh/instance_chooser.h
+++ b/src/mesh/instance_chooser.h
@@ -44,6 +44,8 @@
     std::string service;
     std::size_t requestBytes = 0;
     std::vector<std::string> excluded; /**< Ids of instances that were tried. */
+
+    bool excludes (const std::string& id) const;
 };
 
 struct Choice
--- a/src/mesh/instance_poll.cc
+++ b/src/mesh/instance_poll.cc
@@ -54,11 +54,7 @@
     return pending() > 0 ? PollStep::wait : decide();
 }
 
-PollStep InstancePoll::timeUp()
-{
-    findBest();
-    return decide();
-}
+PollStep InstancePoll::timeUp() { return decide(); }
 
 std::size_t InstancePoll::pending() const
 {
--- a/src/mesh/instance_poll.h
+++ b/src/mesh/instance_poll.h
@@ -54,9 +54,6 @@
     /** An instance of the own zone that answers so is taken without asking any other. */
     bool endsSearch (const LoadReply& reply) const;
 
-    /** No further instance is to be asked. */
-    void closeWidening() { mayWiden = false; }
-
     /** An answer came. One of an instance that wasn't asked, or a second one, changes nothing. */
     PollStep replied (const LoadReply& reply);
 
--- a/src/mesh/source_follower.h
+++ b/src/mesh/source_follower.h
@@ -113,9 +113,9 @@
     Milliseconds longestBackoff{ 400 };
     Milliseconds hurryAfter{ 200 };   /**< A watch younger than this may just be on its way. */
     Milliseconds unsoundTime{ 2500 }; /**< After a failure, absence isn't trusted for so long. */
-    Milliseconds emptyListInterval{
-        500
-    };                                /**< Until an old listing that held nothing is repeated. */
+
+    /** Until an old listing that held nothing is repeated. */
+    Milliseconds emptyListInterval{ 500 };
     bool firstListMayBeStale = false; /**< Set where a reader of the zone tells what it lacks. */
 };
 
--- a/src/sidecar/instance_search.cc
+++ b/src/sidecar/instance_search.cc
@@ -90,10 +90,8 @@
 {
     const auto& id = context.lastHop->instanceId();
     const auto listed = directory->byService.find (wanted.service);
-    const bool excluded =
-        std::find (wanted.excluded.begin(), wanted.excluded.end(), id) != wanted.excluded.end();
 
-    if (listed == directory->byService.end() || id.empty() || excluded ||
+    if (listed == directory->byService.end() || id.empty() || wanted.excludes (id) ||
         ! context.chooser->mayPrefer (begunAt, id))
         return std::nullopt;
 
--- a/tests/mesh/instance_poll_test.cc
+++ b/tests/mesh/instance_poll_test.cc
@@ -81,7 +81,7 @@
 
 TEST_F (Poll, WithoutOtherZonesTheShortestWaitIsTaken)
 {
-    poll.closeWidening();
+    EXPECT_EQ (poll.timeUp(), PollStep::widen); // Which is used up by it.
     poll.replied (busy ("a", 160));
     poll.replied (busy ("b", 150));
     EXPECT_EQ (poll.replied (refusing ("c")), PollStep::take);
@@ -102,7 +102,7 @@
 
 TEST_F (Poll, RefusalsThatAreNotAboutLoadSayNothingOfTheService)
 {
-    poll.closeWidening();
+    EXPECT_EQ (poll.timeUp(), PollStep::widen); // Which is used up by it.
     poll.replied (refusing ("a", HopCause::instanceDown));
     poll.replied (refusing ("b", HopCause::instanceUnknown));
     EXPECT_EQ (poll.replied (refusing ("c", HopCause::nodeStopping)), PollStep::unheard);
@@ -121,7 +121,7 @@
 
 TEST_F (Poll, AnInstanceThatFailsIsTakenIfTheOthersRefuse)
 {
-    poll.closeWidening();
+    EXPECT_EQ (poll.timeUp(), PollStep::widen); // Which is used up by it.
     auto failing = free ("a", 5);
     failing.failureShare = 0.4;
     poll.replied (failing);
