--- a/src/sidecar/body_admission.cc
+++ b/src/sidecar/body_admission.cc
@@ -21,6 +21,7 @@
 
 BodyAdmission::BodyAdmission (std::shared_ptr<Reactor> reactorToUse, double linkMbps)
     : reactor (std::move (reactorToUse))
+    , expiry (reactor)
     , bytesPerMs (linkMbps * bytesPerMsOfMbps)
     , usualBytes (static_cast<double> (mesh::largeBodyBytes))
 {
@@ -132,23 +133,12 @@
 
 void BodyAdmission::armExpiry()
 {
-    const auto when = queue.nextExpiry();
-
-    if (when >= expiryAt)
-        return;
-
-    expiryAt = when;
-    reactor->RunAt (when + Milliseconds (1),
-                    [weak = weak_from_this(), when]
-                    {
-                        const auto self = weak.lock();
-
-                        if (self == nullptr || self->expiryAt != when)
-                            return;
-
-                        self->expiryAt = Timestamp::max();
+    expiry.arm (queue.nextExpiry(),
+                [weak = weak_from_this()]
+                {
+                    if (const auto self = weak.lock())
                         self->pump();
-                    });
+                });
 }
 
 double BodyAdmission::expectedMs() const
--- a/src/sidecar/body_admission.h
+++ b/src/sidecar/body_admission.h
@@ -15,6 +15,7 @@
 #include "mesh/admission_queue.h"
 #include "mesh/hop_header.h"
 #include "mesh/latency_histogram.h"
+#include "sidecar/earliest_timer.h"
 #include "transport/reactor.h"
 
 namespace copperlead::sidecar
@@ -75,13 +76,13 @@
     double transferMs (double bytes) const;
 
     std::shared_ptr<Reactor> reactor;
+    EarliestTimer expiry; /**< Of what waits in the queue. */
     double bytesPerMs;
     double usualBytes;
     mesh::AdmissionQueue queue;
     std::unordered_map<Id, Asked> asked;
     BodyCounters counts;
     Id lastId = 0;
-    Timestamp expiryAt = Timestamp::max();
 };
 
 } // namespace copperlead::sidecar
--- a/src/sidecar/last_hop.cc
+++ b/src/sidecar/last_hop.cc
@@ -39,6 +39,7 @@
 LastHop::LastHop (std::shared_ptr<Reactor> reactorToUse, LastHopSettings settingsToUse,
                   std::shared_ptr<DecisionLog> logToUse)
     : reactor (std::move (reactorToUse))
+    , expiry (reactor)
     , settings (std::move (settingsToUse))
     , log (std::move (logToUse))
     , client (std::make_shared<HttpClient> (reactor, clientSettings()))
@@ -350,25 +351,16 @@
 
 void LastHop::armExpiry()
 {
-    const auto when = queue.nextExpiry();
-
-    if (when >= expiryAt)
-        return;
-
-    expiryAt = when;
-    reactor->RunAt (when + Milliseconds (1),
-                    [weak = weak_from_this(), when]
-                    {
-                        const auto self = weak.lock();
-
-                        if (self != nullptr && self->expiryAt == when)
-                            self->expire();
-                    });
+    expiry.arm (queue.nextExpiry(),
+                [weak = weak_from_this()]
+                {
+                    if (const auto self = weak.lock())
+                        self->expire();
+                });
 }
 
 void LastHop::expire()
 {
-    expiryAt = Timestamp::max();
     refuseAll (queue.expire (SteadyClock().Now()), HopCause::expired);
     armExpiry();
 }
--- a/src/sidecar/last_hop.h
+++ b/src/sidecar/last_hop.h
@@ -17,6 +17,7 @@
 #include "mesh/load_query.h"
 #include "mesh/local_instance.h"
 #include "sidecar/decision_log.h"
+#include "sidecar/earliest_timer.h"
 #include "sidecar/header_names.h"
 #include "sidecar/http_client.h"
 
@@ -145,6 +146,7 @@
     void logRefusal (const Running& running, mesh::HopCause cause);
 
     std::shared_ptr<Reactor> reactor;
+    EarliestTimer expiry; /**< Of what waits in the queue. */
     LastHopSettings settings;
     std::shared_ptr<DecisionLog> log;
     std::shared_ptr<HttpClient> client;
@@ -157,7 +159,6 @@
     mesh::FailureShare failures;
     std::string healthPath;
     std::uint64_t configurationVersion = 0;
-    Timestamp expiryAt = Timestamp::max();
     Timestamp endsAt = Timestamp::max();
     bool stopping = false;
     bool probing = false;
