--- a/src/mesh/admission_queue.cc
+++ b/src/mesh/admission_queue.cc
@@ -42,14 +42,20 @@
     return known->second.meanMs + longRunDeviations * known->second.deviationMs;
 }
 
-double AdmissionQueue::waitBehindMs (std::size_t before) const
+bool AdmissionQueue::mayRunAtOnce (Timestamp now) const
+{
+    return hasFreeSlot() && order.empty() && starts.earliest (now, 0) <= now;
+}
+
+double AdmissionQueue::waitBehindMs (Timestamp now, std::size_t before) const
 {
     const auto slots = static_cast<double> (std::max (limit, 1));
+    const auto bound = toMilliseconds (starts.earliest (now, before) - now);
 
-    if (before == 0 && static_cast<double> (running()) < slots)
-        return 0;
+    if (before == 0 && hasFreeSlot())
+        return bound;
 
-    return (static_cast<double> (before) + 1) / slots * meanRunMs;
+    return std::max (bound, (static_cast<double> (before) + 1) / slots * meanRunMs);
 }
 
 std::size_t AdmissionQueue::countBefore (const Rank& rank) const
@@ -57,9 +63,9 @@
     return static_cast<std::size_t> (std::distance (order.begin(), order.lower_bound (rank)));
 }
 
-double AdmissionQueue::expectedWaitMs (int priority) const
+double AdmissionQueue::expectedWaitMs (Timestamp now, int priority) const
 {
-    return waitBehindMs (countBefore ({ priority, Timeliness::late, Timestamp::max(), 0 }));
+    return waitBehindMs (now, countBefore ({ priority, Timeliness::late, Timestamp::max(), 0 }));
 }
 
 bool AdmissionQueue::lateMayWait (Timestamp now, Timestamp latestStart) const
@@ -81,7 +87,8 @@
     {
         held.rank = { request.priority, timeliness, due, request.id };
         held.latestStart = due - fromMilliseconds (runMs);
-        return now + fromMilliseconds (waitBehindMs (countBefore (held.rank))) <= held.latestStart;
+        return now + fromMilliseconds (waitBehindMs (now, countBefore (held.rank))) <=
+               held.latestStart;
     };
     const auto longRun = longRunMs (request);
 
@@ -110,7 +117,7 @@
 {
     const auto run = usualRunOf (request);
 
-    if (hasFreeSlot())
+    if (mayRunAtOnce (now))
         return { AdmissionDecision::run, run };
 
     Held held;
@@ -118,14 +125,15 @@
     if (order.size() >= mostWaiting || ! place (now, request, held))
         return { AdmissionDecision::refuse, 0 };
 
-    return { AdmissionDecision::wait, waitBehindMs (countBefore (held.rank)) + run };
+    return { AdmissionDecision::wait, waitBehindMs (now, countBefore (held.rank)) + run };
 }
 
 AdmissionDecision AdmissionQueue::offer (Timestamp now, const AdmissionRequest& request)
 {
-    if (hasFreeSlot())
+    if (mayRunAtOnce (now))
     {
         runningById.emplace (request.id, request.route);
+        starts.started (now);
         ++begins[static_cast<std::size_t> (timelinessAt (now, request))];
         return AdmissionDecision::run;
     }
@@ -218,7 +226,7 @@
 
 std::uint64_t AdmissionQueue::next (Timestamp now)
 {
-    if (static_cast<int> (running()) >= limit)
+    if (! hasFreeSlot() || starts.earliest (now, 0) > now)
         return 0;
 
     review (now);
@@ -229,6 +237,7 @@
     const auto held = waitingById.at (order.begin()->id);
     const auto id = held.request.id;
     runningById.emplace (id, held.request.route);
+    starts.started (now);
     countBegin (now, held.rank);
     forget (held);
     return id;
@@ -268,6 +277,11 @@
     runningById.erase (found);
 }
 
+Timestamp AdmissionQueue::nextBoundedStart (Timestamp now) const
+{
+    return hasFreeSlot() && ! order.empty() ? starts.earliest (now, 0) : Timestamp::max();
+}
+
 Timestamp AdmissionQueue::nextExpiry() const
 {
     if (! expired.empty())
--- a/src/mesh/admission_queue.h
+++ b/src/mesh/admission_queue.h
@@ -23,6 +23,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "mesh/start_window.h"
 
 namespace copperlead::mesh
 {
@@ -69,6 +70,10 @@
 public:
     void setLimit (int newLimit) { limit = newLimit; }
 
+    /** Bounds how many runs begin within a second, beside the limit on those at a time. */
+    StartWindow& startWindow() { return starts; }
+    const StartWindow& startWindow() const { return starts; }
+
     /** What offer() would decide, without taking the request. */
     AdmissionForecast forecast (Timestamp now, const AdmissionRequest& request) const;
 
@@ -96,13 +101,18 @@
     /** When expire() has something to do at the earliest; the largest time when nothing waits. */
     Timestamp nextExpiry() const;
 
+    /** When next() may give a request that only the bound on starts holds back; the largest time
+        when there is none.
+    */
+    Timestamp nextBoundedStart (Timestamp now) const;
+
     std::size_t running() const { return runningById.size(); }
     std::size_t waiting() const { return order.size(); }
     std::size_t waitingLate() const { return lateWaiting; }
     double usualRunMs() const { return meanRunMs; }
 
     /** The expected wait, in milliseconds, of a request of this priority that is already late. */
-    double expectedWaitMs (int priority) const;
+    double expectedWaitMs (Timestamp now, int priority) const;
 
     /** Runs begun since the start, by what their requests were then. */
     const std::array<std::uint64_t, std::size (timelinessNames)>& begun() const { return begins; }
@@ -131,8 +141,9 @@
         double deviationMs = 0; /**< Mean absolute deviation. */
     };
 
-    bool hasFreeSlot() const { return static_cast<int> (running()) < limit && order.empty(); }
-    double waitBehindMs (std::size_t before) const;
+    bool hasFreeSlot() const { return static_cast<int> (running()) < limit; }
+    bool mayRunAtOnce (Timestamp now) const;
+    double waitBehindMs (Timestamp now, std::size_t before) const;
     std::size_t countBefore (const Rank& rank) const;
     double usualRunOf (const AdmissionRequest& request) const;
     double shortRunMs (const AdmissionRequest& request) const;
@@ -147,6 +158,7 @@
     void learnLateGap (Timestamp now);
 
     int limit = 1;
+    StartWindow starts;
     double meanRunMs = 0;
     double lateGapMs = 0;   /**< Usual time between begins of late requests. */
     Timestamp lateSlotAt{}; /**< When the last late one began, or began to wait. */
--- a/src/mesh/avoidance.cc
+++ b/src/mesh/avoidance.cc
@@ -22,6 +22,7 @@
     case HopCause::instanceLeaving:
     case HopCause::otherService:
     case HopCause::nodeStopping:
+    case HopCause::zoneEvacuated:
         return stoppingAvoidance;
     case HopCause::instanceDown:
     case HopCause::instanceUnknown:
--- /dev/null
+++ b/src/mesh/cold_start.cc
@@ -0,0 +1,87 @@
+#include "mesh/cold_start.h"
+
+#include <algorithm>
+
+namespace copperlead::mesh
+{
+namespace
+{
+
+// More than an instance bears would only wait for it there.
+constexpr double startsOverBorne = 1;
+
+/** Requests in a second that an instance doesn't fall over for. */
+int ceilingOf (const ColdProfile& profile, const ColdBounds& bounds)
+{
+    return static_cast<int> (profile.startsPerSecond * bounds.over + bounds.slack);
+}
+
+} // namespace
+
+int mostColdStarts (const ColdProfile& profile, const ColdBounds& bounds)
+{
+    if (profile.longest.count() <= 0)
+        return 0;
+
+    const auto borne = static_cast<int> (profile.startsPerSecond * startsOverBorne);
+    return std::max (1, std::min (borne, ceilingOf (profile, bounds)));
+}
+
+int unknownColdStarts (const ColdProfile& profile, const ColdBounds& bounds)
+{
+    const auto most = mostColdStarts (profile, bounds);
+    return std::clamp (2 * most - ceilingOf (profile, bounds), 0, most);
+}
+
+void ColdStart::presumeCold (Timestamp now)
+{
+    presumed = true;
+    presumedAt = now;
+    askedAt = {};
+    told = false;
+}
+
+void ColdStart::listed (Timestamp learnedAt, Milliseconds remaining)
+{
+    const auto believed = remaining == unreadableColdTime ? profile.longest : remaining;
+    listedAt = learnedAt;
+    listedUntil = believed.count() > 0 ? learnedAt + believed : Timestamp{};
+}
+
+void ColdStart::answered (Timestamp now, std::optional<Milliseconds> remaining)
+{
+    // The question was asked of what was there before.
+    if (askedAt < presumedAt)
+        return;
+
+    answeredAt = now;
+
+    if (! remaining)
+        return;
+
+    presumed = false;
+    told = true;
+    answeredUntil = now + *remaining;
+}
+
+Timestamp ColdStart::until() const
+{
+    if (profile.longest.count() <= 0)
+        return {};
+
+    auto latest = presumed ? presumedAt + profile.longest : answeredUntil;
+
+    // An entry from before the answer is no news.
+    if (! told || listedAt > answeredAt)
+        latest = std::max<Timestamp> (latest, listedUntil);
+
+    return latest;
+}
+
+bool ColdStart::wantsAnswer (Timestamp now) const
+{
+    const auto lastNews = std::max (presumedAt, listedUntil > now ? listedAt : Timestamp{});
+    return isCold (now) && answeredAt <= lastNews && now - askedAt >= askInterval;
+}
+
+} // namespace copperlead::mesh
--- a/src/mesh/hop_header.h
+++ b/src/mesh/hop_header.h
@@ -64,15 +64,24 @@
     answerLost,       /**< The connection ended, or the time, without a whole answer. */
     answerBroken,     /**< The answer was not the instance's whole, signed one. */
     nodeStopping,
-    linkFull /**< Its body can't be expected to arrive in time over the node's link. */
+    linkFull,     /**< Its body can't be expected to arrive in time over the node's link. */
+    instanceCold, /**< As queueFull, at an instance that is cold. */
+    zoneEvacuated
 };
 
 inline constexpr std::string_view hopCauseNames[] = {
     "none",          "queue_full",    "expired",           "instance_leaving", "instance_unknown",
     "instance_down", "other_service", "instance_rejected", "other_instance",   "answer_lost",
-    "answer_broken", "node_stopping", "link_full"
+    "answer_broken", "node_stopping", "link_full",         "instance_cold",    "zone_evacuated"
 };
 
+/** True when a request was turned away since more was asked than there was room for. */
+constexpr bool isAboutLoad (HopCause cause)
+{
+    return cause == HopCause::queueFull || cause == HopCause::linkFull ||
+           cause == HopCause::instanceCold;
+}
+
 struct HopReport
 {
     HopOutcome outcome = HopOutcome::unknown;
--- a/src/mesh/instance_directory.cc
+++ b/src/mesh/instance_directory.cc
@@ -50,6 +50,12 @@
             remove (now, id, revision, trusted);
 }
 
+void InstanceDirectory::setEvacuatedZones (std::set<std::string> zones)
+{
+    evacuatedZones = std::move (zones);
+    current.reset();
+}
+
 void InstanceDirectory::advance (Timestamp now)
 {
     for (auto it = byId.begin(); it != byId.end();)
@@ -112,8 +118,10 @@
     {
         if (entry.state != InstanceState::leaving)
         {
-            made->byService[entry.instance.service].push_back (entry);
             used.insert (entry.instance.address.ip);
+
+            if (! evacuatedZones.contains (entry.instance.zone))
+                made->byService[entry.instance.service].push_back (entry);
         }
 
         auto& newest = made->byAddress[ToString (entry.instance.address)];
@@ -128,6 +136,7 @@
                           { return a.instance.zone < b.instance.zone; });
 
     made->nodes = used.size();
+    made->evacuatedZones = evacuatedZones;
     current = std::move (made);
     return current;
 }
--- a/src/mesh/instance_directory.h
+++ b/src/mesh/instance_directory.h
@@ -10,11 +10,13 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "base/address.h"
 #include "base/time.h"
+#include "mesh/cold_start.h"
 
 namespace copperlead::mesh
 {
@@ -29,6 +31,7 @@
     int slots = 1;
     bool draining = false;
     std::uint64_t createdAt = 0; /**< The source's revision when the entry was created. */
+    Milliseconds coldFor{};      /**< As of the entry; unreadableColdTime when it can't be read. */
 };
 
 /** How an instance may be used. */
@@ -50,8 +53,9 @@
 /** Everything known at one moment; immutable. */
 struct DirectorySnapshot
 {
-    /** Ready and lapsed ones, those of a zone side by side. */
+    /** Ready and lapsed ones outside evacuated zones, those of a zone side by side. */
     std::map<std::string, std::vector<ListedInstance>> byService;
+    std::set<std::string> evacuatedZones;            /**< Whose instances get nothing new. */
     std::map<std::string, ListedInstance> byAddress; /**< The newest at each address, any state. */
     std::size_t nodes = 0;                           /**< Distinct addresses in use. */
 };
@@ -89,6 +93,9 @@
     void removeAllBut (Timestamp now, const std::vector<std::string>& ids, std::uint64_t revision,
                        bool trusted);
 
+    /** Instances of these zones, and of no others, get nothing new. */
+    void setEvacuatedZones (std::set<std::string> zones);
+
     /** Ends lapses that have lasted too long and forgets what is long gone. */
     void advance (Timestamp now);
 
@@ -101,6 +108,7 @@
 
 private:
     std::map<std::string, ListedInstance> byId;
+    std::set<std::string> evacuatedZones;
     std::uint64_t forgotten = 0; /**< The latest revision of an entry that was forgotten. */
     DirectoryPointer current;    /**< Null after a change. */
 };
--- a/src/mesh/instance_poll.cc
+++ b/src/mesh/instance_poll.cc
@@ -13,11 +13,6 @@
 constexpr double tolerableFailures = 0.1; // Beyond it others are asked first.
 constexpr double goodEnoughShare = 1.25;  // Of the usual run: instances differ more than that.
 
-bool isAboutLoad (HopCause cause)
-{
-    return cause == HopCause::queueFull || cause == HopCause::linkFull;
-}
-
 } // namespace
 
 InstancePoll::InstancePoll (double usualRunMs, bool largeBodyToSend)
--- a/src/mesh/mesh_configuration.h
+++ b/src/mesh/mesh_configuration.h
@@ -14,6 +14,7 @@
 
 #include "base/result.h"
 #include "base/time.h"
+#include "mesh/cold_start.h"
 
 namespace copperlead::mesh
 {
@@ -59,6 +60,7 @@
 {
     std::string healthPath;
     int maxConnections = 0; /**< Of one instance, over all callers; 0 is unlimited. */
+    ColdProfile cold{};
 };
 
 /** What a client may send, and for how long it may stay silent. */
--- a/src/mesh/mesh_state.cc
+++ b/src/mesh/mesh_state.cc
@@ -31,6 +31,9 @@
     if (update.complete)
         instances.removeAllBut (now, listed, update.at, update.trusted);
 
+    outcome.evacuations = takeEvacuations (update);
+    outcome.instancesChanged = outcome.instancesChanged || ! outcome.evacuations.empty();
+
     if (update.configuration)
         outcome.configuration = takeConfiguration (std::move (*update.configuration));
 
@@ -38,6 +41,32 @@
     return outcome;
 }
 
+std::vector<EvacuationChange> MeshState::takeEvacuations (const MeshUpdate& update)
+{
+    std::vector<EvacuationChange> changed;
+    std::set<std::string> listed;
+
+    for (const auto& change : update.evacuations)
+    {
+        if (evacuations.take (change))
+            changed.push_back (change);
+
+        if (! change.over)
+            listed.insert (change.zone);
+    }
+
+    if (update.complete)
+    {
+        const auto removed = evacuations.removeAllBut (listed, update.at);
+        changed.insert (changed.end(), removed.begin(), removed.end());
+    }
+
+    if (! changed.empty())
+        instances.setEvacuatedZones (evacuations.zones());
+
+    return changed;
+}
+
 ConfigurationOutcome MeshState::takeConfiguration (ConfigurationChange change)
 {
     ConfigurationOutcome outcome;
@@ -88,6 +117,7 @@
                 { entry.instance, entry.revision, gone, entry.state != InstanceState::lapsed });
     }
 
+    update.evacuations = evacuations.changesSince (update.complete ? 0 : revision);
     const auto& routes = holder.routes();
 
     if (routes == nullptr || routes->configuration().version <= version)
--- a/src/mesh/mesh_state.h
+++ b/src/mesh/mesh_state.h
@@ -22,7 +22,8 @@
 
 struct UpdateOutcome
 {
-    bool instancesChanged = false;
+    bool instancesChanged = false;             /**< Or which of them may be used. */
+    std::vector<EvacuationChange> evacuations; /**< Zones that were evacuated or given back. */
     std::optional<ConfigurationOutcome> configuration; /**< Empty: the update held none. */
 };
 
@@ -37,13 +38,16 @@
 
     const ConfigurationHolder& configurations() const { return holder; }
     InstanceDirectory& directory() { return instances; }
+    std::set<std::string> evacuatedZones() const { return evacuations.zones(); }
     std::uint64_t reached() const { return at; }
 
 private:
     ConfigurationOutcome takeConfiguration (ConfigurationChange change);
+    std::vector<EvacuationChange> takeEvacuations (const MeshUpdate& update);
 
     ConfigurationHolder holder;
     InstanceDirectory instances;
+    ZoneEvacuations evacuations;
     std::uint64_t at = 0;
 };
 
--- a/src/mesh/mesh_update.cc
+++ b/src/mesh/mesh_update.cc
@@ -49,7 +49,8 @@
 template <typename Archive>
 void serialize (Archive& archive, ServiceSettings& service)
 {
-    archive (service.healthPath, service.maxConnections);
+    archive (service.healthPath, service.maxConnections, service.cold.longest,
+             service.cold.startsPerSecond);
 }
 
 template <typename Archive>
@@ -68,7 +69,8 @@
 void serialize (Archive& archive, Instance& instance)
 {
     archive (instance.id, instance.service, instance.zone, instance.address.ip,
-             instance.address.port, instance.slots, instance.draining, instance.createdAt);
+             instance.address.port, instance.slots, instance.draining, instance.createdAt,
+             instance.coldFor);
 }
 
 template <typename Archive>
@@ -77,6 +79,12 @@
     archive (change.instance, change.revision, change.gone, change.trusted);
 }
 
+template <typename Archive>
+void serialize (Archive& archive, EvacuationChange& change)
+{
+    archive (change.zone, change.revision, change.over);
+}
+
 template <typename Archive>
 void serialize (Archive& archive, ConfigurationChange& change)
 {
@@ -86,7 +94,8 @@
 template <typename Archive>
 void serialize (Archive& archive, MeshUpdate& update)
 {
-    archive (update.complete, update.trusted, update.at, update.instances, update.configuration);
+    archive (update.complete, update.trusted, update.at, update.instances, update.evacuations,
+             update.configuration);
 }
 
 ConfigurationChange difference (const MeshConfiguration& base, const MeshConfiguration& next,
--- a/src/mesh/mesh_update.h
+++ b/src/mesh/mesh_update.h
@@ -10,6 +10,7 @@
 #include "base/result.h"
 #include "mesh/instance_directory.h"
 #include "mesh/mesh_configuration.h"
+#include "mesh/zone_evacuations.h"
 
 namespace copperlead::mesh
 {
@@ -38,6 +39,7 @@
     bool trusted = true;   /**< Of those that a complete update lacks. */
     std::uint64_t at = 0;  /**< The source's revision up to which nothing is missing. */
     std::vector<InstanceChange> instances;
+    std::vector<EvacuationChange> evacuations;
     std::optional<ConfigurationChange> configuration;
 };
 
--- a/src/mesh/retry_after.cc
+++ b/src/mesh/retry_after.cc
@@ -17,8 +17,7 @@
 
 Milliseconds retryAfter (HopCause cause, Duration clientLeft, double spread)
 {
-    const bool overloaded =
-        cause == HopCause::queueFull || cause == HopCause::expired || cause == HopCause::linkFull;
+    const bool overloaded = isAboutLoad (cause) || cause == HopCause::expired;
     const auto share =
         overloaded ? leastShareInOverload + spread * (mostShareInOverload - leastShareInOverload)
                    : usualShare;
--- /dev/null
+++ b/src/mesh/start_window.cc
@@ -0,0 +1,52 @@
+#include "mesh/start_window.h"
+
+#include <algorithm>
+
+namespace copperlead::mesh
+{
+
+void StartWindow::setMost (int newMost)
+{
+    mostStarts = newMost;
+
+    while (starts.size() > static_cast<std::size_t> (mostStarts))
+        starts.pop_front();
+}
+
+void StartWindow::started (Timestamp now)
+{
+    if (mostStarts <= 0)
+        return;
+
+    starts.push_back (now);
+
+    if (starts.size() > static_cast<std::size_t> (mostStarts))
+        starts.pop_front();
+}
+
+void StartWindow::assumeStarted (Timestamp now, int count)
+{
+    for (int i = 0; i < std::min (count, mostStarts); ++i)
+        started (now);
+}
+
+Timestamp StartWindow::earliest (Timestamp now, std::size_t before) const
+{
+    if (! binds (now))
+        return now;
+
+    const auto places = static_cast<std::size_t> (mostStarts);
+    const auto free = places - std::min (places, starts.size());
+
+    if (before < free)
+        return now;
+
+    // The start that it follows by a whole window, or one that is itself still to come.
+    const auto followed = before - free;
+    const auto windows = static_cast<int> (1 + followed / places);
+    const auto place = followed % places;
+    const auto since = place < starts.size() ? starts[place] : now;
+    return std::min (end, std::max<Timestamp> (now, since + windows * length));
+}
+
+} // namespace copperlead::mesh
--- /dev/null
+++ b/src/mesh/start_window.h
@@ -0,0 +1,49 @@
+/** Bounds how many requests are started at an instance within any second: those that it can bear
+    while it is cold. A sliding window, since a bound on average lets bursts through. Deciding code
+    without I/O.
+*/
+#pragma once
+
+#include <cstddef>
+#include <deque>
+
+#include "base/time.h"
+
+namespace copperlead::mesh
+{
+
+/** Not thread-safe. */
+class StartWindow
+{
+public:
+    /** The most starts in one window while the bound holds; 0: there is never a bound. */
+    void setMost (int newMost);
+    int most() const { return mostStarts; }
+
+    /** The bound holds until then; what was started before counts, too. */
+    void bindUntil (Timestamp newEnd) { end = newEnd; }
+
+    bool binds (Timestamp now) const { return mostStarts > 0 && now < end; }
+
+    /** A request was started. */
+    void started (Timestamp now);
+
+    /** Counts as many starts as having been made just now, since it isn't known how many were. */
+    void assumeStarted (Timestamp now, int count);
+
+    /** The starts so far were at another instance. */
+    void forget() { starts.clear(); }
+
+    /** When a request that `before` others are started ahead of may be started at the earliest. */
+    Timestamp earliest (Timestamp now, std::size_t before) const;
+
+private:
+    // A second, and what clocks and the way to the instance may differ between two requests.
+    static constexpr Milliseconds length{ 1010 };
+
+    int mostStarts = 0;
+    Timestamp end{};
+    std::deque<Timestamp> starts; /**< The latest, oldest first; `mostStarts` of them. */
+};
+
+} // namespace copperlead::mesh
--- a/src/sidecar/header_names.h
+++ b/src/sidecar/header_names.h
@@ -15,8 +15,9 @@
     std::string signature = "copperlead-signature";  /**< Of the instance, on its answers. */
     std::string expectInstance = "copperlead-expect-instance"; /**< Another one answers 421. */
     std::string instanceId = "copperlead-instance";            /**< On 421 and health answers. */
-    std::string notRun = "copperlead-not-run"; /**< On answers: the instance didn't run it. */
-    std::string caller = "copperlead-caller";  /**< The service where the request began. */
+    std::string notRun = "copperlead-not-run";   /**< On answers: the instance didn't run it. */
+    std::string coldTime = "copperlead-cold-ms"; /**< On health answers: how long it stays cold. */
+    std::string caller = "copperlead-caller";    /**< The service where the request began. */
 };
 
 } // namespace copperlead::sidecar
--- a/src/sidecar/last_hop.cc
+++ b/src/sidecar/last_hop.cc
@@ -39,12 +39,13 @@
 LastHop::LastHop (std::shared_ptr<Reactor> reactorToUse, LastHopSettings settingsToUse,
                   std::shared_ptr<DecisionLog> logToUse)
     : reactor (std::move (reactorToUse))
-    , expiry (reactor)
+    , timer (reactor)
     , settings (std::move (settingsToUse))
     , log (std::move (logToUse))
     , client (std::make_shared<HttpClient> (reactor, clientSettings()))
     , instance (settings.service)
 {
+    presumeCold (SteadyClock().Now(), "start");
 }
 
 LastHop::~LastHop() { client->dropAllIdle(); }
@@ -83,6 +84,9 @@
     if (instance.leaving())
         return HopCause::instanceLeaving;
 
+    if (evacuated)
+        return HopCause::zoneEvacuated;
+
     return instance.lost() ? HopCause::instanceDown : HopCause::none;
 }
 
@@ -112,7 +116,7 @@
     reply.expectedMs = expected.expectedMs;
 
     if (reply.decision == mesh::AdmissionDecision::refuse)
-        reply.cause = HopCause::queueFull;
+        reply.cause = fullCause (now);
 
     return reply;
 }
@@ -141,13 +145,18 @@
     if (decision == mesh::AdmissionDecision::run)
         run (id);
     else if (decision == mesh::AdmissionDecision::refuse)
-        refuse (id, HopCause::queueFull);
+        refuse (id, fullCause (now));
     else
-        armExpiry();
+        armTimer();
 
     return id;
 }
 
+HopCause LastHop::fullCause (Timestamp now) const
+{
+    return queue.startWindow().binds (now) ? HopCause::instanceCold : HopCause::queueFull;
+}
+
 void LastHop::logRefusal (const Running& running, HopCause cause)
 {
     const auto now = SteadyClock().Now();
@@ -160,7 +169,8 @@
                   { "waiting_late", static_cast<std::int64_t> (queue.waitingLate()) },
                   { "target_ms", toMilliseconds (targetOf (running) - now) },
                   { "left_ms", toMilliseconds (running.deadline - now) },
-                  { "wait_ms", queue.expectedWaitMs (running.call.facts.priority) } });
+                  { "wait_ms", queue.expectedWaitMs (now, running.call.facts.priority) },
+                  { "cold_ms", std::max (coldMs (now), 0.0) } });
 }
 
 Timestamp LastHop::targetOf (const Running& running)
@@ -281,10 +291,83 @@
     const auto spoken = onlyValue (result.head.fields, settings.names.instanceId);
 
     if (result.end == CallEnd::answered && instance.heard (std::string (spoken)))
-        log->write (now, EventKind::identityLearned,
-                    { { "instance", spoken },
-                      { "before", before },
-                      { "by", nameOf (mesh::IdentitySource::spoken, mesh::identitySourceNames) } });
+        takeIdentity (now, mesh::IdentitySource::spoken, before);
+}
+
+void LastHop::takeIdentity (Timestamp now, mesh::IdentitySource by, const std::string& before)
+{
+    log->write (now, EventKind::identityLearned,
+                { { "instance", instance.id() },
+                  { "before", before },
+                  { "by", nameOf (by, mesh::identitySourceNames) } });
+
+    // What was sent by the former's name is turned away by this one. When there was no former one,
+    // this process has just started, and its forerunner may have sent something.
+    if (! before.empty())
+        queue.startWindow().forget();
+
+    presumeCold (now, "new_instance");
+}
+
+void LastHop::presumeCold (Timestamp now, std::string_view cause)
+{
+    coldStart.presumeCold (now);
+    followColdStart (now, cause);
+}
+
+void LastHop::followColdStart (Timestamp now, std::string_view cause)
+{
+    auto& window = queue.startWindow();
+    const bool wasBound = window.binds (now);
+    window.bindUntil (coldStart.until());
+
+    if (window.binds (now) != wasBound)
+        log->write (now, wasBound ? EventKind::instanceWarm : EventKind::instanceCold,
+                    { { "instance", instance.id() },
+                      { "cause", cause },
+                      { "for_ms", std::max (coldMs (now), 0.0) },
+                      { "running", static_cast<std::int64_t> (queue.running()) },
+                      { "waiting", static_cast<std::int64_t> (queue.waiting()) } });
+}
+
+double LastHop::coldMs (Timestamp now) const { return toMilliseconds (coldStart.until() - now); }
+
+void LastHop::setServiceSettings (const mesh::ServiceSettings& service)
+{
+    const auto now = SteadyClock().Now();
+    auto& window = queue.startWindow();
+    const bool isFirst = window.most() == 0;
+    healthPath = service.healthPath;
+    coldStart.setProfile (service.cold);
+    window.setMost (mesh::mostColdStarts (service.cold, settings.coldBounds));
+
+    if (isFirst)
+        window.assumeStarted (now, mesh::unknownColdStarts (service.cold, settings.coldBounds));
+
+    followColdStart (now, "configuration");
+    askWhetherCold (now);
+}
+
+void LastHop::setEvacuated (Timestamp now, bool isEvacuated)
+{
+    if (evacuated == isEvacuated)
+        return;
+
+    evacuated = isEvacuated;
+
+    if (evacuated)
+        refuseAll (queue.clear(), HopCause::zoneEvacuated);
+    else
+        presumeCold (now, "zone_returned"); // Its instances may have gone cold meanwhile.
+}
+
+void LastHop::askWhetherCold (Timestamp now)
+{
+    if (probing || healthPath.empty() || ! instance.known() || ! coldStart.wantsAnswer (now))
+        return;
+
+    ++counts.coldQuestions;
+    probe();
 }
 
 void LastHop::learnFailure (HopOutcome outcome, const CallResult& result)
@@ -347,22 +430,19 @@
 
     while (const auto id = queue.next (SteadyClock().Now()))
         run (id);
-}
 
-void LastHop::armExpiry()
-{
-    expiry.arm (queue.nextExpiry(),
-                [weak = weak_from_this()]
-                {
-                    if (const auto self = weak.lock())
-                        self->expire();
-                });
+    armTimer();
 }
 
-void LastHop::expire()
+void LastHop::armTimer()
 {
-    refuseAll (queue.expire (SteadyClock().Now()), HopCause::expired);
-    armExpiry();
+    const auto due = std::min (queue.nextExpiry(), queue.nextBoundedStart (SteadyClock().Now()));
+    timer.arm (due,
+               [weak = weak_from_this()]
+               {
+                   if (const auto self = weak.lock())
+                       self->pump();
+               });
 }
 
 void LastHop::cancel (CallId id)
@@ -401,15 +481,20 @@
     const bool wasLeaving = instance.leaving();
     const auto entry = directory.byAddress.find (ToString (settings.instanceAddress));
 
-    if (instance.takeEntry (entry == directory.byAddress.end() ? nullptr : &entry->second))
+    const auto* listed = entry == directory.byAddress.end() ? nullptr : &entry->second;
+
+    if (instance.takeEntry (listed))
     {
-        log->write (now, EventKind::identityLearned,
-                    { { "instance", instance.id() },
-                      { "before", before },
-                      { "by", nameOf (mesh::IdentitySource::entry, mesh::identitySourceNames) } });
+        takeIdentity (now, mesh::IdentitySource::entry, before);
         client->dropIdle (settings.instanceAddress);
     }
 
+    if (listed != nullptr && listed->instance.id == instance.id())
+        coldStart.listed (listed->changedAt, listed->instance.coldFor);
+
+    followColdStart (now, "entry");
+    askWhetherCold (now);
+    setEvacuated (now, directory.evacuatedZones.contains (settings.zone));
     queue.setLimit (instance.slots() + settings.extraSlots);
 
     if (instance.leaving() && ! wasLeaving)
@@ -437,11 +522,14 @@
         instance.probed (now);
         probe();
     }
+
+    askWhetherCold (now);
 }
 
 void LastHop::probe()
 {
     probing = true;
+    coldStart.asked (SteadyClock().Now());
     CallOptions options;
     options.deadline = SteadyClock().Now() + probeTimeout;
     options.freshConnection = true;
@@ -450,11 +538,47 @@
                   [weak = weak_from_this()] (const CallResult& result)
                   {
                       if (const auto self = weak.lock())
-                      {
-                          self->probing = false;
-                          self->learn (result);
-                      }
+                          self->onProbed (result);
                   });
 }
 
+void LastHop::onProbed (const CallResult& result)
+{
+    const auto now = SteadyClock().Now();
+    probing = false;
+    learn (result);
+
+    if (result.end != CallEnd::answered)
+        return;
+
+    // The answer of an instance that is another than was thought says nothing of the one meant.
+    const auto& fields = result.head.fields;
+
+    if (onlyValue (fields, settings.names.instanceId) != instance.id())
+        return;
+
+    coldStart.answered (now, coldTimeOf (fields));
+    followColdStart (now, "answer");
+    askWhetherCold (now);
+    pump();
+}
+
+/** Nothing when the field is missing, or holds no time that can be meant. */
+std::optional<Milliseconds> LastHop::coldTimeOf (const HeaderFields& fields) const
+{
+    const auto text = onlyValue (fields, settings.names.coldTime);
+    std::uint64_t count = 0;
+    const auto longest = static_cast<std::uint64_t> (mesh::longestColdTime.count());
+
+    if (ParseWholeNumber (text, count) && count <= longest)
+        return Milliseconds (static_cast<std::int64_t> (count));
+
+    if (! text.empty())
+        log->write (
+            SteadyClock().Now(), EventKind::valueDoubted,
+            { { "key", instance.id() }, { "place", settings.names.coldTime }, { "cause", text } });
+
+    return std::nullopt;
+}
+
 } // namespace copperlead::sidecar
--- a/src/sidecar/last_hop.h
+++ b/src/sidecar/last_hop.h
@@ -6,10 +6,12 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
 #include "mesh/admission_queue.h"
+#include "mesh/cold_start.h"
 #include "mesh/failure_share.h"
 #include "mesh/hop_header.h"
 #include "mesh/instance_directory.h"
@@ -49,13 +51,16 @@
     HeaderNames names;
     SocketAddress instanceAddress;
     std::string service; /**< That the settings name for the instance. */
-    int extraSlots = 0;  /**< Requests at the instance beyond its slots. */
+    std::string zone;
+    int extraSlots = 0; /**< Requests at the instance beyond its slots. */
+    mesh::ColdBounds coldBounds;
 };
 
 /** Counted since the start. */
 struct LastHopCounters
 {
     mesh::LatencyHistogram queue, instance; /**< Wait before a run, and time at the instance. */
+    std::uint64_t coldQuestions = 0;        /**< Whether the instance is cold. */
 };
 
 class LastHop : public std::enable_shared_from_this<LastHop>
@@ -94,7 +99,7 @@
     void cancel (CallId id);
 
     void setDirectory (Timestamp now, const mesh::DirectorySnapshot& directory);
-    void setHealthPath (std::string path) { healthPath = std::move (path); }
+    void setServiceSettings (const mesh::ServiceSettings& service);
     void setService (std::string service);
     void setConfigurationVersion (std::uint64_t version) { configurationVersion = version; }
 
@@ -104,7 +109,9 @@
     /** Refuses what comes from now on, and what waits. */
     void stopTaking();
 
-    /** To be called some times a second: probes an instance that is lost or not known. */
+    /** To be called some times a second: probes an instance that is lost or not known, or may be
+        cold.
+    */
     void tick (Timestamp now);
 
     /** The share of repeats among the runs here lately. */
@@ -113,6 +120,9 @@
     /** The share of failures among the runs here lately. */
     double failureShare (Timestamp now) const { return failures.at (now); }
 
+    /** For how long the instance stays cold; negative or zero when it is warm. */
+    double coldMs (Timestamp now) const;
+
     std::size_t inFlight() const { return calls.size(); }
     const LastHopCounters& counters() const { return counts; }
     const mesh::AdmissionQueue& admission() const { return queue; }
@@ -131,8 +141,13 @@
     void run (CallId id);
     bool dropAbandoned (CallId id);
     void pump();
-    void armExpiry();
-    void expire();
+    void armTimer();
+    void takeIdentity (Timestamp now, mesh::IdentitySource by, const std::string& before);
+    void setEvacuated (Timestamp now, bool isEvacuated);
+    void presumeCold (Timestamp now, std::string_view cause);
+    void followColdStart (Timestamp now, std::string_view cause);
+    void askWhetherCold (Timestamp now);
+    mesh::HopCause fullCause (Timestamp now) const;
     void refuse (CallId id, mesh::HopCause cause);
     void refuseAll (const std::vector<CallId>& ids, mesh::HopCause cause);
     void onResult (CallId id, CallResult result);
@@ -142,16 +157,19 @@
     mesh::HopReport report (mesh::HopOutcome outcome, mesh::HopCause cause) const;
     std::string messageFor (const Running& running, Timestamp now) const;
     void probe();
+    void onProbed (const CallResult& result);
+    std::optional<Milliseconds> coldTimeOf (const HeaderFields& fields) const;
     static Timestamp targetOf (const Running& running);
     void logRefusal (const Running& running, mesh::HopCause cause);
 
     std::shared_ptr<Reactor> reactor;
-    EarliestTimer expiry; /**< Of what waits in the queue. */
+    EarliestTimer timer; /**< For what waits in the queue. */
     LastHopSettings settings;
     std::shared_ptr<DecisionLog> log;
     std::shared_ptr<HttpClient> client;
     mesh::AdmissionQueue queue;
     mesh::LocalInstance instance;
+    mesh::ColdStart coldStart;
     std::unordered_map<CallId, Running> calls;
     LastHopCounters counts;
     CallId lastId = 0;
@@ -162,6 +180,7 @@
     Timestamp endsAt = Timestamp::max();
     bool stopping = false;
     bool probing = false;
+    bool evacuated = false; /**< The zone is. */
 };
 
 } // namespace copperlead::sidecar
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -51,7 +51,8 @@
 {
     lastHop = std::make_shared<LastHop> (
         reactor,
-        LastHopSettings{ settings.names, settings.instance, settings.service, settings.extraSlots },
+        LastHopSettings{ settings.names, settings.instance, settings.service, settings.zone,
+                         settings.extraSlots, settings.coldBounds },
         log);
     bodies = std::make_shared<BodyAdmission> (reactor, settings.linkMbps);
     lastHop->bodyMs = [admission = bodies] { return admission->expectedMs(); };
@@ -123,11 +124,15 @@
 {
     const auto outcome = state.take (at, std::move (update));
 
+    // First, since it says what a cold instance bears.
+    if (outcome.configuration)
+        followConfiguration (at, *outcome.configuration);
+
     if (outcome.instancesChanged)
         directoryChanged (at);
 
-    if (outcome.configuration)
-        followConfiguration (at, *outcome.configuration);
+    for (const auto& change : outcome.evacuations)
+        logEvacuation (at, change);
 
     if (relay != nullptr)
         relay->reached (at, state.reached(), state.configurations().version());
@@ -151,11 +156,9 @@
         return;
 
     const auto& routes = state.configurations().routes();
-    const auto& services = routes->configuration().services;
-    const auto own = services.find (settings.service);
     firstHop->setRoutes (routes);
     lastHop->setConfigurationVersion (outcome.version);
-    lastHop->setHealthPath (own == services.end() ? std::string() : own->second.healthPath);
+    setServiceSettings (at, routes->configuration());
     log->write (
         at, EventKind::configurationTaken,
         { { "version", static_cast<std::int64_t> (outcome.version) },
@@ -164,6 +167,38 @@
           { "routes", static_cast<std::int64_t> (routes->configuration().routes.size()) } });
 }
 
+void Sidecar::setServiceSettings (Timestamp at, const mesh::MeshConfiguration& configuration)
+{
+    const auto found = configuration.services.find (settings.service);
+    const auto own =
+        found == configuration.services.end() ? mesh::ServiceSettings{} : found->second;
+
+    if (own.cold.longest.count() > 0 && own.cold.startsPerSecond < 1)
+        doubtValue (at, settings.service, "starts a second while cold",
+                    std::to_string (own.cold.startsPerSecond));
+
+    lastHop->setServiceSettings (own);
+}
+
+void Sidecar::doubtValue (Timestamp at, std::string_view key, std::string_view place,
+                          std::string_view value)
+{
+    log->write (at, EventKind::valueDoubted,
+                { { "key", key }, { "place", place }, { "cause", value } });
+}
+
+void Sidecar::logEvacuation (Timestamp at, const mesh::EvacuationChange& change)
+{
+    const auto& known = state.directory().snapshot()->byAddress;
+    const auto instances =
+        std::count_if (known.begin(), known.end(),
+                       [&] (const auto& item) { return item.second.instance.zone == change.zone; });
+    log->write (at, change.over ? EventKind::zoneReturned : EventKind::zoneEvacuated,
+                { { "zone", change.zone },
+                  { "revision", static_cast<std::int64_t> (change.revision) },
+                  { "instances", static_cast<std::int64_t> (instances) } });
+}
+
 void Sidecar::refuseConfiguration (Timestamp at, const Error& error, std::uint64_t revision)
 {
     log->write (at, EventKind::configurationRefused,
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -52,6 +52,10 @@
     void refuseConfiguration (Timestamp now, const Error& error, std::uint64_t revision);
     void refuseEntry (Timestamp now, const std::string& key, const Error& error);
 
+    /** A value could not be meant; the careful reading was taken instead. */
+    void doubtValue (Timestamp now, std::string_view key, std::string_view place,
+                     std::string_view value);
+
     /** Another node runs a later version; asked to look at the source again. */
     std::function<void()> onBehind;
 
@@ -72,6 +76,8 @@
 private:
     void followConfiguration (Timestamp now, const mesh::ConfigurationOutcome& outcome);
     void directoryChanged (Timestamp now);
+    void logEvacuation (Timestamp now, const mesh::EvacuationChange& change);
+    void setServiceSettings (Timestamp now, const mesh::MeshConfiguration& configuration);
     void connectFirstHop();
     void takeRequest (const ExchangePointer& exchange);
     void answerPeer (const ExchangePointer& exchange);
--- a/src/sidecar/sidecar_metrics.cc
+++ b/src/sidecar/sidecar_metrics.cc
@@ -117,6 +117,10 @@
                     static_cast<double> (figures.waiting));
     families.gauge ("copperlead_instance_failure_share", "Share of its latest runs that failed",
                     figures.failureShare);
+    families.gauge ("copperlead_instance_cold_milliseconds",
+                    "For how long it stays cold and gets few requests", figures.coldMs);
+    families.counter ("copperlead_instance_cold_questions_total",
+                      "Times that it was asked whether it is cold", figures.last.coldQuestions);
     families.counters ("copperlead_instance_runs_begun_total",
                        "Runs by what their answers were expected to be", "timeliness",
                        mesh::timelinessNames, figures.begun);
@@ -177,6 +181,8 @@
                     static_cast<double> (figures.configurationVersion));
     families.gauge ("copperlead_source_revision", "Revision of the source that is known here",
                     static_cast<double> (figures.sourceRevision));
+    families.gauge ("copperlead_zones_evacuated", "Zones whose instances get nothing new",
+                    static_cast<double> (figures.zonesEvacuated));
     families.gauge ("copperlead_is_reader", "1 while this node reads the source itself",
                     figures.reading ? 1 : 0);
     families.counters ("copperlead_source_calls_total", "Calls to the source, by cause", "cause",
--- a/src/sidecar/sidecar_metrics.h
+++ b/src/sidecar/sidecar_metrics.h
@@ -37,6 +37,8 @@
     mesh::SourceCallCounts sourceCalls{};
     bool ready = false, reading = false;
     double failureShare = 0; /**< Of the latest runs at the instance. */
+    double coldMs = 0;       /**< For which the instance stays cold; 0 when it is warm. */
+    std::uint64_t zonesEvacuated = 0;
     /** Of the last answer of the source to this node; nothing before the first. */
     std::optional<double> sourceWordAgeMs;
     /** Since this node was up to date with a reader of its zone; nothing if it never was. */
--- a/src/sidecar/sidecar_servers.cc
+++ b/src/sidecar/sidecar_servers.cc
@@ -3,6 +3,8 @@
 #include "sidecar/messages.h"
 #include "sidecar/sidecar.h"
 
+#include <algorithm>
+
 namespace copperlead::sidecar
 {
 namespace
@@ -89,6 +91,8 @@
     shown.inFlight = inFlight();
     shown.running = lastHop->admission().running();
     shown.failureShare = lastHop->failureShare (at);
+    shown.coldMs = std::max (lastHop->coldMs (at), 0.0);
+    shown.zonesEvacuated = state.evacuatedZones().size();
     shown.waiting = lastHop->admission().waiting();
     shown.connections = outbound->connections();
     shown.clients = outbound->counters();
--- a/src/sidecar/sidecar_settings.cc
+++ b/src/sidecar/sidecar_settings.cc
@@ -44,6 +44,9 @@
         ("extra-slots", text()->default_value ("0"), "requests at the instance beyond its slots, 0 to 64")
         ("changes-within-ms", text()->default_value (""), "in which a configuration is to be in force on every node, 100 to 600000; empty: 800")
         ("drain-within-ms", text()->default_value (""), "in which a leaving instance is to get nothing new, 100 to 600000; empty: 800")
+        ("evacuate-within-ms", text()->default_value (""), "in which an evacuated zone's instances are to get nothing new, 100 to 600000; empty: 5000")
+        ("cold-over", text()->default_value (""), "requests in a second that make a cold instance fall over, as a multiple of what it bears, 1 to 100; empty: 1")
+        ("cold-slack", text()->default_value (""), "requests beyond that, 0 to 1000000; empty: 0")
         ("grace-s", text()->default_value (""), "seconds from SIGTERM until the kill, 1 to 3600; empty: 6")
         ("retry-ratio", text()->default_value (""), "retries for each request, over the fleet, 0 to 10; empty: 0.2")
         ("retry-slack", text()->default_value (""), "retries beyond that in a window, over the fleet, 0 to 1000000; empty: 64")
@@ -54,6 +57,7 @@
         ("header-expect-instance", header (names.expectInstance), "field that names the instance meant")
         ("header-instance-id", header (names.instanceId), "field by which an instance names itself")
         ("header-not-run", header (names.notRun), "field of answers to what was not run")
+        ("header-cold-time", header (names.coldTime), "field of health answers that says how long the instance stays cold, in ms")
         ("header-caller", header (names.caller), "field with the calling service");
     // clang-format on
     return all;
@@ -163,7 +167,10 @@
     BOOST_LEAF_ASSIGN (settings.linkMbps, values.number ("link-mbps", 0.001, 1e6, 1000));
     BOOST_LEAF_AUTO (changes, values.number ("changes-within-ms", 100, 600'000, 800));
     BOOST_LEAF_AUTO (drain, values.number ("drain-within-ms", 100, 600'000, 800));
-    settings.watchInterval = watchIntervalFor (std::min (changes, drain));
+    BOOST_LEAF_AUTO (evacuate, values.number ("evacuate-within-ms", 100, 600'000, 5000));
+    BOOST_LEAF_ASSIGN (settings.coldBounds.over, values.number ("cold-over", 1, 100, 1));
+    BOOST_LEAF_ASSIGN (settings.coldBounds.slack, values.number ("cold-slack", 0, 1e6, 0));
+    settings.watchInterval = watchIntervalFor (std::min ({ changes, drain, evacuate }));
     settings.grace = fromSeconds (grace);
     settings.retryWindow = fromSeconds (window);
     return Done{};
@@ -198,6 +205,7 @@
     names.expectInstance = values.text ("header-expect-instance");
     names.instanceId = values.text ("header-instance-id");
     names.notRun = values.text ("header-not-run");
+    names.coldTime = values.text ("header-cold-time");
     names.caller = values.text ("header-caller");
 }
 
--- a/src/sidecar/sidecar_settings.h
+++ b/src/sidecar/sidecar_settings.h
@@ -7,6 +7,7 @@
 #include "base/address.h"
 #include "base/result.h"
 #include "base/time.h"
+#include "mesh/cold_start.h"
 #include "sidecar/header_names.h"
 
 namespace copperlead::sidecar
@@ -34,6 +35,7 @@
     Milliseconds watchInterval{ 200 }; /**< Between two watches of the source, at least. */
     double retryRatio = 0.2, retrySlack = 64;
     Milliseconds retryWindow{ 10'000 };
+    mesh::ColdBounds coldBounds;
 };
 
 struct ParsedSidecarSettings
--- a/src/standin/instance.cc
+++ b/src/standin/instance.cc
@@ -54,6 +54,7 @@
 
 bool Instance::Start(const SocketAddress& listen_address) {
   const SystemAddress native = ToSystem(listen_address);
+  cold_until_ = std::chrono::steady_clock::now() + settings_.cold;
   listener_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const int on = 1;
   setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
@@ -99,6 +100,39 @@
   settings_.id = id;
 }
 
+void Instance::GoCold() {
+  const std::lock_guard lock(mutex_);
+  cold_until_ = std::chrono::steady_clock::now() + settings_.cold;
+}
+
+int Instance::falls() const {
+  const std::lock_guard lock(mutex_);
+  return falls_;
+}
+
+std::string Instance::id() const {
+  const std::lock_guard lock(mutex_);
+  return settings_.id;
+}
+
+void Instance::Restart() {
+  settings_.id += "+" + std::to_string(++starts_);
+  cold_until_ = std::chrono::steady_clock::now() + settings_.cold;
+  arrivals_.clear();
+  for (const int socket : open_) shutdown(socket, SHUT_RDWR);
+}
+
+bool Instance::Bears() {
+  const std::lock_guard lock(mutex_);
+  const auto now = std::chrono::steady_clock::now();
+  arrivals_.push_back(now);
+  while (now - arrivals_.front() >= std::chrono::seconds(1)) arrivals_.pop_front();
+  if (now >= cold_until_ || arrivals_.size() <= settings_.cold_most) return true;
+  ++falls_;
+  Restart();
+  return false;
+}
+
 std::vector<InstanceRun> Instance::runs() const {
   const std::lock_guard lock(mutex_);
   return runs_;
@@ -190,6 +224,11 @@
   if (is_signed) text += kSignature;
   if (framed) text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
   if (status == 421 || id.empty()) text += "X-Instance-Id: " + settings_.id + "\r\n";
+  if (id.empty()) {
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+        cold_until_ - std::chrono::steady_clock::now());
+    text += "X-Cold-Ms: " + std::to_string(std::max<std::int64_t>(left.count(), 0)) + "\r\n";
+  }
   if (status == 421 || status == 503) text += "X-Not-Executed: 1\r\n";
   text += "X-Server-Load: " + std::to_string(running_) + "," + std::to_string(waiting_) + "," +
           std::to_string(settings_.slots) + "\r\n";
@@ -230,6 +269,7 @@
     full = waiting_ >= settings_.queue;
   }
   if (other) return SendAll(socket, Answer(421, id, "", false, true));
+  if (!Bears()) return false;
 
   const InstanceTrouble trouble = TakeTrouble();
   if (full || trouble == InstanceTrouble::kShed) {
--- a/src/standin/instance.h
+++ b/src/standin/instance.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <condition_variable>
 #include <cstdint>
+#include <deque>
 #include <list>
 #include <map>
 #include <mutex>
@@ -22,6 +23,10 @@
   std::uint32_t slots = 6;
   std::uint32_t queue = 24;
   std::chrono::milliseconds work{5};
+  // From each start on it is cold for so long, and falls over when more than `cold_most` requests
+  // come in a second; 0: never cold.
+  std::chrono::milliseconds cold{0};
+  std::size_t cold_most = 0;
 };
 
 enum class InstanceTrouble {
@@ -77,6 +82,11 @@
   std::vector<InstanceRun> runs() const;
   // How often a request was run.
   int RunsOf(const std::string& request_id) const;
+  // Is cold again from now on, under the same id.
+  void GoCold();
+  // How often it fell over: its connections are reset, and it starts again under another id, cold.
+  int falls() const;
+  std::string id() const;
   // The most requests that were there at once, running or queued.
   std::uint32_t most_at_once() const;
   std::uint64_t connections() const;
@@ -94,6 +104,9 @@
   std::string Answer(int status, const std::string& id, const std::string& body, bool is_signed,
                      bool framed);
   std::size_t AddRun(const Message& message);
+  // Counts a request's coming. @return false when the instance falls over by it.
+  bool Bears();
+  void Restart();
 
   mutable std::mutex mutex_;
   std::condition_variable changed_;
@@ -105,6 +118,10 @@
   std::uint32_t most_at_once_ = 0;
   std::uint64_t connections_ = 0;
   std::set<int> open_;
+  std::deque<std::chrono::steady_clock::time_point> arrivals_;  // Of the last second.
+  std::chrono::steady_clock::time_point cold_until_{};
+  int falls_ = 0;
+  int starts_ = 0;
   bool stopping_ = false;
 
   SocketAddress address_;
--- a/tests/mesh/admission_queue_test.cc
+++ b/tests/mesh/admission_queue_test.cc
@@ -272,5 +272,44 @@
     EXPECT_EQ (queue.nextExpiry(), Timestamp::max());
 }
 
+/** With slots for all, and two starts a second. */
+AdmissionQueue coldQueue()
+{
+    AdmissionQueue queue;
+    queue.setLimit (10);
+    queue.startWindow().setMost (2);
+    queue.startWindow().bindUntil (at (10'000));
+    fill (queue, 2);
+    return queue;
+}
+
+TEST (AdmissionQueue, AColdInstanceGetsNoMoreThanItBearsThoughSlotsAreFree)
+{
+    auto queue = coldQueue();
+    EXPECT_EQ (queue.offer (at (0), request (3, 0, 2000, 5000)), AdmissionDecision::wait);
+    EXPECT_EQ (queue.next (at (500)), 0U);
+    EXPECT_EQ (queue.nextBoundedStart (at (500)), at (1010));
+    EXPECT_EQ (queue.next (at (1010)), 3U);
+    EXPECT_EQ (queue.nextBoundedStart (at (1010)), Timestamp::max()) << "nothing waits";
+}
+
+TEST (AdmissionQueue, WhatTheBoundLetsComeTooLateIsRefusedAtOnce)
+{
+    auto queue = coldQueue();
+    EXPECT_EQ (queue.forecast (at (0), request (9, 0, 900, 900)).decision,
+               AdmissionDecision::refuse);
+    EXPECT_EQ (queue.offer (at (0), request (3, 0, 900, 900)), AdmissionDecision::refuse);
+    EXPECT_EQ (queue.forecast (at (0), request (9, 0, 2000, 5000)).expectedMs, 1060)
+        << "until the next start, and the run";
+}
+
+TEST (AdmissionQueue, OfThoseThatTheBoundHoldsBackTheMostUrgentGoesFirst)
+{
+    auto queue = coldQueue();
+    queue.offer (at (0), request (3, 2, 4000, 5000));
+    queue.offer (at (0), request (4, 1, 4000, 5000));
+    EXPECT_EQ (queue.next (at (1010)), 4U);
+}
+
 } // namespace
 } // namespace copperlead::mesh::test
--- /dev/null
+++ b/tests/mesh/cold_start_test.cc
@@ -0,0 +1,129 @@
+#include "mesh/cold_start.h"
+
+#include <gtest/gtest.h>
+
+#include "tests/mesh/fixtures.h"
+
+namespace copperlead::mesh::test
+{
+namespace
+{
+
+constexpr ColdProfile profile{ Milliseconds (3000), 13 };
+
+/** Of an instance that the node has seen first at 0. */
+ColdStart justSeen()
+{
+    ColdStart cold;
+    cold.setProfile (profile);
+    cold.presumeCold (at (0));
+    return cold;
+}
+
+void answer (ColdStart& cold, int time, std::optional<Milliseconds> remaining)
+{
+    cold.asked (at (time));
+    cold.answered (at (time + 1), remaining);
+}
+
+TEST (ColdStart, InstancesOfAServiceWithoutAColdTimeAreNeverCold)
+{
+    ColdStart cold;
+    cold.presumeCold (at (0));
+    cold.listed (at (0), Milliseconds (2000));
+    EXPECT_FALSE (cold.isCold (at (0)));
+    EXPECT_FALSE (cold.wantsAnswer (at (0)));
+}
+
+TEST (ColdStart, WhatIsNotKnownToBeWarmCountsAsColdAndIsAsked)
+{
+    auto cold = justSeen();
+    EXPECT_TRUE (cold.isCold (at (2999)));
+    EXPECT_FALSE (cold.isCold (at (3000)));
+    EXPECT_TRUE (cold.wantsAnswer (at (0)));
+    cold.asked (at (0));
+    EXPECT_FALSE (cold.wantsAnswer (at (200))) << "the answer may be on its way";
+    EXPECT_TRUE (cold.wantsAnswer (at (250)));
+}
+
+TEST (ColdStart, TheInstancesOwnWordCounts)
+{
+    auto cold = justSeen();
+    answer (cold, 10, Milliseconds (700));
+    EXPECT_EQ (cold.until(), at (711));
+    EXPECT_FALSE (cold.wantsAnswer (at (500)));
+
+    auto warm = justSeen();
+    answer (warm, 10, Milliseconds (0));
+    EXPECT_FALSE (warm.isCold (at (12)));
+}
+
+TEST (ColdStart, AnAnswerThatDoesNotTellChangesNothingAndIsNotAskedAgain)
+{
+    auto cold = justSeen();
+    answer (cold, 10, std::nullopt);
+    EXPECT_EQ (cold.until(), at (3000));
+    EXPECT_FALSE (cold.wantsAnswer (at (1000)));
+}
+
+TEST (ColdStart, AnAnswerFromBeforeTheZoneReturnedSaysNothing)
+{
+    auto cold = justSeen();
+    cold.asked (at (10));
+    cold.presumeCold (at (11));
+    cold.answered (at (12), Milliseconds (0));
+    EXPECT_TRUE (cold.isCold (at (13)));
+    EXPECT_TRUE (cold.wantsAnswer (at (13)));
+}
+
+TEST (ColdStart, AnEntryThatIsNewerThanTheAnswerMakesItAskAgain)
+{
+    auto cold = justSeen();
+    answer (cold, 10, Milliseconds (0));
+    cold.listed (at (5), Milliseconds (2500));
+    EXPECT_FALSE (cold.isCold (at (20))) << "older than the answer";
+    cold.listed (at (5000), Milliseconds (2500));
+    EXPECT_TRUE (cold.isCold (at (5001)));
+    EXPECT_TRUE (cold.wantsAnswer (at (5001)));
+    answer (cold, 5002, Milliseconds (40));
+    EXPECT_EQ (cold.until(), at (5043));
+    EXPECT_FALSE (cold.wantsAnswer (at (5004)));
+}
+
+TEST (ColdStart, AnEntryThatCannotBeReadCountsForTheWholeColdTime)
+{
+    ColdStart cold;
+    cold.setProfile (profile);
+    cold.listed (at (5000), unreadableColdTime);
+    EXPECT_EQ (cold.until(), at (8000));
+    cold.listed (at (6000), Milliseconds (0));
+    EXPECT_FALSE (cold.isCold (at (6000)));
+}
+
+struct BoundCase
+{
+    ColdProfile profile;
+    ColdBounds bounds;
+    int most, unknown;
+};
+
+TEST (ColdStart, TwoNodesInOneSecondStayUnderWhatMakesAnInstanceFallOver)
+{
+    const BoundCase cases[] = {
+        { { Milliseconds (0), 13 }, { 1.5, 8 }, 0, 0 },
+        { { Milliseconds (3000), 13 }, { 1.5, 8 }, 13, 0 },
+        { { Milliseconds (3000), 13 }, { 1, 0 }, 13, 13 },
+        { { Milliseconds (3000), 100 }, { 1.5, 8 }, 100, 42 },
+        { { Milliseconds (3000), 0 }, { 1.5, 8 }, 1, 0 },
+        { { Milliseconds (3000), 0.5 }, { 1, 0 }, 1, 1 },
+    };
+
+    for (const auto& wanted : cases)
+    {
+        EXPECT_EQ (mostColdStarts (wanted.profile, wanted.bounds), wanted.most);
+        EXPECT_EQ (unknownColdStarts (wanted.profile, wanted.bounds), wanted.unknown);
+    }
+}
+
+} // namespace
+} // namespace copperlead::mesh::test
--- a/tests/mesh/fixtures.h
+++ b/tests/mesh/fixtures.h
@@ -33,7 +33,7 @@
 {
     MeshConfiguration config;
     config.version = version;
-    config.services = { { "desk", { "/health", 130 } }, { "hub", { "/health", 130 } } };
+    config.services = { { "desk", { "/health", 130, {} } }, { "hub", { "/health", 130, {} } } };
     config.routes = { makeRoute ("lookup", "/look/"), makeRoute ("deep", "/look/deep/") };
     return config;
 }
--- a/tests/mesh/instance_directory_test.cc
+++ b/tests/mesh/instance_directory_test.cc
@@ -147,5 +147,18 @@
     EXPECT_TRUE (local.failed (at (2), false));
 }
 
+TEST (InstanceDirectory, EvacuatedZonesKeepTheirPlaceAmongTheNodes)
+{
+    InstanceDirectory directory;
+    directory.put (at (0), makeInstance ("a", "z1", 1), 5);
+    directory.put (at (0), makeInstance ("b", "z2", 2), 6);
+    directory.setEvacuatedZones ({ "z1" });
+    EXPECT_EQ (usable (directory), Ids{ "b" });
+    EXPECT_EQ (directory.snapshot()->nodes, 2U);
+    EXPECT_EQ (directory.snapshot()->byAddress.size(), 2U);
+    directory.setEvacuatedZones ({});
+    EXPECT_EQ (usable (directory), (Ids{ "a", "b" }));
+}
+
 } // namespace
 } // namespace copperlead::mesh::test
--- a/tests/mesh/mesh_state_test.cc
+++ b/tests/mesh/mesh_state_test.cc
@@ -127,5 +127,54 @@
     EXPECT_EQ (node.directory().snapshot()->byService.at ("desk")[0].state, InstanceState::lapsed);
 }
 
+MeshUpdate evacuation (const std::string& zone, std::uint64_t revision, bool over)
+{
+    MeshUpdate update;
+    update.at = revision;
+    update.evacuations = { { zone, revision, over } };
+    return update;
+}
+
+TEST (MeshState, InstancesOfAnEvacuatedZoneGetNothingUntilItIsTakenBack)
+{
+    MeshState reader, node;
+    reader.take (at (0), whole (4, 9));
+    passOn (reader, node);
+    reader.take (at (1), evacuation ("z1", 10, false));
+    const auto outcome = passOn (reader, node);
+    EXPECT_TRUE (outcome.instancesChanged);
+    ASSERT_EQ (outcome.evacuations.size(), 1U);
+    EXPECT_EQ (usable (node), 0U);
+    EXPECT_EQ (node.directory().snapshot()->evacuatedZones, std::set<std::string>{ "z1" });
+    EXPECT_EQ (node.directory().snapshot()->nodes, 2U) << "its nodes go on";
+
+    reader.take (at (2), evacuation ("z1", 11, true));
+    EXPECT_EQ (passOn (reader, node).evacuations.size(), 1U);
+    EXPECT_EQ (usable (node), 2U);
+}
+
+TEST (MeshState, ANodeThatStartsDuringAnEvacuationLearnsOfItWithTheRest)
+{
+    MeshState reader, node;
+    reader.take (at (0), whole (4, 9));
+    reader.take (at (1), evacuation ("z1", 10, false));
+    reader.take (at (1), evacuation ("z2", 11, false));
+    passOn (reader, node);
+    EXPECT_EQ (node.evacuatedZones(), (std::set<std::string>{ "z1", "z2" }));
+    EXPECT_EQ (usable (node), 0U);
+}
+
+TEST (MeshState, AListingWithoutTheOrderTakesTheEvacuationBack)
+{
+    MeshState node;
+    node.take (at (0), whole (4, 9));
+    node.take (at (1), evacuation ("z1", 10, false));
+    EXPECT_EQ (usable (node), 0U);
+    const auto outcome = node.take (at (2), whole (4, 12));
+    ASSERT_EQ (outcome.evacuations.size(), 1U);
+    EXPECT_TRUE (outcome.evacuations[0].over);
+    EXPECT_EQ (usable (node), 2U);
+}
+
 } // namespace
 } // namespace copperlead::mesh::test
--- a/tests/mesh/mesh_update_test.cc
+++ b/tests/mesh/mesh_update_test.cc
@@ -112,5 +112,24 @@
     EXPECT_TRUE (changes.empty());
 }
 
+TEST (MeshUpdate, ColdTimesAndEvacuationsTravel)
+{
+    MeshUpdate update;
+    auto instance = makeInstance ("a", "z1", 1);
+    instance.coldFor = Milliseconds (1234);
+    update.instances = { { instance, 7, false, true } };
+    update.evacuations = { { "z1", 8, false }, { "z2", 9, true } };
+    auto config = makeConfiguration (3);
+    config.services["desk"].cold = { Milliseconds (3000), 13 };
+    update.configuration = ConfigurationChange{ 9, 0, config, {} };
+
+    const auto read = Resolve ([&] { return decodeMeshUpdate (encode (update)); });
+    ASSERT_TRUE (read);
+    EXPECT_EQ (read.value().instances[0].instance.coldFor, Milliseconds (1234));
+    EXPECT_EQ (read.value().evacuations, update.evacuations);
+    EXPECT_EQ (read.value().configuration->content.services.at ("desk").cold,
+               (ColdProfile{ Milliseconds (3000), 13 }));
+}
+
 } // namespace
 } // namespace copperlead::mesh::test
--- /dev/null
+++ b/tests/mesh/start_window_test.cc
@@ -0,0 +1,122 @@
+#include "mesh/start_window.h"
+
+#include <gtest/gtest.h>
+
+#include <random>
+#include <vector>
+
+#include "tests/mesh/fixtures.h"
+
+namespace copperlead::mesh::test
+{
+namespace
+{
+
+/** Three starts a second, until 10 s. */
+StartWindow threeASecond()
+{
+    StartWindow window;
+    window.setMost (3);
+    window.bindUntil (at (10'000));
+    return window;
+}
+
+TEST (StartWindow, WithoutABoundEverythingStartsAtOnce)
+{
+    StartWindow window;
+
+    for (int i = 0; i < 100; ++i)
+        window.started (at (0));
+
+    EXPECT_EQ (window.earliest (at (0), 50), at (0));
+    EXPECT_FALSE (window.binds (at (0)));
+}
+
+TEST (StartWindow, TheNextStartWaitsForTheOldestToLeaveTheWindow)
+{
+    auto window = threeASecond();
+
+    for (const int time : { 0, 100, 200 })
+    {
+        EXPECT_EQ (window.earliest (at (time), 0), at (time));
+        window.started (at (time));
+    }
+
+    EXPECT_EQ (window.earliest (at (300), 0), at (1010));
+    EXPECT_EQ (window.earliest (at (300), 1), at (1110));
+    EXPECT_EQ (window.earliest (at (300), 2), at (1210));
+    EXPECT_EQ (window.earliest (at (300), 3), at (2020)) << "a window behind the first of them";
+    EXPECT_EQ (window.earliest (at (1100), 0), at (1100));
+}
+
+TEST (StartWindow, PlacesThatAreFreeGoToThoseAhead)
+{
+    auto window = threeASecond();
+    window.started (at (0));
+    EXPECT_EQ (window.earliest (at (500), 0), at (500));
+    EXPECT_EQ (window.earliest (at (500), 1), at (500));
+    EXPECT_EQ (window.earliest (at (500), 2), at (1010));
+    EXPECT_EQ (window.earliest (at (500), 3), at (1510)) << "behind one that starts now";
+}
+
+TEST (StartWindow, TheBoundEndsWithTheColdTime)
+{
+    auto window = threeASecond();
+    window.bindUntil (at (700));
+
+    for (int i = 0; i < 3; ++i)
+        window.started (at (0));
+
+    EXPECT_EQ (window.earliest (at (600), 0), at (700));
+    EXPECT_EQ (window.earliest (at (701), 9), at (701));
+}
+
+TEST (StartWindow, WhatWasStartedBeforeTheBoundCounts)
+{
+    StartWindow window;
+    window.setMost (3);
+
+    for (int time = 0; time < 100; time += 10)
+        window.started (at (time));
+
+    window.bindUntil (at (5000));
+    EXPECT_EQ (window.earliest (at (100), 0), at (1080)) << "the third last was at 70";
+    window.forget();
+    EXPECT_EQ (window.earliest (at (100), 0), at (100)) << "those were at another instance";
+}
+
+TEST (StartWindow, WhatAForerunnerMayHaveStartedCounts)
+{
+    auto window = threeASecond();
+    window.assumeStarted (at (0), 2);
+    EXPECT_EQ (window.earliest (at (1), 0), at (1));
+    window.started (at (1));
+    EXPECT_EQ (window.earliest (at (2), 0), at (1010));
+}
+
+TEST (StartWindow, NoSecondHoldsMoreWhateverComes)
+{
+    std::minstd_rand random (7);
+    auto window = threeASecond();
+    std::vector<Timestamp> starts;
+    auto now = at (0);
+
+    while (now < at (9000))
+    {
+        if (window.earliest (now, 0) <= now)
+        {
+            window.started (now);
+            starts.push_back (now);
+        }
+
+        now += Milliseconds (std::uniform_int_distribution<int> (0, 90) (random));
+    }
+
+    ASSERT_GT (starts.size(), 20U) << "and nearly as many as may be";
+
+    for (std::size_t i = 3; i < starts.size(); ++i)
+        EXPECT_GT (starts[i] - starts[i - 3], Milliseconds (1000));
+}
+
+} // namespace
+} // namespace copperlead::mesh::test
--- a/tests/mesh_integration/mesh_fleet.cc
+++ b/tests/mesh_integration/mesh_fleet.cc
@@ -180,6 +180,8 @@
                                       "X-Expect-Instance",
                                       "--header-instance-id",
                                       "X-Instance-Id",
+                                      "--header-cold-time",
+                                      "X-Cold-Ms",
                                       "--header-not-run",
                                       "X-Not-Executed",
                                       "--header-caller",
--- a/tests/platform_adapter/store_dialect_test.cc
+++ b/tests/platform_adapter/store_dialect_test.cc
@@ -153,5 +153,49 @@
         EXPECT_FALSE (read (value)) << value;
 }
 
+TEST (ReadConfiguration, HowTheInstancesOfAServiceBegin)
+{
+    const auto text = replaced (R"("protocol":"h1")", R"("cold_start_s":3.5,"cold_per_s":13.0)");
+    const auto read = Resolve ([&] { return readConfiguration (text); });
+    ASSERT_TRUE (read) << ToString (read.error());
+    EXPECT_EQ (read.value().services.at ("desk").cold,
+               (mesh::ColdProfile{ Milliseconds (3500), 13 }));
+    EXPECT_EQ (read.value().services.at ("hub").cold, mesh::ColdProfile{}) << "never cold";
+
+    const auto negative = replaced (R"("protocol":"h1")", R"("cold_start_s":-1)");
+    const auto refused = Resolve ([&] { return readConfiguration (negative); });
+    ASSERT_FALSE (refused);
+    EXPECT_EQ (refused.error().place, "services.desk");
+}
+
+TEST (ReadInstance, HowLongItStaysCold)
+{
+    struct Case
+    {
+        std::string text;
+        Milliseconds wanted;
+    };
+    const Case cases[] = {
+        { "", Milliseconds (0) },
+        { R"(,"cold_remaining_ms":null)", Milliseconds (0) },
+        { R"(,"cold_remaining_ms":0)", Milliseconds (0) },
+        { R"(,"cold_remaining_ms":2750.5)", Milliseconds (2750) },
+        { R"(,"cold_remaining_ms":-4)", mesh::unreadableColdTime },
+        { R"(,"cold_remaining_ms":1e15)", mesh::unreadableColdTime },
+        { R"(,"cold_remaining_ms":"soon")", mesh::unreadableColdTime },
+    };
+
+    for (const auto& wanted : cases)
+    {
+        mesh::SourceEntry entry;
+        entry.key = "servers/i-1";
+        entry.value = R"({"service":"desk","address":"10.0.0.1:80","zone":"z","state":"ready")" +
+                      wanted.text + "}";
+        const auto read = Resolve ([&] { return readInstance (entry); });
+        ASSERT_TRUE (read) << wanted.text;
+        EXPECT_EQ (read.value().coldFor, wanted.wanted) << wanted.text;
+    }
+}
+
 } // namespace
 } // namespace copperlead::platform
--- a/tests/sidecar/last_hop_test.cc
+++ b/tests/sidecar/last_hop_test.cc
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <atomic>
+#include <set>
 #include <thread>
 
 #include "tests/proxy/raw_socket.h"
@@ -99,5 +100,184 @@
     EXPECT_EQ (reactor.use_count(), 1);
 }
 
+/** A last hop beside an instance that says on health answers for how long it stays cold. */
+class ColdInstanceTest : public ::testing::Test
+{
+protected:
+    static constexpr int most = 5;
+
+    ColdInstanceTest()
+        : reactor (Resolve ([] { return Reactor::Start(); }).value())
+        , instance ([this] (RawSocket& socket, int) { serve (socket); })
+    {
+        LastHopSettings settings;
+        settings.names.requestId = "X-Id";
+        settings.names.signature = "X-Signature";
+        settings.names.instanceId = "X-Instance";
+        settings.names.coldTime = "X-Cold";
+        settings.instanceAddress = instance.address();
+        settings.service = "desk";
+        settings.zone = "z1";
+        settings.coldBounds = { 2, 0 };
+        reactor->RunAndWait (
+            [&]
+            {
+                hop = std::make_shared<LastHop> (
+                    reactor, settings, std::make_shared<DecisionLog> ("n", STDERR_FILENO));
+                list ("i-1");
+            });
+    }
+
+    ~ColdInstanceTest() override { reactor->Stop(); }
+
+    void serve (RawSocket& socket)
+    {
+        for (auto request = socket.Read(); ! request.head.empty(); request = socket.Read())
+        {
+            const bool isHealth = request.head.find ("GET /health") == 0;
+            ++(isHealth ? questions : runs);
+            socket.Send ("HTTP/1.1 200 OK\r\nX-Id: q\r\nX-Signature: s\r\n" +
+                         (isHealth ? healthFields() : std::string()) +
+                         "Content-Length: 2\r\n\r\nok");
+        }
+    }
+
+    std::string healthFields() const
+    {
+        const std::string name = "X-Instance: i-" + std::to_string (incarnation) + "\r\n";
+        return coldMs < 0 ? name : name + "X-Cold: " + std::to_string (coldMs) + "\r\n";
+    }
+
+    /** Of the reactor's thread. */
+    void list (const std::string& id, const std::set<std::string>& evacuated = {})
+    {
+        mesh::Instance listed;
+        listed.id = id;
+        listed.service = "desk";
+        listed.address = instance.address();
+        listed.slots = 50;
+        listed.createdAt = ++revision;
+        directory.put (SteadyClock().Now(), listed, revision);
+        directory.setEvacuatedZones (evacuated);
+        hop->setDirectory (SteadyClock().Now(), *directory.snapshot());
+    }
+
+    void configure()
+    {
+        reactor->RunAndWait (
+            [&] {
+                hop->setServiceSettings ({ "/health", 100, { Milliseconds (3000), most } });
+            });
+    }
+
+    double coldMsNow()
+    {
+        double left = 0;
+        reactor->RunAndWait ([&] { left = hop->coldMs (SteadyClock().Now()); });
+        return left;
+    }
+
+    /** Hands over `count` requests whose clients wait for `wait`. */
+    void start (int count, Milliseconds wait)
+    {
+        reactor->RunAndWait (
+            [&]
+            {
+                for (int i = 0; i < count; ++i)
+                {
+                    HopCall call;
+                    call.facts.requestId = "q";
+                    call.facts.service = "desk";
+                    call.facts.timeLeft = call.facts.targetLeft = wait;
+                    call.facts.usualRunMs = 10;
+                    call.method = "GET";
+                    call.target = "/";
+                    hop->start (std::move (call),
+                                [this] (const HopAnswer& answer) { ended (answer.report); });
+                }
+            });
+    }
+
+    void ended (const mesh::HopReport& report)
+    {
+        ++(report.outcome == mesh::HopOutcome::ran ? served : refused);
+
+        if (report.outcome != mesh::HopOutcome::ran)
+            cause = report.cause;
+    }
+
+    std::atomic<int> coldMs{ -1 }, incarnation{ 1 }, questions{ 0 }, runs{ 0 };
+    std::atomic<int> served{ 0 }, refused{ 0 };
+    std::atomic<mesh::HopCause> cause{ mesh::HopCause::none };
+    std::shared_ptr<Reactor> reactor;
+    RawServer instance;
+    mesh::InstanceDirectory directory;
+    std::uint64_t revision = 0;
+    std::shared_ptr<LastHop> hop;
+};
+
+TEST_F (ColdInstanceTest, AnInstanceThatIsNotKnownToBeWarmGetsNoMoreThanItBears)
+{
+    configure();
+    start (3 * most, Milliseconds (600));
+    EXPECT_TRUE (Eventually ([&] { return served + refused == 3 * most; }));
+    EXPECT_EQ (runs, most);
+    EXPECT_EQ (served, most);
+    EXPECT_EQ (cause, mesh::HopCause::instanceCold) << "and said so at once";
+}
+
+TEST_F (ColdInstanceTest, WhatItDoesNotBearInOneSecondItGetsInTheNext)
+{
+    configure();
+    start (most + 2, Milliseconds (2500));
+    EXPECT_TRUE (Eventually ([&] { return runs == most; }));
+    std::this_thread::sleep_for (std::chrono::milliseconds (300));
+    EXPECT_EQ (runs, most);
+    EXPECT_TRUE (Eventually ([&] { return served == most + 2; }));
+    EXPECT_EQ (refused, 0);
+}
+
+TEST_F (ColdInstanceTest, OneThatSaysThatItIsWarmGetsEverything)
+{
+    coldMs = 0;
+    configure();
+    EXPECT_TRUE (Eventually ([&] { return questions == 1; }));
+    EXPECT_TRUE (Eventually ([&] { return coldMsNow() <= 0; }));
+    start (3 * most, Milliseconds (600));
+    EXPECT_TRUE (Eventually ([&] { return served == 3 * most; }));
+    EXPECT_EQ (questions, 1);
+}
+
+TEST_F (ColdInstanceTest, ItIsColdAgainWhenItsZoneReturnsAndUntilItSaysOtherwise)
+{
+    coldMs = 0;
+    configure();
+    EXPECT_TRUE (Eventually ([&] { return questions == 1; }));
+    reactor->RunAndWait ([&] { list ("i-1", { "z1" }); });
+    start (1, Milliseconds (600));
+    EXPECT_EQ (refused, 1);
+    EXPECT_EQ (cause, mesh::HopCause::zoneEvacuated);
+
+    coldMs = -1; // It doesn't tell.
+    reactor->RunAndWait ([&] { list ("i-1"); });
+    start (3 * most, Milliseconds (600));
+    EXPECT_TRUE (Eventually ([&] { return served + refused == 3 * most + 1; }));
+    EXPECT_EQ (served, most);
+}
+
+TEST_F (ColdInstanceTest, ANewInstanceAtTheAddressIsCold)
+{
+    coldMs = 0;
+    configure();
+    EXPECT_TRUE (Eventually ([&] { return questions == 1; }));
+    coldMs = 5000;
+    incarnation = 2;
+    reactor->RunAndWait ([&] { list ("i-2"); });
+    start (3 * most, Milliseconds (600));
+    EXPECT_TRUE (Eventually ([&] { return served + refused == 3 * most; }));
+    EXPECT_EQ (served, most);
+    EXPECT_GT (coldMsNow(), 3500) << "its own word, not the configuration's";
+}
+
 } // namespace
 } // namespace copperlead::sidecar
