A health answer that doesn't speak of being cold says that the instance is warm

Logs of zone ank-a (trial): after the loss of all processes the nodes took their instances for cold for 3 s although these had been asked within a millisecond. A trial that logged the answers: warm instances leave the field out, which was read as "not told".

Ruled out: health answers that come late (they came in 1 ms), wrong ids.

Change: a missing field is zero; a value that can't be meant says nothing, as before. An instance that names itself by a health answer isn't asked twice.

--- a/src/sidecar/last_hop.cc
+++ b/src/sidecar/last_hop.cc
@@ -545,6 +545,7 @@
 void LastHop::onProbed (const CallResult& result)
 {
     const auto now = SteadyClock().Now();
+    const auto before = instance.id();
     probing = false;
     learn (result);
 
@@ -557,26 +558,33 @@
     if (onlyValue (fields, settings.names.instanceId) != instance.id())
         return;
 
+    // One that names itself by this answer was asked by it, too.
+    if (instance.id() != before)
+        coldStart.asked (now);
+
     coldStart.answered (now, coldTimeOf (fields));
     followColdStart (now, "answer");
     askWhetherCold (now);
     pump();
 }
 
-/** Nothing when the field is missing, or holds no time that can be meant. */
+/** A warm instance leaves the field out. @returns nothing when it holds no time that can be meant
+ */
 std::optional<Milliseconds> LastHop::coldTimeOf (const HeaderFields& fields) const
 {
     const auto text = onlyValue (fields, settings.names.coldTime);
     std::uint64_t count = 0;
     const auto longest = static_cast<std::uint64_t> (mesh::longestColdTime.count());
 
+    if (text.empty())
+        return Milliseconds (0);
+
     if (ParseWholeNumber (text, count) && count <= longest)
         return Milliseconds (static_cast<std::int64_t> (count));
 
-    if (! text.empty())
-        log->write (
-            SteadyClock().Now(), EventKind::valueDoubted,
-            { { "key", instance.id() }, { "place", settings.names.coldTime }, { "cause", text } });
+    log->write (
+        SteadyClock().Now(), EventKind::valueDoubted,
+        { { "key", instance.id() }, { "place", settings.names.coldTime }, { "cause", text } });
 
     return std::nullopt;
 }
--- a/src/standin/instance.cc
+++ b/src/standin/instance.cc
@@ -227,7 +227,7 @@
   if (id.empty()) {
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
         cold_until_ - std::chrono::steady_clock::now());
-    text += "X-Cold-Ms: " + std::to_string(std::max<std::int64_t>(left.count(), 0)) + "\r\n";
+    if (left.count() > 0) text += "X-Cold-Ms: " + std::to_string(left.count()) + "\r\n";
   }
   if (status == 421 || status == 503) text += "X-Not-Executed: 1\r\n";
   text += "X-Server-Load: " + std::to_string(running_) + "," + std::to_string(waiting_) + "," +
--- a/tests/sidecar/last_hop_test.cc
+++ b/tests/sidecar/last_hop_test.cc
@@ -145,7 +145,7 @@
     std::string healthFields() const
     {
         const std::string name = "X-Instance: i-" + std::to_string (incarnation) + "\r\n";
-        return coldMs < 0 ? name : name + "X-Cold: " + std::to_string (coldMs) + "\r\n";
+        return coldMs == 0 ? name : name + "X-Cold: " + std::to_string (coldMs) + "\r\n";
     }
 
     /** Of the reactor's thread. */
@@ -206,7 +206,9 @@
             cause = report.cause;
     }
 
-    std::atomic<int> coldMs{ -1 }, incarnation{ 1 }, questions{ 0 }, runs{ 0 };
+    static constexpr int unreadable = -1; // No time that can be meant.
+
+    std::atomic<int> coldMs{ unreadable }, incarnation{ 1 }, questions{ 0 }, runs{ 0 };
     std::atomic<int> served{ 0 }, refused{ 0 };
     std::atomic<mesh::HopCause> cause{ mesh::HopCause::none };
     std::shared_ptr<Reactor> reactor;
@@ -258,7 +260,7 @@
     EXPECT_EQ (refused, 1);
     EXPECT_EQ (cause, mesh::HopCause::zoneEvacuated);
 
-    coldMs = -1; // It doesn't tell.
+    coldMs = unreadable;
     reactor->RunAndWait ([&] { list ("i-1"); });
     start (3 * most, Milliseconds (600));
     EXPECT_TRUE (Eventually ([&] { return served + refused == 3 * most + 1; }));
