Weak nodes that start leave the listing to strong ones; changes are encoded once

Ruled out: slow parsing (processor time under 0.1 s), the store (4 ms an answer).

After each beat all nodes of a zone ask for the same changes, which are now encoded once.

--- a/src/mesh/reader_beat_codec.cc
+++ b/src/mesh/reader_beat_codec.cc
@@ -15,7 +15,7 @@
 void serialize (Archive& archive, ReaderBeat& beat)
 {
     archive (beat.node, beat.zone, beat.rank.strength, beat.rank.hash, beat.at, beat.version,
-             beat.sound);
+             beat.sound, beat.reads);
 }
 
 std::string encode (const ReaderBeat& beat) { return encodeDatagram (beatMark, beat); }
--- a/src/mesh/reader_role.h
+++ b/src/mesh/reader_role.h
@@ -50,6 +50,9 @@
     std::uint64_t at = 0;      /**< The source's revision that it has read up to. */
     std::uint64_t version = 0; /**< Of the configuration that it runs. */
     bool sound = false;        /**< It reaches the source and goes on reading. */
+
+    /** False: it only offers what it has, and says nothing of who reads. */
+    bool reads = true;
 };
 
 struct ReaderRoleSettings
--- a/src/mesh/source_follower.cc
+++ b/src/mesh/source_follower.cc
@@ -15,6 +15,9 @@
 
 std::optional<SourceRequest> SourceFollower::poll (Timestamp now)
 {
+    if (! std::exchange (begun, true) && settings.firstListDelay > Milliseconds (0))
+        due = std::max<Timestamp> (due, now + settings.firstListDelay);
+
     if (out || (paused && listed) || now < due)
         return std::nullopt;
 
--- a/src/mesh/source_follower.h
+++ b/src/mesh/source_follower.h
@@ -117,6 +117,12 @@
     /** Until an old listing that held nothing is repeated. */
     Milliseconds emptyListInterval{ 500 };
     bool firstListMayBeStale = false; /**< Set where a reader of the zone tells what it lacks. */
+
+    /** From the first poll() until the first listing, unless a revision is reached by other means
+        before. Where many nodes start together over narrow links, those with wide ones are ready
+        sooner and pass on less than a listing holds.
+    */
+    Milliseconds firstListDelay{ 0 };
 };
 
 /** Not thread-safe. */
@@ -176,6 +182,7 @@
 
     FollowerSettings settings;
     std::minstd_rand random;
+    bool begun = false; /**< poll() was called. */
     bool out = false;
     bool paused = false;
     bool firstWatch = false; /**< Since the resumption. */
--- a/src/sidecar/peer_endpoint.cc
+++ b/src/sidecar/peer_endpoint.cc
@@ -10,6 +10,9 @@
 namespace
 {
 
+// An entry may lapse meanwhile, which shows in no revision.
+constexpr Milliseconds encodedChangesTime{ 100 };
+
 /** The answer to a hop call that carries its report. */
 void answerHopCall (const ExchangePointer& exchange, HopAnswer answer)
 {
@@ -60,13 +63,27 @@
         ! ParseWholeNumber (numbers.substr (slash + 1), version))
         return exchange->respond (plainAnswer (400, "not a revision and a version"), true);
 
-    const auto update = state.changesSince (from, version);
     exchange->respond (
         answerMessage (
-            { 200, {}, mesh::encode (update), exchange->mustClose(), exchange->isHead() }, {}),
+            { 200, {}, encodedChanges (from, version), exchange->mustClose(), exchange->isHead() },
+            {}),
         exchange->mustClose());
 }
 
+const std::string& PeerEndpoint::encodedChanges (std::uint64_t from, std::uint64_t version)
+{
+    const auto now = SteadyClock().Now();
+    const auto ownVersion = state.configurations().version();
+    const bool same = lastChanges.from == from && lastChanges.version == version &&
+                      lastChanges.at == state.reached() && lastChanges.ownVersion == ownVersion;
+
+    if (! same || now - lastChanges.madeAt > encodedChangesTime)
+        lastChanges = { from,       version, state.reached(),
+                        ownVersion, now,     mesh::encode (state.changesSince (from, version)) };
+
+    return lastChanges.bytes;
+}
+
 void PeerEndpoint::refuseBody (const ExchangePointer& exchange, const mesh::HopRequest& facts,
                                std::size_t bytes, mesh::HopCause cause)
 {
--- a/src/sidecar/peer_endpoint.h
+++ b/src/sidecar/peer_endpoint.h
@@ -37,11 +37,25 @@
     void takeHopCall (const ExchangePointer& exchange);
     void answerChanges (const ExchangePointer& exchange);
 
+    /** The last changes that were asked for, encoded: after each beat all nodes of a zone ask for
+        the same.
+    */
+    struct EncodedChanges
+    {
+        std::uint64_t from = 0, version = 0;  /**< That were asked for. */
+        std::uint64_t at = 0, ownVersion = 0; /**< Of this node's state. */
+        Timestamp madeAt{};
+        std::string bytes;
+    };
+
+    const std::string& encodedChanges (std::uint64_t from, std::uint64_t version);
+
     HeaderNames names;
     std::shared_ptr<LastHop> lastHop;
     std::shared_ptr<BodyAdmission> bodies;
     std::shared_ptr<DecisionLog> log;
     const mesh::MeshState& state;
+    EncodedChanges lastChanges;
 
     /** Hop calls whose bodies were called for, or wait for that. */
     std::unordered_map<const Exchange*, BodyAdmission::Id> admitted;
--- a/src/sidecar/relay.cc
+++ b/src/sidecar/relay.cc
@@ -79,7 +79,7 @@
     ++counts.beatsHeard;
     const bool elsewhere = heard->zone != settings.zone;
 
-    if (! elsewhere)
+    if (! elsewhere && heard->reads)
     {
         role.heard (now, *heard);
         // Stepping down at once keeps a zone that starts together from all its nodes' beats.
@@ -165,6 +165,9 @@
     const auto now = SteadyClock().Now();
     const auto due = beatAt + shortestInterval();
 
+    if (! role.reading() && ! std::exchange (offered, true))
+        offer();
+
     if (announcing || ! role.reading() || ! hooks.sourceSound (now))
         return;
 
@@ -197,17 +200,33 @@
 
     beatAt = SteadyClock().Now();
     saidSound = sound;
-    const auto bytes = mesh::encode (
-        { settings.node, settings.zone, rankOf (settings), ownAt, ownVersion, sound });
-
-    for (const auto& ip : peers.inZone)
-        sendBeat (ip, bytes);
+    tellZone (sound, true);
 
     if (peers.elsewhere.empty())
         return;
 
     std::uniform_int_distribution<std::size_t> any (0, peers.elsewhere.size() - 1);
-    sendBeat (peers.elsewhere[any (random)], bytes);
+    sendBeat (peers.elsewhere[any (random)], beatBytes (sound, true));
+}
+
+void Relay::offer()
+{
+    if (settings.strength >= mesh::topStrength && ownVersion > 0)
+        tellZone (false, false);
+}
+
+void Relay::tellZone (bool sound, bool reads)
+{
+    const auto bytes = beatBytes (sound, reads);
+
+    for (const auto& ip : peers.inZone)
+        sendBeat (ip, bytes);
+}
+
+std::string Relay::beatBytes (bool sound, bool reads) const
+{
+    return mesh::encode (mesh::ReaderBeat{ settings.node, settings.zone, rankOf (settings), ownAt,
+                                           ownVersion, sound, reads });
 }
 
 void Relay::sendBeat (const std::string& ip, const std::string& bytes)
--- a/src/sidecar/relay.h
+++ b/src/sidecar/relay.h
@@ -71,7 +71,9 @@
     /** Another node's answer showed the version that it runs. */
     void sawVersion (std::uint64_t version);
 
-    /** The source told of changes: the zone hears of it at once. */
+    /** The source told of changes: the zone hears of it at once, from its reader; from a strong
+        node that has just started, too, since others that start with it wait for that.
+    */
     void announce();
 
     /** To be called some times a second. */
@@ -92,6 +94,9 @@
     void pull (const std::string& ip, bool elsewhere);
     void onPulled (const CallResult& result, bool elsewhere);
     void beat (bool sound);
+    void offer();
+    void tellZone (bool sound, bool reads);
+    std::string beatBytes (bool sound, bool reads) const;
     void sendBeat (const std::string& ip, const std::string& bytes);
     void applyRole (Timestamp now);
     Milliseconds shortestInterval() const;
@@ -112,6 +117,7 @@
     bool saidSound = false;  /**< In the last beat. */
     bool announcing = false; /**< A beat is due as soon as the shortest interval allows. */
     bool pulling = false, wantsWhole = false, resigned = false, wasReading = false;
+    bool offered = false;     /**< What this node listed at its start was offered to the zone. */
     bool reachedOnce = false; /**< Something is known, by whatever way. */
 };
 
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -14,7 +14,6 @@
 
 constexpr Milliseconds tickInterval{ 250 };
 constexpr int ticksPerFileCheck = 4;
-constexpr double strongCpuShare = 0.2, strongLinkMbps = 50; // Of machines that should read.
 constexpr Milliseconds stopStepInterval{ 50 };
 
 Timestamp now() { return SteadyClock().Now(); }
@@ -236,8 +235,7 @@
     made.zone = settings.zone;
     made.address = settings.relay;
     made.peerPort = settings.inbound.port;
-    made.strength = (settings.cpuShare >= strongCpuShare ? 1 : 0) +
-                    (settings.linkMbps >= strongLinkMbps ? 1 : 0);
+    made.strength = readerStrength (settings);
 
     const auto weak = weak_from_this();
     RelayHooks hooks;
--- a/src/sidecar/sidecar_settings.cc
+++ b/src/sidecar/sidecar_settings.cc
@@ -270,6 +270,13 @@
 
 } // namespace
 
+int readerStrength (const SidecarSettings& settings)
+{
+    constexpr double strongCpuShare = 0.2, strongLinkMbps = 50; // Of machines that should read.
+    return (settings.cpuShare >= strongCpuShare ? 1 : 0) +
+           (settings.linkMbps >= strongLinkMbps ? 1 : 0);
+}
+
 Result<ParsedSidecarSettings> parseSidecarSettings (const std::vector<std::string>& arguments)
 {
     const auto description = describeOptions();
--- a/src/sidecar/sidecar_settings.h
+++ b/src/sidecar/sidecar_settings.h
@@ -38,6 +38,11 @@
     mesh::ColdBounds coldBounds;
 };
 
+/** The strength of this machine among those that may read the source: a step each for its processor
+    and its link.
+*/
+int readerStrength (const SidecarSettings& settings);
+
 struct ParsedSidecarSettings
 {
     SidecarSettings settings;
--- a/tests/mesh/reader_role_test.cc
+++ b/tests/mesh/reader_role_test.cc
@@ -210,6 +210,7 @@
     EXPECT_EQ (read->zone, "ank-a");
     EXPECT_EQ (read->rank.hash, better.hash);
     EXPECT_TRUE (read->sound);
+    EXPECT_TRUE (read->reads);
 
     for (const auto& stray : { std::string(), std::string ("hello, who is there?"),
                                bytes.substr (0, bytes.size() - 1), "x" + bytes })
--- a/tests/mesh/source_follower_test.cc
+++ b/tests/mesh/source_follower_test.cc
@@ -263,5 +263,42 @@
     EXPECT_LE (follower->nextDue(), at (4000));
 }
 
+FollowerSettings delayed()
+{
+    FollowerSettings settings;
+    settings.firstListDelay = Milliseconds (500);
+    return settings;
+}
+
+TEST (DelayedListing, WaitsForAnotherNodesWordAndIsSparedByIt)
+{
+    SourceFollower follower (delayed(), 1);
+    follower.pause();
+    EXPECT_FALSE (follower.poll (at (0)));
+    EXPECT_EQ (follower.nextDue(), at (500));
+    EXPECT_FALSE (follower.poll (at (499)));
+    follower.pause (7);
+    EXPECT_FALSE (follower.poll (at (500))) << "a revision was reached by other means";
+    EXPECT_EQ (follower.nextDue(), Timestamp::max());
+}
+
+TEST (DelayedListing, ComesWhenNobodySaysAnything)
+{
+    SourceFollower follower (delayed(), 1);
+    follower.pause();
+    EXPECT_FALSE (follower.poll (at (0)));
+    ASSERT_TRUE (follower.poll (at (500)));
+    EXPECT_FALSE (follower.answered (at (510), failure (SourceReply::failed)));
+    EXPECT_TRUE (follower.poll (at (620))) << "only the first try is delayed";
+}
+
+TEST (DelayedListing, AReaderDoesNotWait)
+{
+    SourceFollower follower (delayed(), 1);
+    EXPECT_FALSE (follower.poll (at (0)));
+    follower.resume (at (10), 0);
+    EXPECT_TRUE (follower.poll (at (10)));
+}
+
 } // namespace
 } // namespace copperlead::mesh::test
--- a/tests/mesh_integration/mesh_relay_test.cc
+++ b/tests/mesh_integration/mesh_relay_test.cc
@@ -174,5 +174,33 @@
   EXPECT_TRUE(Served("/look/1"));
 }
 
+// A strong machine reads listener 0 of the store, a weak one, on a narrow link, listener 1.
+class StartTogether : public ::testing::Test {
+ protected:
+  StartTogether() : strong_(fleet_.Add("desk", "ank-a", 0)), weak_(fleet_.Add("desk", "ank-a", 1)) {
+    fleet_.UseRelay();
+    fleet_.Configure(4);
+  }
+
+  void StartWeak() { fleet_.Start(weak_, {"--link-mbps", "5", "--cpu-share", "0.1"}); }
+
+  MeshFleet fleet_;
+  MeshMachine& strong_;
+  MeshMachine& weak_;
+};
+
+TEST_F(StartTogether, TheWeakGetWhatTheStrongHaveListed) {
+  fleet_.Start(strong_);
+  StartWeak();
+  ASSERT_TRUE(fleet_.AwaitReady(weak_));
+  EXPECT_EQ(fleet_.store().calls(1), 0U);
+}
+
+TEST_F(StartTogether, TheWeakListThemselvesWhenNobodyOffersAnything) {
+  StartWeak();
+  ASSERT_TRUE(fleet_.AwaitReady(weak_));
+  EXPECT_GE(fleet_.store().calls(1), 1U);
+}
+
 }  // namespace
 }  // namespace copperlead::standin
