The health question has a module of its own; the last hop's file in two

HealthProbe asks and reads the answer into types; last_hop_instance.cc holds what the last hop learns of its instance, last_hop.cc what it does with requests.

--- a/src/sidecar/last_hop.cc
+++ b/src/sidecar/last_hop.cc
@@ -18,9 +18,6 @@
 using mesh::nameOf;
 using mesh::toMilliseconds;
 
-constexpr Milliseconds probeTimeout{ 400 };
-constexpr int serverFailure = 500, gatewayTimeout = 504; // Statuses of HTTP.
-constexpr double failingShare = 0.3; // Worth a line: several of the latest runs, not one alone.
 constexpr double repeatLearningRate = 0.03;
 constexpr std::uint64_t newestId = std::numeric_limits<std::uint64_t>::max(); // Behind its equals.
 constexpr Milliseconds deadlineGrace{ 20 }; // For the instance's own answer at the deadline.
@@ -43,6 +40,7 @@
     , settings (std::move (settingsToUse))
     , log (std::move (logToUse))
     , client (std::make_shared<HttpClient> (reactor, clientSettings()))
+    , health (std::make_shared<HealthProbe> (client, settings.names, settings.instanceAddress, log))
     , instance (settings.service)
 {
     presumeCold (SteadyClock().Now(), "start");
@@ -265,133 +263,6 @@
         found->second.http = http;
 }
 
-void LastHop::learn (const CallResult& result)
-{
-    const auto now = SteadyClock().Now();
-    const auto before = instance.id();
-    const auto lostFor = instance.lostFor (now);
-
-    if (result.end != CallEnd::answered && result.end != CallEnd::broken)
-    {
-        if (instance.failed (now, result.end == CallEnd::notConnected))
-        {
-            log->write (now, EventKind::instanceLost,
-                        { { "instance", before }, { "cause", result.cause } });
-            client->dropIdle (settings.instanceAddress);
-            refuseAll (queue.clear(), HopCause::instanceDown);
-        }
-
-        return;
-    }
-
-    if (instance.answered (now))
-        log->write (now, EventKind::instanceRegained,
-                    { { "instance", before }, { "after_ms", toMilliseconds (lostFor) } });
-
-    const auto spoken = onlyValue (result.head.fields, settings.names.instanceId);
-
-    if (result.end == CallEnd::answered && instance.heard (std::string (spoken)))
-        takeIdentity (now, mesh::IdentitySource::spoken, before);
-}
-
-void LastHop::takeIdentity (Timestamp now, mesh::IdentitySource by, const std::string& before)
-{
-    log->write (now, EventKind::identityLearned,
-                { { "instance", instance.id() },
-                  { "before", before },
-                  { "by", nameOf (by, mesh::identitySourceNames) } });
-
-    // What was sent by the former's name is turned away by this one. When there was no former one,
-    // this process has just started, and its forerunner may have sent something.
-    if (! before.empty())
-        queue.startWindow().forget();
-
-    presumeCold (now, "new_instance");
-}
-
-void LastHop::presumeCold (Timestamp now, std::string_view cause)
-{
-    coldStart.presumeCold (now);
-    followColdStart (now, cause);
-}
-
-void LastHop::followColdStart (Timestamp now, std::string_view cause)
-{
-    auto& window = queue.startWindow();
-    const bool wasBound = window.binds (now);
-    window.bindUntil (coldStart.until());
-
-    if (window.binds (now) != wasBound)
-        log->write (now, wasBound ? EventKind::instanceWarm : EventKind::instanceCold,
-                    { { "instance", instance.id() },
-                      { "cause", cause },
-                      { "for_ms", std::max (coldMs (now), 0.0) },
-                      { "running", static_cast<std::int64_t> (queue.running()) },
-                      { "waiting", static_cast<std::int64_t> (queue.waiting()) } });
-}
-
-double LastHop::coldMs (Timestamp now) const { return toMilliseconds (coldStart.until() - now); }
-
-void LastHop::setServiceSettings (const mesh::ServiceSettings& service)
-{
-    const auto now = SteadyClock().Now();
-    auto& window = queue.startWindow();
-    const bool isFirst = window.most() == 0;
-    healthPath = service.healthPath;
-    coldStart.setProfile (service.cold);
-    window.setMost (mesh::mostColdStarts (service.cold, settings.coldBounds));
-
-    if (isFirst)
-        window.assumeStarted (now, mesh::unknownColdStarts (service.cold, settings.coldBounds));
-
-    followColdStart (now, "configuration");
-    askWhetherCold (now);
-}
-
-void LastHop::setEvacuated (Timestamp now, bool isEvacuated)
-{
-    if (evacuated == isEvacuated)
-        return;
-
-    evacuated = isEvacuated;
-
-    if (evacuated)
-        refuseAll (queue.clear(), HopCause::zoneEvacuated);
-    else
-        presumeCold (now, "zone_returned"); // Its instances may have gone cold meanwhile.
-}
-
-void LastHop::askWhetherCold (Timestamp now)
-{
-    if (probing || healthPath.empty() || ! instance.known() || ! coldStart.wantsAnswer (now))
-        return;
-
-    ++counts.coldQuestions;
-    probe();
-}
-
-void LastHop::learnFailure (HopOutcome outcome, const CallResult& result)
-{
-    // One that says that it didn't run has not failed; at a deadline the request's time was short.
-    if (outcome == HopOutcome::rejected || outcome == HopOutcome::notRun ||
-        (outcome == HopOutcome::ran && result.head.status == gatewayTimeout))
-        return;
-
-    const bool failed = outcome != HopOutcome::ran || result.head.status >= serverFailure;
-    const auto now = SteadyClock().Now();
-    const bool wasFailing = failures.at (now) > failingShare;
-    failures.observe (now, failed);
-
-    if (! wasFailing && failures.at (now) > failingShare)
-        log->write (now, EventKind::instanceFailing,
-                    { { "instance", instance.id() },
-                      { "share", failures.at (now) },
-                      { "outcome", nameOf (outcome, mesh::hopOutcomeNames) },
-                      { "status", std::int64_t (result.head.status) },
-                      { "cause", result.cause },
-                      { "running", static_cast<std::int64_t> (queue.running()) } });
-}
-
 void LastHop::onResult (CallId id, CallResult result)
 {
     const auto found = calls.find (id);
@@ -470,123 +341,10 @@
     pump();
 }
 
-void LastHop::setService (std::string service)
-{
-    instance.setConfiguredService (std::move (service));
-}
-
-void LastHop::setDirectory (Timestamp now, const mesh::DirectorySnapshot& directory)
-{
-    const auto before = instance.id();
-    const bool wasLeaving = instance.leaving();
-    const auto entry = directory.byAddress.find (ToString (settings.instanceAddress));
-
-    const auto* listed = entry == directory.byAddress.end() ? nullptr : &entry->second;
-
-    if (instance.takeEntry (listed))
-    {
-        takeIdentity (now, mesh::IdentitySource::entry, before);
-        client->dropIdle (settings.instanceAddress);
-    }
-
-    if (listed != nullptr && listed->instance.id == instance.id())
-        coldStart.listed (listed->changedAt, listed->instance.coldFor);
-
-    followColdStart (now, "entry");
-    askWhetherCold (now);
-    setEvacuated (now, directory.evacuatedZones.contains (settings.zone));
-    queue.setLimit (instance.slots() + settings.extraSlots);
-
-    if (instance.leaving() && ! wasLeaving)
-        log->write (now, EventKind::instanceLeaving,
-                    { { "instance", instance.id() },
-                      { "running", static_cast<std::int64_t> (queue.running()) },
-                      { "waiting", static_cast<std::int64_t> (queue.waiting()) } });
-
-    if (instance.leaving())
-        refuseAll (queue.clear(), HopCause::instanceLeaving);
-    else
-        pump();
-}
-
 void LastHop::stopTaking()
 {
     stopping = true;
     refuseAll (queue.clear(), HopCause::nodeStopping);
 }
 
-void LastHop::tick (Timestamp now)
-{
-    if (! probing && ! healthPath.empty() && instance.wantsProbe (now))
-    {
-        instance.probed (now);
-        probe();
-    }
-
-    askWhetherCold (now);
-}
-
-void LastHop::probe()
-{
-    probing = true;
-    coldStart.asked (SteadyClock().Now());
-    CallOptions options;
-    options.deadline = SteadyClock().Now() + probeTimeout;
-    options.freshConnection = true;
-    const HeaderFields fields{ { "Host", ToString (settings.instanceAddress) } };
-    client->send (settings.instanceAddress, requestMessage ("GET", healthPath, fields, {}), options,
-                  [weak = weak_from_this()] (const CallResult& result)
-                  {
-                      if (const auto self = weak.lock())
-                          self->onProbed (result);
-                  });
-}
-
-void LastHop::onProbed (const CallResult& result)
-{
-    const auto now = SteadyClock().Now();
-    const auto before = instance.id();
-    probing = false;
-    learn (result);
-
-    if (result.end != CallEnd::answered)
-        return;
-
-    // The answer of an instance that is another than was thought says nothing of the one meant.
-    const auto& fields = result.head.fields;
-
-    if (onlyValue (fields, settings.names.instanceId) != instance.id())
-        return;
-
-    // One that names itself by this answer was asked by it, too.
-    if (instance.id() != before)
-        coldStart.asked (now);
-
-    coldStart.answered (now, coldTimeOf (fields));
-    followColdStart (now, "answer");
-    askWhetherCold (now);
-    pump();
-}
-
-/** A warm instance leaves the field out. @returns nothing when it holds no time that can be meant
- */
-std::optional<Milliseconds> LastHop::coldTimeOf (const HeaderFields& fields) const
-{
-    const auto text = onlyValue (fields, settings.names.coldTime);
-    std::uint64_t count = 0;
-    const auto longest = static_cast<std::uint64_t> (mesh::longestColdTime.count());
-
-    if (text.empty())
-        return Milliseconds (0);
-
-    if (ParseWholeNumber (text, count) && count <= longest)
-        return Milliseconds (static_cast<std::int64_t> (count));
-
-    log->write (
-        SteadyClock().Now(), EventKind::valueDoubted,
-        { { "key", instance.id() }, { "place", settings.names.coldTime }, { "cause", text } });
-
-    return std::nullopt;
-}
-
 } // namespace copperlead::sidecar
--- a/src/sidecar/last_hop.h
+++ b/src/sidecar/last_hop.h
@@ -6,7 +6,6 @@
 
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -21,6 +20,7 @@
 #include "sidecar/decision_log.h"
 #include "sidecar/earliest_timer.h"
 #include "sidecar/header_names.h"
+#include "sidecar/health_probe.h"
 #include "sidecar/http_client.h"
 
 namespace copperlead::sidecar
@@ -157,8 +157,7 @@
     mesh::HopReport report (mesh::HopOutcome outcome, mesh::HopCause cause) const;
     std::string messageFor (const Running& running, Timestamp now) const;
     void probe();
-    void onProbed (const CallResult& result);
-    std::optional<Milliseconds> coldTimeOf (const HeaderFields& fields) const;
+    void onProbed (const HealthAnswer& answer);
     static Timestamp targetOf (const Running& running);
     void logRefusal (const Running& running, mesh::HopCause cause);
 
@@ -167,6 +166,7 @@
     LastHopSettings settings;
     std::shared_ptr<DecisionLog> log;
     std::shared_ptr<HttpClient> client;
+    std::shared_ptr<HealthProbe> health;
     mesh::AdmissionQueue queue;
     mesh::LocalInstance instance;
     mesh::ColdStart coldStart;
@@ -175,11 +175,9 @@
     CallId lastId = 0;
     double repeats = 0;
     mesh::FailureShare failures;
-    std::string healthPath;
     std::uint64_t configurationVersion = 0;
     Timestamp endsAt = Timestamp::max();
     bool stopping = false;
-    bool probing = false;
     bool evacuated = false; /**< The zone is. */
 };
 
