A cold instance gets nearly what makes it fall over, counted when it is written

The bound was what an instance bears (13 a second); it falls over above 27.5. Two windows of 13 fit under that whatever delays a node's writes, two of 26 don't.

A start counts from when its message is written (CallOptions::onSent, StartWindow::sent), so that connections that are slow to open don't move it into the next window; the starts that a forerunner may have made count from this process's own start.

--- a/src/mesh/cold_start.cc
+++ b/src/mesh/cold_start.cc
@@ -7,13 +7,13 @@
 namespace
 {
 
-// More than an instance bears would only wait for it there.
-constexpr double startsOverBorne = 1;
+// What the nodes' and the instances' clocks may differ.
+constexpr double ceilingShare = 0.95;
 
 /** Requests in a second that an instance doesn't fall over for. */
-int ceilingOf (const ColdProfile& profile, const ColdBounds& bounds)
+double ceilingOf (const ColdProfile& profile, const ColdBounds& bounds)
 {
-    return static_cast<int> (profile.startsPerSecond * bounds.over + bounds.slack);
+    return profile.startsPerSecond * bounds.over + bounds.slack;
 }
 
 } // namespace
@@ -23,14 +23,18 @@
     if (profile.longest.count() <= 0)
         return 0;
 
-    const auto borne = static_cast<int> (profile.startsPerSecond * startsOverBorne);
-    return std::max (1, std::min (borne, ceilingOf (profile, bounds)));
+    // A rate that can't be meant.
+    if (profile.startsPerSecond < 1)
+        return 1;
+
+    return std::max (1, static_cast<int> (ceilingShare * ceilingOf (profile, bounds)));
 }
 
 int unknownColdStarts (const ColdProfile& profile, const ColdBounds& bounds)
 {
     const auto most = mostColdStarts (profile, bounds);
-    return std::clamp (2 * most - ceilingOf (profile, bounds), 0, most);
+    const auto together = static_cast<int> (ceilingOf (profile, bounds));
+    return std::clamp (2 * most - together, 0, most);
 }
 
 void ColdStart::presumeCold (Timestamp now)
--- a/src/mesh/start_window.cc
+++ b/src/mesh/start_window.cc
@@ -24,10 +24,22 @@
         starts.pop_front();
 }
 
-void StartWindow::assumeStarted (Timestamp now, int count)
+void StartWindow::sent (Timestamp startedAt, Timestamp now)
 {
-    for (int i = 0; i < std::min (count, mostStarts); ++i)
-        started (now);
+    const auto found = std::find (starts.begin(), starts.end(), startedAt);
+
+    if (found == starts.end())
+        return;
+
+    starts.erase (found);
+    starts.push_back (now);
+}
+
+void StartWindow::assumeStarted (Timestamp when, int count)
+{
+    const auto before = std::lower_bound (starts.begin(), starts.end(), when);
+    starts.insert (before, static_cast<std::size_t> (std::min (count, mostStarts)), when);
+    setMost (mostStarts);
 }
 
 Timestamp StartWindow::earliest (Timestamp now, std::size_t before) const
--- a/src/mesh/start_window.h
+++ b/src/mesh/start_window.h
@@ -25,11 +25,16 @@
 
     bool binds (Timestamp now) const { return mostStarts > 0 && now < end; }
 
-    /** A request was started. */
+    /** A request was started, and is taken to be sent at once. */
     void started (Timestamp now);
 
-    /** Counts as many starts as having been made just now, since it isn't known how many were. */
-    void assumeStarted (Timestamp now, int count);
+    /** What was started at `startedAt` was sent only now, over a connection that had to be opened
+        first: it counts from now on.
+    */
+    void sent (Timestamp startedAt, Timestamp now);
+
+    /** Counts as many starts as having been made then, since it isn't known how many were. */
+    void assumeStarted (Timestamp when, int count);
 
     /** The starts so far were at another instance. */
     void forget() { starts.clear(); }
@@ -38,7 +43,7 @@
     Timestamp earliest (Timestamp now, std::size_t before) const;
 
 private:
-    // A second, and what clocks and the way to the instance may differ between two requests.
+    // A second, and what the way to the instance may differ between two requests.
     static constexpr Milliseconds length{ 1010 };
 
     int mostStarts = 0;
--- a/src/sidecar/client_connection.cc
+++ b/src/sidecar/client_connection.cc
@@ -7,6 +7,7 @@
 #include <array>
 #include <cerrno>
 #include <cstring>
+#include <utility>
 
 #include "mesh/milliseconds.h"
 #include "sidecar/sockets.h"
@@ -135,6 +136,9 @@
     if (sentAt == Timestamp{} || written == sendable)
         sentAt = now();
 
+    if (const auto told = std::exchange (options.onSent, nullptr))
+        told();
+
     setInterest (EPOLLIN);
 }
 
--- a/src/sidecar/http_client.h
+++ b/src/sidecar/http_client.h
@@ -53,6 +53,9 @@
     */
     std::string idField, id;
 
+    /** Told when the message, or its head if the body is held back, has been written. */
+    std::function<void()> onSent;
+
     /** Bytes of the message after which the server is asked whether to go on; 0: none. The message
         says so itself (Expect: 100-continue). A call that ends before has sent nothing that could
         run.
--- a/src/sidecar/last_hop.cc
+++ b/src/sidecar/last_hop.cc
@@ -141,7 +141,7 @@
                             running.deadline, facts.usualRunMs, now + facts.attemptTargetLeft });
 
     if (decision == mesh::AdmissionDecision::run)
-        run (id);
+        run (id, now);
     else if (decision == mesh::AdmissionDecision::refuse)
         refuse (id, fullCause (now));
     else
@@ -234,14 +234,13 @@
     return true;
 }
 
-void LastHop::run (CallId id)
+void LastHop::run (CallId id, Timestamp now)
 {
     // On a machine that is short of processor time the caller's leaving may wait to be handled.
     if (dropAbandoned (id))
         return;
 
     auto& running = calls.at (id);
-    const auto now = SteadyClock().Now();
     running.startedAt = now;
     repeats += repeatLearningRate * ((running.call.facts.isRepeat ? 1 : 0) - repeats);
 
@@ -250,6 +249,11 @@
     options.isHead = running.call.method == "HEAD";
     options.idField = settings.names.requestId;
     options.id = running.call.facts.requestId;
+    options.onSent = [weak = weak_from_this(), startedAt = now]
+    {
+        if (const auto self = weak.lock())
+            self->queue.startWindow().sent (startedAt, SteadyClock().Now());
+    };
 
     auto message = messageFor (running, now);
     const auto http = client->send (settings.instanceAddress, std::move (message), options,
@@ -299,8 +303,16 @@
 {
     refuseAll (queue.expire (SteadyClock().Now()), HopCause::expired);
 
-    while (const auto id = queue.next (SteadyClock().Now()))
-        run (id);
+    for (;;)
+    {
+        const auto now = SteadyClock().Now();
+        const auto id = queue.next (now);
+
+        if (id == 0)
+            break;
+
+        run (id, now);
+    }
 
     armTimer();
 }
--- a/src/sidecar/last_hop.h
+++ b/src/sidecar/last_hop.h
@@ -138,7 +138,7 @@
     };
 
     mesh::HopCause refusalOf (const std::string& service, double usualRunMs) const;
-    void run (CallId id);
+    void run (CallId id, Timestamp now);
     bool dropAbandoned (CallId id);
     void pump();
     void armTimer();
@@ -173,6 +173,7 @@
     std::unordered_map<CallId, Running> calls;
     LastHopCounters counts;
     CallId lastId = 0;
+    const Timestamp createdAt = SteadyClock().Now();
     double repeats = 0;
     mesh::FailureShare failures;
     std::uint64_t configurationVersion = 0;
--- a/src/sidecar/last_hop_instance.cc
+++ b/src/sidecar/last_hop_instance.cc
@@ -100,7 +100,8 @@
     window.setMost (mesh::mostColdStarts (service.cold, settings.coldBounds));
 
     if (isFirst)
-        window.assumeStarted (now, mesh::unknownColdStarts (service.cold, settings.coldBounds));
+        window.assumeStarted (createdAt,
+                              mesh::unknownColdStarts (service.cold, settings.coldBounds));
 
     followColdStart (now, "configuration");
     askWhetherCold (now);
--- a/tests/mesh/start_window_test.cc
+++ b/tests/mesh/start_window_test.cc
@@ -94,6 +94,20 @@
     EXPECT_EQ (window.earliest (at (2), 0), at (1010));
 }
 
+TEST (StartWindow, WhatWasSentLateCountsFromThenOn)
+{
+    auto window = threeASecond();
+
+    for (const int time : { 0, 100, 200 })
+        window.started (at (time));
+
+    window.sent (at (0), at (250)); // Its connection had to be opened first.
+    EXPECT_EQ (window.earliest (at (300), 0), at (1110));
+    EXPECT_EQ (window.earliest (at (300), 2), at (1260));
+    window.sent (at (77), at (260)); // Nothing was started then.
+    EXPECT_EQ (window.earliest (at (300), 0), at (1110));
+}
+
 TEST (StartWindow, NoSecondHoldsMoreWhateverComes)
 {
     std::minstd_rand random (7);
