Whoever stays behind another node's version asks that node for the changes

Both strong nodes of zone ank-b stopped at 20.0 s, in a storm of configurations. Its weak nodes saw later versions in the answers of other zones and all began to read the store together (15 within 50 ms at 23.11 s). Each watch answer held up to four whole configurations, 2 MB over 5 Mbit/s: 3 s, more than a watch may take; and each later version that was seen dropped the watch and asked anew. ank-b-21 heard at 26.12 s what had been acknowledged at 23.03 s.

Change: a node that has seen a later version for 100 ms pulls the changes from the node that showed it, some kilobytes; a watch that was overtaken by that is asked anew from there. ReaderRole::seenLaterFor, SourceFollower::overtaken, Relay::sawVersion; without a relay the source is hurried as before.

--- a/src/mesh/reader_role.h
+++ b/src/mesh/reader_role.h
@@ -91,6 +91,12 @@
     /** Another node's answer showed the version that it runs. */
     void sawVersion (Timestamp now, std::uint64_t version);
 
+    /** For how long another node has been known to run a later version; zero: none does. */
+    Duration seenLaterFor (Timestamp now) const
+    {
+        return seenLaterSince == Timestamp::max() ? Duration (0) : now - seenLaterSince;
+    }
+
     /** The other nodes of this zone that are known. */
     void setZonePeers (std::size_t count) { zonePeers = count; }
 
--- a/src/mesh/source_follower.cc
+++ b/src/mesh/source_follower.cc
@@ -89,6 +89,21 @@
     return dropped;
 }
 
+bool SourceFollower::overtaken (Timestamp now, std::uint64_t revision)
+{
+    if (revision <= at || ! listed || paused)
+        return false;
+
+    at = revision;
+
+    if (! out || now - sentAt < settings.hurryAfter)
+        return false;
+
+    out = false;
+    due = now;
+    return true;
+}
+
 bool SourceFollower::hurry (Timestamp now)
 {
     const bool rests = ! out && ! paused && failures == 0 && now < due;
--- a/src/mesh/source_follower.h
+++ b/src/mesh/source_follower.h
@@ -146,6 +146,12 @@
     */
     bool hurry (Timestamp now);
 
+    /** A revision was reached by other means while this node reads: what a watch from an earlier
+       one would bring is known, and may take long over a narrow link.
+        @returns true if the watch that is out is to be dropped and poll() called again
+    */
+    bool overtaken (Timestamp now, std::uint64_t revision);
+
     /** Watches no more until resume(). The first listing goes on, unless `revision` (0: none) was
         reached by other means.
         @returns true if the request that is out, if any, is to be dropped
--- a/src/sidecar/active_request.cc
+++ b/src/sidecar/active_request.cc
@@ -249,7 +249,7 @@
         hop->chooser.reported (now(), id, { told.load, told.runMs, told.bodyMs });
 
     if (told.configurationVersion != 0 && hop->onPeerVersion)
-        hop->onPeerVersion (told.configurationVersion);
+        hop->onPeerVersion (told.configurationVersion, attempt.choice.instance.address.ip);
 
     avoid (attempt, answer);
 
--- a/src/sidecar/first_hop.h
+++ b/src/sidecar/first_hop.h
@@ -80,8 +80,8 @@
     */
     void setClosing (Timestamp end);
 
-    /** Told of every version that another node runs. */
-    std::function<void (std::uint64_t)> onPeerVersion;
+    /** Told of every version that another node runs, and of its IP. */
+    std::function<void (std::uint64_t, const std::string&)> onPeerVersion;
 
     /** The age, in ms, of the last word that the routes are the newest; nothing without any. */
     std::function<std::optional<double>()> routesAge;
--- a/src/sidecar/relay.cc
+++ b/src/sidecar/relay.cc
@@ -14,6 +14,7 @@
 {
 
 constexpr Milliseconds pullTimeout{ 500 };
+constexpr Milliseconds catchUpTime{ 100 };      // A zone's beat takes 20 to 50 ms.
 constexpr Milliseconds unsoundInterval{ 1000 }; // In an outage every node of the zone may beat.
 // Between two beats: each change costs a reader one datagram and one answer for each peer.
 constexpr Milliseconds leastInterval{ 20 }, intervalPerPeer{ 2 };
@@ -88,14 +89,15 @@
 
     // Also from one that can't read on: what it has is later than what this node has.
     if (heard->at > ownAt || heard->version > ownVersion)
-        pull (from.ip, elsewhere);
+        pull (from.ip);
 }
 
-void Relay::pull (const std::string& ip, bool elsewhere)
+void Relay::pull (const std::string& ip)
 {
     if (pulling)
         return;
 
+    const bool elsewhere = isElsewhere (ip);
     pulling = true;
     ++counts.pulls;
     counts.pullsElsewhere += elsewhere ? 1 : 0;
@@ -134,8 +136,12 @@
     }
 
     const auto now = SteadyClock().Now();
+    const bool wasLate = role.seenLaterFor (now) >= catchUpTime;
     hooks.take (now, std::move (update));
 
+    if (wasLate && role.reading())
+        hooks.overtaken();
+
     // The source didn't tell it, so nobody else of the zone may have it.
     if (elsewhere && role.reading() && ! hooks.sourceSound (now))
         beat (false);
@@ -158,7 +164,19 @@
     role.setZonePeers (peers.inZone.size());
 }
 
-void Relay::sawVersion (std::uint64_t version) { role.sawVersion (SteadyClock().Now(), version); }
+void Relay::sawVersion (std::uint64_t version, const std::string& ip)
+{
+    const auto now = SteadyClock().Now();
+    role.sawVersion (now, version);
+
+    if (role.seenLaterFor (now) >= catchUpTime)
+        pull (ip);
+}
+
+bool Relay::isElsewhere (const std::string& ip) const
+{
+    return std::find (peers.inZone.begin(), peers.inZone.end(), ip) == peers.inZone.end();
+}
 
 void Relay::announce()
 {
--- a/src/sidecar/relay.h
+++ b/src/sidecar/relay.h
@@ -39,6 +39,7 @@
 {
     std::function<void (Timestamp, mesh::MeshUpdate)> take;
     std::function<void (bool reading)> setReading;
+    std::function<void()> overtaken; /**< This node reads, and another told more than the source. */
     std::function<bool (Timestamp)> sourceSound;
     std::function<void (Milliseconds)> setTryInterval; /**< Of calls to a failing source. */
 };
@@ -68,8 +69,10 @@
     /** This node's state is now up to date with this revision of the source and this version. */
     void reached (Timestamp now, std::uint64_t at, std::uint64_t version);
 
-    /** Another node's answer showed the version that it runs. */
-    void sawVersion (std::uint64_t version);
+    /** Another node's answer showed that it runs a later version: its changes are asked of it,
+       which takes a few kilobytes where the source would send the whole configuration.
+    */
+    void sawVersion (std::uint64_t version, const std::string& ip);
 
     /** The source told of changes: the zone hears of it at once, from its reader; from a strong
         node that has just started, too, since others that start with it wait for that.
@@ -91,8 +94,9 @@
 
 private:
     void hear (const SocketAddress& from, std::string_view datagram);
-    void pull (const std::string& ip, bool elsewhere);
+    void pull (const std::string& ip);
     void onPulled (const CallResult& result, bool elsewhere);
+    bool isElsewhere (const std::string& ip) const;
     void beat (bool sound);
     void offer();
     void tellZone (bool sound, bool reads);
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -93,7 +93,7 @@
 void Sidecar::connectFirstHop()
 {
     const auto weak = weak_from_this();
-    firstHop->onPeerVersion = [weak] (std::uint64_t version)
+    firstHop->onPeerVersion = [weak] (std::uint64_t version, const std::string& ip)
     {
         const auto self = weak.lock();
 
@@ -101,9 +101,8 @@
             return;
 
         if (self->relay != nullptr)
-            self->relay->sawVersion (version);
-
-        if (self->onBehind)
+            self->relay->sawVersion (version, ip);
+        else if (self->onBehind)
             self->onBehind();
     };
     firstHop->routesAge = [weak]
@@ -251,6 +250,13 @@
         if (self != nullptr && self->setReading)
             self->setReading (reading, self->state.reached());
     };
+    hooks.overtaken = [weak]
+    {
+        const auto self = weak.lock();
+
+        if (self != nullptr && self->onOvertaken)
+            self->onOvertaken (self->state.reached());
+    };
     hooks.sourceSound = [weak] (Timestamp)
     {
         const auto self = weak.lock();
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -63,6 +63,9 @@
     std::function<void (bool reading, std::uint64_t revision)> setReading;
     std::function<SourceStatus()> sourceStatus;
 
+    /** This node reads the source, and another told it up to a later revision. */
+    std::function<void (std::uint64_t)> onOvertaken;
+
     /** How far apart this node's calls to a failing source are at least. */
     std::function<void (Milliseconds)> setSourceTryInterval;
 
--- a/src/sidecar/source_reader.h
+++ b/src/sidecar/source_reader.h
@@ -76,12 +76,15 @@
     /** Another node runs a later version than this one. */
     void hurry()
     {
-        if (! follower.hurry (SteadyClock().Now()))
-            return;
-
-        call->cancel();
+        if (follower.hurry (SteadyClock().Now()))
+            askAnew();
+    }
 
-        next();
+    /** A revision was reached by other means. */
+    void overtaken (std::uint64_t revision)
+    {
+        if (follower.overtaken (SteadyClock().Now(), revision))
+            askAnew();
     }
 
     const mesh::SourceFollower& state() const { return follower; }
@@ -98,6 +101,12 @@
         return settings;
     }
 
+    void askAnew()
+    {
+        call->cancel();
+        next();
+    }
+
     void next()
     {
         const auto now = SteadyClock().Now();
--- a/tests/mesh/reader_role_test.cc
+++ b/tests/mesh/reader_role_test.cc
@@ -201,6 +201,18 @@
     EXPECT_TRUE (hear (echoed, 0, 1000));
 }
 
+TEST_F (Role, KnowsForHowLongAnotherNodeHasRunALaterVersion)
+{
+    role.reached (at (0), 5, 3);
+    role.sawVersion (at (10), 3);
+    EXPECT_EQ (role.seenLaterFor (at (100)), Duration (0));
+    role.sawVersion (at (100), 4);
+    role.sawVersion (at (150), 4);
+    EXPECT_EQ (role.seenLaterFor (at (160)), Milliseconds (60));
+    role.reached (at (170), 6, 4);
+    EXPECT_EQ (role.seenLaterFor (at (180)), Duration (0));
+}
+
 TEST (ReaderBeatCodec, ComesBackAndStrayDatagramsAreRefused)
 {
     const auto bytes = encode (beat (better, 77));
--- a/tests/mesh/source_follower_test.cc
+++ b/tests/mesh/source_follower_test.cc
@@ -263,6 +263,17 @@
     EXPECT_LE (follower->nextDue(), at (4000));
 }
 
+TEST_F (Following, AWatchThatAnotherNodeOvertookIsAskedAnewFromThere)
+{
+    EXPECT_EQ (follower.poll (at (10))->afterRevision, 7U);
+    EXPECT_FALSE (follower.overtaken (at (300), 7)) << "not overtaken";
+    EXPECT_TRUE (follower.overtaken (at (300), 12));
+    const auto watch = follower.poll (at (300));
+    ASSERT_TRUE (watch);
+    EXPECT_EQ (watch->afterRevision, 12U);
+    EXPECT_FALSE (follower.overtaken (at (400), 13)) << "its answer may just be on its way";
+}
+
 FollowerSettings delayed()
 {
     FollowerSettings settings;
