A node that has just started doesn't hide from others what left before

That node's listing stood at revision 206; the instance's entry had vanished between 197 and 206, so the node never knew it, had no removal to tell and named 206 as complete.

Ruled out: a lapse (no outage; the instance never counted as lapsed), narrow links (the update came in 0.2 s).

Change: after a complete listing, whoever has reached less than its revision gets everything, and so sees what he lacks (InstanceDirectory::forgetRemovals). In such an update what only lapsed is named as lapsed, and stays usable.

Tests: MeshState.ANodeThatHasJustStarted... and WhatLapsedStays... failed before; mesh 172 of 172.

--- a/src/mesh/instance_directory.h
+++ b/src/mesh/instance_directory.h
@@ -7,6 +7,7 @@
 */
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -93,6 +94,11 @@
     void removeAllBut (Timestamp now, const std::vector<std::string>& ids, std::uint64_t revision,
                        bool trusted);
 
+    /** What was removed up to this revision isn't known here, or not all of it: whoever has reached
+        less gets everything from changesSince(), so that he sees what he lacks.
+    */
+    void forgetRemovals (std::uint64_t revision) { forgotten = std::max (forgotten, revision); }
+
     /** Instances of these zones, and of no others, get nothing new. */
     void setEvacuatedZones (std::set<std::string> zones);
 
@@ -109,7 +115,7 @@
 private:
     std::map<std::string, ListedInstance> byId;
     std::set<std::string> evacuatedZones;
-    std::uint64_t forgotten = 0; /**< The latest revision of an entry that was forgotten. */
+    std::uint64_t forgotten = 0; /**< Removals up to this revision may be unknown here. */
     DirectoryPointer current;    /**< Null after a change. */
 };
 
--- a/src/mesh/mesh_state.cc
+++ b/src/mesh/mesh_state.cc
@@ -18,18 +18,24 @@
 
     for (auto& change : update.instances)
     {
+        // What only lapsed is listed nowhere, and isn't to be taken for gone below.
+        if (! change.gone || ! change.trusted)
+            listed.push_back (change.instance.id);
+
         if (change.gone)
         {
             instances.remove (now, change.instance.id, change.revision, change.trusted);
             continue;
         }
 
-        listed.push_back (change.instance.id);
         instances.put (now, std::move (change.instance), change.revision);
     }
 
     if (update.complete)
+    {
         instances.removeAllBut (now, listed, update.at, update.trusted);
+        instances.forgetRemovals (update.at);
+    }
 
     outcome.evacuations = takeEvacuations (update);
     outcome.instancesChanged = outcome.instancesChanged || ! outcome.evacuations.empty();
@@ -112,7 +118,7 @@
         // A draining instance is listed as such; one that left or lapsed has no entry any more.
         const bool gone = entry.state != InstanceState::ready && ! entry.instance.draining;
 
-        if (! (gone && update.complete))
+        if (! update.complete || entry.state != InstanceState::leaving || entry.instance.draining)
             update.instances.push_back (
                 { entry.instance, entry.revision, gone, entry.state != InstanceState::lapsed });
     }
--- a/tests/mesh/mesh_state_test.cc
+++ b/tests/mesh/mesh_state_test.cc
@@ -127,6 +127,40 @@
     EXPECT_EQ (node.directory().snapshot()->byService.at ("desk")[0].state, InstanceState::lapsed);
 }
 
+MeshUpdate listingOf (const std::string& id, std::uint64_t version, std::uint64_t revision)
+{
+    MeshUpdate update;
+    update.complete = true;
+    update.at = revision;
+    update.instances = { { makeInstance (id, "z1", 1), 2, false, true } };
+    update.configuration = ConfigurationChange{ revision, 0, makeConfiguration (version), {} };
+    return update;
+}
+
+TEST (MeshState, ANodeThatHasJustStartedDoesNotHideWhatLeftBefore)
+{
+    MeshState node, started;
+    node.take (at (0), whole (4, 9));
+    // "b" left at 10; who lists the source after that never knew it.
+    started.take (at (1), listingOf ("a", 5, 12));
+    passOn (started, node);
+    EXPECT_EQ (node.reached(), 12U);
+    EXPECT_EQ (usable (node), 1U);
+}
+
+TEST (MeshState, WhatLapsedStaysUsableAlsoForThoseWhoGetEverything)
+{
+    MeshState reader, node;
+    reader.take (at (0), whole (4, 9));
+    passOn (reader, node);
+    reader.take (at (1), gone ("b", 10, false));
+    reader.take (at (1), gone ("a", 11, true));
+    auto update = reader.changesSince (0, 4);
+    update.complete = true;
+    node.take (at (2), update);
+    EXPECT_EQ (usable (node), 1U);
+}
+
 MeshUpdate evacuation (const std::string& zone, std::uint64_t revision, bool over)
 {
     MeshUpdate update;
