Second reading: one fromSeconds, less state in the cold start, no send hook without cold starts

ColdStart::told was the opposite of `presumed` at all times. StartWindow trimmed its starts in two places. Each request carried a callback for its sending, an allocation, also where instances are never cold; it is set only where starts are counted. The stand-in instance had an id() that nobody called and counted its falls twice; a test's listing was `whole` without its last instance.

Behaviour as before.

--- a/src/mesh/cold_start.cc
+++ b/src/mesh/cold_start.cc
@@ -44,7 +44,6 @@
     presumed = true;
     presumedAt = now;
     askedAt = {};
-    told = false;
 }
 
 void ColdStart::listed (Timestamp learnedAt, Milliseconds remaining)
@@ -66,7 +65,6 @@
         return;
 
     presumed = false;
-    told = true;
     answeredUntil = now + *remaining;
 }
 
@@ -78,7 +76,7 @@
     auto latest = presumed ? presumedAt + profile.longest : answeredUntil;
 
     // An entry from before the answer is no news.
-    if (! told || listedAt > answeredAt)
+    if (presumed || listedAt > answeredAt)
         latest = std::max<Timestamp> (latest, listedUntil);
 
     return latest;
--- a/src/mesh/cold_start.h
+++ b/src/mesh/cold_start.h
@@ -79,7 +79,6 @@
     Timestamp presumedAt{};
     Timestamp listedAt{}, listedUntil{};
     Timestamp askedAt{}, answeredAt{}, answeredUntil{};
-    bool told = false; /**< Its last answer told how long. */
 };
 
 } // namespace copperlead::mesh
--- a/src/mesh/milliseconds.h
+++ b/src/mesh/milliseconds.h
@@ -18,6 +18,11 @@
     return std::chrono::duration_cast<Duration> (std::chrono::duration<double, std::milli> (count));
 }
 
+inline Milliseconds fromSeconds (double count)
+{
+    return Milliseconds (static_cast<std::int64_t> (1000 * count));
+}
+
 /** @returns nothing when it has never been: `when` is the clock's zero */
 inline std::optional<double> ageInMilliseconds (Timestamp now, Timestamp when)
 {
--- a/src/mesh/start_window.cc
+++ b/src/mesh/start_window.cc
@@ -8,20 +8,19 @@
 void StartWindow::setMost (int newMost)
 {
     mostStarts = newMost;
+    dropOldest();
+}
 
+void StartWindow::dropOldest()
+{
     while (starts.size() > static_cast<std::size_t> (mostStarts))
         starts.pop_front();
 }
 
 void StartWindow::started (Timestamp now)
 {
-    if (mostStarts <= 0)
-        return;
-
     starts.push_back (now);
-
-    if (starts.size() > static_cast<std::size_t> (mostStarts))
-        starts.pop_front();
+    dropOldest();
 }
 
 void StartWindow::sent (Timestamp startedAt, Timestamp now)
@@ -39,7 +38,7 @@
 {
     const auto before = std::lower_bound (starts.begin(), starts.end(), when);
     starts.insert (before, static_cast<std::size_t> (std::min (count, mostStarts)), when);
-    setMost (mostStarts);
+    dropOldest();
 }
 
 Timestamp StartWindow::earliest (Timestamp now, std::size_t before) const
--- a/src/mesh/start_window.h
+++ b/src/mesh/start_window.h
@@ -43,6 +43,9 @@
     Timestamp earliest (Timestamp now, std::size_t before) const;
 
 private:
+    /** Keeps `mostStarts` of them. */
+    void dropOldest();
+
     // A second, and what the way to the instance may differ between two requests.
     static constexpr Milliseconds length{ 1010 };
 
--- a/src/sidecar/last_hop.cc
+++ b/src/sidecar/last_hop.cc
@@ -249,11 +249,13 @@
     options.isHead = running.call.method == "HEAD";
     options.idField = settings.names.requestId;
     options.id = running.call.facts.requestId;
-    options.onSent = [weak = weak_from_this(), startedAt = now]
-    {
-        if (const auto self = weak.lock())
-            self->queue.startWindow().sent (startedAt, SteadyClock().Now());
-    };
+
+    if (queue.startWindow().most() > 0)
+        options.onSent = [weak = weak_from_this(), startedAt = now]
+        {
+            if (const auto self = weak.lock())
+                self->queue.startWindow().sent (startedAt, SteadyClock().Now());
+        };
 
     auto message = messageFor (running, now);
     const auto http = client->send (settings.instanceAddress, std::move (message), options,
--- a/src/sidecar/sidecar_settings.cc
+++ b/src/sidecar/sidecar_settings.cc
@@ -7,6 +7,8 @@
 #include <fstream>
 #include <sstream>
 
+#include "mesh/milliseconds.h"
+
 namespace copperlead::sidecar
 {
 namespace
@@ -142,11 +144,6 @@
     const options::variables_map& map;
 };
 
-Milliseconds fromSeconds (double seconds)
-{
-    return Milliseconds (static_cast<std::int64_t> (1000 * seconds));
-}
-
 /** A quarter of the bound, so that a lost call and a change of reader still leave time. Shorter
    ones would be priced for nothing, longer ones would delay what is found out by watching alone.
 */
@@ -171,8 +168,8 @@
     BOOST_LEAF_ASSIGN (settings.coldBounds.over, values.number ("cold-over", 1, 100, 1));
     BOOST_LEAF_ASSIGN (settings.coldBounds.slack, values.number ("cold-slack", 0, 1e6, 0));
     settings.watchInterval = watchIntervalFor (std::min ({ changes, drain, evacuate }));
-    settings.grace = fromSeconds (grace);
-    settings.retryWindow = fromSeconds (window);
+    settings.grace = mesh::fromSeconds (grace);
+    settings.retryWindow = mesh::fromSeconds (window);
     return Done{};
 }
 
--- a/src/standin/instance.cc
+++ b/src/standin/instance.cc
@@ -110,13 +110,8 @@
   return falls_;
 }
 
-std::string Instance::id() const {
-  const std::lock_guard lock(mutex_);
-  return settings_.id;
-}
-
-void Instance::Restart() {
-  settings_.id += "+" + std::to_string(++starts_);
+void Instance::FallOver() {
+  settings_.id += "+" + std::to_string(++falls_);
   cold_until_ = std::chrono::steady_clock::now() + settings_.cold;
   arrivals_.clear();
   for (const int socket : open_) shutdown(socket, SHUT_RDWR);
@@ -128,8 +123,7 @@
   arrivals_.push_back(now);
   while (now - arrivals_.front() >= std::chrono::seconds(1)) arrivals_.pop_front();
   if (now >= cold_until_ || arrivals_.size() <= settings_.cold_most) return true;
-  ++falls_;
-  Restart();
+  FallOver();
   return false;
 }
 
--- a/src/standin/instance.h
+++ b/src/standin/instance.h
@@ -86,7 +86,6 @@
   void GoCold();
   // How often it fell over: its connections are reset, and it starts again under another id, cold.
   int falls() const;
-  std::string id() const;
   // The most requests that were there at once, running or queued.
   std::uint32_t most_at_once() const;
   std::uint64_t connections() const;
@@ -106,7 +105,7 @@
   std::size_t AddRun(const Message& message);
   // Counts a request's coming. @return false when the instance falls over by it.
   bool Bears();
-  void Restart();
+  void FallOver();
 
   mutable std::mutex mutex_;
   std::condition_variable changed_;
@@ -121,7 +120,6 @@
   std::deque<std::chrono::steady_clock::time_point> arrivals_;  // Of the last second.
   std::chrono::steady_clock::time_point cold_until_{};
   int falls_ = 0;
-  int starts_ = 0;
   bool stopping_ = false;
 
   SocketAddress address_;
--- a/tests/mesh/mesh_state_test.cc
+++ b/tests/mesh/mesh_state_test.cc
@@ -127,22 +127,14 @@
     EXPECT_EQ (node.directory().snapshot()->byService.at ("desk")[0].state, InstanceState::lapsed);
 }
 
-MeshUpdate listingOf (const std::string& id, std::uint64_t version, std::uint64_t revision)
-{
-    MeshUpdate update;
-    update.complete = true;
-    update.at = revision;
-    update.instances = { { makeInstance (id, "z1", 1), 2, false, true } };
-    update.configuration = ConfigurationChange{ revision, 0, makeConfiguration (version), {} };
-    return update;
-}
-
 TEST (MeshState, ANodeThatHasJustStartedDoesNotHideWhatLeftBefore)
 {
     MeshState node, started;
     node.take (at (0), whole (4, 9));
     // "b" left at 10; who lists the source after that never knew it.
-    started.take (at (1), listingOf ("a", 5, 12));
+    auto listing = whole (5, 12);
+    listing.instances.pop_back();
+    started.take (at (1), listing);
     passOn (started, node);
     EXPECT_EQ (node.reached(), 12U);
     EXPECT_EQ (usable (node), 1U);
