What a strong node lists at its start is offered until its zone has a reader

The offer was one datagram to each node of the zone, sent when the strong node had listed the store. A weak node whose process came up a moment later, or whose datagram was lost, heard nothing and listed by itself over its narrow link after 500 ms. Ruled out: the store or the strong node being slow (ready after 30 ms in the failing runs, too). Change: the offer is repeated each 100 ms for a second, or until the zone has a reader, whose beats tell the same.

--- a/src/sidecar/relay.cc
+++ b/src/sidecar/relay.cc
@@ -18,6 +18,9 @@
 constexpr Milliseconds unsoundInterval{ 1000 }; // In an outage every node of the zone may beat.
 // Between two beats: each change costs a reader one datagram and one answer for each peer.
 constexpr Milliseconds leastInterval{ 20 }, intervalPerPeer{ 2 };
+// Nodes that are started together come up within some 100 ms, and a datagram may be lost. By then
+// one of them reads and beats.
+constexpr Milliseconds offerInterval{ 100 }, offerTime{ 1000 };
 
 ClientSettings pullClientSettings()
 {
@@ -183,8 +186,8 @@
     const auto now = SteadyClock().Now();
     const auto due = beatAt + shortestInterval();
 
-    if (! role.reading() && ! std::exchange (offered, true))
-        offer();
+    if (! std::exchange (offered, true))
+        offer (now + offerTime);
 
     if (announcing || ! role.reading() || ! hooks.sourceSound (now))
         return;
@@ -227,10 +230,23 @@
     sendBeat (peers.elsewhere[any (random)], beatBytes (sound, true));
 }
 
-void Relay::offer()
+void Relay::offer (Timestamp until)
 {
-    if (settings.strength >= mesh::topStrength && ownVersion > 0)
+    const auto now = SteadyClock().Now();
+    const bool hasReader = role.reading() || role.satisfiedAt() != Timestamp{};
+
+    if (settings.strength < mesh::topStrength || hasReader || resigned || now > until)
+        return;
+
+    if (ownVersion > 0)
         tellZone (false, false);
+
+    reactor->RunAt (now + offerInterval,
+                    [weak = weak_from_this(), until]
+                    {
+                        if (const auto self = weak.lock())
+                            self->offer (until);
+                    });
 }
 
 void Relay::tellZone (bool sound, bool reads)
--- a/src/sidecar/relay.h
+++ b/src/sidecar/relay.h
@@ -98,7 +98,12 @@
     void onPulled (const CallResult& result, bool elsewhere);
     bool isElsewhere (const std::string& ip) const;
     void beat (bool sound);
-    void offer();
+
+    /** Tells the zone what this node listed at its start, again and again: a node that starts a
+        moment later, or whose datagram is lost, would list the store itself, which takes it long
+        over a narrow link.
+    */
+    void offer (Timestamp until);
     void tellZone (bool sound, bool reads);
     std::string beatBytes (bool sound, bool reads) const;
     void sendBeat (const std::string& ip, const std::string& bytes);
@@ -121,7 +126,7 @@
     bool saidSound = false;  /**< In the last beat. */
     bool announcing = false; /**< A beat is due as soon as the shortest interval allows. */
     bool pulling = false, wantsWhole = false, resigned = false, wasReading = false;
-    bool offered = false;     /**< What this node listed at its start was offered to the zone. */
+    bool offered = false;     /**< Whether offer() was begun. */
     bool reachedOnce = false; /**< Something is known, by whatever way. */
 };
 
--- a/tests/mesh_integration/mesh_relay_test.cc
+++ b/tests/mesh_integration/mesh_relay_test.cc
@@ -196,6 +196,15 @@
   EXPECT_EQ(fleet_.store().calls(1), 0U);
 }
 
+TEST_F(StartTogether, TheWeakThatStartALittleLaterGetItToo) {
+  fleet_.Start(strong_);
+  ASSERT_TRUE(fleet_.AwaitReady(strong_));
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  StartWeak();
+  ASSERT_TRUE(fleet_.AwaitReady(weak_));
+  EXPECT_EQ(fleet_.store().calls(1), 0U);
+}
+
 TEST_F(StartTogether, TheWeakListThemselvesWhenNobodyOffersAnything) {
   StartWeak();
   ASSERT_TRUE(fleet_.AwaitReady(weak_));
