Starts at a cold instance are spread over the second

Probable, not shown: starts count from when they are written, but new connections open one after the other at the instance, 1 ms each; of 26 at once the last arrives 26 ms late, and 26 more may follow 1,010 ms after the first. Change: beside the bound of a second (26) one of a quarter of a second (7 in 253 ms). Before: a model of such an instance sees 42 arrivals in a second; after: 26 (StartWindow.NewConnectionsThatOpenOneAfterTheOther...).

--- a/src/mesh/cold_start.cc
+++ b/src/mesh/cold_start.cc
@@ -32,6 +32,11 @@
     return std::max (1, static_cast<int> (ceilingShare * ceilingOf (profile, bounds)));
 }
 
+int mostColdStartsInQuarter (const ColdProfile& profile, const ColdBounds& bounds)
+{
+    return (mostColdStarts (profile, bounds) + 3) / 4;
+}
+
 int unknownColdStarts (const ColdProfile& profile, const ColdBounds& bounds)
 {
     const auto most = mostColdStarts (profile, bounds);
--- a/src/mesh/cold_start.h
+++ b/src/mesh/cold_start.h
@@ -34,6 +34,13 @@
 /** The most requests that are started at a cold instance within a second; 0: no bound. */
 int mostColdStarts (const ColdProfile& profile, const ColdBounds& bounds);
 
+/** Of those, the most within a quarter of a second; 0: no bound. New connections open one after the
+    other, so of many starts at once some arrive later than others that follow a second behind: 26
+   at once over new connections of 1 ms each let 42 arrive in a second, 7 in a quarter at most 26
+    (StartWindow, in a model of such an instance).
+*/
+int mostColdStartsInQuarter (const ColdProfile& profile, const ColdBounds& bounds);
+
 /** Of those, how many a node must take for granted that has just started, since its forerunner may
     have sent as many: both together are to stay under the bounds.
 */
--- a/src/mesh/start_window.cc
+++ b/src/mesh/start_window.cc
@@ -46,8 +46,20 @@
     if (! binds (now))
         return now;
 
-    const auto places = static_cast<std::size_t> (mostStarts);
-    const auto free = places - std::min (places, starts.size());
+    auto latest = earliestIn (length, mostStarts, now, before);
+
+    if (mostInQuarter > 0)
+        latest = std::max (latest, earliestIn (quarterLength, mostInQuarter, now, before));
+
+    return std::min (end, latest);
+}
+
+Timestamp StartWindow::earliestIn (Milliseconds window, int most, Timestamp now,
+                                   std::size_t before) const
+{
+    const auto places = static_cast<std::size_t> (most);
+    const auto counted = std::min (places, starts.size());
+    const auto free = places - counted;
 
     if (before < free)
         return now;
@@ -56,8 +68,8 @@
     const auto followed = before - free;
     const auto windows = static_cast<int> (1 + followed / places);
     const auto place = followed % places;
-    const auto since = place < starts.size() ? starts[place] : now;
-    return std::min (end, std::max<Timestamp> (now, since + windows * length));
+    const auto since = place < counted ? starts[starts.size() - counted + place] : now;
+    return std::max<Timestamp> (now, since + windows * window);
 }
 
 } // namespace copperlead::mesh
--- a/src/mesh/start_window.h
+++ b/src/mesh/start_window.h
@@ -1,6 +1,6 @@
-/** Bounds how many requests are started at an instance within any second: those that it can bear
-    while it is cold. A sliding window, since a bound on average lets bursts through. Deciding code
-    without I/O.
+/** Bounds how many requests are started at an instance within any second, and within any quarter of
+    one: those that it can bear while it is cold. Sliding windows, since a bound on average lets
+    bursts through. Deciding code without I/O.
 */
 #pragma once
 
@@ -20,6 +20,9 @@
     void setMost (int newMost);
     int most() const { return mostStarts; }
 
+    /** The most starts in a quarter of a window; 0: as many as in a whole one. */
+    void setMostInQuarter (int newMost) { mostInQuarter = newMost; }
+
     /** The bound holds until then; what was started before counts, too. */
     void bindUntil (Timestamp newEnd) { end = newEnd; }
 
@@ -46,10 +49,14 @@
     /** Keeps `mostStarts` of them. */
     void dropOldest();
 
+    /** As earliest(), for one window that holds `most` starts. */
+    Timestamp earliestIn (Milliseconds window, int most, Timestamp now, std::size_t before) const;
+
     // A second, and what the way to the instance may differ between two requests.
     static constexpr Milliseconds length{ 1010 };
+    static constexpr Milliseconds quarterLength{ 253 };
 
-    int mostStarts = 0;
+    int mostStarts = 0, mostInQuarter = 0;
     Timestamp end{};
     std::deque<Timestamp> starts; /**< The latest, oldest first; `mostStarts` of them. */
 };
--- a/src/sidecar/last_hop_instance.cc
+++ b/src/sidecar/last_hop_instance.cc
@@ -98,6 +98,7 @@
     health->setPath (service.healthPath);
     coldStart.setProfile (service.cold);
     window.setMost (mesh::mostColdStarts (service.cold, settings.coldBounds));
+    window.setMostInQuarter (mesh::mostColdStartsInQuarter (service.cold, settings.coldBounds));
 
     if (isFirst)
         window.assumeStarted (createdAt,
--- a/tests/mesh/cold_start_test.cc
+++ b/tests/mesh/cold_start_test.cc
@@ -125,5 +125,13 @@
     }
 }
 
+TEST (ColdStart, AQuarterOfASecondGetsAQuarterOfTheStartsRoundedUp)
+{
+    EXPECT_EQ (mostColdStarts (profile, { 1.5, 8 }), 26);
+    EXPECT_EQ (mostColdStartsInQuarter (profile, { 1.5, 8 }), 7);
+    EXPECT_EQ (mostColdStartsInQuarter ({ Milliseconds (3000), 0.5 }, { 1.5, 8 }), 1);
+    EXPECT_EQ (mostColdStartsInQuarter ({}, { 1.5, 8 }), 0) << "never cold";
+}
+
 } // namespace
 } // namespace copperlead::mesh::test
--- a/tests/mesh/start_window_test.cc
+++ b/tests/mesh/start_window_test.cc
@@ -94,6 +94,25 @@
     EXPECT_EQ (window.earliest (at (2), 0), at (1010));
 }
 
+TEST (StartWindow, AQuarterHoldsNoMoreThanItsPart)
+{
+    StartWindow window;
+    window.setMost (6);
+    window.setMostInQuarter (2);
+    window.bindUntil (at (10'000));
+
+    for (int i = 0; i < 2; ++i)
+        window.started (at (0));
+
+    EXPECT_EQ (window.earliest (at (100), 0), at (253));
+    EXPECT_EQ (window.earliest (at (100), 2), at (506));
+
+    for (int time : { 253, 253, 506, 506 })
+        window.started (at (time));
+
+    EXPECT_EQ (window.earliest (at (759), 0), at (1010)) << "the whole window is full";
+}
+
 TEST (StartWindow, WhatWasSentLateCountsFromThenOn)
 {
     auto window = threeASecond();
@@ -132,5 +151,44 @@
         EXPECT_GT (starts[i] - starts[i - 3], Milliseconds (1000));
 }
 
+/** The most arrivals within a second at an instance that opens new connections one after the other,
+    1 ms each, when all that may start does: the first `most` over new connections, the others over
+    those.
+*/
+std::size_t mostArrivalsInASecond (StartWindow& window, std::size_t most)
+{
+    std::vector<Timestamp> arrivals;
+    Timestamp opened{};
+
+    for (auto now = at (0); now < at (3000); now += Milliseconds (1))
+        while (window.earliest (now, 0) <= now)
+        {
+            window.started (now);
+            const bool isNew = arrivals.size() < most;
+            opened = std::max<Timestamp> (opened, now) + Milliseconds (isNew ? 1 : 0);
+            arrivals.push_back (isNew ? opened : now);
+        }
+
+    std::size_t found = 0;
+
+    for (auto first = arrivals.begin(); first != arrivals.end(); ++first)
+    {
+        const auto end = std::lower_bound (first, arrivals.end(), *first + Milliseconds (1000));
+        found = std::max (found, static_cast<std::size_t> (end - first));
+    }
+
+    return found;
+}
+
+TEST (StartWindow, NewConnectionsThatOpenOneAfterTheOtherAddNothingToASecond)
+{
+    constexpr int most = 26;
+    StartWindow window;
+    window.setMost (most);
+    window.setMostInQuarter (7);
+    window.bindUntil (at (10'000));
+    EXPECT_LE (mostArrivalsInASecond (window, most), std::size_t (most));
+}
+
 } // namespace
 } // namespace copperlead::mesh::test
