--- a/src/sidecar/active_request.cc
+++ b/src/sidecar/active_request.cc
@@ -1,13 +1,10 @@
 #include "sidecar/active_request.h"
 
-#include <fmt/format.h>
-
 #include <algorithm>
 
 #include "mesh/avoidance.h"
 #include "mesh/enum_names.h"
 #include "mesh/milliseconds.h"
-#include "mesh/retry_after.h"
 #include "sidecar/messages.h"
 
 namespace copperlead::sidecar
@@ -17,13 +14,11 @@
 
 using mesh::AttemptOutcome;
 using mesh::fromMilliseconds;
-using mesh::HopCause;
 using mesh::HopOutcome;
 using mesh::nameOf;
 using mesh::NextStep;
 using mesh::toMilliseconds;
 
-constexpr std::string_view noInstanceCause = "no instance";
 constexpr Milliseconds deadlineGrace{ 15 };        // For the instance's own answer at the deadline.
 constexpr std::uint64_t longestWaitMs = 3'600'000; // That a client may announce.
 
@@ -43,13 +38,6 @@
     hop->active.insert (this);
 }
 
-void ActiveRequest::setDone()
-{
-    done = true;
-    hop->counts.whole.observe (toMilliseconds (now() - exchange->arrivedAt));
-    hop->active.erase (this);
-}
-
 ActiveRequest::~ActiveRequest() { hop->active.erase (this); }
 
 void ActiveRequest::begin()
@@ -338,21 +326,6 @@
     startAttempt();
 }
 
-void ActiveRequest::finish (NextStep step, const HopAnswer& answer)
-{
-    switch (step)
-    {
-    case NextStep::passOn:
-        return passOn (answer);
-    case NextStep::timeOut:
-        return end (504, "deadline");
-    case NextStep::giveUp:
-        return end (502, nameOf (answer.report.cause, mesh::hopCauseNames));
-    default:
-        return refuse (answer.report.cause);
-    }
-}
-
 void ActiveRequest::armSlowCheck (std::size_t index)
 {
     const auto when = now() + mesh::slowAfter (hop->chooser.usualRunMs (route),
@@ -391,95 +364,4 @@
     startAttempt();
 }
 
-void ActiveRequest::cancelAttempts()
-{
-    search.reset();
-
-    for (auto& attempt : attempts)
-    {
-        if (! attempt.active)
-            continue;
-
-        attempt.active = false;
-        hop->chooser.ended (attempt.choice.instance.id);
-
-        attempt.call.cancel();
-    }
-}
-
-void ActiveRequest::onDeadline()
-{
-    if (done)
-        return;
-
-    for (const auto& attempt : attempts)
-        if (attempt.active)
-            hop->chooser.suspect (now(), attempt.choice.instance.id, mesh::suspicionTime);
-
-    end (504, "deadline");
-}
-
-void ActiveRequest::onClientLeft()
-{
-    if (done)
-        return;
-
-    setDone();
-    ++hop->counts.clientsLeft;
-    logEnd (EventKind::clientLeft, 0, "client left");
-    cancelAttempts();
-    release();
-}
-
-void ActiveRequest::passOn (const HopAnswer& answer)
-{
-    setDone();
-    cancelAttempts();
-    ++hop->counts.served;
-    const bool close = hop->mustClose (*exchange);
-    exchange->respond (
-        answerMessage ({ answer.status, answer.reason, answer.body, close, exchange->isHead() },
-                       answer.fields),
-        close);
-    logEnd (EventKind::requestServed, answer.status, "");
-    release();
-}
-
-void ActiveRequest::release()
-{
-    // This lives until its deadline's timer; what it carried need not.
-    std::string().swap (exchange->body);
-    fields = {};
-    lastAnswer = {};
-}
-
-void ActiveRequest::end (int status, std::string_view cause)
-{
-    if (done)
-        return;
-
-    setDone();
-    cancelAttempts();
-    hop->answerOwn (exchange, status, cause, {});
-    ++(status == 504 ? hop->counts.timedOut : hop->counts.failed);
-    logEnd (EventKind::requestFailed, status, cause);
-    release();
-}
-
-void ActiveRequest::refuse (HopCause why)
-{
-    if (done)
-        return;
-
-    setDone();
-    cancelAttempts();
-    const auto cause = why == HopCause::none ? noInstanceCause : nameOf (why, mesh::hopCauseNames);
-    const auto spread = std::uniform_real_distribution<double> (0, 1) (hop->random);
-    const auto comeBack = mesh::retryAfter (why, clientLeaves - now(), spread);
-    hop->answerOwn (exchange, 503, cause, comeBack);
-    ++hop->counts.refused;
-    logEnd (EventKind::requestRefused, 503, cause, comeBack);
-    release();
-}
-
 } // namespace copperlead::sidecar
--- /dev/null
+++ b/src/sidecar/active_request_end.cc
@@ -0,0 +1,138 @@
+/** How a request ends: by the one answer that its client gets, or by the client's leaving. */
+#include "mesh/avoidance.h"
+#include "mesh/enum_names.h"
+#include "mesh/milliseconds.h"
+#include "mesh/retry_after.h"
+#include "sidecar/active_request.h"
+#include "sidecar/messages.h"
+
+namespace copperlead::sidecar
+{
+namespace
+{
+
+using mesh::HopCause;
+using mesh::nameOf;
+using mesh::NextStep;
+using mesh::toMilliseconds;
+
+constexpr std::string_view noInstanceCause = "no instance";
+
+Timestamp now() { return SteadyClock().Now(); }
+
+} // namespace
+
+void ActiveRequest::finish (NextStep step, const HopAnswer& answer)
+{
+    switch (step)
+    {
+    case NextStep::passOn:
+        return passOn (answer);
+    case NextStep::timeOut:
+        return end (504, "deadline");
+    case NextStep::giveUp:
+        return end (502, nameOf (answer.report.cause, mesh::hopCauseNames));
+    default:
+        return refuse (answer.report.cause);
+    }
+}
+
+void ActiveRequest::setDone()
+{
+    done = true;
+    hop->counts.whole.observe (toMilliseconds (now() - exchange->arrivedAt));
+    hop->active.erase (this);
+}
+
+void ActiveRequest::cancelAttempts()
+{
+    search.reset();
+
+    for (auto& attempt : attempts)
+    {
+        if (! attempt.active)
+            continue;
+
+        attempt.active = false;
+        hop->chooser.ended (attempt.choice.instance.id);
+
+        attempt.call.cancel();
+    }
+}
+
+void ActiveRequest::onDeadline()
+{
+    if (done)
+        return;
+
+    for (const auto& attempt : attempts)
+        if (attempt.active)
+            hop->chooser.suspect (now(), attempt.choice.instance.id, mesh::suspicionTime);
+
+    end (504, "deadline");
+}
+
+void ActiveRequest::onClientLeft()
+{
+    if (done)
+        return;
+
+    setDone();
+    ++hop->counts.clientsLeft;
+    logEnd (EventKind::clientLeft, 0, "client left");
+    cancelAttempts();
+    release();
+}
+
+void ActiveRequest::passOn (const HopAnswer& answer)
+{
+    setDone();
+    cancelAttempts();
+    ++hop->counts.served;
+    const bool close = hop->mustClose (*exchange);
+    exchange->respond (
+        answerMessage ({ answer.status, answer.reason, answer.body, close, exchange->isHead() },
+                       answer.fields),
+        close);
+    logEnd (EventKind::requestServed, answer.status, "");
+    release();
+}
+
+void ActiveRequest::release()
+{
+    // This lives until its deadline's timer; what it carried need not.
+    std::string().swap (exchange->body);
+    fields = {};
+    lastAnswer = {};
+}
+
+void ActiveRequest::end (int status, std::string_view cause)
+{
+    if (done)
+        return;
+
+    setDone();
+    cancelAttempts();
+    hop->answerOwn (exchange, status, cause, {});
+    ++(status == 504 ? hop->counts.timedOut : hop->counts.failed);
+    logEnd (EventKind::requestFailed, status, cause);
+    release();
+}
+
+void ActiveRequest::refuse (HopCause why)
+{
+    if (done)
+        return;
+
+    setDone();
+    cancelAttempts();
+    const auto cause = why == HopCause::none ? noInstanceCause : nameOf (why, mesh::hopCauseNames);
+    const auto spread = std::uniform_real_distribution<double> (0, 1) (hop->random);
+    const auto comeBack = mesh::retryAfter (why, clientLeaves - now(), spread);
+    hop->answerOwn (exchange, 503, cause, comeBack);
+    ++hop->counts.refused;
+    logEnd (EventKind::requestRefused, 503, cause, comeBack);
+    release();
+}
+
+} // namespace copperlead::sidecar
