--- a/src/mesh/admission_queue.h
+++ b/src/mesh/admission_queue.h
@@ -9,10 +9,10 @@
 
     A request counts as in time only if a run that takes longer than most would still meet its
     target, which counts from its client's first attempt; the spread of run times is learned for
-   each route. Late requests get the slots that nothing in time wants, and wait only as long as such
-   slots can be expected; what can't be expected to run is refused at once instead of being held.
-   That forecast counts the more urgent requests that are still to come, by how often they came
-   lately.
+    each route. Late requests get the slots that nothing in time wants, and wait only as long as
+    such slots can be expected; what can't be expected to run is refused at once instead of being
+    held. That forecast counts the more urgent requests that are still to come, by how often they
+    came lately.
 */
 #pragma once
 
--- a/src/mesh/cold_start.cc
+++ b/src/mesh/cold_start.cc
@@ -34,7 +34,8 @@
 
 int mostColdStartsInQuarter (const ColdProfile& profile, const ColdBounds& bounds)
 {
-    return (mostColdStarts (profile, bounds) + 3) / 4;
+    constexpr int quarters = 4;
+    return (mostColdStarts (profile, bounds) + quarters - 1) / quarters;
 }
 
 int unknownColdStarts (const ColdProfile& profile, const ColdBounds& bounds)
--- a/src/mesh/cold_start.h
+++ b/src/mesh/cold_start.h
@@ -35,9 +35,9 @@
 int mostColdStarts (const ColdProfile& profile, const ColdBounds& bounds);
 
 /** Of those, the most within a quarter of a second; 0: no bound. New connections open one after the
-    other, so of many starts at once some arrive later than others that follow a second behind: 26
-   at once over new connections of 1 ms each let 42 arrive in a second, 7 in a quarter at most 26
-    (StartWindow, in a model of such an instance).
+    other, so of many starts at once some arrive later than others that follow a second behind. In
+    a model of an instance that opens one in 1 ms, 42 arrive in a second when 26 may start at once,
+    26 when 7 may in a quarter.
 */
 int mostColdStartsInQuarter (const ColdProfile& profile, const ColdBounds& bounds);
 
--- a/src/mesh/start_window.h
+++ b/src/mesh/start_window.h
@@ -54,7 +54,7 @@
 
     // A second, and what the way to the instance may differ between two requests.
     static constexpr Milliseconds length{ 1010 };
-    static constexpr Milliseconds quarterLength{ 253 };
+    static constexpr Milliseconds quarterLength{ 253 }; // Rounded up.
 
     int mostStarts = 0, mostInQuarter = 0;
     Timestamp end{};
--- a/tests/mesh/start_window_test.cc
+++ b/tests/mesh/start_window_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <random>
 #include <vector>
 
