--- a/src/sidecar/instance_search.cc
+++ b/src/sidecar/instance_search.cc
@@ -11,9 +11,9 @@
 namespace
 {
 
-// Two know nearly as much as all would, and cost as little in a fleet of any size. Three, six and
-// three more cost weak nodes more time and links than their better choice brought (0.656 of the
-// worth, mean of five days of trouble on 83 machines, instead of 0.665).
+// Two know nearly as much as all would, and cost as little in a fleet of any size. Three at
+// a time cost weak nodes more time and links than their better choice brought (0.656 of the worth,
+// mean of five days of trouble on 83 machines, instead of 0.665).
 constexpr std::size_t askedAtOnce = 2;
 
 // Several times the way to another zone and back, and what a busy machine of a tenth of a core
