--- a/src/mesh/attempt_age.cc
+++ b/src/mesh/attempt_age.cc
@@ -8,14 +8,16 @@
 {
 
 constexpr Milliseconds periodLength{ 10'000 };
-constexpr Milliseconds tolerance{ 20 }; // Between announcements of one patience.
-constexpr double leastShare = 0.2;      // Of the attempts that announce the longest wait.
+constexpr Milliseconds tolerance{ 20 };       // Between announcements of one patience.
+constexpr Milliseconds reviewInterval{ 250 }; // Of the patience: a heap moves slowly.
+constexpr double leastShare = 0.2;            // Of the attempts that announce the longest wait.
 
 } // namespace
 
 void AttemptAges::Period::add (Milliseconds announced)
 {
     ++total;
+    band.add (announced);
 
     if (announced > longest + tolerance)
     {
@@ -27,14 +29,32 @@
         ++nearLongest;
 }
 
+Milliseconds AttemptAges::ageInBand (Timestamp now, History& history, Milliseconds announced)
+{
+    if (history.reviewedAt == Timestamp{} || now - history.reviewedAt >= reviewInterval)
+    {
+        history.reviewedAt = now;
+        PatienceBand all;
+
+        for (const auto& period : history.periods)
+            all.add (period.band);
+
+        history.patience = all.find();
+    }
+
+    const auto& patience = history.patience;
+    return patience && announced < patience->least ? patience->usual - announced : Milliseconds (0);
+}
+
 Milliseconds AttemptAges::observe (Timestamp now, const std::string& route, Milliseconds announced)
 {
-    auto& periods = byRoute[route];
+    auto& history = byRoute[route];
+    auto& periods = history.periods;
     const std::int64_t index = now.time_since_epoch() / periodLength;
     auto& current = periods[static_cast<std::size_t> (index) % periodCount];
 
     if (current.index != index)
-        current = { index, {}, 0, 0 };
+        current = { index, {}, 0, 0, {} };
 
     current.add (announced);
     Milliseconds longest{ 0 };
@@ -54,9 +74,11 @@
         near += period.longest + tolerance >= longest ? period.nearLongest : 0;
     }
 
-    const bool standsOut = near >= leastShare * total;
+    if (near < leastShare * total)
+        return ageInBand (now, history, announced);
+
     const auto age = longest - announced;
-    return standsOut && age > tolerance ? age : Milliseconds (0);
+    return age > tolerance ? age : Milliseconds (0);
 }
 
 } // namespace copperlead::mesh
--- a/src/mesh/attempt_age.h
+++ b/src/mesh/attempt_age.h
@@ -4,17 +4,20 @@
     Each attempt of a client comes as a request of its own and tells only how long the client still
     waits. Clients of one route mostly begin with the same patience, so the longest wait that many
     announce is that of first attempts, and what an attempt announces less was spent on earlier
-    ones. Where clients begin with patiences of their own, no wait stands out and nothing is
+    ones. Where clients begin with patiences of their own that lie close together (PatienceBand),
+    what is announced less than the least of these was. Where neither stands out, nothing is
     concluded.
 */
 #pragma once
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
 #include "base/time.h"
+#include "mesh/patience_band.h"
 
 namespace copperlead::mesh
 {
@@ -37,6 +40,7 @@
         Milliseconds longest{ 0 };
         std::uint32_t total = 0;
         std::uint32_t nearLongest = 0;
+        PatienceBand band;
 
         void add (Milliseconds announced);
     };
@@ -44,7 +48,17 @@
     static constexpr std::size_t periodCount = 2; // This one and the one before.
     using Periods = std::array<Period, periodCount>;
 
-    std::unordered_map<std::string, Periods> byRoute;
+    /** Of one route. */
+    struct History
+    {
+        Periods periods;
+        std::optional<Patience> patience; /**< As of `reviewedAt`. */
+        Timestamp reviewedAt{};
+    };
+
+    static Milliseconds ageInBand (Timestamp now, History& history, Milliseconds announced);
+
+    std::unordered_map<std::string, History> byRoute;
 };
 
 } // namespace copperlead::mesh
