Tests of tenants with real sidecars: keys, revocation, limits over all nodes under failure

Cause: keys and quotas were tested as deciding code only. Change: the instance's stand-in notes tenant, key and the time of a run.

--- a/src/standin/instance.cc
+++ b/src/standin/instance.cc
@@ -203,6 +203,8 @@
   run.target = message.head.target;
   run.caller = FirstValue(fields, "X-Caller-Service");
   run.expected = FirstValue(fields, "X-Expect-Instance");
+  run.tenant = FirstValue(fields, "X-Tenant");
+  run.key = FirstValue(fields, "X-Credential");
   ParseWholeNumber(FirstValue(fields, "X-Deadline-Ms"), run.deadline_ms);
   run.body = message.body;
   const std::lock_guard lock(mutex_);
@@ -237,6 +239,7 @@
   --waiting_;
   ++running_;
   runs_[run].ran = true;
+  runs_[run].ran_at = std::chrono::steady_clock::now();
   const auto until = std::chrono::steady_clock::now() + settings_.work;
   bool here = true;
   while (!stopping_ && here && std::chrono::steady_clock::now() < until) {
--- a/src/standin/instance.h
+++ b/src/standin/instance.h
@@ -54,9 +54,12 @@
   std::string target;
   std::string caller;
   std::string expected;  // The instance that the request was meant for.
+  std::string tenant;    // Whose request it is, as the caller says.
+  std::string key;       // A client's key, which should not come here.
   std::uint64_t deadline_ms = 0;
   std::string body;
   bool ran = false;
+  std::chrono::steady_clock::time_point ran_at{};
   bool broken_off = false;  // The connection ended while it worked.
 };
 
--- a/tests/mesh_integration/mesh_fleet.cc
+++ b/tests/mesh_integration/mesh_fleet.cc
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <cstdlib>
@@ -73,17 +74,42 @@
 }  // namespace
 
 std::string ExtraRoute(const std::string& name, const std::string& prefix,
-                       const std::string& service) {
-  return "," + RouteText(name, prefix, "idempotent", 2000, service);
+                       const std::string& service, bool is_public) {
+  std::string text = "," + RouteText(name, prefix, "idempotent", 2000, service);
+  if (is_public) text.insert(text.size() - 1, R"(,"public":true)");
+  return text;
 }
 
-std::string Configuration(std::uint64_t version, const std::string& extra_routes) {
+std::string TenantText(const std::string& name, const std::string& key, int per_second, int burst) {
+  return "\"" + name + R"(":{"api_keys":[")" + key + R"("],"rate_per_s":)" +
+         std::to_string(per_second) + R"(,"burst":)" + std::to_string(burst) + "}";
+}
+
+std::size_t MostRunsInWindow(const MeshFleet& fleet, const std::string& tenant) {
+  std::vector<std::chrono::steady_clock::time_point> times;
+  for (const auto& machine : fleet.machines()) {
+    for (const auto& run : machine->instance->runs()) {
+      if (run.ran && run.tenant == tenant) times.push_back(run.ran_at);
+    }
+  }
+  std::sort(times.begin(), times.end());
+  std::size_t most = 0;
+  for (std::size_t first = 0, last = 0; last < times.size(); ++last) {
+    while (times[last] - times[first] >= std::chrono::seconds(5)) ++first;
+    most = std::max(most, last - first + 1);
+  }
+  return most;
+}
+
+std::string Configuration(std::uint64_t version, const std::string& extra_routes,
+                          const std::string& tenants) {
   return R"({"version":"r)" + std::to_string(version) + R"(","routes":{)" +
          RouteText("look", "/look/", "idempotent", 2000, "desk") + "," +
          RouteText("buy", "/buy/", "non_idempotent", 2000, "desk") + "," +
          RouteText("slow", "/slow/", "idempotent", 300, "desk") + "," +
-         RouteText("hub", "/hub/", "idempotent", 2000, "hub") + extra_routes +
-         R"(},"services":{"desk":{"health_path":"/health","max_connections":130},)"
+         RouteText("hub", "/hub/", "idempotent", 2000, "hub") + extra_routes + "}," +
+         (tenants.empty() ? "" : R"("tenants":{)" + tenants + "},") +
+         R"("services":{"desk":{"health_path":"/health","max_connections":130},)"
          R"("hub":{"health_path":"/health","max_connections":130}},)"
          R"("limits":{"max_header_bytes":4096,"max_body_bytes":100000,"header_timeout_ms":500,)"
          R"("idle_timeout_ms":5000}})";
@@ -145,8 +171,9 @@
                  R"(","cold_remaining_ms":0,"call_seq":1})");
 }
 
-void MeshFleet::Configure(std::uint64_t version, const std::string& extra_routes) {
-  store_.Put("op/config", Configuration(version, extra_routes));
+void MeshFleet::Configure(std::uint64_t version, const std::string& extra_routes,
+                          const std::string& tenants) {
+  store_.Put("op/config", Configuration(version, extra_routes, tenants));
 }
 
 void MeshFleet::Start(MeshMachine& machine, const std::vector<std::string>& flags) {
@@ -185,7 +212,11 @@
                                       "--header-not-run",
                                       "X-Not-Executed",
                                       "--header-caller",
-                                      "X-Caller-Service"};
+                                      "X-Caller-Service",
+                                      "--header-credential",
+                                      "X-Credential",
+                                      "--header-tenant",
+                                      "X-Tenant"};
   if (relay_) command.insert(command.end(), {"--relay", address(relay_port_)});
   command.insert(command.end(), flags.begin(), flags.end());
   machine.sidecar = std::make_unique<ChildProcess>(command, machine.log);
--- a/tests/mesh_integration/mesh_fleet.h
+++ b/tests/mesh_integration/mesh_fleet.h
@@ -64,7 +64,8 @@
   // Writes the entry of the machine's instance.
   void List(const MeshMachine& machine, const std::string& state = "ready");
   // Writes a configuration: see Configuration().
-  void Configure(std::uint64_t version, const std::string& extra_routes = "");
+  void Configure(std::uint64_t version, const std::string& extra_routes = "",
+                 const std::string& tenants = "");
 
   HttpAnswer Call(const MeshMachine& machine, const MeshRequest& request) const;
   HttpAnswer Ready(const MeshMachine& machine) const;
@@ -77,6 +78,7 @@
   int RunsOf(const std::string& request_id) const;
 
   std::vector<std::unique_ptr<MeshMachine>>& machines() { return machines_; }
+  const std::vector<std::unique_ptr<MeshMachine>>& machines() const { return machines_; }
 
  private:
   Store store_;
@@ -96,11 +98,19 @@
 
 // A configuration of version `version` in the store's words: host shop.example with
 // /look/ (idempotent, desk), /buy/ (non_idempotent, desk), /slow/ (idempotent, desk, 300 ms), /hub/
-// (idempotent, hub), then `extra_routes` (members of the table, each with a comma before it).
-std::string Configuration(std::uint64_t version, const std::string& extra_routes = "");
+// (idempotent, hub), then `extra_routes` (members of the table, each with a comma before it), and
+// the `tenants` (members of their table; none when empty).
+std::string Configuration(std::uint64_t version, const std::string& extra_routes = "",
+                          const std::string& tenants = "");
 
 // One idempotent route to `service`, for `extra_routes`.
 std::string ExtraRoute(const std::string& name, const std::string& prefix,
-                       const std::string& service);
+                       const std::string& service, bool is_public = false);
+
+// A tenant with one key, for `tenants`. @param per_second 0: no limit
+std::string TenantText(const std::string& name, const std::string& key, int per_second, int burst);
+
+// The most runs of a tenant's requests in any five seconds, at all instances together.
+std::size_t MostRunsInWindow(const MeshFleet& fleet, const std::string& tenant);
 
 }  // namespace copperlead::standin
