Large answers between nodes take turns on the link; their way counts in admission

Asks for quotas and load queries are lost on the same links. Change: mesh/link_schedule and sidecar/link_pacer: answers of 16 KB and more to other nodes are written in pieces of 10 ms, one after the other, by age and size; what is small goes at once. An answer's expected way is taken off target and deadline in admission and added to load replies, so full links get fewer downloads. Tests: a link at 0.85 of what it carries, worst wait of a small message over 300 ms before, under 12 ms after. That was at 0.85 of the link; the code has 0.95, since the queue of large ones grows near the limit (mean 517 instead of under 409 ms in the test).

--- /dev/null
+++ b/src/mesh/link_schedule.cc
@@ -0,0 +1,89 @@
+#include "mesh/link_schedule.h"
+
+#include <algorithm>
+
+#include "mesh/milliseconds.h"
+
+namespace copperlead::mesh
+{
+namespace
+{
+
+constexpr double usableShare = 0.95; // Of the link: the rest is for headers and datagrams.
+constexpr double pieceMs = 10;       // The most that something small waits behind a piece.
+constexpr std::size_t leastPiece = 4096;
+// A transfer goes ahead of one that is that many times its own length older.
+constexpr double patience = 4;
+
+} // namespace
+
+LinkSchedule::LinkSchedule (double linkBytesPerMs)
+    : bytesPerMs (usableShare * linkBytesPerMs)
+    , pieceBytes (std::max (static_cast<std::size_t> (bytesPerMs * pieceMs), leastPiece))
+{
+}
+
+LinkSchedule::Id LinkSchedule::add (Timestamp now, std::size_t bytes)
+{
+    const auto length = fromMilliseconds (patience * msOf (static_cast<double> (bytes)));
+    transfers[++lastId] = { now + length, bytes, false };
+    return lastId;
+}
+
+void LinkSchedule::remove (Id id) { transfers.erase (id); }
+
+void LinkSchedule::setStalled (Id id, bool stalled)
+{
+    if (const auto found = transfers.find (id); found != transfers.end())
+        found->second.stalled = stalled;
+}
+
+std::optional<LinkSchedule::Id> LinkSchedule::first() const
+{
+    std::optional<Id> best;
+
+    for (const auto& [id, transfer] : transfers)
+        if (! transfer.stalled && (! best || transfer.due < transfers.at (*best).due))
+            best = id;
+
+    return best;
+}
+
+std::optional<LinkSchedule::Id> LinkSchedule::next (Timestamp now) const
+{
+    return freeAt <= now ? first() : std::nullopt;
+}
+
+std::size_t LinkSchedule::allowance (Timestamp now, Id id) const
+{
+    return next (now) == id ? pieceBytes : 0;
+}
+
+void LinkSchedule::wrote (Timestamp now, std::size_t bytes)
+{
+    freeAt = std::max (freeAt, now) + fromMilliseconds (msOf (static_cast<double> (bytes)));
+}
+
+void LinkSchedule::wrote (Timestamp now, Id id, std::size_t bytes)
+{
+    wrote (now, bytes);
+
+    if (const auto found = transfers.find (id); found != transfers.end())
+        found->second.left -= std::min (found->second.left, bytes);
+}
+
+Timestamp LinkSchedule::nextDue() const { return first() ? freeAt : Timestamp::max(); }
+
+double LinkSchedule::expectedMs (Timestamp now, double bytes) const
+{
+    const auto due = now + fromMilliseconds (patience * msOf (bytes));
+    double ahead = bytes;
+
+    for (const auto& [id, transfer] : transfers)
+        if (! transfer.stalled && transfer.due <= due)
+            ahead += static_cast<double> (transfer.left);
+
+    return msOf (ahead) + std::max (toMilliseconds (freeAt - now), 0.0);
+}
+
+} // namespace copperlead::mesh
--- a/src/sidecar/first_hop.cc
+++ b/src/sidecar/first_hop.cc
@@ -47,7 +47,7 @@
     const auto weak = weak_from_this();
     queries = std::make_shared<LoadQueries> (
         reactor, settings.loadQueries,
-        [hop = lastHop] (const mesh::LoadQuery& query) { return hop->forecast (query); },
+        [hop = lastHop] (const mesh::LoadQuery& query) { return hop->forecast (query, true); },
         [weak] (const mesh::LoadReply& reply)
         {
             if (const auto self = weak.lock())
--- a/src/sidecar/http_server.h
+++ b/src/sidecar/http_server.h
@@ -15,6 +15,7 @@
 #include "mesh/latency_histogram.h"
 #include "mesh/mesh_configuration.h"
 #include "proxy/http_message.h"
+#include "sidecar/link_pacer.h"
 #include "transport/reactor.h"
 
 namespace copperlead::sidecar
@@ -82,6 +83,7 @@
         never comes and the connection is as good as before. Empty: each is told at once.
     */
     std::function<void (const ExchangePointer&)> bodyGate;
+    std::shared_ptr<LinkPacer> link; /**< For large answers; null: they are written as they come. */
     std::size_t mostConnections = 3000;
     std::size_t mostBufferedBytes = 96 << 20; /**< Of all requests that are being read. */
 };
--- a/src/sidecar/instance_search.cc
+++ b/src/sidecar/instance_search.cc
@@ -58,7 +58,7 @@
     if (local)
     {
         query.instanceId = local->id;
-        localReply = context.lastHop->forecast (query);
+        localReply = context.lastHop->forecast (query, false);
 
         if (poll.endsSearch (localReply))
         {
--- a/src/sidecar/last_hop.cc
+++ b/src/sidecar/last_hop.cc
@@ -4,6 +4,7 @@
 #include <limits>
 
 #include "mesh/enum_names.h"
+#include "mesh/link_schedule.h"
 #include "mesh/milliseconds.h"
 #include "sidecar/instance_answer.h"
 #include "sidecar/messages.h"
@@ -18,7 +19,7 @@
 using mesh::nameOf;
 using mesh::toMilliseconds;
 
-constexpr double repeatLearningRate = 0.03;
+constexpr double repeatLearningRate = 0.03, sizeLearningRate = 0.1;
 constexpr std::uint64_t newestId = std::numeric_limits<std::uint64_t>::max(); // Behind its equals.
 constexpr Milliseconds deadlineGrace{ 20 }; // For the instance's own answer at the deadline.
 
@@ -88,7 +89,30 @@
     return instance.lost() ? HopCause::instanceDown : HopCause::none;
 }
 
-mesh::LoadReply LastHop::forecast (const mesh::LoadQuery& query) const
+double LastHop::transferMs (const std::string& route, bool overLink) const
+{
+    const auto found = answerBytes.find (route);
+
+    if (! overLink || ! answerMs || found == answerBytes.end() ||
+        found->second < static_cast<double> (mesh::largeAnswerBytes))
+        return 0;
+
+    return answerMs (found->second);
+}
+
+void LastHop::learnSize (const std::string& route, std::size_t bytes)
+{
+    const auto size = static_cast<double> (bytes);
+
+    // Of routes whose answers are small there is nothing to remember.
+    if (bytes < mesh::largeAnswerBytes && ! answerBytes.contains (route))
+        return;
+
+    auto& usual = answerBytes.try_emplace (route, size).first->second;
+    usual += sizeLearningRate * (size - usual);
+}
+
+mesh::LoadReply LastHop::forecast (const mesh::LoadQuery& query, bool overLink) const
 {
     const auto now = SteadyClock().Now();
     mesh::LoadReply reply;
@@ -106,12 +130,14 @@
     if (reply.cause != HopCause::none)
         return reply;
 
-    const auto deadline = std::min<Timestamp> (now + query.timeLeft, endsAt);
+    const auto transfer = transferMs (query.route, overLink);
+    const auto sendBy = now - mesh::fromMilliseconds (transfer);
+    const auto deadline = std::min<Timestamp> (sendBy + query.timeLeft, endsAt);
     const auto expected =
-        queue.forecast (now, { newestId, query.route, query.priority, now + query.targetLeft,
+        queue.forecast (now, { newestId, query.route, query.priority, sendBy + query.targetLeft,
                                deadline, query.usualRunMs });
     reply.decision = expected.decision;
-    reply.expectedMs = expected.expectedMs;
+    reply.expectedMs = expected.expectedMs + transfer;
 
     if (reply.decision == mesh::AdmissionDecision::refuse)
         reply.cause = fullCause (now);
@@ -136,9 +162,10 @@
     }
 
     const auto& facts = running.call.facts;
+    const auto transfer = mesh::fromMilliseconds (transferMs (facts.route, running.call.overLink));
     const auto decision =
-        queue.offer (now, { id, facts.route, facts.priority, now + facts.targetLeft,
-                            running.deadline, facts.usualRunMs });
+        queue.offer (now, { id, facts.route, facts.priority, now + facts.targetLeft - transfer,
+                            running.deadline - transfer, facts.usualRunMs });
 
     if (decision == mesh::AdmissionDecision::run)
         run (id, now);
@@ -295,6 +322,7 @@
 
     if (ran)
     {
+        learnSize (found->second.call.facts.route, result.body.size());
         answer.status = result.head.status;
         answer.reason = std::move (result.head.reason);
         answer.fields = forwardedAnswerFields (result.head.fields);
--- a/src/sidecar/last_hop.h
+++ b/src/sidecar/last_hop.h
@@ -34,6 +34,7 @@
     HeaderFields fields; /**< End-to-end ones, with Host. */
     std::string body;
     std::function<bool()> abandoned; /**< Whether its caller has left, also if unhandled so far. */
+    bool overLink = false;           /**< Its answer goes to another node. */
 };
 
 /** What came of it; everything but the report is empty unless the instance answered. */
@@ -82,8 +83,10 @@
         return report (mesh::HopOutcome::notRun, cause);
     }
 
-    /** How a request would be taken that came now. */
-    mesh::LoadReply forecast (const mesh::LoadQuery& query) const;
+    /** How a request would be taken that came now.
+        @param overLink  from another node
+    */
+    mesh::LoadReply forecast (const mesh::LoadQuery& query, bool overLink) const;
 
     /** The instance beside this node. */
     const std::string& instanceId() const { return instance.id(); }
@@ -91,6 +94,9 @@
     /** Until a large body would have come over this node's link, for its reports. */
     std::function<double()> bodyMs;
 
+    /** Until a large answer of that many bytes would be through, over this node's link. */
+    std::function<double (double bytes)> answerMs;
+
     /** The callback may come before this returns; after cancel() it doesn't come. */
     CallId start (HopCall call, Callback callback);
 
@@ -159,6 +165,8 @@
     void probe();
     void onProbed (const HealthAnswer& answer);
     static Timestamp targetOf (const Running& running);
+    double transferMs (const std::string& route, bool overLink) const;
+    void learnSize (const std::string& route, std::size_t bytes);
     void logRefusal (const Running& running, mesh::HopCause cause);
 
     std::shared_ptr<Reactor> reactor;
@@ -176,6 +184,8 @@
     const Timestamp createdAt = SteadyClock().Now();
     double repeats = 0;
     mesh::FailureShare failures;
+    std::unordered_map<std::string, double>
+        answerBytes; /**< Usual ones of large answers, by route. */
     std::uint64_t configurationVersion = 0;
     Timestamp endsAt = Timestamp::max();
     bool stopping = false;
--- /dev/null
+++ b/src/sidecar/link_pacer.cc
@@ -0,0 +1,86 @@
+#include "sidecar/link_pacer.h"
+
+#include <utility>
+
+namespace copperlead::sidecar
+{
+namespace
+{
+
+constexpr double bytesPerMsOfMbps = 1e6 / 8 / 1000;
+
+Timestamp now() { return SteadyClock().Now(); }
+
+} // namespace
+
+LinkPacer::LinkPacer (std::shared_ptr<Reactor> reactor, double linkMbps)
+    : schedule (linkMbps * bytesPerMsOfMbps)
+    , timer (std::move (reactor))
+{
+}
+
+LinkPacer::Id LinkPacer::begin (std::size_t bytes, std::function<void()> onTurn)
+{
+    const auto id = schedule.add (now(), bytes);
+    turns.emplace (id, std::move (onTurn));
+    ++counts.transfers;
+    arm();
+    return id;
+}
+
+void LinkPacer::end (Id id)
+{
+    schedule.remove (id);
+    turns.erase (id);
+    arm();
+}
+
+void LinkPacer::setStalled (Id id, bool stalled)
+{
+    counts.stalls += stalled ? 1 : 0;
+    schedule.setStalled (id, stalled);
+    arm();
+}
+
+std::size_t LinkPacer::allowance (Id id) const { return schedule.allowance (now(), id); }
+
+void LinkPacer::wrote (Id id, std::size_t bytes)
+{
+    if (id == 0)
+        return schedule.wrote (now(), bytes);
+
+    counts.bytes += bytes;
+    schedule.wrote (now(), id, bytes);
+    arm();
+}
+
+double LinkPacer::expectedMs (double bytes) const { return schedule.expectedMs (now(), bytes); }
+
+void LinkPacer::arm()
+{
+    const auto due = schedule.nextDue();
+
+    if (due == Timestamp::max())
+        return;
+
+    timer.arm (due,
+               [weak = weak_from_this()]
+               {
+                   if (const auto self = weak.lock())
+                       self->giveTurns();
+               });
+}
+
+void LinkPacer::giveTurns()
+{
+    if (const auto id = schedule.next (now()))
+    {
+        // The transfer may end by its turn.
+        const auto turn = turns.at (*id);
+        turn();
+    }
+
+    arm();
+}
+
+} // namespace copperlead::sidecar
--- a/src/sidecar/peer_endpoint.cc
+++ b/src/sidecar/peer_endpoint.cc
@@ -161,6 +161,7 @@
 
     HopCall call;
     call.facts = *facts;
+    call.overLink = true;
     call.method = exchange->head.method;
     call.target = exchange->head.target;
     call.fields = forwardedFields (exchange->head.fields, names);
--- a/src/sidecar/server_connection.cc
+++ b/src/sidecar/server_connection.cc
@@ -250,6 +250,7 @@
 
     const auto self = shared_from_this();
     state = State::closed;
+    endTransfer();
     server->reactor->Unwatch (watch, socket);
     socket.Close();
     server->remove (self);
@@ -261,8 +262,8 @@
     if (state == State::closed)
         return;
 
-    const std::uint32_t wanted =
-        (blocked() ? EPOLLRDHUP : EPOLLIN) | (written < output.size() ? EPOLLOUT : 0U);
+    const std::uint32_t wanted = (blocked() ? EPOLLRDHUP : EPOLLIN) |
+                                 (written < output.size() && ! waitsForTurn() ? EPOLLOUT : 0U);
 
     if (wanted == interest)
         return;
@@ -276,7 +277,7 @@
     const auto limits = server->settings.limits();
 
     if (written < output.size())
-        return wroteAt + writeTime;
+        return waitsForTurn() ? Timestamp::max() : wroteAt + writeTime;
 
     switch (state)
     {
--- a/src/sidecar/server_connection.h
+++ b/src/sidecar/server_connection.h
@@ -72,6 +72,11 @@
     void fail (int status, std::string_view cause);
     void writeAnswers();
     void write();
+    std::size_t writableBytes();
+    void countWritten (std::size_t bytes);
+    void onTurn();
+    void endTransfer();
+    bool waitsForTurn() const { return transfer != 0 && ! stalled; }
     void linger();
     void dropOpen();
     static void tellGone (Exchange& exchangeToLeave);
@@ -90,10 +95,12 @@
     std::string input, output;
     std::size_t written = 0;
     bool closeAfterWrite = false;
-    bool lastTaken = false;    /**< What comes behind the requests taken so far isn't read. */
-    bool owesContinue = false; /**< The client waits for a word before it sends the body. */
-    bool advancing = false;    /**< Guards against advance() from within advance(). */
-    ExchangePointer exchange;  /**< That is being read, or held. */
+    LinkPacer::Id transfer = 0; /**< Of a large answer that is being written; 0: none is. */
+    bool stalled = false;       /**< Its client takes nothing at present. */
+    bool lastTaken = false;     /**< What comes behind the requests taken so far isn't read. */
+    bool owesContinue = false;  /**< The client waits for a word before it sends the body. */
+    bool advancing = false;     /**< Guards against advance() from within advance(). */
+    ExchangePointer exchange;   /**< That is being read, or held. */
     std::optional<BodyDecoder> decoder;
     AnswerQueue open;         /**< Requests that were handed on. */
     std::size_t buffered = 0; /**< Bytes of bodies that the server has counted. */
--- a/src/sidecar/server_connection_answers.cc
+++ b/src/sidecar/server_connection_answers.cc
@@ -2,7 +2,9 @@
  */
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
+#include <utility>
 
 #include "mesh/milliseconds.h"
 #include "sidecar/server_connection.h"
@@ -86,24 +88,84 @@
     armTimer (deadline());
 }
 
+std::size_t ServerConnection::writableBytes()
+{
+    const auto left = output.size() - written;
+    const auto& link = server->settings.link;
+
+    if (link == nullptr || (transfer == 0 && left < mesh::largeAnswerBytes))
+        return left;
+
+    if (transfer == 0)
+        transfer = link->begin (left,
+                                [weak = weak_from_this()]
+                                {
+                                    if (const auto self = weak.lock())
+                                        self->onTurn();
+                                });
+
+    if (std::exchange (stalled, false))
+        link->setStalled (transfer, false);
+
+    return std::min (left, link->allowance (transfer));
+}
+
+void ServerConnection::countWritten (std::size_t bytes)
+{
+    written += bytes;
+    wroteAt = now();
+
+    if (server->settings.link != nullptr)
+        server->settings.link->wrote (transfer, bytes);
+}
+
+void ServerConnection::endTransfer()
+{
+    if (transfer != 0)
+        server->settings.link->end (std::exchange (transfer, 0));
+
+    stalled = false;
+}
+
+void ServerConnection::onTurn()
+{
+    write();
+
+    if (state == State::closed)
+        return;
+
+    updateInterest();
+    armTimer (deadline());
+}
+
 void ServerConnection::write()
 {
     while (written < output.size())
     {
-        const auto count = ::send (socket.descriptor(), output.data() + written,
-                                   output.size() - written, MSG_NOSIGNAL);
+        const auto most = writableBytes();
+
+        if (most == 0)
+            return updateInterest();
+
+        const auto count =
+            ::send (socket.descriptor(), output.data() + written, most, MSG_NOSIGNAL);
 
         if (count < 0 && (errno == EAGAIN || errno == EINTR))
+        {
+            if (transfer != 0 && ! std::exchange (stalled, true))
+                server->settings.link->setStalled (transfer, true);
+
             return updateInterest();
+        }
 
         if (count < 0)
             return close();
 
-        written += static_cast<std::size_t> (count);
-        wroteAt = now();
+        countWritten (static_cast<std::size_t> (count));
     }
 
     const bool wrote = written > 0;
+    endTransfer();
     output.clear();
     written = 0;
 
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -58,6 +58,8 @@
         log);
     state.directory().setLocality ({ settings.zone, settings.zoneRegions });
     bodies = std::make_shared<BodyAdmission> (reactor, settings.linkMbps);
+    link = std::make_shared<LinkPacer> (reactor, settings.linkMbps);
+    lastHop->answerMs = [pacer = link] (double bytes) { return pacer->expectedMs (bytes); };
     lastHop->bodyMs = [admission = bodies] { return admission->expectedMs(); };
     peerEndpoint = std::make_shared<PeerEndpoint> (settings.names, lastHop, bodies, log, state);
     firstHop = std::make_shared<FirstHop> (reactor, firstHopSettings (settings), lastHop, log,
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -105,6 +105,7 @@
     mesh::MeshState state;
     std::shared_ptr<LastHop> lastHop;
     std::shared_ptr<BodyAdmission> bodies;
+    std::shared_ptr<LinkPacer> link;
     std::shared_ptr<PeerEndpoint> peerEndpoint;
     std::shared_ptr<FirstHop> firstHop;
     std::shared_ptr<Relay> relay; /**< Null when this node reads alone. */
--- a/src/sidecar/sidecar_servers.cc
+++ b/src/sidecar/sidecar_servers.cc
@@ -59,6 +59,7 @@
         if (const auto self = weak.lock())
             self->peerEndpoint->admitBody (exchange);
     };
+    forNodes.link = link;
     outbound = std::make_shared<HttpServer> (reactor, std::move (forClients));
     inbound = std::make_shared<HttpServer> (reactor, std::move (forNodes));
     readiness = std::make_shared<HttpServer> (
