--- a/src/mesh/tenant_quotas.cc
+++ b/src/mesh/tenant_quotas.cc
@@ -77,7 +77,7 @@
     askIfNeeded (now, name);
 }
 
-void TenantQuotas::pass (Timestamp now, Waiting waiting, const TenantState& state, bool passed,
+void TenantQuotas::pass (Timestamp now, Waiting waiting, TenantState& state, bool passed,
                          bool alone)
 {
     if (waiting.since != Timestamp{})
@@ -88,9 +88,37 @@
     else
         ++(passed ? counts.passed : counts.refused);
 
+    ++(passed ? state.passed : state.refused);
     waiting.callback ({ passed, alone ? std::string() : state.lastKeeper });
 }
 
+std::vector<TenantUse> TenantQuotas::uses (std::size_t most) const
+{
+    std::vector<TenantUse> all;
+
+    for (const auto& [name, state] : byTenant)
+        all.push_back ({ name, state.passed, state.refused });
+
+    std::sort (all.begin(), all.end(),
+               [] (const TenantUse& a, const TenantUse& b)
+               { return a.passed + a.refused > b.passed + b.refused; });
+
+    if (all.size() <= most)
+        return all;
+
+    TenantUse others;
+
+    for (auto it = all.begin() + static_cast<std::ptrdiff_t> (most); it != all.end(); ++it)
+    {
+        others.passed += it->passed;
+        others.refused += it->refused;
+    }
+
+    all.resize (most);
+    all.push_back (others);
+    return all;
+}
+
 void TenantQuotas::giveBack (Timestamp now, const std::string& tenant)
 {
     if (const auto found = byTenant.find (tenant); found != byTenant.end())
--- a/src/mesh/tenant_quotas.h
+++ b/src/mesh/tenant_quotas.h
@@ -55,6 +55,13 @@
     LatencyHistogram waited;    /**< Of requests that waited for a keeper's answer. */
 };
 
+/** One tenant's requests at this node since it was first seen here. */
+struct TenantUse
+{
+    std::string tenant;
+    std::uint64_t passed = 0, refused = 0;
+};
+
 /** Not thread-safe. */
 class TenantQuotas
 {
@@ -90,6 +97,9 @@
     Timestamp nextDue() const;
 
     const TenantQuotaCounters& counters() const { return counts; }
+
+    /** The tenants with the most requests here, and one row without a name for all others. */
+    std::vector<TenantUse> uses (std::size_t most) const;
     const QuotaKeeperCounters& keeperCounters() const { return keeper.counters(); }
 
 private:
@@ -129,6 +139,7 @@
         std::vector<QuotaNode> candidates;
         bool hasCandidates = false;
         std::string lastKeeper; /**< IP of the keeper that answered last. */
+        std::uint64_t passed = 0, refused = 0;
         Asking asking;
     };
 
@@ -146,7 +157,7 @@
     void forgetOldAsks (Timestamp now);
     void goAlone (Timestamp now, const std::string& tenant, TenantState& state);
     QuotaGrant keep (Timestamp now, const QuotaAsk& ask, const std::string& ip);
-    void pass (Timestamp now, Waiting waiting, const TenantState& state, bool passed, bool alone);
+    void pass (Timestamp now, Waiting waiting, TenantState& state, bool passed, bool alone);
     void ping (Timestamp now);
 
     QuotaNode own;
--- a/src/sidecar/sidecar_metrics.cc
+++ b/src/sidecar/sidecar_metrics.cc
@@ -62,6 +62,31 @@
         }
     }
 
+    /** The requests of each tenant, by what became of them. */
+    void tenants (const std::vector<mesh::TenantUse>& uses)
+    {
+        MetricFamily family{ "copperlead_tenant_requests_total",
+                             "Requests of tenants with a quota, by what their quota said",
+                             MetricType::Counter,
+                             {} };
+
+        for (const auto& use : uses)
+        {
+            const auto add = [&] (const char* outcome, std::uint64_t count)
+            {
+                ClientMetric metric;
+                metric.label.push_back ({ "tenant", use.tenant.empty() ? "(others)" : use.tenant });
+                metric.label.push_back ({ "outcome", outcome });
+                metric.counter.value = static_cast<double> (count);
+                family.metric.push_back (std::move (metric));
+            };
+            add ("passed", use.passed);
+            add ("refused", use.refused);
+        }
+
+        all.push_back (std::move (family));
+    }
+
     std::string text() const { return prometheus::TextSerializer().Serialize (all); }
 
 private:
@@ -145,6 +170,8 @@
                       "Of those: the instance beside this node was free", figures.searches.local);
     families.counter ("copperlead_searches_widened_total", "Of those: other zones were asked, too",
                       figures.searches.widened);
+    families.counter ("copperlead_searches_widened_far_total",
+                      "Of those: other regions were asked, too", figures.searches.widenedFar);
     families.counter ("copperlead_load_queries_sent_total", "Load queries to other nodes",
                       figures.queries.asked);
     families.counter ("copperlead_load_queries_answered_total", "Load queries of other nodes",
@@ -174,6 +201,50 @@
                         "From the call for a body until it was there", figures.bodies.transfer);
 }
 
+void addTenants (Families& families, const SidecarFigures& figures)
+{
+    const auto& quotas = figures.quotas;
+    families.counter ("copperlead_credentials_refused_total", "Answered 401: no key, or unknown",
+                      figures.first.unknownCredentials);
+    families.counter ("copperlead_requests_over_quota_total", "Answered 429: not run",
+                      figures.first.overQuota);
+    families.counter ("copperlead_quota_passed_total", "Requests passed by a keeper's grant",
+                      quotas.passed);
+    families.counter ("copperlead_quota_refused_total", "Requests refused by a keeper's count",
+                      quotas.refused);
+    families.counter ("copperlead_quota_passed_alone_total",
+                      "Requests passed while no keeper was reached", quotas.passedAlone);
+    families.counter ("copperlead_quota_refused_alone_total",
+                      "Requests refused while no keeper was reached", quotas.refusedAlone);
+    families.counter ("copperlead_quota_returned_total",
+                      "Requests that were passed and have not run", quotas.returned);
+    families.counter ("copperlead_quota_asks_total", "Datagrams to keepers", quotas.asks);
+    families.counter ("copperlead_quota_asks_unanswered_total", "Of those: not answered in time",
+                      quotas.unanswered);
+    families.histogram ("copperlead_quota_wait_milliseconds",
+                        "Wait of requests for a keeper's answer", quotas.waited);
+    families.counter ("copperlead_quota_keeper_asked_total", "Asks of nodes for tenants kept here",
+                      figures.keeper.asked);
+    families.counter ("copperlead_quota_keeper_granted_total", "Requests granted to them",
+                      figures.keeper.granted);
+    families.counter ("copperlead_quota_keeper_refused_total", "Requests asked for and not granted",
+                      figures.keeper.refused);
+    families.counter ("copperlead_quota_keeper_redirected_total",
+                      "Asks sent on to a keeper that goes before", figures.keeper.redirected);
+    families.tenants (figures.tenants);
+}
+
+void addLink (Families& families, const SidecarFigures& figures)
+{
+    families.counter ("copperlead_link_transfers_total", "Large answers to other nodes",
+                      figures.link.transfers);
+    families.counter ("copperlead_link_transfer_bytes_total", "Bytes of those", figures.link.bytes);
+    families.counter ("copperlead_link_stalls_total", "Receivers that took nothing for a while",
+                      figures.link.stalls);
+    families.gauge ("copperlead_link_transfers_waiting", "Large answers that are being sent",
+                    static_cast<double> (figures.linkWaiting));
+}
+
 void addConfiguration (Families& families, const SidecarFigures& figures)
 {
     families.gauge ("copperlead_ready", "1 while clients may be sent here", figures.ready ? 1 : 0);
@@ -224,6 +295,8 @@
     addInstance (families, figures);
     addBodies (families, figures);
     addSearches (families, figures);
+    addTenants (families, figures);
+    addLink (families, figures);
     addConfiguration (families, figures);
     return families.text();
 }
--- a/src/sidecar/sidecar_metrics.h
+++ b/src/sidecar/sidecar_metrics.h
@@ -10,11 +10,13 @@
 
 #include "mesh/latency_histogram.h"
 #include "mesh/source_follower.h"
+#include "mesh/tenant_quotas.h"
 #include "sidecar/body_admission.h"
 #include "sidecar/first_hop.h"
 #include "sidecar/http_client.h"
 #include "sidecar/http_server.h"
 #include "sidecar/last_hop.h"
+#include "sidecar/link_pacer.h"
 #include "sidecar/relay.h"
 
 namespace copperlead::sidecar
@@ -31,6 +33,11 @@
     BodyCounters bodies;
     SearchCounters searches;
     LoadQueryCounters queries;
+    mesh::TenantQuotaCounters quotas;
+    mesh::QuotaKeeperCounters keeper;
+    std::vector<mesh::TenantUse> tenants; /**< The busiest; the others together without a name. */
+    LinkCounters link;
+    std::uint64_t linkWaiting = 0;
     std::array<std::uint64_t, std::size (mesh::timelinessNames)> begun{}; /**< Runs, by class. */
     std::uint64_t inFlight = 0, running = 0, waiting = 0, connections = 0, bodiesWaiting = 0;
     std::uint64_t configurationVersion = 0, sourceRevision = 0, logLinesLeftOut = 0;
--- a/src/sidecar/sidecar_servers.cc
+++ b/src/sidecar/sidecar_servers.cc
@@ -12,6 +12,7 @@
 
 constexpr std::size_t hopHeadBytes = 65536;
 constexpr Milliseconds hopIdleTime{ 60'000 };
+constexpr std::size_t mostTenantsShown = 50; // On the metrics page; the others are summed up.
 
 Timestamp now() { return SteadyClock().Now(); }
 
@@ -100,6 +101,11 @@
     shown.bodies = bodies->counters();
     shown.searches = firstHop->searchCounters();
     shown.queries = firstHop->queryCounters();
+    shown.quotas = firstHop->tenantQuotas().counters();
+    shown.keeper = firstHop->tenantQuotas().keeperCounters();
+    shown.tenants = firstHop->tenantQuotas().uses (mostTenantsShown);
+    shown.link = link->counters();
+    shown.linkWaiting = link->waiting();
     shown.bodiesWaiting = bodies->waiting();
     shown.begun = lastHop->admission().begun();
     shown.configurationVersion = state.configurations().version();
--- a/tests/mesh_integration/mesh_fleet.cc
+++ b/tests/mesh_integration/mesh_fleet.cc
@@ -10,6 +10,7 @@
 #include <cstdlib>
 #include <deque>
 #include <filesystem>
+#include <map>
 #include <thread>
 
 #include "standin/forwarder.h"
@@ -86,12 +87,17 @@
 }
 
 std::size_t MostRunsInWindow(const MeshFleet& fleet, const std::string& tenant) {
-  std::vector<std::chrono::steady_clock::time_point> times;
+  // What may be repeated may run at several instances, and is one request all the same.
+  std::map<std::string, std::chrono::steady_clock::time_point> first_runs;
   for (const auto& machine : fleet.machines()) {
     for (const auto& run : machine->instance->runs()) {
-      if (run.ran && run.tenant == tenant) times.push_back(run.ran_at);
+      if (!run.ran || run.tenant != tenant) continue;
+      auto& first = first_runs.try_emplace(run.request_id, run.ran_at).first->second;
+      first = std::min(first, run.ran_at);
     }
   }
+  std::vector<std::chrono::steady_clock::time_point> times;
+  for (const auto& [id, first] : first_runs) times.push_back(first);
   std::sort(times.begin(), times.end());
   std::size_t most = 0;
   for (std::size_t first = 0, last = 0; last < times.size(); ++last) {
--- a/tests/mesh_integration/mesh_fleet.h
+++ b/tests/mesh_integration/mesh_fleet.h
@@ -110,7 +110,7 @@
 // A tenant with one key, for `tenants`. @param per_second 0: no limit
 std::string TenantText(const std::string& name, const std::string& key, int per_second, int burst);
 
-// The most runs of a tenant's requests in any five seconds, at all instances together.
+// The most requests of a tenant that were run in any five seconds, at all instances together.
 std::size_t MostRunsInWindow(const MeshFleet& fleet, const std::string& tenant);
 
 }  // namespace copperlead::standin
--- a/tests/mesh_integration/mesh_soak_test.cc
+++ b/tests/mesh_integration/mesh_soak_test.cc
@@ -23,6 +23,11 @@
 using std::chrono::milliseconds;
 
 constexpr int kClients = 6;
+constexpr int kHotClients = 2;
+// Of the tenant that asks for far more than it may.
+constexpr int kLimit = 20;
+constexpr int kBurst = 10;
+constexpr std::size_t kBound = (5 * kLimit + kBurst) * 5 / 4 + 20;
 constexpr auto kHealTime = std::chrono::seconds(6);
 constexpr auto kGraceTime = std::chrono::seconds(8);
 
@@ -37,6 +42,27 @@
     CheckAnswer(id, answer);
   }
 
+  // A request of the tenant that is over its limit.
+  void AnsweredHot(const std::string& id, const HttpAnswer& answer) {
+    const std::lock_guard lock(mutex_);
+    ++by_status_[answer.status];
+    if (answer.status != 429) CheckAnswer(id, answer);
+  }
+
+  // What instances saw of tenants.
+  void CheckTenants(const MeshFleet& fleet) {
+    const std::lock_guard lock(mutex_);
+    const std::size_t most = MostRunsInWindow(fleet, "plain");
+    if (most > kBound) Violate("a limit was exceeded: " + std::to_string(most));
+    for (const auto& machine : fleet.machines()) {
+      for (const auto& run : machine->instance->runs()) {
+        if (!run.key.empty()) Violate(run.request_id + " came with its client's key");
+        const bool hot = run.request_id[0] == 'h';
+        if (run.tenant != (hot ? "plain" : "gold")) Violate(run.request_id + " of " + run.tenant);
+      }
+    }
+  }
+
   // A probe for the route that version `version` and all later ones have.
   void Probed(std::size_t machine, int life, std::uint64_t version, int status) {
     const std::lock_guard lock(mutex_);
@@ -103,7 +129,7 @@
   void Play(std::chrono::seconds duration) {
     fleet_.UseRelay();
     fleet_.UseFaultProxies();
-    fleet_.Configure(version_);
+    Configure();
     for (const char* zone : {"ank-a", "ank-b"}) {
       for (const char* service : {"desk", "desk", "hub"}) fleet_.Add(service, zone, 0);
     }
@@ -114,6 +140,9 @@
     for (int client = 0; client < kClients; ++client) {
       clients.emplace_back([this, client] { RunClient(client); });
     }
+    for (int client = 0; client < kHotClients; ++client) {
+      clients.emplace_back([this, client] { RunHotClient(client); });
+    }
     const auto until = std::chrono::steady_clock::now() + duration;
     while (std::chrono::steady_clock::now() < until) {
       InjectFault();
@@ -125,6 +154,7 @@
     for (auto& client : clients) client.join();
     CheckSettled();
     seen_.CheckRuns(fleet_);
+    seen_.CheckTenants(fleet_);
   }
 
   Observations& seen() { return seen_; }
@@ -143,12 +173,33 @@
     return routes;
   }
 
+  void Configure() {
+    const std::string guest = "key-guest-" + std::to_string(version_);
+    fleet_.Configure(version_, NewRoutes(),
+                     TenantText("gold", "key-gold", 0, 0) + "," +
+                         TenantText("plain", "key-plain", kLimit, kBurst) + "," +
+                         TenantText("guest", guest, 5, 5));
+  }
+
+  void RunHotClient(int client) {
+    std::mt19937_64 random(static_cast<std::uint64_t>(1000 + client));
+    for (int sent = 0; !stopping_; ++sent) {
+      MeshRequest request;
+      request.id = "h" + std::to_string(client) + "-" + std::to_string(sent);
+      request.more["X-Credential"] = "key-plain";
+      const auto& machine = *fleet_.machines()[random() % fleet_.machines().size()];
+      seen_.AnsweredHot(request.id, fleet_.Call(machine, request));
+      std::this_thread::sleep_for(milliseconds(5));
+    }
+  }
+
   void RunClient(int client) {
     std::mt19937_64 random(static_cast<std::uint64_t>(client));
     for (int sent = 0; !stopping_; ++sent) {
       const std::size_t machine = random() % fleet_.machines().size();
       MeshRequest request;
       request.id = "c" + std::to_string(client) + "-" + std::to_string(sent);
+      request.more["X-Credential"] = "key-gold";
       const auto kind = random() % 3;
       if (kind == 0) {
         request.method = "POST";
@@ -209,7 +260,7 @@
 
   void Change() {
     ++version_;
-    fleet_.Configure(version_, NewRoutes());
+    Configure();
   }
 
   void Pause(MeshMachine& machine) {
@@ -239,6 +290,7 @@
 
   void CheckSettled() {
     MeshRequest probe;
+    probe.more["X-Credential"] = "key-gold";
     probe.path = "/v" + std::to_string(version_) + "/1";
     for (std::size_t index = 0; index < fleet_.machines().size(); ++index) {
       const MeshMachine& machine = *fleet_.machines()[index];
--- a/tests/sidecar/sidecar_metrics_test.cc
+++ b/tests/sidecar/sidecar_metrics_test.cc
@@ -22,6 +22,17 @@
     EXPECT_EQ (metricsText (figures).find (zoneAge), std::string::npos);
 }
 
+TEST (SidecarMetrics, TenantsAreShownByNameAndTheOthersTogether)
+{
+    SidecarFigures figures;
+    figures.tenants = { { "gold", 7, 2 }, { "", 3, 0 } };
+    const auto text = metricsText (figures);
+    EXPECT_NE (
+        text.find ("copperlead_tenant_requests_total{tenant=\"gold\",outcome=\"refused\"} 2"),
+        std::string::npos);
+    EXPECT_NE (text.find ("{tenant=\"(others)\",outcome=\"passed\"} 3"), std::string::npos);
+}
+
 TEST (Milliseconds, AnAgeIsKnownOnlyOfWhatHasBeen)
 {
     const Timestamp now (std::chrono::milliseconds (1000));
