--- a/src/mesh/instance_poll.h
+++ b/src/mesh/instance_poll.h
@@ -78,6 +78,7 @@
     bool isGoodEnough (const LoadReply& reply, double crossingMs) const;
     PollStep decide();
     std::size_t pending() const;
+    bool isSoonEnough (const LoadReply& reply) const;
     bool isInTime (const PolledInstance& candidate) const;
 
     double usualRun;
