A test waits until its fault is in force

Cause: RequestPathTest.RefusedConnectionsGoElsewhereWhateverTheMethod failed now and then (502, connection_lost, 0.2 s after its start). The fault proxy notices 'refuse' in its next round; until then the system completes connections for it, and its shutdown resets those that it has not accepted, with a purchase that was written to one: a lost connection, which is answered 502 truly, not a refused one. Ruled out: the request path (it says what happened). Change: the test waits until the address refuses connections, then begins as before; its checks are the same.

--- a/tests/integration/request_path_test.cc
+++ b/tests/integration/request_path_test.cc
@@ -1,15 +1,28 @@
 // Requests through real nodes to real back ends while connections, back ends and nodes fail.
 
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <nlohmann/json.hpp>
 #include <thread>
 
 #include "process_harness.h"
 #include "standin/content.h"
+#include "standin/socket_address.h"
 #include "traffic.h"
 
 namespace copperlead::standin {
 namespace {
 
+// @return whether something listens there.
+bool Connects(const SocketAddress& address) {
+  const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const SystemAddress native = ToSystem(address);
+  const bool connected = connect(descriptor, native.get(), native.length) == 0;
+  close(descriptor);
+  return connected;
+}
+
 using std::chrono::milliseconds;
 
 constexpr int kTimeoutMs = 700;                 // Of the routes: the longest wait without progress.
@@ -200,6 +213,9 @@
   AddBackend("2");
   Serve();
   SetFault(broken.proxy, "refuse");
+  // Until the proxy stops listening it takes connections, and then resets those that it has not
+  // accepted, with what was written to them: another fault, that of a lost connection.
+  ASSERT_TRUE(WaitFor([&] { return !Connects(broken.address); }));
   Traffic traffic(BothNodes(), route_, kAllKinds, 4);
   WaitForCount(traffic, 60);
   const auto all = traffic.Stop();
