--- a/src/sidecar/first_hop.cc
+++ b/src/sidecar/first_hop.cc
@@ -5,8 +5,6 @@
 #include <algorithm>
 
 #include "mesh/avoidance.h"
-#include "mesh/enum_names.h"
-#include "mesh/retry_after.h"
 #include "sidecar/active_request.h"
 #include "sidecar/messages.h"
 
@@ -15,10 +13,7 @@
 namespace
 {
 
-constexpr Milliseconds notReadyRetryAfter{ 200 };
-constexpr double freshWordMs = 2500;               // After which an unknown route may be a new one.
-constexpr std::uint64_t longestWaitMs = 3'600'000; // That a client may announce.
-constexpr double neverMs = -1;                     // An age in the log of what has never been.
+constexpr double freshWordMs = 2500; // After which an unknown route may be a new one.
 
 } // namespace
 
@@ -67,46 +62,6 @@
     return queries->start();
 }
 
-mesh::TenantQuotaHooks FirstHop::quotaHooks()
-{
-    mesh::TenantQuotaHooks hooks;
-    hooks.send = [this] (const std::string& ip, const std::string& bytes)
-    {
-        if (queries != nullptr)
-            queries->sendOther (ip, bytes);
-    };
-    hooks.alone = [this] (const mesh::QuotaSolitude& alone)
-    {
-        log->write (SteadyClock().Now(), EventKind::quotaAlone,
-                    { { "tenant", alone.tenant },
-                      { "waiting", static_cast<std::int64_t> (alone.waiting) },
-                      { "tried", static_cast<std::int64_t> (alone.tried) },
-                      { "nodes", static_cast<std::int64_t> (alone.nodes) },
-                      { "per_second", alone.perSecond } });
-    };
-    return hooks;
-}
-
-void FirstHop::armQuotaTimer()
-{
-    quotaTimer.arm (quotas.nextDue(),
-                    [weak = weak_from_this()]
-                    {
-                        const auto self = weak.lock();
-
-                        if (self == nullptr)
-                            return;
-
-                        self->quotas.advance (SteadyClock().Now());
-                        self->armQuotaTimer();
-                    });
-}
-
-void FirstHop::giveBackQuota (const mesh::Tenant& tenant)
-{
-    quotas.giveBack (SteadyClock().Now(), tenant.name);
-}
-
 void FirstHop::setRoutes (std::shared_ptr<const mesh::RouteTable> newRoutes)
 {
     routes = std::move (newRoutes);
@@ -230,7 +185,7 @@
                   { "version", version },
                   { "status", std::int64_t (status) },
                   { "cause", cause },
-                  { "word_age_ms", wordAgeMs().value_or (neverMs) } });
+                  { "word_age_ms", shownWordAgeMs() } });
     answerOwn (exchange, status, cause, notReadyRetryAfter);
 }
 
@@ -264,81 +219,4 @@
     admit (exchange, *route, checked.tenant);
 }
 
-void FirstHop::admit (const ExchangePointer& exchange, const mesh::Route& route,
-                      const mesh::Tenant* tenant)
-{
-    const auto begin = [self = shared_from_this(), exchange, held = routes, &route, tenant]
-    {
-        const auto id = onlyValue (exchange->head.fields, self->settings.names.requestId);
-        std::make_shared<ActiveRequest> (self, exchange, held, route, tenant, std::string (id))
-            ->begin();
-    };
-
-    if (tenant == nullptr)
-        return begin();
-
-    quotas.take (SteadyClock().Now(), *tenant,
-                 [weak = weak_from_this(), exchange, held = routes, &route, tenant,
-                  begin] (const mesh::TenantQuotas::Verdict& verdict)
-                 {
-                     const auto self = weak.lock();
-
-                     if (self == nullptr)
-                         return;
-
-                     if (exchange->clientLeft())
-                         ++self->counts.clientsLeft;
-                     else if (verdict.passed)
-                         return begin();
-                     else
-                         return self->refuseOverQuota (exchange, route, *tenant, verdict.keeper);
-
-                     if (verdict.passed)
-                         self->giveBackQuota (*tenant);
-                 });
-    armQuotaTimer();
-}
-
-Duration FirstHop::clientWaits (const Exchange& exchange) const
-{
-    std::uint64_t waits = 0;
-    ParseWholeNumber (onlyValue (exchange.head.fields, settings.names.deadline), waits);
-    return Milliseconds (std::min (waits, longestWaitMs));
-}
-
-void FirstHop::refuseCredential (const ExchangePointer& exchange, const mesh::Route& route,
-                                 const mesh::CredentialResult& result)
-{
-    const bool isTooOld = result.verdict == mesh::CredentialVerdict::wordTooOld;
-    const int status = isTooOld ? 503 : 401;
-    const auto cause = nameOf (result.verdict, mesh::credentialVerdictNames);
-    ++(! isTooOld ? counts.unknownCredentials : counts.refused);
-    log->write (SteadyClock().Now(), EventKind::credentialRefused,
-                { { "request", onlyValue (exchange->head.fields, settings.names.requestId) },
-                  { "route", route.name },
-                  { "version", static_cast<std::int64_t> (routes->configuration().version) },
-                  { "status", std::int64_t (status) },
-                  { "cause", cause },
-                  { "word_age_ms", wordAgeMs().value_or (neverMs) } });
-    answerOwn (exchange, status, cause, notReadyRetryAfter);
-}
-
-void FirstHop::refuseOverQuota (const ExchangePointer& exchange, const mesh::Route& route,
-                                const mesh::Tenant& tenant, const std::string& keeper)
-{
-    constexpr std::string_view cause = "over the tenant's quota";
-    ++counts.overQuota;
-    const auto spread = std::uniform_real_distribution<double> (0, 1) (random);
-    const auto comeBack =
-        mesh::retryAfter (mesh::HopCause::queueFull, clientWaits (*exchange), spread);
-    log->write (SteadyClock().Now(), EventKind::quotaRefused,
-                { { "request", onlyValue (exchange->head.fields, settings.names.requestId) },
-                  { "route", route.name },
-                  { "tenant", tenant.name },
-                  { "keeper", keeper },
-                  { "limit", tenant.quota.requestsPerSecond },
-                  { "retry_after_ms", static_cast<std::int64_t> (comeBack.count()) } });
-    answerOwn (exchange, 429, cause, comeBack);
-}
-
 } // namespace copperlead::sidecar
--- a/src/sidecar/first_hop.h
+++ b/src/sidecar/first_hop.h
@@ -103,6 +103,9 @@
 private:
     friend class ActiveRequest;
 
+    /** For clients that were refused since this node doesn't know enough yet. */
+    static constexpr Milliseconds notReadyRetryAfter{ 200 };
+
     void hear (const mesh::LoadReply& reply);
     mesh::TenantQuotaHooks quotaHooks();
     void armQuotaTimer();
@@ -125,6 +128,9 @@
     bool mustClose (const Exchange& exchange) const;
     std::optional<double> wordAgeMs() const;
     bool wordIsFresh() const;
+
+    /** As logs show it: negative when there has never been a word. */
+    double shownWordAgeMs() const { return wordAgeMs().value_or (-1); }
     mesh::RetryBudget& budgetOf (const std::string& service);
     std::size_t nodes() const;
 
