Linter: no copies of what only waits

Cause: clang-tidy found a parameter copied and a value that couldn't be moved in mesh/tenant_quotas. Ruled out: nothing. Change: both; no change of behaviour.

--- a/src/mesh/tenant_quotas.cc
+++ b/src/mesh/tenant_quotas.cc
@@ -77,7 +77,7 @@
     askIfNeeded (now, name);
 }
 
-void TenantQuotas::pass (Timestamp now, Waiting waiting, TenantState& state, bool passed,
+void TenantQuotas::pass (Timestamp now, const Waiting& waiting, TenantState& state, bool passed,
                          bool alone)
 {
     if (waiting.since != Timestamp{})
@@ -284,7 +284,7 @@
         if (! passed && ! refuseOthers)
             state.waiting.push_back (std::move (each));
         else
-            pass (now, std::move (each), state, passed, false);
+            pass (now, each, state, passed, false);
     }
 }
 
@@ -303,7 +303,7 @@
         const bool passed =
             known == nullptr || state.lease.takeAlone (now, known->quota, view.nodes().size(),
                                                        chance (random)) == QuotaStep::pass;
-        pass (now, std::move (each), state, passed, true);
+        pass (now, each, state, passed, true);
     }
 }
 
@@ -315,7 +315,7 @@
     if (tenant == nullptr || ! tenant->quota.limits())
         return { ask.number, ask.wanted, 0, {}, 0 };
 
-    const auto grant = keeper.ask (now, *tenant, ask, ip);
+    auto grant = keeper.ask (now, *tenant, ask, ip);
 
     // One that has just become a keeper has to know at once whom it reaches.
     if (pingAt == Timestamp::max())
--- a/src/mesh/tenant_quotas.h
+++ b/src/mesh/tenant_quotas.h
@@ -157,7 +157,7 @@
     void forgetOldAsks (Timestamp now);
     void goAlone (Timestamp now, const std::string& tenant, TenantState& state);
     QuotaGrant keep (Timestamp now, const QuotaAsk& ask, const std::string& ip);
-    void pass (Timestamp now, Waiting waiting, TenantState& state, bool passed, bool alone);
+    void pass (Timestamp now, const Waiting& waiting, TenantState& state, bool passed, bool alone);
     void ping (Timestamp now);
 
     QuotaNode own;
