--- a/src/mesh/instance_poll.cc
+++ b/src/mesh/instance_poll.cc
@@ -11,12 +11,7 @@
 constexpr double waitDoubtShare = 0.5;    // Of the usual run: a wait may be longer than forecast.
 constexpr double failedRunCost = 10;      // In usual runs: much of the time that a request has.
 constexpr double tolerableFailures = 0.1; // Beyond it others are asked first.
-// A wait that ends within that many usual runs isn't worth asking others for: under load nearly
-// every search widened, and its queries were most of the bytes between zones (prices of 0.082 to
-// 0.107 of the worth instead of 0.088 to 0.120 on three days of trouble, 72 machines in three
-// regions).
-constexpr double shortWaitRuns = 2;
-constexpr double goodEnoughShare = 1.25; // Of the usual run: instances differ more than that.
+constexpr double goodEnoughShare = 1.25;  // Of the usual run: instances differ more than that.
 
 } // namespace
 
@@ -110,18 +105,12 @@
     return candidate.reply.expectedMs <= targetLeft;
 }
 
-bool InstancePoll::isSoonEnough (const LoadReply& reply) const
-{
-    const bool isShort = mayTakeShortWait && reply.expectedMs <= shortWaitRuns * usualRun;
-    return (reply.decision == AdmissionDecision::run || isShort) &&
-           reply.failureShare <= tolerableFailures;
-}
-
 PollStep InstancePoll::decide()
 {
     const bool found = findBest();
 
-    if (found && isSoonEnough (best().reply))
+    if (found && best().reply.decision == AdmissionDecision::run &&
+        best().reply.failureShare <= tolerableFailures)
         return PollStep::take;
 
     if (std::exchange (mayWiden, false))
--- a/src/mesh/instance_poll.h
+++ b/src/mesh/instance_poll.h
@@ -56,11 +56,6 @@
     */
     void allowOtherRegions (double targetLeftMs);
 
-    /** The zone has enough instances to choose among, so that a short wait there is taken without
-        asking others.
-    */
-    void allowShortWaits() { mayTakeShortWait = true; }
-
     void ask (Instance instance, double crossingMs);
 
     /** An instance of the own zone that answers so is taken without asking any other. */
@@ -83,12 +78,11 @@
     bool isGoodEnough (const LoadReply& reply, double crossingMs) const;
     PollStep decide();
     std::size_t pending() const;
-    bool isSoonEnough (const LoadReply& reply) const;
     bool isInTime (const PolledInstance& candidate) const;
 
     double usualRun;
     bool largeBody;
-    bool mayWiden = true, mayWidenFar = false, mayTakeShortWait = false;
+    bool mayWiden = true, mayWidenFar = false;
     double targetLeft = 0;
     std::vector<PolledInstance> asked;
     std::size_t bestIndex = 0;
--- a/src/sidecar/instance_search.cc
+++ b/src/sidecar/instance_search.cc
@@ -16,11 +16,6 @@
 // mean of five days of trouble on 83 machines, instead of 0.665).
 constexpr std::size_t askedAtOnce = 2;
 
-// With one or two of a service in a zone there is little to choose from, and the load of zones
-// differs: a short wait there isn't worth more than a look elsewhere (0.638 of the worth instead of
-// 0.591, mean of five days of trouble on 13 machines).
-constexpr std::size_t leastForShortWaits = 3;
-
 // Several times the way to another zone and back, and what a busy machine of a tenth of a core
 // needs; far less than any target.
 constexpr Milliseconds longestWait{ 25 };
@@ -54,9 +49,6 @@
     callback = std::move (callbackToUse);
     begunAt = now();
 
-    if (zoneSize() >= leastForShortWaits)
-        poll.allowShortWaits();
-
     if (context.chooser->locality().hasOtherRegions())
         poll.allowOtherRegions (mesh::toMilliseconds (query.targetLeft));
 
@@ -102,14 +94,6 @@
         armTimer (longestWait);
 }
 
-std::size_t InstanceSearch::zoneSize() const
-{
-    const auto listed = directory->byService.find (wanted.service);
-    return listed == directory->byService.end()
-               ? 0
-               : rangeOf (listed->second, mesh::Proximity::sameZone).size();
-}
-
 std::optional<mesh::Instance> InstanceSearch::findLocal() const
 {
     const auto& id = context.lastHop->instanceId();
--- a/src/sidecar/instance_search.h
+++ b/src/sidecar/instance_search.h
@@ -61,7 +61,6 @@
     void begin (Callback callbackToUse);
 
 private:
-    std::size_t zoneSize() const;
     std::optional<mesh::Instance> findLocal() const;
     std::size_t ask (mesh::Proximity proximity);
     void widen();
