One fresh-word limit, one link unit, no state that nobody reads

Cause: reading the whole change: the age of a fresh word stood twice (unknown routes, unknown keys), so did the bytes of a megabit a millisecond; Found::widenedFar was set and never read. Ruled out: percentEncoded (adapter, keeps '/') and addEscaped (hop field, keeps more) escape different signs, so both stay; longestWaitMs stands twice with different handling of a missing field, left. Change: first hop reads the settings' freshWord, body_admission and link_pacer the unit of link_schedule.h, the field is gone. Behaviour as before.

--- a/src/mesh/credential_check.h
+++ b/src/mesh/credential_check.h
@@ -27,7 +27,8 @@
 
 struct CredentialSettings
 {
-    /** Without a word of the source that is this young an unknown key may be a new one. */
+    /** Without a word of the source that is this young an unknown key, or route, may be a new one.
+     */
     Milliseconds freshWord{ 2500 };
 
     /** Without a word that is this young a known key may have been taken away. */
--- a/src/mesh/link_schedule.h
+++ b/src/mesh/link_schedule.h
@@ -21,6 +21,9 @@
 namespace copperlead::mesh
 {
 
+/** What a link of 1 Mbit/s carries in a millisecond. */
+inline constexpr double bytesPerMsOfMbps = 1e6 / 8 / 1000;
+
 /** Answers of that many bytes take turns; smaller ones are written at once. */
 inline constexpr std::size_t largeAnswerBytes = 16'384;
 
--- a/src/sidecar/body_admission.cc
+++ b/src/sidecar/body_admission.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "mesh/link_schedule.h"
 #include "mesh/milliseconds.h"
 
 namespace copperlead::sidecar
@@ -10,7 +11,6 @@
 namespace
 {
 
-constexpr double bytesPerMsOfMbps = 1e6 / 8 / 1000;
 constexpr double mostQueueMs = 80; // Of bodies on the link, in front of small messages.
 constexpr int mostInTransfer = 64;
 constexpr double learningRate = 0.1;
@@ -22,7 +22,7 @@
 BodyAdmission::BodyAdmission (std::shared_ptr<Reactor> reactorToUse, double linkMbps)
     : reactor (std::move (reactorToUse))
     , expiry (reactor)
-    , bytesPerMs (linkMbps * bytesPerMsOfMbps)
+    , bytesPerMs (linkMbps * mesh::bytesPerMsOfMbps)
     , usualBytes (static_cast<double> (mesh::largeBodyBytes))
 {
     learnSize (mesh::largeBodyBytes);
--- a/src/sidecar/first_hop.cc
+++ b/src/sidecar/first_hop.cc
@@ -10,12 +10,6 @@
 
 namespace copperlead::sidecar
 {
-namespace
-{
-
-constexpr double freshWordMs = 2500; // After which an unknown route may be a new one.
-
-} // namespace
 
 FirstHop::FirstHop (std::shared_ptr<Reactor> reactorToUse, FirstHopSettings settingsToUse,
                     std::shared_ptr<LastHop> lastHopToUse, std::shared_ptr<DecisionLog> logToUse,
@@ -170,7 +164,7 @@
 bool FirstHop::wordIsFresh() const
 {
     const auto age = wordAgeMs();
-    return age && *age <= freshWordMs;
+    return age && *age <= static_cast<double> (settings.credentials.freshWord.count());
 }
 
 void FirstHop::refuse (const ExchangePointer& exchange, int status, std::string_view cause)
--- a/src/sidecar/instance_search.cc
+++ b/src/sidecar/instance_search.cc
@@ -194,7 +194,6 @@
 
 void InstanceSearch::widenFar()
 {
-    widenedFar = true;
     ++context.counts->widenedFar;
     awaitOthers (ask (mesh::Proximity::otherRegion), longestWaitFar);
 }
@@ -226,7 +225,6 @@
     found.replies = static_cast<std::size_t> (std::count_if (
         poll.all().begin(), poll.all().end(), [] (const auto& asked) { return asked.answered; }));
     found.widened = widened;
-    found.widenedFar = widenedFar;
     found.tookMs = mesh::toMilliseconds (now() - begunAt);
     const auto told = std::exchange (callback, nullptr);
     told (found);
--- a/src/sidecar/instance_search.h
+++ b/src/sidecar/instance_search.h
@@ -23,8 +23,7 @@
     mesh::Choice choice;                           /**< If taken. */
     mesh::HopCause cause = mesh::HopCause::none;   /**< If refused. */
     std::size_t asked = 0, replies = 0;
-    bool widened = false;    /**< Instances of other zones were asked, too. */
-    bool widenedFar = false; /**< And of other regions. */
+    bool widened = false; /**< Instances of other zones were asked, too. */
     double tookMs = 0;
 };
 
@@ -82,7 +81,7 @@
     Timestamp begunAt{};
     std::uint64_t number = 0;
     int round = 0;
-    bool widened = false, widenedFar = false;
+    bool widened = false;
 };
 
 } // namespace copperlead::sidecar
--- a/src/sidecar/link_pacer.cc
+++ b/src/sidecar/link_pacer.cc
@@ -7,14 +7,12 @@
 namespace
 {
 
-constexpr double bytesPerMsOfMbps = 1e6 / 8 / 1000;
-
 Timestamp now() { return SteadyClock().Now(); }
 
 } // namespace
 
 LinkPacer::LinkPacer (std::shared_ptr<Reactor> reactor, double linkMbps)
-    : schedule (linkMbps * bytesPerMsOfMbps)
+    : schedule (linkMbps * mesh::bytesPerMsOfMbps)
     , timer (std::move (reactor))
 {
 }
