A node tells a crash of its instance from lost answers and logs what ran there

Cause of the blindness: the logs named request ids, which differ with each attempt, and took a crash for a lost answer. Now the node beside an instance keeps what ended without an answer until the instance either answers something sent later (it lived) or is found gone or begun anew (it crashed), and logs instance_crashed with digests of all that ran. No decision depends on it yet. Ruled out: the request's id (differs), the caller's service (differs between machines that the same request comes to). Costs nothing while answers come; a lost answer that nothing settles within 100 ms costs one health question.

--- /dev/null
+++ b/src/mesh/request_digest.cc
@@ -0,0 +1,30 @@
+#include "mesh/request_digest.h"
+
+#include <fmt/format.h>
+#include <xxhash.h>
+
+namespace copperlead::mesh
+{
+
+std::uint64_t headDigestOf (const RequestIdentity& request)
+{
+    std::uint64_t digest = 0;
+
+    // Each part is the seed of the next, so that no two ways to divide a text look alike.
+    for (const auto part : { request.method, request.host, request.target, request.tenant })
+        digest = XXH3_64bits_withSeed (part.data(), part.size(), digest);
+
+    return digest;
+}
+
+RequestDigest digestOf (const RequestIdentity& request)
+{
+    return { headDigestOf (request), XXH3_64bits (request.body.data(), request.body.size()) };
+}
+
+std::string toText (const RequestDigest& digest)
+{
+    return fmt::format ("{:016x}{:016x}", digest.head, digest.body);
+}
+
+} // namespace copperlead::mesh
--- a/src/sidecar/client_connection.cc
+++ b/src/sidecar/client_connection.cc
@@ -102,7 +102,10 @@
 void ClientConnection::onConnected()
 {
     if (const int error = pendingError (socket); error != 0)
+    {
+        result.refused = error == ECONNREFUSED;
         return finish (CallEnd::notConnected, std::strerror (error));
+    }
 
     const auto opened = now() - (connectBy - client->settings.connectTimeout);
     client->counts.connect.observe (mesh::toMilliseconds (opened));
--- a/src/sidecar/decision_log.cc
+++ b/src/sidecar/decision_log.cc
@@ -42,6 +42,7 @@
     { EventKind::identityLearned, "identity_learned", 5, "instance before by" },
     { EventKind::instanceLost, "instance_lost", 5, "instance cause" },
     { EventKind::instanceRegained, "instance_regained", 5, "instance after_ms" },
+    { EventKind::instanceCrashed, "instance_crashed", 5, "instance crash runs requests" },
     { EventKind::instanceLeaving, "instance_leaving", 5, "instance running waiting" },
     { EventKind::instanceFailing, "instance_failing", 5,
       "instance share outcome status cause running" },
--- a/src/sidecar/decision_log.h
+++ b/src/sidecar/decision_log.h
@@ -37,6 +37,7 @@
     identityLearned,
     instanceLost,
     instanceRegained,
+    instanceCrashed,
     instanceLeaving,
     instanceFailing,
     instanceCold,
--- a/src/sidecar/http_client.h
+++ b/src/sidecar/http_client.h
@@ -37,10 +37,11 @@
     CallEnd end = CallEnd::notConnected;
     ResponseHead head;
     std::string body;
-    bool reused = false; /**< Over a kept connection. */
-    bool sent = false;   /**< Something was written. */
-    Duration took{};     /**< Since the request was written. */
-    std::string cause;   /**< Of a failure, in words. */
+    bool reused = false;  /**< Over a kept connection. */
+    bool sent = false;    /**< Something was written. */
+    bool refused = false; /**< Nothing listens at the target: not connected for that reason. */
+    Duration took{};      /**< Since the request was written. */
+    std::string cause;    /**< Of a failure, in words. */
 };
 
 struct CallOptions
--- a/src/sidecar/last_hop.cc
+++ b/src/sidecar/last_hop.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <random>
 
 #include "mesh/enum_names.h"
 #include "mesh/link_schedule.h"
@@ -43,6 +44,7 @@
     , client (std::make_shared<HttpClient> (reactor, clientSettings()))
     , health (std::make_shared<HealthProbe> (client, settings.names, settings.instanceAddress, log))
     , instance (settings.service)
+    , crashes (std::random_device{}())
 {
     presumeCold (SteadyClock().Now(), "start");
 }
@@ -315,6 +317,10 @@
     queue.finished (id, measured ? took : 0);
     counts.instance.observe (took);
     learnFailure (outcome, result);
+
+    if (outcome == HopOutcome::unknown)
+        learnUnanswered (found->second);
+
     counts.queue.observe (toMilliseconds (found->second.startedAt - found->second.arrivedAt));
     learn (result);
     answer.report = report (outcome, cause);
@@ -377,6 +383,10 @@
     if (started && ! running.call.facts.mayRepeat)
         return;
 
+    // What is broken off at an instance may still crash it.
+    if (started)
+        crashes.unanswered (SteadyClock().Now(), running.startedAt, digestOf (running.call));
+
     const auto http = running.http;
     queue.cancel (id);
     calls.erase (found);
--- a/src/sidecar/last_hop.h
+++ b/src/sidecar/last_hop.h
@@ -11,6 +11,7 @@
 
 #include "mesh/admission_queue.h"
 #include "mesh/cold_start.h"
+#include "mesh/crash_watch.h"
 #include "mesh/failure_share.h"
 #include "mesh/hop_header.h"
 #include "mesh/instance_directory.h"
@@ -37,6 +38,8 @@
     bool overLink = false;           /**< Its answer goes to another node. */
 };
 
+mesh::RequestDigest digestOf (const HopCall& call);
+
 /** What came of it; everything but the report is empty unless the instance answered. */
 struct HopAnswer
 {
@@ -62,6 +65,8 @@
 {
     mesh::LatencyHistogram queue, instance; /**< Wait before a run, and time at the instance. */
     std::uint64_t coldQuestions = 0;        /**< Whether the instance is cold. */
+    std::uint64_t crashQuestions = 0;       /**< Whether the instance has crashed. */
+    std::uint64_t crashes = 0;              /**< Of the instance, while something ran there. */
 };
 
 class LastHop : public std::enable_shared_from_this<LastHop>
@@ -158,6 +163,10 @@
     void refuseAll (const std::vector<CallId>& ids, mesh::HopCause cause);
     void onResult (CallId id, CallResult result);
     void learn (const CallResult& result);
+    void learnUnanswered (const Running& running);
+    void learnWhetherCrashed (const CallResult& result);
+    void checkForCrash();
+    void reportCrash();
     void learnFailure (mesh::HopOutcome outcome, const CallResult& result);
     void complete (CallId id, HopAnswer answer);
     mesh::HopReport report (mesh::HopOutcome outcome, mesh::HopCause cause) const;
@@ -178,6 +187,8 @@
     mesh::AdmissionQueue queue;
     mesh::LocalInstance instance;
     mesh::ColdStart coldStart;
+    mesh::CrashWatch crashes;
+    bool crashCheckArmed = false, crashReportArmed = false;
     std::unordered_map<CallId, Running> calls;
     LastHopCounters counts;
     CallId lastId = 0;
--- /dev/null
+++ b/src/sidecar/last_hop_crash.cc
@@ -0,0 +1,106 @@
+/** What the last hop learns of crashes of its instance, and whom it tells what ran there. */
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
+#include <algorithm>
+
+#include "sidecar/last_hop.h"
+#include "sidecar/messages.h"
+
+namespace copperlead::sidecar
+{
+namespace
+{
+
+// After a lost answer; by then a busy instance that lives has answered something else.
+constexpr Milliseconds crashCheckDelay{ 100 };
+
+// All connections of an instance end with it, but are handled one after the other.
+constexpr Milliseconds crashReportDelay{ 5 };
+
+constexpr std::size_t mostDigestsInLog = 8;
+
+std::string textOf (const std::vector<mesh::RequestDigest>& requests)
+{
+    std::vector<std::string> shown;
+
+    for (std::size_t i = 0; i < std::min (requests.size(), mostDigestsInLog); ++i)
+        shown.push_back (toText (requests[i]));
+
+    return fmt::format ("{}", fmt::join (shown, " "));
+}
+
+} // namespace
+
+mesh::RequestDigest digestOf (const HopCall& call)
+{
+    return mesh::digestOf ({ call.method, onlyValue (call.fields, "Host"), call.target,
+                             call.facts.tenant, call.body });
+}
+
+void LastHop::learnUnanswered (const Running& running)
+{
+    crashes.unanswered (SteadyClock().Now(), running.startedAt, digestOf (running.call));
+
+    if (! std::exchange (crashCheckArmed, true))
+        reactor->RunAt (SteadyClock().Now() + crashCheckDelay,
+                        [weak = weak_from_this()]
+                        {
+                            if (const auto self = weak.lock())
+                                self->checkForCrash();
+                        });
+}
+
+void LastHop::checkForCrash()
+{
+    crashCheckArmed = false;
+
+    if (! crashes.wondering() || ! health->mayAsk())
+        return;
+
+    ++counts.crashQuestions;
+    probe();
+}
+
+void LastHop::learnWhetherCrashed (const CallResult& result)
+{
+    const auto now = SteadyClock().Now();
+
+    if (result.end == CallEnd::answered)
+    {
+        reportCrash();
+        crashes.answered (now - result.took);
+    }
+
+    // An instance that leaves ends as planned.
+    if (! result.refused || instance.leaving())
+        return;
+
+    crashes.gone (now);
+
+    if (! std::exchange (crashReportArmed, true))
+        reactor->RunAt (now + crashReportDelay,
+                        [weak = weak_from_this()]
+                        {
+                            if (const auto self = weak.lock())
+                                self->reportCrash();
+                        });
+}
+
+void LastHop::reportCrash()
+{
+    crashReportArmed = false;
+    const auto report = crashes.takeReport();
+
+    if (! report)
+        return;
+
+    counts.crashes = crashes.count();
+    log->write (SteadyClock().Now(), EventKind::instanceCrashed,
+                { { "instance", instance.id() },
+                  { "crash", fmt::format ("{:016x}", report->crash) },
+                  { "runs", static_cast<std::int64_t> (report->requests.size()) },
+                  { "requests", textOf (report->requests) } });
+}
+
+} // namespace copperlead::sidecar
--- a/src/sidecar/last_hop_instance.cc
+++ b/src/sidecar/last_hop_instance.cc
@@ -28,6 +28,7 @@
     const auto now = SteadyClock().Now();
     const auto before = instance.id();
     const auto lostFor = instance.lostFor (now);
+    learnWhetherCrashed (result);
 
     if (result.end != CallEnd::answered && result.end != CallEnd::broken)
     {
@@ -59,6 +60,12 @@
                   { "before", before },
                   { "by", nameOf (by, mesh::identitySourceNames) } });
 
+    if (! instance.leaving())
+        crashes.gone (now);
+
+    reportCrash();
+    crashes.restarted (now);
+
     // What was sent by the former's name is turned away by this one. When there was no former one,
     // this process has just started, and its forerunner may have sent something.
     if (! before.empty())
--- a/src/standin/instance.cc
+++ b/src/standin/instance.cc
@@ -90,6 +90,41 @@
   fault_ = fault;
 }
 
+void Instance::SetCrash(const InstanceCrash& crash) {
+  const std::lock_guard lock(mutex_);
+  crash_ = crash;
+}
+
+std::string Instance::id() const {
+  const std::lock_guard lock(mutex_);
+  return settings_.id;
+}
+
+std::vector<std::chrono::steady_clock::time_point> Instance::crashes() const {
+  const std::lock_guard lock(mutex_);
+  return crashes_;
+}
+
+void Instance::Crash() {
+  const std::lock_guard lock(mutex_);
+  crashes_.push_back(std::chrono::steady_clock::now());
+  if (!crash_.keeps_id) settings_.id += "+";
+  for (const int socket : open_) shutdown(socket, SHUT_RDWR);
+  shutdown(listener_, SHUT_RDWR);
+  changed_.notify_all();
+}
+
+bool Instance::AwaitRestart() {
+  std::unique_lock lock(mutex_);
+  const auto crashed = !crashes_.empty();
+  if (crashed) changed_.wait_until(lock, crashes_.back() + crash_.down, [&] { return stopping_; });
+  if (!crashed || stopping_) return false;
+  // A port that the system chose goes with the listening.
+  const SystemAddress native = ToSystem(address_);
+  bind(listener_, native.get(), native.length);
+  return listen(listener_, kBacklog) == 0;
+}
+
 void Instance::SetWork(std::chrono::milliseconds work) {
   const std::lock_guard lock(mutex_);
   settings_.work = work;
@@ -152,7 +187,10 @@
 void Instance::Accept() {
   for (;;) {
     const int socket = accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
-    if (socket < 0) return;
+    if (socket < 0) {
+      if (AwaitRestart()) continue;
+      return;
+    }
     const std::lock_guard lock(mutex_);
     if (stopping_) {
       close(socket);
@@ -231,8 +269,9 @@
   return text + "\r\n" + body;
 }
 
-bool Instance::Work(int socket, std::size_t run) {
+bool Instance::Work(int socket, std::size_t run, std::chrono::milliseconds work) {
   std::unique_lock lock(mutex_);
+  const std::size_t crashes = crashes_.size();
   ++waiting_;
   most_at_once_ = std::max(most_at_once_, running_ + waiting_);
   changed_.wait(lock, [&] { return stopping_ || running_ < settings_.slots; });
@@ -240,16 +279,17 @@
   ++running_;
   runs_[run].ran = true;
   runs_[run].ran_at = std::chrono::steady_clock::now();
-  const auto until = std::chrono::steady_clock::now() + settings_.work;
+  const auto until = std::chrono::steady_clock::now() + work;
   bool here = true;
-  while (!stopping_ && here && std::chrono::steady_clock::now() < until) {
+  while (!stopping_ && here && crashes == crashes_.size() &&
+         std::chrono::steady_clock::now() < until) {
     changed_.wait_for(lock, kPeerCheckInterval);
     here = !IsPeerGone(socket);
   }
   runs_[run].broken_off = !here;
   --running_;
   changed_.notify_all();
-  return here && !stopping_;
+  return here && !stopping_ && crashes == crashes_.size();
 }
 
 bool Instance::Handle(int socket, const Message& message) {
@@ -260,8 +300,12 @@
   const std::string expected = FirstValue(fields, "X-Expect-Instance");
   bool other = false;
   bool full = false;
+  bool crashes = false;
+  std::chrono::milliseconds work{};
   {
     const std::lock_guard lock(mutex_);
+    crashes = message.head.target == crash_.target;
+    work = crashes ? crash_.after : settings_.work;
     other = !expected.empty() && expected != settings_.id;
     full = waiting_ >= settings_.queue;
   }
@@ -272,7 +316,11 @@
   if (full || trouble == InstanceTrouble::kShed) {
     return SendAll(socket, Answer(503, id, "", false, true));
   }
-  if (!Work(socket, run)) return false;
+  if (!Work(socket, run, work)) return false;
+  if (crashes) {
+    Crash();
+    return false;
+  }
   const std::string body = "answer to " + id;
   const std::string whole = Answer(200, id, body, true, true);
   switch (trouble) {
--- a/src/standin/instance.h
+++ b/src/standin/instance.h
@@ -47,6 +47,15 @@
   std::uint64_t times = UINT64_MAX;  // Requests that it applies to.
 };
 
+// A request that ends the instance which runs it: every connection ends, nothing listens for a
+// while, then it starts again at its address.
+struct InstanceCrash {
+  std::string target;                   // Of the request; empty: none does.
+  std::chrono::milliseconds after{40};  // Since the request's run began.
+  std::chrono::milliseconds down{2000};
+  bool keeps_id = false;  // It starts again under the id that it had.
+};
+
 // A request that came, and what was done with it.
 struct InstanceRun {
   std::string request_id;
@@ -78,10 +87,14 @@
   void Stop();
 
   void SetFault(const InstanceFault& fault);
+  void SetCrash(const InstanceCrash& crash);
   void SetWork(std::chrono::milliseconds work);
   // Another incarnation has the address from now on.
   void SetId(const std::string& id);
 
+  std::string id() const;
+  // When it crashed.
+  std::vector<std::chrono::steady_clock::time_point> crashes() const;
   std::vector<InstanceRun> runs() const;
   // How often a request was run.
   int RunsOf(const std::string& request_id) const;
@@ -97,12 +110,15 @@
   struct Message;
 
   void Accept();
+  // After a crash. @return false when the instance is stopped instead
+  bool AwaitRestart();
+  void Crash();
   void Serve(int socket);
   // @return false when the connection ends.
   bool Handle(int socket, const Message& message);
   InstanceTrouble TakeTrouble();
   // Takes a slot and works. @return false when the connection ended meanwhile.
-  bool Work(int socket, std::size_t run);
+  bool Work(int socket, std::size_t run, std::chrono::milliseconds work);
   std::string Answer(int status, const std::string& id, const std::string& body, bool is_signed,
                      bool framed);
   std::size_t AddRun(const Message& message);
@@ -114,6 +130,8 @@
   std::condition_variable changed_;
   InstanceSettings settings_;  // Guarded by mutex_, as all below.
   InstanceFault fault_;
+  InstanceCrash crash_;
+  std::vector<std::chrono::steady_clock::time_point> crashes_;
   std::vector<InstanceRun> runs_;
   std::uint32_t running_ = 0;
   std::uint32_t waiting_ = 0;
