A request under which two instances crashed is held by all nodes

Cause: nothing that a node learned of a request outlived the attempt. A crash looked like a lost answer, so the request was retried elsewhere, and the client's next attempt was a new request to everybody. Class: knowledge about a request, kept by nobody. Ruled out: load (one digest stood in all crashes), our retries alone (they only double what comes again). Change: the node beside a crashed instance tells all nodes, by datagrams, digests of what ran there; each node counts crashes by digest, holds what stands in two, and refuses it at once at both hops (503, true: this attempt reached nobody, Retry-After: the hold's end). Any answer clears it. The hold is a minute and grows eightfold with each further crash; what is held is told again each second to two nodes at random, so that nodes that start or were cut off learn it.

--- a/src/mesh/hop_header.h
+++ b/src/mesh/hop_header.h
@@ -66,13 +66,15 @@
     nodeStopping,
     linkFull,     /**< Its body can't be expected to arrive in time over the node's link. */
     instanceCold, /**< As queueFull, at an instance that is cold. */
-    zoneEvacuated
+    zoneEvacuated,
+    crashSuspect /**< Instances crashed while this request ran there; see CrashLedger. */
 };
 
 inline constexpr std::string_view hopCauseNames[] = {
     "none",          "queue_full",    "expired",           "instance_leaving", "instance_unknown",
     "instance_down", "other_service", "instance_rejected", "other_instance",   "answer_lost",
-    "answer_broken", "node_stopping", "link_full",         "instance_cold",    "zone_evacuated"
+    "answer_broken", "node_stopping", "link_full",         "instance_cold",    "zone_evacuated",
+    "crash_suspect"
 };
 
 /** True when a request was turned away since more was asked than there was room for. */
--- a/src/mesh/retry_decision.h
+++ b/src/mesh/retry_decision.h
@@ -36,6 +36,7 @@
     int notOffered = 0;      /**< Attempts that no instance saw. */
     Duration timeLeft{};     /**< Until its deadline. */
     Duration usualRun{};     /**< Of its route. */
+    bool isHeld = false;     /**< No instance is to get it any more. */
     bool mayHaveRun = false; /**< An earlier attempt's outcome is unknown, or it failed. */
 };
 
--- a/src/sidecar/active_request.cc
+++ b/src/sidecar/active_request.cc
@@ -148,8 +148,23 @@
     finish (withoutRetry (facts(), lastOutcome), lastAnswer);
 }
 
+void ActiveRequest::endHeld()
+{
+    // Another attempt may still bring the answer.
+    if (activeCount() > 0)
+        return;
+
+    lastAnswer.report.cause = mesh::HopCause::crashSuspect;
+    finish (withoutRetry (facts(), lastOutcome), lastAnswer);
+}
+
 void ActiveRequest::launch (const mesh::Choice& choice)
 {
+    // What an earlier attempt, or another node, has learned meanwhile: without this each attempt of
+    // a client would crash as many instances as it may have retries.
+    if (hop->guard->holdOf (identityOf (*exchange, tenant)))
+        return endHeld();
+
     const auto index = attempts.size();
     auto& attempt = attempts.emplace_back();
     attempt.choice = choice;
@@ -292,7 +307,9 @@
     if (outcome != AttemptOutcome::notOffered)
         ++arrivals;
 
-    const auto step = decideNextStep (facts(), outcome);
+    auto known = facts();
+    known.isHeld = answer.report.cause == mesh::HopCause::crashSuspect;
+    const auto step = decideNextStep (known, outcome);
 
     if (step != NextStep::passOn || outcome != AttemptOutcome::answered)
         logAttempt (attempts[index], answer, outcome, step);
--- a/src/sidecar/active_request.h
+++ b/src/sidecar/active_request.h
@@ -42,6 +42,7 @@
     mesh::LoadQuery loadQuery() const;
     void onFound (const Found& found);
     void launch (const mesh::Choice& choice);
+    void endHeld();
     HopCall makeCall (const mesh::Choice& choice) const;
     void send (std::size_t index, HopCall call);
     void onDelivery (std::size_t index, HopDelivery delivery, const HopAnswer& answer);
--- a/src/sidecar/active_request_end.cc
+++ b/src/sidecar/active_request_end.cc
@@ -133,7 +133,12 @@
 
     const auto cause = why == HopCause::none ? noInstanceCause : nameOf (why, mesh::hopCauseNames);
     const auto spread = std::uniform_real_distribution<double> (0, 1) (hop->random);
-    const auto comeBack = mesh::retryAfter (why, clientLeaves - now(), spread);
+    const auto hold = hop->guard->holdOf (identityOf (*exchange, tenant));
+    const auto comeBack = hold ? hold->left : mesh::retryAfter (why, clientLeaves - now(), spread);
+
+    if (why == HopCause::crashSuspect)
+        hop->guard->countRefusal();
+
     hop->answerOwn (exchange, 503, cause, comeBack);
     ++hop->counts.refused;
     logEnd (EventKind::requestRefused, 503, cause, comeBack);
--- a/src/sidecar/first_hop.cc
+++ b/src/sidecar/first_hop.cc
@@ -5,19 +5,28 @@
 #include <algorithm>
 
 #include "mesh/avoidance.h"
+#include "mesh/enum_names.h"
 #include "sidecar/active_request.h"
 #include "sidecar/messages.h"
 
 namespace copperlead::sidecar
 {
 
+mesh::RequestIdentity identityOf (const Exchange& exchange, const mesh::Tenant* tenant)
+{
+    return { exchange.head.method, onlyValue (exchange.head.fields, "Host"), exchange.head.target,
+             tenant == nullptr ? std::string_view() : std::string_view (tenant->name),
+             exchange.body };
+}
+
 FirstHop::FirstHop (std::shared_ptr<Reactor> reactorToUse, FirstHopSettings settingsToUse,
-                    std::shared_ptr<LastHop> lastHopToUse, std::shared_ptr<DecisionLog> logToUse,
-                    std::uint64_t seed)
+                    std::shared_ptr<LastHop> lastHopToUse, std::shared_ptr<CrashGuard> guardToUse,
+                    std::shared_ptr<DecisionLog> logToUse, std::uint64_t seed)
     : reactor (std::move (reactorToUse))
     , settings (std::move (settingsToUse))
     , log (std::move (logToUse))
     , lastHop (std::move (lastHopToUse))
+    , guard (std::move (guardToUse))
     , caller (reactor, lastHop, settings.ownIp, settings.peerPort)
     , chooser ({ settings.locality }, seed)
     , quotas (settings.quotas, { settings.ownIp, settings.zone }, seed, quotaHooks())
@@ -46,16 +55,28 @@
     queries->takeOther = [weak] (const std::string& ip, std::string_view datagram)
     {
         const auto self = weak.lock();
-
-        if (self == nullptr || ! self->quotas.receive (SteadyClock().Now(), ip, datagram))
-            return false;
-
-        self->armQuotaTimer();
-        return true;
+        return self != nullptr && self->takeDatagram (ip, datagram);
+    };
+    guard->send = [weak] (const std::string& ip, const std::string& bytes)
+    {
+        if (const auto self = weak.lock())
+            self->queries->sendOther (ip, bytes);
     };
     return queries->start();
 }
 
+bool FirstHop::takeDatagram (const std::string& ip, std::string_view datagram)
+{
+    if (guard->receive (ip, datagram))
+        return true;
+
+    if (! quotas.receive (SteadyClock().Now(), ip, datagram))
+        return false;
+
+    armQuotaTimer();
+    return true;
+}
+
 void FirstHop::setRoutes (std::shared_ptr<const mesh::RouteTable> newRoutes)
 {
     routes = std::move (newRoutes);
@@ -84,6 +105,7 @@
     directory = std::move (newDirectory);
     chooser.forgetAllBut (*directory);
     quotas.setDirectory (*directory);
+    guard->setDirectory (*directory);
 }
 
 void FirstHop::setClosing (Timestamp end)
@@ -183,6 +205,22 @@
     answerOwn (exchange, status, cause, notReadyRetryAfter);
 }
 
+void FirstHop::refuseSuspect (const ExchangePointer& exchange, const mesh::Route& route,
+                              const mesh::Hold& hold)
+{
+    ++counts.refused;
+    guard->countRefusal();
+    log->write (SteadyClock().Now(), EventKind::suspectRefused,
+                { { "request", onlyValue (exchange->head.fields, settings.names.requestId) },
+                  { "route", route.name },
+                  { "digest", toText (hold.request) },
+                  { "crashes", std::int64_t (hold.crashes) },
+                  { "age_ms", static_cast<std::int64_t> (hold.age.count()) },
+                  { "retry_after_ms", static_cast<std::int64_t> (hold.left.count()) } });
+    answerOwn (exchange, 503, nameOf (mesh::HopCause::crashSuspect, mesh::hopCauseNames),
+               hold.left);
+}
+
 void FirstHop::take (const ExchangePointer& exchange)
 {
     ++counts.requests;
@@ -210,6 +248,9 @@
     if (checked.verdict != mesh::CredentialVerdict::accepted)
         return refuseCredential (exchange, *route, checked);
 
+    if (const auto hold = guard->holdOf (identityOf (*exchange, checked.tenant)))
+        return refuseSuspect (exchange, *route, *hold);
+
     admit (exchange, *route, checked.tenant);
 }
 
--- a/src/sidecar/first_hop.h
+++ b/src/sidecar/first_hop.h
@@ -58,12 +58,15 @@
 
 class ActiveRequest;
 
+/** What a client's request is told by. @param tenant  null: nobody's */
+mesh::RequestIdentity identityOf (const Exchange& exchange, const mesh::Tenant* tenant);
+
 class FirstHop : public std::enable_shared_from_this<FirstHop>
 {
 public:
     FirstHop (std::shared_ptr<Reactor> reactorToUse, FirstHopSettings settingsToUse,
-              std::shared_ptr<LastHop> lastHopToUse, std::shared_ptr<DecisionLog> logToUse,
-              std::uint64_t seed);
+              std::shared_ptr<LastHop> lastHopToUse, std::shared_ptr<CrashGuard> guardToUse,
+              std::shared_ptr<DecisionLog> logToUse, std::uint64_t seed);
 
     /** Binds the address for load queries. @returns kBadAddress or kAddressInUse naming it */
     Result<Done> start();
@@ -107,6 +110,7 @@
     static constexpr Milliseconds notReadyRetryAfter{ 200 };
 
     void hear (const mesh::LoadReply& reply);
+    bool takeDatagram (const std::string& ip, std::string_view datagram);
     mesh::TenantQuotaHooks quotaHooks();
     void armQuotaTimer();
     void giveBackQuota (const mesh::Tenant& tenant);
@@ -120,6 +124,10 @@
                           const mesh::Tenant& tenant, const std::string& keeper);
     Duration clientWaits (const Exchange& exchange) const;
 
+    /** Answers a request that no instance is to get any more. */
+    void refuseSuspect (const ExchangePointer& exchange, const mesh::Route& route,
+                        const mesh::Hold& hold);
+
     /** Answers a request that no route was found for, or none can be yet. */
     void refuse (const ExchangePointer& exchange, int status, std::string_view cause);
     void endAll();
@@ -138,6 +146,7 @@
     FirstHopSettings settings;
     std::shared_ptr<DecisionLog> log;
     std::shared_ptr<LastHop> lastHop;
+    std::shared_ptr<CrashGuard> guard;
     HopCaller caller;
     mesh::InstanceChooser chooser;
     std::shared_ptr<LoadQueries> queries; /**< Null without an address for them. */
--- a/src/sidecar/last_hop.cc
+++ b/src/sidecar/last_hop.cc
@@ -163,6 +163,12 @@
         return id;
     }
 
+    if (isHeld (running.call))
+    {
+        refuse (id, HopCause::crashSuspect);
+        return id;
+    }
+
     const auto& facts = running.call.facts;
     const auto transfer = mesh::fromMilliseconds (transferMs (facts.route, running.call.overLink));
     const auto decision =
@@ -270,7 +276,7 @@
 void LastHop::run (CallId id, Timestamp now)
 {
     // On a machine that is short of processor time the caller's leaving may wait to be handled.
-    if (dropAbandoned (id))
+    if (dropAbandoned (id) || dropHeld (id))
         return;
 
     auto& running = calls.at (id);
@@ -328,6 +334,9 @@
 
     if (ran)
     {
+        if (guard != nullptr)
+            guard->answered (identityOf (found->second.call));
+
         learnSize (found->second.call.facts.route, result.body.size());
         answer.status = result.head.status;
         answer.reason = std::move (result.head.reason);
@@ -385,7 +394,8 @@
 
     // What is broken off at an instance may still crash it.
     if (started)
-        crashes.unanswered (SteadyClock().Now(), running.startedAt, digestOf (running.call));
+        crashes.unanswered (SteadyClock().Now(), running.startedAt,
+                            mesh::digestOf (identityOf (running.call)));
 
     const auto http = running.http;
     queue.cancel (id);
--- a/src/sidecar/last_hop.h
+++ b/src/sidecar/last_hop.h
@@ -18,6 +18,7 @@
 #include "mesh/latency_histogram.h"
 #include "mesh/load_query.h"
 #include "mesh/local_instance.h"
+#include "sidecar/crash_guard.h"
 #include "sidecar/decision_log.h"
 #include "sidecar/earliest_timer.h"
 #include "sidecar/header_names.h"
@@ -38,7 +39,7 @@
     bool overLink = false;           /**< Its answer goes to another node. */
 };
 
-mesh::RequestDigest digestOf (const HopCall& call);
+mesh::RequestIdentity identityOf (const HopCall& call);
 
 /** What came of it; everything but the report is empty unless the instance answered. */
 struct HopAnswer
@@ -112,6 +113,9 @@
     void setDirectory (Timestamp now, const mesh::DirectorySnapshot& directory);
     void setServiceSettings (const mesh::ServiceSettings& service);
     void setService (std::string service);
+
+    /** Told of crashes, and asked what not to run; without one everything is run. */
+    void setCrashGuard (std::shared_ptr<CrashGuard> newGuard) { guard = std::move (newGuard); }
     void setConfigurationVersion (std::uint64_t version) { configurationVersion = version; }
 
     /** Refuses from now on what can't be expected to end before `end`. */
@@ -151,6 +155,8 @@
     mesh::HopCause refusalOf (const std::string& service, double usualRunMs) const;
     void run (CallId id, Timestamp now);
     bool dropAbandoned (CallId id);
+    bool dropHeld (CallId id);
+    bool isHeld (const HopCall& call) const;
     void pump();
     void armTimer();
     void takeIdentity (Timestamp now, mesh::IdentitySource by, const std::string& before);
@@ -188,6 +194,7 @@
     mesh::LocalInstance instance;
     mesh::ColdStart coldStart;
     mesh::CrashWatch crashes;
+    std::shared_ptr<CrashGuard> guard; /**< Null: nothing is held. */
     bool crashCheckArmed = false, crashReportArmed = false;
     std::unordered_map<CallId, Running> calls;
     LastHopCounters counts;
--- a/src/sidecar/last_hop_crash.cc
+++ b/src/sidecar/last_hop_crash.cc
@@ -32,15 +32,32 @@
 
 } // namespace
 
-mesh::RequestDigest digestOf (const HopCall& call)
+mesh::RequestIdentity identityOf (const HopCall& call)
 {
-    return mesh::digestOf ({ call.method, onlyValue (call.fields, "Host"), call.target,
-                             call.facts.tenant, call.body });
+    return { call.method, onlyValue (call.fields, "Host"), call.target, call.facts.tenant,
+             call.body };
+}
+
+bool LastHop::isHeld (const HopCall& call) const
+{
+    return guard != nullptr && guard->holdOf (identityOf (call));
+}
+
+bool LastHop::dropHeld (CallId id)
+{
+    if (! isHeld (calls.at (id).call))
+        return false;
+
+    // It waited in the queue while an instance elsewhere crashed under its like.
+    queue.cancel (id);
+    refuse (id, mesh::HopCause::crashSuspect);
+    return true;
 }
 
 void LastHop::learnUnanswered (const Running& running)
 {
-    crashes.unanswered (SteadyClock().Now(), running.startedAt, digestOf (running.call));
+    crashes.unanswered (SteadyClock().Now(), running.startedAt,
+                        mesh::digestOf (identityOf (running.call)));
 
     if (! std::exchange (crashCheckArmed, true))
         reactor->RunAt (SteadyClock().Now() + crashCheckDelay,
@@ -101,6 +118,9 @@
                   { "crash", fmt::format ("{:016x}", report->crash) },
                   { "runs", static_cast<std::int64_t> (report->requests.size()) },
                   { "requests", textOf (report->requests) } });
+
+    if (guard != nullptr)
+        guard->crashed (*report);
 }
 
 } // namespace copperlead::sidecar
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -48,6 +48,8 @@
     , log (std::move (logToUse))
     , settingsFile (settings.file)
 {
+    crashGuard =
+        std::make_shared<CrashGuard> (reactor, settings.crashes, settings.instance.ip, log);
     lastHop = std::make_shared<LastHop> (
         reactor,
         LastHopSettings{ settings.names, settings.instance, settings.service, settings.zone,
@@ -59,8 +61,9 @@
     lastHop->answerMs = [pacer = link] (double bytes) { return pacer->expectedMs (bytes); };
     lastHop->bodyMs = [admission = bodies] { return admission->expectedMs(); };
     peerEndpoint = std::make_shared<PeerEndpoint> (settings.names, lastHop, bodies, log, state);
-    firstHop = std::make_shared<FirstHop> (reactor, firstHopSettings (settings), lastHop, log,
-                                           seedFrom (settings.id));
+    lastHop->setCrashGuard (crashGuard);
+    firstHop = std::make_shared<FirstHop> (reactor, firstHopSettings (settings), lastHop,
+                                           crashGuard, log, seedFrom (settings.id));
 }
 
 Sidecar::~Sidecar() = default;
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -103,6 +103,7 @@
     std::shared_ptr<Reactor> reactor;
     std::shared_ptr<DecisionLog> log;
     mesh::MeshState state;
+    std::shared_ptr<CrashGuard> crashGuard;
     std::shared_ptr<LastHop> lastHop;
     std::shared_ptr<BodyAdmission> bodies;
     std::shared_ptr<LinkPacer> link;
--- a/src/sidecar/sidecar_metrics.cc
+++ b/src/sidecar/sidecar_metrics.cc
@@ -161,6 +161,29 @@
                         "Time until a connection is open", figures.toInstance.connect);
 }
 
+void addCrashes (Families& families, const SidecarFigures& figures)
+{
+    const auto& guard = figures.crashGuard;
+    families.counter ("copperlead_instance_crashes_total",
+                      "Crashes of the instance beside this node while something ran there",
+                      figures.last.crashes);
+    families.counter ("copperlead_instance_crash_questions_total",
+                      "Times that it was asked, after a lost answer, whether it lives",
+                      figures.last.crashQuestions);
+    families.gauge ("copperlead_crash_suspects", "Requests known that ran in a crash",
+                    static_cast<double> (figures.crashSuspects));
+    families.counter ("copperlead_crash_suspects_held_total",
+                      "Requests that no instance was to get any more", guard.held);
+    families.counter ("copperlead_crash_suspects_cleared_total",
+                      "Held requests that ended with an answer after all", guard.cleared);
+    families.counter ("copperlead_crash_suspects_refused_total",
+                      "Arrivals of held requests, answered at once", guard.refused);
+    families.counter ("copperlead_crash_news_sent_total", "Datagrams about suspects to others",
+                      guard.told);
+    families.counter ("copperlead_crash_news_taken_total", "Datagrams about suspects of others",
+                      guard.heard);
+}
+
 void addSearches (Families& families, const SidecarFigures& figures)
 {
     families.counters ("copperlead_searches_ended_total",
@@ -294,6 +317,7 @@
     addRequests (families, figures);
     addInstance (families, figures);
     addBodies (families, figures);
+    addCrashes (families, figures);
     addSearches (families, figures);
     addTenants (families, figures);
     addLink (families, figures);
--- a/src/sidecar/sidecar_metrics.h
+++ b/src/sidecar/sidecar_metrics.h
@@ -33,6 +33,8 @@
     BodyCounters bodies;
     SearchCounters searches;
     LoadQueryCounters queries;
+    CrashGuardCounters crashGuard;
+    std::uint64_t crashSuspects = 0;
     mesh::TenantQuotaCounters quotas;
     mesh::QuotaKeeperCounters keeper;
     std::vector<mesh::TenantUse> tenants; /**< The busiest; the others together without a name. */
--- a/src/sidecar/sidecar_servers.cc
+++ b/src/sidecar/sidecar_servers.cc
@@ -101,6 +101,8 @@
     shown.bodies = bodies->counters();
     shown.searches = firstHop->searchCounters();
     shown.queries = firstHop->queryCounters();
+    shown.crashGuard = crashGuard->counters();
+    shown.crashSuspects = crashGuard->suspects();
     shown.quotas = firstHop->tenantQuotas().counters();
     shown.keeper = firstHop->tenantQuotas().keeperCounters();
     shown.tenants = firstHop->tenantQuotas().uses (mostTenantsShown);
--- a/src/sidecar/sidecar_settings.cc
+++ b/src/sidecar/sidecar_settings.cc
@@ -66,6 +66,8 @@
         ("zone-regions", text()->default_value (""), "the mesh's zones and their regions, as ZONE=REGION joined by commas; empty: one region")
         ("revoke-within-ms", text()->default_value (""), "after which, without a word of the source, a key may have been taken away, 100 to 600000; empty: 5000")
         ("revoke-fail-closed", text()->default_value (""), "true: keys aren't accepted after that; false or empty: they still are")
+        ("crash-limit", text()->default_value (""), "crashes of instances under a request from which no instance gets it for a while, 0 to 8; 0: it is always sent on; empty: 2")
+        ("crash-hold-s", text()->default_value (""), "seconds for which no instance gets it at first, 1 to 86400; empty: 60")
         ("quota-window-s", text()->default_value (""), "the window in which a tenant's quota holds, 1 to 3600; empty: 5")
         ("quota-over", text()->default_value (""), "by how much of it a quota may be exceeded over all nodes, 0 to 10; empty: 0.25")
         ("quota-slack", text()->default_value (""), "requests beyond that, 0 to 1000000; empty: 20");
@@ -202,6 +204,16 @@
         static_cast<std::int64_t> (std::clamp (share * boundMs, shortestMs, longestMs)));
 }
 
+Result<Done> readCrashLimits (const Values& values, mesh::CrashLimits& limits)
+{
+    BOOST_LEAF_AUTO (most, values.number ("crash-limit", 0, 8, limits.most));
+    BOOST_LEAF_AUTO (
+        hold, values.number ("crash-hold-s", 1, 86'400, mesh::toMilliseconds (limits.hold) / 1000));
+    limits.most = static_cast<int> (most);
+    limits.hold = mesh::fromSeconds (hold);
+    return Done{};
+}
+
 Result<Done> readFigures (const Values& values, SidecarSettings& settings)
 {
     BOOST_LEAF_AUTO (grace, values.number ("grace-s", 1, 3600, 6));
@@ -271,6 +283,7 @@
     BOOST_LEAF_ASSIGN (settings.extraSlots, values.whole ("extra-slots", 0, mostExtraSlots));
     BOOST_LEAF_CHECK (readFigures (values, settings));
     BOOST_LEAF_CHECK (readTenancy (values, settings));
+    BOOST_LEAF_CHECK (readCrashLimits (values, settings.crashes));
 
     if (! values.text ("relay").empty())
     {
--- a/src/sidecar/sidecar_settings.h
+++ b/src/sidecar/sidecar_settings.h
@@ -9,6 +9,7 @@
 #include "base/result.h"
 #include "base/time.h"
 #include "mesh/cold_start.h"
+#include "mesh/crash_ledger.h"
 #include "mesh/credential_check.h"
 #include "mesh/quota_bounds.h"
 #include "sidecar/header_names.h"
@@ -41,6 +42,7 @@
     mesh::ColdBounds coldBounds;
     mesh::CredentialSettings credentials;
     mesh::QuotaBounds quotas;
+    mesh::CrashLimits crashes;
     std::map<std::string, std::string> zoneRegions; /**< Empty: one region. */
 };
 
--- a/tests/mesh_integration/crashing_request_test.cc
+++ b/tests/mesh_integration/crashing_request_test.cc
@@ -4,8 +4,9 @@
 // connection end, took that for a lost answer and sent the request to a second instance, which
 // ended as well; all that ran beside it failed with it. In the logs each pair had the same shape:
 //
-//   attempt_ended request=a10b77a0 instance=i-8df9 outcome=unknown cause=answer_lost next=spend_retry
-//   attempt_ended request=a10b77a0 instance=i-021c outcome=unknown cause=answer_lost next=give_up
+//   attempt_ended request=a10b77a0 instance=i-8df9 outcome=unknown cause=answer_lost
+//   next=spend_retry attempt_ended request=a10b77a0 instance=i-021c outcome=unknown
+//   cause=answer_lost next=give_up
 //
 // What settled it were the digests of what ran in each crash (instance_crashed): in a run of this
 // test one digest stood in all of 30 crashes, 18 others in one each. Six instances for 12 s, before
@@ -152,6 +153,8 @@
 
   const auto crashes = Crashes();
   RecordProperty("crashes", static_cast<int>(crashes.size()));
+  RecordProperty("sent", sent);
+  RecordProperty("served", served);
   ASSERT_FALSE(crashes.empty());
   if (crashes.size() >= 3) {
     EXPECT_LE(ArrivalsAfter(crashes[2] + kConnected), kMostLater) << crashes.size() << " crashes";
@@ -162,6 +165,43 @@
   EXPECT_GE(served, sent * 9 / 10) << served << " of " << sent;
 }
 
+// A lost answer is no crash: what is sent again and again to instances that live is always offered.
+TEST_P(CrashingRequest, IsNotToldByLostAnswers) {
+  for (auto& machine : fleet_.machines()) {
+    machine->instance->SetFault({InstanceTrouble::kLost, UINT64_MAX});
+  }
+  for (int sent = 0; sent < 20; ++sent) {
+    MeshRequest request;
+    request.path = "/look/lost";
+    request.id = "l-" + std::to_string(sent);
+    EXPECT_EQ(fleet_.Call(Machine(sent), request).status, 502);
+    EXPECT_GE(fleet_.RunsOf(request.id), 1);
+    std::this_thread::sleep_for(milliseconds(50));
+  }
+}
+
+// A node that started after all crashes, beside an instance of its own, doesn't send it there.
+TEST_P(CrashingRequest, IsKnownToANodeThatStartsLater) {
+  MeshRequest request;
+  request.path = kCrashing;
+  request.deadline_ms = "500";
+  for (int sent = 0; sent < 4; ++sent) {
+    request.id = "c-" + std::to_string(sent);
+    fleet_.Call(Machine(sent), request);
+  }
+  InstanceCrash crash;
+  crash.target = kCrashing;
+  MeshMachine& late = fleet_.Add("desk");
+  late.instance->SetCrash(crash);
+  fleet_.Start(late);
+  ASSERT_TRUE(fleet_.AwaitReady(late));
+  std::this_thread::sleep_for(kConnected);
+  request.id = "c-late";
+  EXPECT_EQ(fleet_.Call(late, request).status, 503);
+  EXPECT_TRUE(late.instance->crashes().empty());
+  EXPECT_EQ(fleet_.RunsOf("c-late"), 0);
+}
+
 INSTANTIATE_TEST_SUITE_P(Ids, CrashingRequest, ::testing::Bool(),
                          [](const auto& info) { return info.param ? "SameId" : "NewId"; });
 
