Two tests of keepers that don't know the limit that they keep, failing (known red)

Traced: the soak's limit is exceeded when the keeper's node has started again and has no configuration yet. Ruled out by the same traces: two keepers at once (2 to 4 requests of the window by stand-ins), nodes alone (5 to 9).

--- a/tests/mesh/tenant_quotas_test.cc
+++ b/tests/mesh/tenant_quotas_test.cc
@@ -40,6 +40,13 @@
 
     /** Starts a node, or starts it again: it knows nothing of what was before. */
     void start (int n)
+    {
+        startUnconfigured (n);
+        configure (n);
+    }
+
+    /** It knows who else there is, and not yet whose requests are limited. */
+    void startUnconfigured (int n)
     {
         TenantQuotaHooks hooks;
         hooks.send = [this, n] (const std::string& ip, const std::string& bytes)
@@ -47,7 +54,15 @@
         hooks.alone = [] (const QuotaSolitude&) {};
         nodes[n] = std::make_unique<TenantQuotas> (QuotaBounds{}, places[n], random(), hooks);
         nodes[n]->setDirectory (*directory());
-        nodes[n]->setRoutes (routes());
+    }
+
+    void configure (int n) { nodes[n]->setRoutes (routes()); }
+
+    /** It runs a version that knows nothing of the tenant. */
+    void configureWithoutTenant (int n)
+    {
+        nodes[n]->setRoutes (std::make_shared<const RouteTable> (
+            std::make_shared<const MeshConfiguration> (makeConfiguration (1))));
     }
 
     void kill (int n) { nodes[n].reset(); }
@@ -328,6 +343,33 @@
     }
 }
 
+/** A tenant at six times its limit ran 259 requests in a window of five seconds where 157 are
+    allowed, beside load. The keeper of its quota had been started again, had bound its socket and
+   had no configuration yet; it took that for a version without the limit and granted whatever was
+   asked: "unknown noroutes by 127.85.0.4: 162" of the 252 that passed in that window, 181 of 274
+   and 145 of 240 in two others. A busy machine only made the time until its configuration longer.
+*/
+TEST (TenantQuotas, KeepsWithinTheBoundWhileTheKeeperHasNoConfigurationYet)
+{
+    QuotaFleet fleet (9);
+    fleet.play (5000, hot);
+    fleet.startUnconfigured (fleet.keeper());
+    fleet.play (2000, hot);
+    fleet.configure (fleet.keeper());
+    fleet.play (6000, hot);
+    EXPECT_LE (fleet.most(), fleet.bound());
+}
+
+TEST (TenantQuotas, KeepsWithinTheBoundWhileTheKeeperRunsAVersionWithoutTheTenant)
+{
+    QuotaFleet fleet (10);
+    fleet.play (5000, hot);
+    fleet.configureWithoutTenant (fleet.keeper());
+    fleet.play (10'000, hot);
+    EXPECT_LE (fleet.most(), fleet.bound());
+    EXPECT_GE (fleet.most(), 0.9 * fleet.allowed());
+}
+
 TEST (TenantQuotas, ALowerLimitHoldsAWindowAfterItCame)
 {
     QuotaFleet fleet (7);
