A keeper that doesn't know a limit no longer grants whatever is asked

Cause: the node of a quota's keeper, started again, binds its socket before it has a configuration. It answered asks with all that was asked, as if its version lacked the limit, and pings as a keeper that lives. The same rule let a node with an older version, cut off for long, grant without bound. Change: without a configuration a node is silent as a keeper; an ask carries the limit as the asker knows it (8 bytes more), which holds where the keeper's version lacks it.

--- a/src/mesh/quota_message.cc
+++ b/src/mesh/quota_message.cc
@@ -12,12 +12,21 @@
 constexpr double mostPerSecond = 1e9;            // Likewise.
 constexpr std::uint32_t longestRetryMs = 60'000; // Likewise.
 
+bool isSane (const Quota& quota)
+{
+    return quota.requestsPerSecond > 0 && quota.requestsPerSecond <= mostPerSecond &&
+           quota.burst >= 0 && quota.burst <= mostPerSecond;
+}
+
 } // namespace
 
 template <typename Archive>
 void serialize (Archive& archive, QuotaAsk& ask)
 {
-    archive (ask.number, ask.tenant, ask.wanted, ask.returned);
+    auto perSecond = static_cast<float> (ask.quota.requestsPerSecond);
+    auto burst = static_cast<float> (ask.quota.burst);
+    archive (ask.number, ask.tenant, ask.wanted, ask.returned, perSecond, burst);
+    ask.quota = { perSecond, burst };
 }
 
 template <typename Archive>
@@ -40,7 +49,7 @@
 {
     auto ask = decodeDatagram<QuotaAsk> (askMark, bytes);
 
-    if (! ask || ask->wanted > mostTokens || ask->returned > mostTokens)
+    if (! ask || ask->wanted > mostTokens || ask->returned > mostTokens || ! isSane (ask->quota))
         return std::nullopt;
 
     return ask;
--- a/src/mesh/quota_message.h
+++ b/src/mesh/quota_message.h
@@ -9,6 +9,8 @@
 #include <string>
 #include <string_view>
 
+#include "mesh/tenant.h"
+
 namespace copperlead::mesh
 {
 
@@ -18,6 +20,7 @@
     std::string tenant;
     std::uint32_t wanted = 0;   /**< Requests. */
     std::uint32_t returned = 0; /**< Of an earlier grant, which won't be used. */
+    Quota quota{}; /**< As the asking node knows it, for a keeper whose version lacks it. */
 };
 
 struct QuotaGrant
--- a/src/mesh/tenant_quotas.cc
+++ b/src/mesh/tenant_quotas.cc
@@ -136,12 +136,18 @@
         return;
 
     const auto wanted = state.lease.wanted (now, state.waiting.size());
+    const auto* known = tenantNamed (tenant);
 
     if (wanted == 0)
         return;
 
+    // A version that came meanwhile took the limit away.
+    if (known == nullptr || ! known->quota.limits())
+        return passAll (now, state);
+
     state.asking = {};
     state.asking.wanted = wanted;
+    state.asking.quota = known->quota;
     state.asking.returned = state.lease.takeLapsed (now);
     askNext (now, tenant, state);
 }
@@ -166,8 +172,10 @@
     asking.number = ++lastNumber;
 
     if (ip == own.ip)
-        return onGrant (now, tenant,
-                        keep (now, { asking.number, tenant, asking.wanted, asking.returned }, ip));
+        return onGrant (
+            now, tenant,
+            keep (now, { asking.number, tenant, asking.wanted, asking.returned, asking.quota },
+                  ip));
 
     forgetOldAsks (now);
     sentAsks[asking.number] = { tenant, ip, {}, 0 };
@@ -185,7 +193,8 @@
     sent.sent = asking.sent;
     // Given back once, or a doubled datagram would give it back twice.
     const auto returned = std::exchange (asking.returned, 0);
-    hooks.send (asking.ip, encode (QuotaAsk{ asking.number, tenant, asking.wanted, returned }));
+    hooks.send (asking.ip,
+                encode (QuotaAsk{ asking.number, tenant, asking.wanted, returned, asking.quota }));
     asking.dueAt = now + answerTime.current();
     answersDue.emplace (asking.dueAt, tenant);
 }
@@ -288,6 +297,12 @@
     }
 }
 
+void TenantQuotas::passAll (Timestamp now, TenantState& state)
+{
+    for (const auto& each : std::exchange (state.waiting, {}))
+        pass (now, each, state, true, false);
+}
+
 void TenantQuotas::goAlone (Timestamp now, const std::string& tenant, TenantState& state)
 {
     state.asking.number = 0;
@@ -309,13 +324,12 @@
 
 QuotaGrant TenantQuotas::keep (Timestamp now, const QuotaAsk& ask, const std::string& ip)
 {
-    const auto* tenant = tenantNamed (ask.tenant);
-
-    // Another version runs here, which lacks the tenant or its limit: no reason to hold it up.
-    if (tenant == nullptr || ! tenant->quota.limits())
-        return { ask.number, ask.wanted, 0, {}, 0 };
-
-    auto grant = keeper.ask (now, *tenant, ask, ip);
+    const auto* known = tenantNamed (ask.tenant);
+    Tenant tenant;
+    tenant.name = ask.tenant;
+    // Another version may run here, which lacks the tenant or its limit; who asks knows it then.
+    tenant.quota = known != nullptr && known->quota.limits() ? known->quota : ask.quota;
+    auto grant = keeper.ask (now, tenant, ask, ip);
 
     // One that has just become a keeper has to know at once whom it reaches.
     if (pingAt == Timestamp::max())
@@ -353,6 +367,11 @@
 {
     if (const auto ask = decodeQuotaAsk (datagram))
     {
+        // A node that has just started doesn't know whose keeper it is, and mustn't be taken for a
+        // keeper that lives: it says nothing, so that another stands in.
+        if (routes == nullptr)
+            return true;
+
         keeper.heard (now, ip);
         hooks.send (ip, encode (keep (now, *ask, ip)));
         return true;
@@ -368,7 +387,7 @@
     {
         keeper.heard (now, ip);
 
-        if (! ping->isReply)
+        if (! ping->isReply && routes != nullptr)
             hooks.send (ip, encode (QuotaPing{ true }));
 
         return true;
--- a/src/mesh/tenant_quotas.h
+++ b/src/mesh/tenant_quotas.h
@@ -115,6 +115,7 @@
     {
         std::uint64_t number = 0; /**< 0: none is. */
         std::uint32_t wanted = 0, returned = 0;
+        Quota quota;
         std::string ip;
         int sent = 0;
         Timestamp dueAt{}; /**< When its answer is given up. */
@@ -153,6 +154,7 @@
     void giveUpAnswer (Timestamp now, const std::string& tenant);
     void takeGrant (Timestamp now, const std::string& ip, const QuotaGrant& grant);
     void onGrant (Timestamp now, const std::string& tenant, const QuotaGrant& grant);
+    void passAll (Timestamp now, TenantState& state);
     void passGranted (Timestamp now, TenantState& state, bool refuseOthers);
     void forgetOldAsks (Timestamp now);
     void goAlone (Timestamp now, const std::string& tenant, TenantState& state);
--- a/tests/mesh/quota_test.cc
+++ b/tests/mesh/quota_test.cc
@@ -299,21 +299,23 @@
 
 TEST (QuotaMessage, ComesBackAsItWasAndDamageIsRefused)
 {
-    const auto ask = decodeQuotaAsk (encode (QuotaAsk{ 5, "a", 7, 2 }));
+    const auto ask = decodeQuotaAsk (encode (QuotaAsk{ 5, "a", 7, 2, { 20, 10 } }));
     ASSERT_TRUE (ask);
     EXPECT_EQ (ask->tenant, "a");
     EXPECT_EQ (ask->wanted, 7U);
     EXPECT_EQ (ask->returned, 2U);
+    EXPECT_EQ (ask->quota, (Quota{ 20, 10 }));
     const auto grant = decodeQuotaGrant (encode (QuotaGrant{ 5, 7, 20, "10.0.0.1", 3.5 }));
     ASSERT_TRUE (grant);
     EXPECT_EQ (grant->keeper, "10.0.0.1");
     EXPECT_EQ (grant->alonePerSecond, 3.5);
     EXPECT_TRUE (decodeQuotaPing (encode (QuotaPing{ true }))->isReply);
 
-    const auto bytes = encode (QuotaAsk{ 5, "a", 7, 2 });
+    const auto bytes = encode (QuotaAsk{ 5, "a", 7, 2, { 20, 10 } });
     EXPECT_FALSE (decodeQuotaGrant (bytes));
     EXPECT_FALSE (decodeQuotaPing (bytes));
-    EXPECT_FALSE (decodeQuotaAsk (encode (QuotaAsk{ 5, "a", 2'000'000, 0 })));
+    EXPECT_FALSE (decodeQuotaAsk (encode (QuotaAsk{ 5, "a", 2'000'000, 0, { 20, 10 } })));
+    EXPECT_FALSE (decodeQuotaAsk (encode (QuotaAsk{ 5, "a", 7, 2, {} }))) << "asks without a limit";
     EXPECT_FALSE (decodeQuotaGrant (encode (QuotaGrant{ 5, 1, 0, "", -1 })));
 
     for (std::size_t length = 0; length < bytes.size(); ++length)
