An entry of another writer that can't be read costs nothing but itself

Cause: the dialect gave up a whole answer of the store at the first item whose value isn't base64 or whose fields have another type; the node counted the store as failing and asked again from the same revision for as long as the entry lay there. An entry that turned unreadable left the former instance in use, and an unknown state counted as ready. Change: items are decoded one by one; a faulty one is logged (entry_refused), counted, and takes the instance of its key out of use as if it were gone, until an entry that can be read follows. Missing fields, other types, fractions of counts and unknown states make an entry faulty; born is read.

--- a/src/mesh/instance_directory.h
+++ b/src/mesh/instance_directory.h
@@ -33,6 +33,7 @@
     int slots = 1;
     bool draining = false;
     std::uint64_t createdAt = 0; /**< The source's revision when the entry was created. */
+    std::uint64_t born = 0;      /**< Unix ms of this incarnation's start; 0: it doesn't tell. */
     Milliseconds coldFor{};      /**< As of the entry; unreadableColdTime when it can't be read. */
 };
 
--- a/src/mesh/mesh_update.cc
+++ b/src/mesh/mesh_update.cc
@@ -127,7 +127,7 @@
 {
     archive (instance.id, instance.service, instance.zone, instance.address.ip,
              instance.address.port, instance.slots, instance.draining, instance.createdAt,
-             instance.coldFor);
+             instance.born, instance.coldFor);
 }
 
 template <typename Archive>
--- a/src/mesh/source_follower.cc
+++ b/src/mesh/source_follower.cc
@@ -5,6 +5,18 @@
 
 namespace copperlead::mesh
 {
+namespace
+{
+
+/** Of the entries that have one: pages come in the order of their keys. */
+std::string lastKey (const std::vector<SourceEntry>& entries)
+{
+    const auto found = std::find_if (entries.rbegin(), entries.rend(),
+                                     [] (const auto& entry) { return ! entry.key.empty(); });
+    return found == entries.rend() ? std::string() : found->key;
+}
+
+} // namespace
 
 SourceFollower::SourceFollower (const FollowerSettings& settingsToUse, std::uint64_t seed)
     : settings (settingsToUse)
@@ -35,8 +47,8 @@
         return SourceRequest{ current, {}, at, wait, wait + settings.answerTime, false, cause };
     }
 
-    const auto after = pages.empty() ? std::string() : pages.back().key;
-    return SourceRequest{ current, after, 0, Milliseconds (0), settings.listTime, stale, cause };
+    return SourceRequest{ current,           lastKey (pages), 0,    Milliseconds (0),
+                          settings.listTime, stale,           cause };
 }
 
 SourceCallCause SourceFollower::causeOf (SourceCall call) const
--- a/src/mesh/source_follower.h
+++ b/src/mesh/source_follower.h
@@ -29,11 +29,12 @@
 /** An entry as it was written, or that it is gone. */
 struct SourceEntry
 {
-    std::string key;
+    std::string key; /**< Empty: that can't be read either. */
     std::string value;
     std::uint64_t revision = 0;
     std::uint64_t createdAt = 0;
     bool gone = false;
+    std::string fault{}; /**< Why it can't be read, in words; empty: it can. */
 };
 
 enum class SourceCall : std::uint8_t
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -214,6 +214,7 @@
 
 void Sidecar::refuseEntry (Timestamp at, const std::string& key, const Error& error)
 {
+    ++entriesRefused;
     log->write (at, EventKind::entryRefused,
                 { { "key", key }, { "place", error.place }, { "cause", error.cause } });
 }
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -114,6 +114,7 @@
     std::optional<mesh::StopPlan> stopPlan; /**< Once a stop has begun. */
     std::function<void()> onStopped;
     SettingsFile settingsFile;
+    std::uint64_t entriesRefused = 0;
     int ticks = 0;
 };
 
--- a/src/sidecar/sidecar_metrics.cc
+++ b/src/sidecar/sidecar_metrics.cc
@@ -281,6 +281,9 @@
                     figures.reading ? 1 : 0);
     families.counters ("copperlead_source_calls_total", "Calls to the source, by cause", "cause",
                        mesh::sourceCallCauseNames, figures.sourceCalls);
+    families.counter ("copperlead_source_entries_refused_total",
+                      "Entries that couldn't be read and name no instance to use",
+                      figures.entriesRefused);
 
     // An age of what has never been is left out, as is usual with Prometheus.
     if (figures.sourceWordAgeMs)
--- a/src/sidecar/sidecar_metrics.h
+++ b/src/sidecar/sidecar_metrics.h
@@ -44,6 +44,7 @@
     std::uint64_t inFlight = 0, running = 0, waiting = 0, connections = 0, bodiesWaiting = 0;
     std::uint64_t configurationVersion = 0, sourceRevision = 0, logLinesLeftOut = 0;
     mesh::SourceCallCounts sourceCalls{};
+    std::uint64_t entriesRefused = 0;
     bool ready = false, reading = false;
     double failureShare = 0; /**< Of the latest runs at the instance. */
     double coldMs = 0;       /**< For which the instance stays cold; 0 when it is warm. */
--- a/src/sidecar/sidecar_servers.cc
+++ b/src/sidecar/sidecar_servers.cc
@@ -113,6 +113,7 @@
     shown.configurationVersion = state.configurations().version();
     shown.sourceRevision = state.reached();
     shown.sourceCalls = source.calls;
+    shown.entriesRefused = entriesRefused;
     shown.logLinesLeftOut = log->leftOut();
     shown.ready = ready();
     shown.reading = relay == nullptr || relay->reading();
--- a/src/standin/store.cc
+++ b/src/standin/store.cc
@@ -43,11 +43,15 @@
   if (item.gone) {
     return {{"private_key", item.key}, {"revision", item.revision}, {"gone", true}};
   }
-  return {{"private_key", item.key},
-          {"value", Base64(item.value)},
-          {"revision", item.revision},
-          {"created_at", item.created_at},
-          {"lease", 0}};
+  nlohmann::json shown = {{"private_key", item.key},
+                          {"value", Base64(item.value)},
+                          {"revision", item.revision},
+                          {"created_at", item.created_at},
+                          {"lease", 0}};
+  if (!item.foreign_fields.empty()) {
+    shown.merge_patch(nlohmann::json::parse(item.foreign_fields));
+  }
+  return shown;
 }
 
 std::optional<StoreTrouble> TroubleNamed(const std::string& name) {
@@ -120,11 +124,21 @@
 }
 
 std::uint64_t Store::Put(const std::string& key, const std::string& value) {
+  return Write(key, value, "");
+}
+
+std::uint64_t Store::PutForeign(const std::string& key, const std::string& fields) {
+  return Write(key, "", fields);
+}
+
+std::uint64_t Store::Write(const std::string& key, const std::string& value,
+                           const std::string& foreign_fields) {
   const std::lock_guard lock(mutex_);
   Item& item = items_[key];
   if (item.created_at == 0) item.created_at = revision_ + 1;
   item.key = key;
   item.value = value;
+  item.foreign_fields = foreign_fields;
   item.revision = ++revision_;
   Record(item);
   return revision_;
@@ -133,7 +147,7 @@
 std::uint64_t Store::Remove(const std::string& key) {
   const std::lock_guard lock(mutex_);
   if (items_.erase(key) == 0) return revision_;
-  Record({key, "", ++revision_, 0, true});
+  Record({key, "", ++revision_, 0, true, ""});
   return revision_;
 }
 
--- a/src/standin/store.h
+++ b/src/standin/store.h
@@ -46,6 +46,9 @@
 
   // @return the revision of the change.
   std::uint64_t Put(const std::string& key, const std::string& value);
+  // Another writer's item. @param fields  JSON object of what stands in the item in place of the
+  // usual; null takes a field away
+  std::uint64_t PutForeign(const std::string& key, const std::string& fields);
   std::uint64_t Remove(const std::string& key);
   void SetFault(std::size_t listener, const StoreFault& fault);
   // Forgets the history: watches from earlier revisions get 410, those that wait are cut.
@@ -65,6 +68,7 @@
     std::uint64_t revision = 0;
     std::uint64_t created_at = 0;
     bool gone = false;
+    std::string foreign_fields{};  // JSON; empty: the item is as usual.
   };
 
   // Applies the listener's fault. @return false when the request needs no further answer.
@@ -73,6 +77,8 @@
   void Range(const httplib::Request& request, httplib::Response& response);
   void Key(const httplib::Request& request, httplib::Response& response);
   void Watch(std::size_t listener, const httplib::Request& request, httplib::Response& response);
+  std::uint64_t Write(const std::string& key, const std::string& value,
+                      const std::string& foreign_fields);
   void Record(const Item& item);
   std::string EventsText(const std::string& prefix, std::uint64_t after) const;
   bool HasEvent(const std::string& prefix, std::uint64_t after) const;
