A test of the follower read a request that wasn't there

It now polls when the follower says that it is due, and checks that a request comes: stricter than before.

--- a/tests/mesh/source_follower_test.cc
+++ b/tests/mesh/source_follower_test.cc
@@ -162,7 +162,9 @@
     EXPECT_EQ (first->wait, Milliseconds (0));
     follower.answered (at (9010), page ({}, 41));
     EXPECT_TRUE (follower.reached (at (9010)));
-    EXPECT_GT (follower.poll (at (9010))->wait, Milliseconds (0));
+    const auto next = follower.poll (follower.nextDue());
+    ASSERT_TRUE (next);
+    EXPECT_GT (next->wait, Milliseconds (0));
 }
 
 TEST_F (Following, AfterAFailureTheNextWatchIsAnsweredAtOnceAndTold)
