An instance that starts again under its id is another one

Its entry tells when it started (born). Until now only the id counted: avoidance, load, failures and being lost held on for the new incarnation, and nobody noticed that the old one's runs were lost with it. The window of starts at a cold instance is kept for the same id, since what was just sent isn't turned away by the new one.

--- a/src/mesh/instance_chooser.cc
+++ b/src/mesh/instance_chooser.cc
@@ -234,16 +234,40 @@
     until = std::max (until, now + howLong);
 }
 
+void InstanceChooser::forgetFormer (const Instance& instance)
+{
+    if (instance.born == 0)
+        return;
+
+    auto& known = born[instance.id];
+    const bool isAnother = known != 0 && instance.born > known;
+    known = std::max (known, instance.born);
+    const auto found = views.find (instance.id);
+
+    if (! isAnother || found == views.end())
+        return;
+
+    // Attempts that are under way still end, and are counted off then.
+    const int inFlight = found->second.inFlight;
+    found->second = {};
+    found->second.inFlight = inFlight;
+}
+
 void InstanceChooser::forgetAllBut (const DirectorySnapshot& directory)
 {
     std::set<std::string> listed;
 
     for (const auto& [service, instances] : directory.byService)
         for (const auto& candidate : instances)
+        {
             listed.insert (candidate.instance.id);
+            forgetFormer (candidate.instance);
+        }
 
     std::erase_if (views, [&] (const auto& item)
                    { return item.second.inFlight == 0 && ! listed.contains (item.first); });
+    std::erase_if (born, [&] (const auto& item)
+                   { return ! listed.contains (item.first) && ! views.contains (item.first); });
 }
 
 } // namespace copperlead::mesh
--- a/src/mesh/instance_chooser.h
+++ b/src/mesh/instance_chooser.h
@@ -103,7 +103,9 @@
     /** The usual time of a run of the route, in milliseconds. */
     double usualRunMs (const Route& route) const;
 
-    /** Drops what is known of instances that are no longer listed. */
+    /** Drops what is known of instances that are no longer listed, and of former incarnations of
+        those that are.
+    */
     void forgetAllBut (const DirectorySnapshot& directory);
 
 private:
@@ -118,6 +120,8 @@
         Timestamp shunnedUntil{}, suspectedUntil{};
     };
 
+    void forgetFormer (const Instance& instance);
+
     struct RouteHistory
     {
         double runMs = 0;
@@ -134,6 +138,7 @@
     ChooserSettings settings;
     std::minstd_rand random;
     std::unordered_map<std::string, View> views;
+    std::unordered_map<std::string, std::uint64_t> born; /**< Of those that tell, by id; Unix ms. */
     std::unordered_map<std::string, RouteHistory> routes;
 };
 
--- a/src/mesh/instance_directory.cc
+++ b/src/mesh/instance_directory.cc
@@ -6,18 +6,24 @@
 namespace copperlead::mesh
 {
 
-void InstanceDirectory::put (Timestamp now, Instance instance, std::uint64_t revision)
+bool InstanceDirectory::put (Timestamp now, Instance instance, std::uint64_t revision)
 {
     auto& entry = byId[instance.id];
 
     if (entry.revision > revision)
-        return;
+        return true;
 
-    entry.state = instance.draining ? InstanceState::leaving : InstanceState::ready;
+    // Nobody starts before the one that he follows: another writer's entry, or one that is spoilt.
+    const auto knownBorn = entry.instance.born;
+    const bool goesBack = instance.born != 0 && instance.born < knownBorn;
+    const bool usable = ! goesBack && ! instance.draining;
+    entry.state = usable ? InstanceState::ready : InstanceState::leaving;
     entry.instance = std::move (instance);
+    entry.instance.born = std::max (entry.instance.born, knownBorn);
     entry.revision = revision;
     entry.changedAt = now;
     current.reset();
+    return ! goesBack;
 }
 
 void InstanceDirectory::remove (Timestamp now, const std::string& id, std::uint64_t revision,
--- a/src/mesh/instance_directory.h
+++ b/src/mesh/instance_directory.h
@@ -90,8 +90,11 @@
     /** Says how far zones are; without it all count as of this node's region. */
     void setLocality (Locality newLocality);
 
-    /** Takes an entry that was written at `revision`; older ones than the known are ignored. */
-    void put (Timestamp now, Instance instance, std::uint64_t revision);
+    /** Takes an entry that was written at `revision`; older ones than the known are ignored.
+        @returns false when it tells of an earlier start than the entry before: it names no
+                 instance to use
+    */
+    bool put (Timestamp now, Instance instance, std::uint64_t revision);
 
     /** @param trusted  false while the source is unsound, so that absence says little */
     void remove (Timestamp now, const std::string& id, std::uint64_t revision, bool trusted);
--- a/src/mesh/local_instance.cc
+++ b/src/mesh/local_instance.cc
@@ -36,11 +36,14 @@
     if (older)
         return false;
 
-    const bool changed = listed.id != currentId;
+    const bool reborn = listed.id == currentId && born != 0 && listed.born > born;
+    const bool changed = listed.id != currentId || reborn;
 
     if (changed)
         isLost = false;
 
+    born = changed ? listed.born : std::max (born, listed.born);
+
     currentId = listed.id;
     currentService = listed.service;
     source = IdentitySource::entry;
@@ -56,6 +59,7 @@
         return false;
 
     currentId = spokenId;
+    born = 0;
     currentService = configured;
     source = IdentitySource::spoken;
     isLeaving = false;
--- a/src/mesh/local_instance.h
+++ b/src/mesh/local_instance.h
@@ -31,7 +31,7 @@
     void setConfiguredService (std::string service);
 
     /** Takes the newest entry of the instance's address, nullptr if there is none.
-        @returns true when the instance's id changed
+        @returns true when it is another incarnation: by its id, or by a later start under its id
     */
     bool takeEntry (const ListedInstance* entry);
 
@@ -64,6 +64,7 @@
     std::string configured, currentId, currentService, spoken;
     IdentitySource source = IdentitySource::entry;
     std::uint64_t createdAt = 0;
+    std::uint64_t born = 0; /**< Unix ms; 0: it isn't known. */
     int slotCount = 1;
     bool isLeaving = false, isLost = false;
     int silentCalls = 0;
--- a/src/mesh/mesh_state.cc
+++ b/src/mesh/mesh_state.cc
@@ -28,7 +28,10 @@
             continue;
         }
 
-        instances.put (now, std::move (change.instance), change.revision);
+        const auto id = change.instance.id;
+
+        if (! instances.put (now, std::move (change.instance), change.revision))
+            outcome.wentBack.push_back (id);
     }
 
     if (update.complete)
--- a/src/mesh/mesh_state.h
+++ b/src/mesh/mesh_state.h
@@ -25,6 +25,8 @@
     bool instancesChanged = false;             /**< Or which of them may be used. */
     std::vector<EvacuationChange> evacuations; /**< Zones that were evacuated or given back. */
     std::optional<ConfigurationOutcome> configuration; /**< Empty: the update held none. */
+    std::vector<std::string> wentBack; /**< Ids of instances whose entries tell of an earlier start
+                                          than before. */
 };
 
 /** Not thread-safe. */
--- a/src/sidecar/last_hop_instance.cc
+++ b/src/sidecar/last_hop_instance.cc
@@ -66,11 +66,14 @@
     reportCrash();
     crashes.restarted (now);
 
-    // What was sent by the former's name is turned away by this one. When there was no former one,
-    // this process has just started, and its forerunner may have sent something.
-    if (! before.empty())
+    // What was sent by the former's name is turned away by this one, unless it has the same. When
+    // there was no former one, this process has just started, and its forerunner may have sent
+    // something.
+    if (! before.empty() && before != instance.id())
         queue.startWindow().forget();
 
+    failures = {};
+
     presumeCold (now, "new_instance");
 }
 
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -138,6 +138,9 @@
     for (const auto& change : outcome.evacuations)
         logEvacuation (at, change);
 
+    for (const auto& id : outcome.wentBack)
+        refuseEntry (at, id, { ErrorKind::kBadValue, "born", "is earlier than before" });
+
     if (relay != nullptr)
         relay->reached (at, state.reached(), state.configurations().version());
 }
--- a/src/standin/instance.cc
+++ b/src/standin/instance.cc
@@ -36,6 +36,11 @@
   setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
 }
 
+std::int64_t UnixMilliseconds() {
+  const auto since = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(since).count();
+}
+
 std::string FirstValue(const HeaderFields& fields, std::string_view name) {
   const auto values = ValuesOf(fields, name);
   return values.empty() ? std::string() : std::string(values[0]);
@@ -64,6 +69,7 @@
     return false;
   }
   address_ = {listen_address.ip, BoundPort(listener_)};
+  born_ = UnixMilliseconds();
   accepting_ = std::thread([this] { Accept(); });
   return true;
 }
@@ -100,6 +106,11 @@
   return settings_.id;
 }
 
+std::int64_t Instance::born() const {
+  const std::lock_guard lock(mutex_);
+  return born_;
+}
+
 std::vector<std::chrono::steady_clock::time_point> Instance::crashes() const {
   const std::lock_guard lock(mutex_);
   return crashes_;
@@ -119,6 +130,7 @@
   const auto crashed = !crashes_.empty();
   if (crashed) changed_.wait_until(lock, crashes_.back() + crash_.down, [&] { return stopping_; });
   if (!crashed || stopping_) return false;
+  born_ = UnixMilliseconds();
   // A port that the system chose goes with the listening.
   const SystemAddress native = ToSystem(address_);
   bind(listener_, native.get(), native.length);
--- a/src/standin/instance.h
+++ b/src/standin/instance.h
@@ -93,6 +93,8 @@
   void SetId(const std::string& id);
 
   std::string id() const;
+  // When it last started, in Unix milliseconds.
+  std::int64_t born() const;
   // When it crashed.
   std::vector<std::chrono::steady_clock::time_point> crashes() const;
   std::vector<InstanceRun> runs() const;
@@ -141,6 +143,7 @@
   std::deque<std::chrono::steady_clock::time_point> arrivals_;  // Of the last second.
   std::chrono::steady_clock::time_point cold_until_{};
   int falls_ = 0;
+  std::int64_t born_ = 0;
   bool stopping_ = false;
 
   SocketAddress address_;
--- a/tests/mesh/choice_test.cc
+++ b/tests/mesh/choice_test.cc
@@ -165,6 +165,29 @@
         chooser.choose (at (502), *directory.snapshot(), { &route, "desk", 0, { "far" } }, choice));
 }
 
+TEST_F (Choosing, WhatWasLearnedOfAnIncarnationIsForgottenWithIt)
+{
+    directory.put (at (0), bornAt (makeInstance ("near", "z1", 1), 1000), 5);
+    chooser.forgetAllBut (*directory.snapshot());
+    chooser.shun (at (0), "near", Milliseconds (5000));
+    chooser.forgetAllBut (*directory.snapshot());
+    EXPECT_FALSE (chooser.mayPrefer (at (1), "near"));
+    directory.put (at (1), bornAt (makeInstance ("near", "z1", 1), 2000), 6);
+    chooser.forgetAllBut (*directory.snapshot());
+    EXPECT_TRUE (chooser.mayPrefer (at (1), "near"));
+}
+
+TEST_F (Choosing, AnIncarnationsEndedRunsAreStillCountedOff)
+{
+    directory.put (at (0), bornAt (makeInstance ("near", "z1", 1), 1000), 5);
+    chooser.forgetAllBut (*directory.snapshot());
+    chooser.started ("near");
+    directory.put (at (1), bornAt (makeInstance ("near", "z1", 1), 2000), 6);
+    chooser.forgetAllBut (*directory.snapshot());
+    chooser.ended ("near");
+    EXPECT_EQ (choices (chooser, *directory.snapshot(), route)["near"], 10);
+}
+
 /** Thirty instances in each of six zones. */
 class Sampling : public ::testing::Test
 {
--- a/tests/mesh/fixtures.h
+++ b/tests/mesh/fixtures.h
@@ -51,4 +51,11 @@
     return instance;
 }
 
+/** That instance as it tells of its start. */
+inline Instance bornAt (Instance instance, std::uint64_t unixMs)
+{
+    instance.born = unixMs;
+    return instance;
+}
+
 } // namespace copperlead::mesh::test
--- a/tests/mesh/instance_directory_test.cc
+++ b/tests/mesh/instance_directory_test.cc
@@ -91,6 +91,51 @@
     return { makeInstance (id, "z1", 1, createdAt), state, createdAt, at (0) };
 }
 
+TEST (InstanceDirectory, AnIncarnationThatBeganEarlierThanTheKnownNamesNoInstance)
+{
+    InstanceDirectory directory;
+    directory.put (at (0), bornAt (makeInstance ("a", "z1", 1), 2000), 5);
+    directory.put (at (1), bornAt (makeInstance ("a", "z1", 1), 1000), 6);
+    EXPECT_TRUE (usable (directory).empty());
+    directory.put (at (2), bornAt (makeInstance ("a", "z1", 1), 1500), 7);
+    EXPECT_TRUE (usable (directory).empty());
+    directory.put (at (3), bornAt (makeInstance ("a", "z1", 1), 2000), 8);
+    EXPECT_EQ (usable (directory), Ids{ "a" });
+}
+
+TEST (InstanceDirectory, ALaterIncarnationIsInUseAtOnceThoughTheIdsLeavingIsRemembered)
+{
+    InstanceDirectory directory;
+    directory.put (at (0), bornAt (makeInstance ("a", "z1", 1), 1000), 5);
+    directory.remove (at (1), "a", 6, sound);
+    directory.put (at (2), bornAt (makeInstance ("a", "z1", 1), 2000), 7);
+    EXPECT_EQ (usable (directory), Ids{ "a" });
+}
+
+TEST (InstanceDirectory, EntriesThatDoNotTellTheirStartAreTakenAsTheyAre)
+{
+    InstanceDirectory directory;
+    directory.put (at (0), bornAt (makeInstance ("a", "z1", 1), 1000), 5);
+    directory.put (at (1), makeInstance ("a", "z1", 1), 6);
+    EXPECT_EQ (usable (directory), Ids{ "a" });
+    directory.put (at (2), bornAt (makeInstance ("a", "z1", 1), 500), 7);
+    EXPECT_TRUE (usable (directory).empty()) << "it told before";
+}
+
+TEST (LocalInstance, AnotherIncarnationUnderItsIdIsAnotherInstance)
+{
+    LocalInstance local ("desk");
+    auto entry = listed ("a", 5);
+    entry.instance.born = 1000;
+    EXPECT_TRUE (local.takeEntry (&entry));
+    EXPECT_TRUE (local.failed (at (0), true));
+    EXPECT_FALSE (local.takeEntry (&entry));
+    EXPECT_TRUE (local.lost());
+    entry.instance.born = 2000;
+    EXPECT_TRUE (local.takeEntry (&entry));
+    EXPECT_FALSE (local.lost());
+}
+
 TEST (LocalInstance, TheInstancesOwnWordBeatsTheEntryOfADeadOne)
 {
     LocalInstance local ("desk");
--- a/tests/mesh/mesh_update_test.cc
+++ b/tests/mesh/mesh_update_test.cc
@@ -54,7 +54,7 @@
     MeshUpdate update;
     update.complete = true;
     update.at = 31;
-    update.instances = { { makeInstance ("a", "z1", 1), 7, false, true },
+    update.instances = { { bornAt (makeInstance ("a", "z1", 1), 1768005044252), 7, false, true },
                          { makeInstance ("b", "z1", 2), 9, true, false } };
     auto config = makeConfiguration (9);
 
@@ -77,6 +77,7 @@
     EXPECT_EQ (read.value().at, 31U);
     ASSERT_EQ (read.value().instances.size(), 2U);
     EXPECT_EQ (read.value().instances[0].instance.address, update.instances[0].instance.address);
+    EXPECT_EQ (read.value().instances[0].instance.born, 1768005044252U);
     EXPECT_TRUE (read.value().instances[1].gone);
     EXPECT_FALSE (read.value().instances[1].trusted);
     EXPECT_EQ (read.value().configuration->content.routes, update.configuration->content.routes);
--- a/tests/mesh_integration/crashing_request_test.cc
+++ b/tests/mesh_integration/crashing_request_test.cc
@@ -66,9 +66,11 @@
   void KeepListed() {
     for (auto& machine : fleet_.machines()) {
       const std::string id = machine->instance->id();
-      if (id == machine->instance_id) continue;
-      fleet_.store().Remove("servers/" + machine->instance_id);
+      auto& listed = listed_born_[machine.get()];
+      if (id == machine->instance_id && machine->instance->born() == listed) continue;
+      if (id != machine->instance_id) fleet_.store().Remove("servers/" + machine->instance_id);
       machine->instance_id = id;
+      listed = machine->instance->born();
       fleet_.List(*machine);
     }
   }
@@ -130,6 +132,7 @@
 
   MeshFleet fleet_;
   std::vector<int> statuses_;
+  std::map<const MeshMachine*, std::int64_t> listed_born_;
   std::map<std::string, std::set<std::string>> crashes_under_;  // By digest.
 };
 
--- a/tests/mesh_integration/mesh_fleet.cc
+++ b/tests/mesh_integration/mesh_fleet.cc
@@ -174,7 +174,8 @@
              R"({"service":")" + machine.service + R"(","address":")" +
                  ToString(machine.instance_address) + R"(","zone":")" + machine.zone +
                  R"(","version":"v1","slots":6,"state":")" + state +
-                 R"(","cold_remaining_ms":0,"call_seq":1})");
+                 R"(","cold_remaining_ms":0,"call_seq":1,"born":)" +
+                 std::to_string(machine.instance->born()) + "}");
 }
 
 void MeshFleet::Configure(std::uint64_t version, const std::string& extra_routes,
