Time counts while the machine is suspended

Cause: all time was std::chrono::steady_clock, which stands still in a suspended machine: the word on keys, leases of quotas, beats, lapses, Keep-Alive and deadlines looked as fresh after five seconds of sleep as before. Change: SteadyClock reads CLOCK_BOOTTIME; the two waits on condition variables wait for a span instead of until a time point. A request whose deadline passed while its search slept is ended instead of sent. A node that slept more than a second logs it once (woke). A lost answer is followed by a health question after 250 ms instead of 100: a busy instance has answered something else by then. Tests: sleep_watch_test.cc injects a jump of 5 s into leases, lapses and holds. In this machine both clocks agree, so that the clock itself is only shown to be the one.

--- a/src/base/time.h
+++ b/src/base/time.h
@@ -3,6 +3,8 @@
 // time).
 #pragma once
 
+#include <time.h>
+
 #include <chrono>
 
 namespace copperlead {
@@ -20,12 +22,22 @@
   virtual Timestamp Now() const = 0;
 };
 
-// The operating system's steady clock.
+// Reads one of the operating system's clocks, since the machine's start.
+inline Duration ReadClock(clockid_t clock) {
+  timespec read{};
+  clock_gettime(clock, &read);
+  return std::chrono::seconds(read.tv_sec) +
+         std::chrono::duration_cast<Duration>(std::chrono::nanoseconds(read.tv_nsec));
+}
+
+// A steady clock that counts the time for which the machine was suspended, too: what a node was
+// told before must not look fresh after it. (std::chrono::steady_clock stands still meanwhile.)
 class SteadyClock : public Clock {
  public:
-  Timestamp Now() const override {
-    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
-  }
+  Timestamp Now() const override { return Timestamp(ReadClock(CLOCK_BOOTTIME)); }
 };
 
+// For how long the machine has been suspended since its start.
+inline Duration SuspendedTime() { return ReadClock(CLOCK_BOOTTIME) - ReadClock(CLOCK_MONOTONIC); }
+
 }  // namespace copperlead
--- a/src/node/agent_shell.cc
+++ b/src/node/agent_shell.cc
@@ -1,10 +1,14 @@
 #include "node/agent_shell.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace copperlead {
 namespace {
 
+// Without anything due; then the agent is merely asked again.
+constexpr Duration kLongestWait = std::chrono::hours(1);
+
 // Calls the sink that belongs to an action.
 struct SinkCaller {
   const ActionSinks& sinks;
@@ -60,7 +64,9 @@
   // Timers go before queued events once due: a pause must be noticed before old messages are read.
   const auto due = [&] { return clock_.Now() >= deadline; };
   if (!due()) {
-    queue_changed_.wait_until(lock, deadline, [&] { return stopping_ || !queue_.empty(); });
+    // As a time span: condition variables wait by a clock that stands still in a suspended machine.
+    queue_changed_.wait_for(lock, std::min<Duration>(deadline - clock_.Now(), kLongestWait),
+                            [&] { return stopping_ || !queue_.empty(); });
   }
   if (stopping_) return false;
   if (queue_.empty() || due()) {
--- a/src/sidecar/active_request.cc
+++ b/src/sidecar/active_request.cc
@@ -160,6 +160,10 @@
 
 void ActiveRequest::launch (const mesh::Choice& choice)
 {
+    // The process may have slept since the search began.
+    if (now() >= deadline)
+        return onDeadline();
+
     // What an earlier attempt, or another node, has learned meanwhile: without this each attempt of
     // a client would crash as many instances as it may have retries.
     if (hop->guard->holdOf (identityOf (*exchange, tenant)))
--- a/src/sidecar/decision_log.cc
+++ b/src/sidecar/decision_log.cc
@@ -27,6 +27,7 @@
     { EventKind::started, "started", 10, "zone service outbound inbound readiness" },
     { EventKind::stopping, "stopping", 10, "in_flight connections" },
     { EventKind::stopped, "stopped", 10, "in_flight after_ms" },
+    { EventKind::woke, "woke", 5, "asleep_ms suspended_ms in_flight" },
     { EventKind::settingsReloaded, "settings_reloaded", 5, "cause service" },
     { EventKind::settingsRefused, "settings_refused", 5, "cause" },
     { EventKind::sourceLost, "source_lost", 5, "call cause last_word_ms revision" },
--- a/src/sidecar/decision_log.h
+++ b/src/sidecar/decision_log.h
@@ -23,6 +23,7 @@
     started,
     stopping,
     stopped,
+    woke,
     settingsReloaded,
     settingsRefused,
     sourceLost,
--- a/src/sidecar/last_hop_crash.cc
+++ b/src/sidecar/last_hop_crash.cc
@@ -13,7 +13,7 @@
 {
 
 // After a lost answer; by then a busy instance that lives has answered something else.
-constexpr Milliseconds crashCheckDelay{ 100 };
+constexpr Milliseconds crashCheckDelay{ 250 };
 
 // All connections of an instance end with it, but are handled one after the other.
 constexpr Milliseconds crashReportDelay{ 5 };
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -294,9 +294,19 @@
     return ! stopPlan && state.configurations().routes() != nullptr && state.reached() > 0;
 }
 
+void Sidecar::logSleep (Timestamp at)
+{
+    if (const auto sleep = sleepWatch.look (at, SuspendedTime(), tickInterval))
+        log->write (at, EventKind::woke,
+                    { { "asleep_ms", mesh::toMilliseconds (sleep->asleep) },
+                      { "suspended_ms", mesh::toMilliseconds (sleep->suspended) },
+                      { "in_flight", static_cast<std::int64_t> (inFlight()) } });
+}
+
 void Sidecar::tick()
 {
     const auto at = now();
+    logSleep (at);
     lastHop->tick (at);
 
     if (relay != nullptr)
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "mesh/mesh_state.h"
+#include "mesh/sleep_watch.h"
 #include "mesh/source_follower.h"
 #include "mesh/stop_plan.h"
 #include "sidecar/decision_log.h"
@@ -92,6 +93,7 @@
     mesh::ClientLimits clientLimits() const;
     bool ready() const;
     void tick();
+    void logSleep (Timestamp at);
     void checkSettingsFile();
     void continueStop();
     std::size_t inFlight() const;
@@ -114,6 +116,7 @@
     std::optional<mesh::StopPlan> stopPlan; /**< Once a stop has begun. */
     std::function<void()> onStopped;
     SettingsFile settingsFile;
+    mesh::SleepWatch sleepWatch;
     std::uint64_t entriesRefused = 0;
     int ticks = 0;
 };
--- a/src/source/watchdog.cc
+++ b/src/source/watchdog.cc
@@ -52,7 +52,8 @@
 void Watchdog::Run() {
   std::unique_lock lock(mutex_);
   while (!stopping_) {
-    changed_.wait_until(lock, NextDeadline());
+    // As a time span: condition variables wait by a clock that stands still in a suspended machine.
+    changed_.wait_for(lock, NextDeadline() - SteadyClock().Now());
     CallDue();
   }
 }
--- /dev/null
+++ b/tests/mesh/sleep_watch_test.cc
@@ -0,0 +1,73 @@
+/** What a node believes after its machine was suspended for five seconds. */
+#include "mesh/sleep_watch.h"
+
+#include <gtest/gtest.h>
+
+#include "mesh/crash_ledger.h"
+#include "mesh/credential_check.h"
+#include "mesh/quota_lease.h"
+#include "tests/mesh/fixtures.h"
+
+namespace copperlead::mesh::test
+{
+namespace
+{
+
+constexpr Milliseconds interval{ 250 };
+constexpr std::int64_t sleep = 5000;
+
+TEST (SleepWatch, TellsHowLongItSleptAndHowMuchOfItWithTheMachine)
+{
+    SleepWatch watch;
+    EXPECT_FALSE (watch.look (at (0), Milliseconds (70'000), interval));
+    EXPECT_FALSE (watch.look (at (250), Milliseconds (70'000), interval));
+    const auto slept = watch.look (at (500 + sleep), Milliseconds (74'000), interval);
+    ASSERT_TRUE (slept);
+    EXPECT_EQ (slept->asleep, Milliseconds (sleep));
+    EXPECT_EQ (slept->suspended, Milliseconds (4000));
+    EXPECT_FALSE (watch.look (at (750 + sleep), Milliseconds (74'000), interval));
+}
+
+TEST (SleepWatch, ABusyMachineHasNotSlept)
+{
+    SleepWatch watch;
+    watch.look (at (0), {}, interval);
+    EXPECT_FALSE (watch.look (at (1249), {}, interval));
+}
+
+TEST (AfterASleep, AGrantHasLapsed)
+{
+    QuotaLease lease;
+    lease.granted (at (0), 10, 5);
+    EXPECT_EQ (lease.take (at (10)), QuotaStep::pass);
+    EXPECT_EQ (lease.take (at (10 + sleep)), QuotaStep::wait);
+}
+
+TEST (AfterASleep, AnEntryThatLapsedBeforeIsNoLongerUsable)
+{
+    InstanceDirectory directory;
+    directory.put (at (0), makeInstance ("a", "z1", 1), 5);
+    directory.remove (at (10), "a", 6, false);
+    directory.advance (at (10 + sleep));
+    EXPECT_TRUE (directory.snapshot()->byService.empty());
+}
+
+TEST (AfterASleep, AHeldRequestIsStillHeld)
+{
+    CrashLedger ledger{ CrashLimits() };
+    ledger.merge (at (0), { { 1, 1 }, { { 11, false }, { 12, false } }, {} });
+    EXPECT_TRUE (ledger.holdOf (at (sleep), { 1, 1 }));
+}
+
+TEST (AfterASleep, TimeThatTheMachineWasSuspendedCounts)
+{
+    const auto before = ReadClock (CLOCK_BOOTTIME);
+    const auto read = SteadyClock().Now().time_since_epoch();
+    const auto after = ReadClock (CLOCK_BOOTTIME);
+    EXPECT_LE (before, read);
+    EXPECT_LE (read, after);
+    EXPECT_GE (SuspendedTime(), Milliseconds (-1));
+}
+
+} // namespace
+} // namespace copperlead::mesh::test
