--- a/src/sidecar/sidecar_settings.cc
+++ b/src/sidecar/sidecar_settings.cc
@@ -4,6 +4,7 @@
 
 #include <boost/program_options.hpp>
 #include <charconv>
+#include <cmath>
 #include <fstream>
 #include <sstream>
 
@@ -209,6 +210,10 @@
     BOOST_LEAF_AUTO (most, values.number ("crash-limit", 0, 8, limits.most));
     BOOST_LEAF_AUTO (
         hold, values.number ("crash-hold-s", 1, 86'400, mesh::toMilliseconds (limits.hold) / 1000));
+
+    if (std::floor (most) != most)
+        return bad ("crash-limit", values.text ("crash-limit"), "a whole number from 0 to 8");
+
     limits.most = static_cast<int> (most);
     limits.hold = mesh::fromSeconds (hold);
     return Done{};
--- a/tests/sidecar/sidecar_settings_test.cc
+++ b/tests/sidecar/sidecar_settings_test.cc
@@ -75,6 +75,9 @@
         { "quota-window-s", "0", "a number from 1 to 3600" },
         { "quota-over", "-1", "a number from 0 to 10" },
         { "quota-slack", "x", "a number from 0 to 1000000" },
+        { "crash-limit", "9", "a number from 0 to 8" },
+        { "crash-limit", "1.5", "a whole number from 0 to 8" },
+        { "crash-hold-s", "0", "a number from 1 to 86400" },
     };
 
     for (const auto& wanted : cases)
@@ -90,9 +93,10 @@
 
 TEST (SidecarSettings, TenantsAndRegions)
 {
-    const auto parsed = parse ({ "--zone-regions", "z1=north,z2=south", "--revoke-fail-closed",
-                                 "true", "--revoke-within-ms", "3000", "--quota-window-s", "4",
-                                 "--quota-over", "0.1", "--quota-slack", "7" });
+    const auto parsed =
+        parse ({ "--zone-regions", "z1=north,z2=south", "--revoke-fail-closed", "true",
+                 "--revoke-within-ms", "3000", "--quota-window-s", "4", "--quota-over", "0.1",
+                 "--quota-slack", "7", "--crash-limit", "3", "--crash-hold-s", "30" });
     ASSERT_TRUE (parsed) << ToString (parsed.error());
     const auto& settings = parsed.value().settings;
     EXPECT_EQ (settings.zoneRegions.at ("z2"), "south");
@@ -101,11 +105,15 @@
     EXPECT_EQ (settings.quotas.window, Milliseconds (4000));
     EXPECT_EQ (settings.quotas.over, 0.1);
     EXPECT_EQ (settings.quotas.slack, 7);
+    EXPECT_EQ (settings.crashes.most, 3);
+    EXPECT_EQ (settings.crashes.hold, Milliseconds (30'000));
 
     const auto usual = parse ({}).value().settings;
     EXPECT_TRUE (usual.zoneRegions.empty());
     EXPECT_FALSE (usual.credentials.failClosed);
     EXPECT_EQ (usual.quotas.slack, 20);
+    EXPECT_EQ (usual.crashes.most, 2);
+    EXPECT_EQ (usual.crashes.hold, Milliseconds (60'000));
 }
 
 TEST (SidecarSettings, MissingAndUnknownKeysAreRefused)
