Popular requests are told from the one that crashes instances; a crash is told with what ran at its moment

Change: a node remembers what its instance answered in the last 10 to 20 s and acquits suspects that it knows; an answer of any age shows that the instance outlived a loss of 150 ms before; told is what ended at the crash. Tests: CrashWatch.*, RecentAnswers.*, DoesNotTakePopularRequestsWithIt.

--- a/src/mesh/crash_watch.cc
+++ b/src/mesh/crash_watch.cc
@@ -9,25 +9,35 @@
 
 void CrashWatch::unanswered (Timestamp now, Timestamp startedAt, const RequestDigest& request)
 {
-    // The former incarnation's crash has been told; this one has nothing to do with it.
-    if (startedAt < since)
-        return;
+    add (startedAt, { request, startedAt, now, false });
+}
 
-    runs.push_back ({ request, now });
+void CrashWatch::brokenOff (Timestamp now, Timestamp startedAt, const RequestDigest& request)
+{
+    add (startedAt, { request, startedAt, now, true });
+}
 
-    if (runs.size() > mostRuns)
-        runs.pop_front();
+void CrashWatch::add (Timestamp startedAt, const UnansweredRun& run)
+{
+    // The former incarnation's crash has been told; this one has nothing to do with it.
+    if (startedAt >= since && runs.size() < mostRuns)
+        runs.push_back (run);
 }
 
-void CrashWatch::answered (Timestamp sentAt)
+void CrashWatch::answered (Timestamp now, Timestamp sentAt)
 {
-    std::erase_if (runs, [&] (const auto& run) { return run.endedAt <= sentAt; });
+    const auto livedAt = std::max<Timestamp> (sentAt, now - handlingTime);
+    std::erase_if (runs, [&] (const auto& run) { return run.endedAt <= livedAt; });
 
     if (sentAt >= goneAt)
         crash = 0;
 }
 
-void CrashWatch::gone (Timestamp now)
+void CrashWatch::gone (Timestamp now) { begin (now, false); }
+
+void CrashWatch::replaced (Timestamp now) { begin (now, true); }
+
+void CrashWatch::begin (Timestamp now, bool isReplaced)
 {
     if (crash != 0 || runs.empty())
         return;
@@ -35,6 +45,7 @@
     ++crashes;
     crash = XXH3_64bits_withSeed (&crashes, sizeof (crashes), crashSeed);
     goneAt = now;
+    wasReplaced = isReplaced;
 }
 
 void CrashWatch::restarted (Timestamp now)
@@ -44,17 +55,46 @@
     since = now;
 }
 
+bool CrashWatch::isOutlived (const UnansweredRun& run) const
+{
+    return std::any_of (runs.begin(), runs.end(),
+                        [&] (const auto& other) {
+                            return other.startedAt < run.endedAt &&
+                                   other.endedAt > run.endedAt + handlingTime;
+                        });
+}
+
+/** Nothing that is sent to a port that refuses counts as a run, so the last run ended with the
+   crash. Where it went unnoticed, what was sent later looks like runs, too: then it is the first
+   end that no other run outlived.
+*/
+Timestamp CrashWatch::crashTime() const
+{
+    if (wasReplaced)
+        for (const auto& run : runs)
+            if (! run.brokenOff && ! isOutlived (run))
+                return run.endedAt;
+
+    return runs.back().endedAt;
+}
+
 std::optional<CrashReport> CrashWatch::takeReport()
 {
     if (crash == 0 || runs.empty())
         return std::nullopt;
 
     CrashReport report{ crash, {} };
+    const auto crashedAt = crashTime();
 
     for (const auto& run : runs)
-        report.requests.push_back (run.request);
+        if (run.startedAt <= crashedAt && run.endedAt >= crashedAt - afterEffectTime)
+            report.requests.push_back (run.request);
 
     runs.clear();
+
+    if (report.requests.empty())
+        return std::nullopt;
+
     return report;
 }
 
--- a/src/mesh/crash_watch.h
+++ b/src/mesh/crash_watch.h
@@ -27,8 +27,18 @@
 class CrashWatch
 {
 public:
-    /** The most runs that one crash is told with; the latest are. */
-    static constexpr std::size_t mostRuns = 64;
+    /** The most runs that are kept; the first since the instance was last known to live are, since
+        what is sent to one that is gone may look like a run, too.
+    */
+    static constexpr std::size_t mostRuns = 256;
+
+    /** All connections of an instance end with it, but a busy node handles their ends, and answers
+        that were written before, this long apart.
+    */
+    static constexpr Milliseconds handlingTime{ 150 };
+
+    /** A run that was broken off may still crash its instance so much later. */
+    static constexpr Milliseconds afterEffectTime{ 500 };
 
     /** @param seed  differs between nodes, and between two starts of one */
     explicit CrashWatch (std::uint64_t seed)
@@ -36,18 +46,24 @@
     {
     }
 
-    /** A run ended without the instance's answer, or was broken off. */
+    /** A run ended without the instance's answer. */
     void unanswered (Timestamp now, Timestamp startedAt, const RequestDigest& request);
 
-    /** The instance answered what was sent to it at that time: it lived then. Ends a crash that was
-        known before, which must have been reported.
+    /** A run was broken off at the instance. */
+    void brokenOff (Timestamp now, Timestamp startedAt, const RequestDigest& request);
+
+    /** The instance answered now what was sent to it at that time: what ended before was no crash.
+        Ends a crash that was known before, which must have been reported.
     */
-    void answered (Timestamp sentAt);
+    void answered (Timestamp now, Timestamp sentAt);
 
     /** Nothing listens at the instance's address any longer. */
     void gone (Timestamp now);
 
-    /** Another incarnation has the address; what was under way at the former is reported first. */
+    /** Another incarnation has the address: the former is gone, since when isn't known. */
+    void replaced (Timestamp now);
+
+    /** From now on runs are the next incarnation's; what ran at the former has been reported. */
     void restarted (Timestamp now);
 
     /** Whether it isn't known yet if the instance crashed. */
@@ -65,12 +81,19 @@
     struct UnansweredRun
     {
         RequestDigest request;
-        Timestamp endedAt{};
+        Timestamp startedAt{}, endedAt{};
+        bool brokenOff = false;
     };
 
+    void add (Timestamp startedAt, const UnansweredRun& run);
+    void begin (Timestamp now, bool isReplaced);
+    bool isOutlived (const UnansweredRun& run) const;
+    Timestamp crashTime() const;
+
     std::uint64_t crashSeed, crashes = 0;
     std::uint64_t crash = 0; /**< Under way; 0: none is known. */
     Timestamp goneAt{};
+    bool wasReplaced = false;           /**< It wasn't noticed before the next incarnation spoke. */
     Timestamp since = Timestamp::min(); /**< This incarnation's runs began later. */
     std::deque<UnansweredRun> runs;
 };
--- a/src/sidecar/crash_guard.cc
+++ b/src/sidecar/crash_guard.cc
@@ -57,10 +57,14 @@
 
 void CrashGuard::crashed (const mesh::CrashReport& report)
 {
-    const auto records = recordsOf (report);
+    auto records = recordsOf (report);
+    ownCrashes.insert (report.crash);
 
-    for (const auto& record : records)
+    for (auto& record : records)
+    {
         take (now(), record, ownIp);
+        record = acquit (now(), record.request).value_or (record);
+    }
 
     tellAll (records);
     armTelling();
@@ -68,21 +72,26 @@
 
 void CrashGuard::answered (const mesh::RequestIdentity& request)
 {
-    const auto digest = suspectOf (request);
+    const auto digest = digestOf (request);
+    answers.observe (now(), digest);
 
-    if (! digest)
-        return;
+    if (const auto record = acquit (now(), digest))
+        tellAll ({ *record });
+}
 
-    const bool wasHeld = ledger.holdOf (now(), *digest).has_value();
-    const auto record = ledger.clear (now(), *digest);
+std::optional<mesh::SuspectRecord> CrashGuard::acquit (Timestamp at,
+                                                       const mesh::RequestDigest& request)
+{
+    if (ledger.empty() || ! answers.contains (at, request))
+        return std::nullopt;
 
-    if (! record)
-        return;
+    const bool wasHeld = ledger.holdOf (at, request).has_value();
+    auto record = ledger.clear (at, request);
 
-    if (wasHeld)
-        logChange (now(), EventKind::suspectCleared, *record, ownIp);
+    if (record && wasHeld)
+        logChange (at, EventKind::suspectCleared, *record, ownIp);
 
-    tellAll ({ *record });
+    return record;
 }
 
 void CrashGuard::take (Timestamp at, const mesh::SuspectRecord& record, std::string_view by)
@@ -90,9 +99,17 @@
     const auto change = ledger.merge (at, record);
 
     if (change == mesh::SuspectChange::held)
-        logChange (at, EventKind::suspectHeld, record, by);
-    else if (change == mesh::SuspectChange::cleared)
-        logChange (at, EventKind::suspectCleared, record, by);
+        return logChange (at, EventKind::suspectHeld, record, by);
+
+    if (change != mesh::SuspectChange::cleared)
+        return;
+
+    logChange (at, EventKind::suspectCleared, record, by);
+
+    // Who told all of a crash tells all that this request isn't to blame.
+    if (std::any_of (record.crashes.begin(), record.crashes.end(),
+                     [this] (const auto& known) { return ownCrashes.contains (known.crash); }))
+        tellAll ({ record });
 }
 
 void CrashGuard::logChange (Timestamp at, EventKind kind, const mesh::SuspectRecord& record,
@@ -168,9 +185,18 @@
 
     ++counts.heard;
 
+    std::vector<mesh::SuspectRecord> acquitted;
+
     for (const auto& record : news->records)
+    {
         take (now(), record, ip);
 
+        if (const auto cleared = acquit (now(), record.request))
+            acquitted.push_back (*cleared);
+    }
+
+    // Only to who told of it: many nodes may have answered a popular request.
+    tell (ip, acquitted);
     armTelling();
     return true;
 }
--- a/src/sidecar/crash_guard.h
+++ b/src/sidecar/crash_guard.h
@@ -14,6 +14,7 @@
 #include "mesh/crash_ledger.h"
 #include "mesh/crash_message.h"
 #include "mesh/instance_directory.h"
+#include "mesh/recent_answers.h"
 #include "sidecar/decision_log.h"
 #include "sidecar/earliest_timer.h"
 
@@ -63,6 +64,9 @@
 private:
     std::optional<mesh::RequestDigest> suspectOf (const mesh::RequestIdentity& request) const;
     void take (Timestamp now, const mesh::SuspectRecord& record, std::string_view by);
+
+    /** @returns what to tell of a suspect that was answered here lately; nothing when it wasn't */
+    std::optional<mesh::SuspectRecord> acquit (Timestamp now, const mesh::RequestDigest& request);
     void tellAll (const std::vector<mesh::SuspectRecord>& records);
     void tell (const std::string& ip, const std::vector<mesh::SuspectRecord>& records);
     void armTelling();
@@ -74,7 +78,9 @@
     std::string ownIp;
     std::shared_ptr<DecisionLog> log;
     mesh::CrashLedger ledger;
-    EarliestTimer timer; /**< For what is told again. */
+    mesh::RecentAnswers answers;                  /**< Of the instance beside this node. */
+    std::unordered_set<std::uint64_t> ownCrashes; /**< Of that instance, as told to all. */
+    EarliestTimer timer;                          /**< For what is told again. */
     std::minstd_rand random{ std::random_device{}() };
     std::vector<std::string> others; /**< IPs of the other nodes. */
     std::unordered_set<std::string> known;
--- a/src/sidecar/last_hop.cc
+++ b/src/sidecar/last_hop.cc
@@ -394,8 +394,8 @@
 
     // What is broken off at an instance may still crash it.
     if (started)
-        crashes.unanswered (SteadyClock().Now(), running.startedAt,
-                            mesh::digestOf (identityOf (running.call)));
+        crashes.brokenOff (SteadyClock().Now(), running.startedAt,
+                           mesh::digestOf (identityOf (running.call)));
 
     const auto http = running.http;
     queue.cancel (id);
--- a/src/sidecar/last_hop_crash.cc
+++ b/src/sidecar/last_hop_crash.cc
@@ -12,8 +12,8 @@
 namespace
 {
 
-// After a lost answer; by then a busy instance that lives has answered something else.
-constexpr Milliseconds crashCheckDelay{ 250 };
+// After a lost answer: an idle instance is asked whether it lives, a busy one has mostly shown it.
+constexpr Milliseconds crashCheckDelay{ 100 };
 
 // All connections of an instance end with it, but are handled one after the other.
 constexpr Milliseconds crashReportDelay{ 5 };
@@ -82,7 +82,7 @@
 void LastHop::learnAlive (Timestamp sentAt)
 {
     reportCrash();
-    crashes.answered (sentAt);
+    crashes.answered (SteadyClock().Now(), sentAt);
 }
 
 void LastHop::learnGone (Timestamp now)
--- a/src/sidecar/last_hop_instance.cc
+++ b/src/sidecar/last_hop_instance.cc
@@ -69,7 +69,7 @@
                   { "by", nameOf (by, mesh::identitySourceNames) } });
 
     if (! instance.leaving())
-        crashes.gone (now);
+        crashes.replaced (now);
 
     reportCrash();
     crashes.restarted (now);
--- a/tests/mesh_integration/crashing_request_test.cc
+++ b/tests/mesh_integration/crashing_request_test.cc
@@ -168,6 +168,39 @@
   EXPECT_GE(served, sent * 9 / 10) << served << " of " << sent;
 }
 
+// What everybody asks for runs in every crash, too, and is answered elsewhere all the while.
+TEST_P(CrashingRequest, DoesNotTakePopularRequestsWithIt) {
+  std::atomic<bool> over{false};
+  std::atomic<int> sent{0};
+  std::atomic<int> served{0};
+  std::vector<std::thread> clients;
+  for (int client = 0; client < 6; ++client) {
+    clients.emplace_back([&, client] {
+      for (int number = 0; !over; ++number) {
+        MeshRequest request;
+        request.path = "/look/popular";
+        request.id = "p-" + std::to_string(client) + "-" + std::to_string(number);
+        ++sent;
+        if (fleet_.Call(Machine(client + number), request).status == 200) ++served;
+      }
+    });
+  }
+  const auto end = Clock::now() + std::chrono::seconds(4);
+  for (int round = 0; Clock::now() < end; ++round) {
+    MeshRequest request;
+    request.path = kCrashing;
+    request.id = "c-" + std::to_string(round);
+    request.deadline_ms = "500";
+    fleet_.Call(Machine(round * 5 + 1), request);
+    KeepListed();
+    std::this_thread::sleep_for(kPause);
+  }
+  over = true;
+  for (auto& client : clients) client.join();
+  EXPECT_FALSE(Crashes().empty());
+  EXPECT_GE(served, sent * 95 / 100) << served << " of " << sent;
+}
+
 // A lost answer is no crash: what is sent again and again to instances that live is always offered.
 TEST_P(CrashingRequest, IsNotToldByLostAnswers) {
   for (auto& machine : fleet_.machines()) {
