--- a/src/mesh/avoidance.cc
+++ b/src/mesh/avoidance.cc
@@ -41,7 +41,7 @@
 
 bool mayHedge (const RetryFacts& facts, int active)
 {
-    return facts.mayRepeat && active == 1 &&
+    return facts.mayRepeat && ! facts.isHeld && active == 1 &&
            facts.arrivals + arrivalsOfHedge <= facts.maxAttempts && facts.usualRun < facts.timeLeft;
 }
 
--- a/src/sidecar/active_request.cc
+++ b/src/sidecar/active_request.cc
@@ -166,7 +166,7 @@
 
     // What an earlier attempt, or another node, has learned meanwhile: without this each attempt of
     // a client would crash as many instances as it may have retries.
-    if (hop->guard->holdOf (identityOf (*exchange, tenant)))
+    if (facts().isHeld)
         return endHeld();
 
     const auto index = attempts.size();
@@ -297,6 +297,7 @@
     known.timeLeft = deadline - now();
     known.usualRun = fromMilliseconds (hop->chooser.usualRunMs (route));
     known.mayHaveRun = mayHaveRun;
+    known.isHeld = hop->guard->holdOf (identityOf (*exchange, tenant)).has_value();
     return known;
 }
 
@@ -312,7 +313,7 @@
         ++arrivals;
 
     auto known = facts();
-    known.isHeld = answer.report.cause == mesh::HopCause::crashSuspect;
+    known.isHeld = known.isHeld || answer.report.cause == mesh::HopCause::crashSuspect;
     const auto step = decideNextStep (known, outcome);
 
     if (step != NextStep::passOn || outcome != AttemptOutcome::answered)
--- a/tests/mesh/avoidance_test.cc
+++ b/tests/mesh/avoidance_test.cc
@@ -43,6 +43,13 @@
     EXPECT_FALSE (mayHedge (facts, 1));
 }
 
+TEST (Hedging, NotForWhatNoInstanceIsToGet)
+{
+    auto facts = repeatable();
+    facts.isHeld = true;
+    EXPECT_FALSE (mayHedge (facts, 1));
+}
+
 TEST (Hedging, OnlyWithinTheRoutesAttemptsAndTheTimeLeft)
 {
     auto facts = repeatable();
--- a/tests/mesh/retry_decision_test.cc
+++ b/tests/mesh/retry_decision_test.cc
@@ -75,6 +75,22 @@
     }
 }
 
+TEST (RetryDecision, WhatIsHeldIsAnsweredAtOnce)
+{
+    RetryFacts facts;
+    facts.mayRepeat = true;
+    facts.maxAttempts = 9;
+    facts.timeLeft = Milliseconds (1000);
+    facts.isHeld = true;
+    EXPECT_EQ (decideNextStep (facts, Outcome::notOffered), Step::refuse);
+    EXPECT_EQ (decideNextStep (facts, Outcome::answered), Step::passOn);
+    EXPECT_EQ (decideNextStep (facts, Outcome::failedByApp), Step::passOn);
+    EXPECT_EQ (decideNextStep (facts, Outcome::timedOut), Step::timeOut);
+    facts.mayHaveRun = true;
+    EXPECT_EQ (decideNextStep (facts, Outcome::unknown), Step::giveUp);
+    EXPECT_EQ (decideNextStep (facts, Outcome::notOffered), Step::giveUp);
+}
+
 TEST (RetryDecision, WhatMayRunOnceIsNeverSentAgainAfterItMayHaveRun)
 {
     for (const auto outcome : { Outcome::failedByApp, Outcome::unknown, Outcome::rejected })
