--- /dev/null
+++ b/tests/mesh_integration/soak_observations.h
@@ -0,0 +1,134 @@
+// What the soak's clients and instances have seen, and what of it breaks a promise.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "tests/mesh_integration/mesh_fleet.h"
+#include "tests/proxy/raw_socket.h"
+
+namespace copperlead::standin {
+
+// Of the tenant that asks for far more than it may.
+inline constexpr int kLimit = 20;
+inline constexpr int kBurst = 10;
+inline constexpr std::size_t kBound = (5 * kLimit + kBurst) * 5 / 4 + 20;
+// A request that crashes instances, sent again and again; two crashes hold it. Behind a fault proxy
+// a node sees that its instance is gone only when it has begun anew, so some more end meanwhile.
+inline constexpr char kCrashing[] = "/look/crashes";
+inline constexpr std::size_t kMostCrashes = 12;
+
+// Thread-safe.
+class Observations {
+ public:
+  void Answered(const std::string& id, bool repeatable, const HttpAnswer& answer) {
+    const std::lock_guard lock(mutex_);
+    ++by_status_[answer.status];
+    if (repeatable) return CheckAnswer(id, answer);
+    purchases_[id] = answer.whole ? answer.status : 0;
+    CheckAnswer(id, answer);
+  }
+
+  void AnsweredKept(const std::string& id, const RawMessage& answer) {
+    const std::lock_guard lock(mutex_);
+    ++by_status_[answer.status()];
+    if (answer.status() == 200 && answer.body != "answer to " + id) {
+      Violate(id + " got \"" + answer.body + "\"");
+    }
+  }
+
+  // A request of the tenant that is over its limit.
+  void AnsweredHot(const std::string& id, const HttpAnswer& answer) {
+    const std::lock_guard lock(mutex_);
+    ++by_status_[answer.status];
+    if (answer.status != 429) CheckAnswer(id, answer);
+  }
+
+  // What instances saw of tenants.
+  void CheckTenants(const MeshFleet& fleet) {
+    const std::lock_guard lock(mutex_);
+    const std::size_t most = MostRunsInWindow(fleet, "plain");
+    if (most > kBound) Violate("a limit was exceeded: " + std::to_string(most));
+    for (const auto& machine : fleet.machines()) {
+      for (const auto& run : machine->instance->runs()) {
+        if (!run.key.empty()) Violate(run.request_id + " came with its client's key");
+        const bool hot = run.request_id[0] == 'h';
+        if (run.tenant != (hot ? "plain" : "gold")) Violate(run.request_id + " of " + run.tenant);
+      }
+    }
+  }
+
+  // What the request that crashes instances has done.
+  void CheckCrashes(const MeshFleet& fleet) {
+    const std::lock_guard lock(mutex_);
+    std::size_t crashes = 0;
+    for (const auto& machine : fleet.machines()) crashes += machine->instance->crashes().size();
+    if (crashes > kMostCrashes) Violate(std::to_string(crashes) + " instances crashed");
+    crashes_ = crashes;
+  }
+
+  // A probe for the route that version `version` and all later ones have.
+  void Probed(std::size_t machine, int life, std::uint64_t version, int status) {
+    const std::lock_guard lock(mutex_);
+    std::uint64_t& served = served_version_[{machine, life}];
+    if (status == 200) served = std::max(served, version);
+    if (status == 404 && version <= served) {
+      Violate("machine " + std::to_string(machine) + " went back behind version " +
+              std::to_string(served));
+    }
+  }
+
+  void Violate(const std::string& what) { violations_.insert(what); }
+
+  // After all has come to rest: how often each purchase ran.
+  void CheckRuns(const MeshFleet& fleet) {
+    const std::lock_guard lock(mutex_);
+    for (const auto& [id, status] : purchases_) {
+      const int runs = fleet.RunsOf(id);
+      if (runs > 1) Violate(id + " ran " + std::to_string(runs) + " times");
+      if (status == 503 && runs > 0) Violate(id + " was refused and ran");
+      if (status == 200 && runs != 1) Violate(id + " was answered and never ran");
+    }
+  }
+
+  std::string Summary() {
+    const std::lock_guard lock(mutex_);
+    std::string text;
+    for (const auto& [status, count] : by_status_) {
+      text += std::to_string(status) + ": " + std::to_string(count) + "  ";
+    }
+    text += "crashes: " + std::to_string(crashes_);
+    for (const std::string& violation : violations_) text += "\n" + violation;
+    return text;
+  }
+
+  bool sound() {
+    const std::lock_guard lock(mutex_);
+    return violations_.empty();
+  }
+
+ private:
+  void CheckAnswer(const std::string& id, const HttpAnswer& answer) {
+    if (!answer.whole) return;
+    static const std::set<int> allowed = {200, 500, 502, 503, 504};
+    if (allowed.count(answer.status) == 0) {
+      Violate(id + " got " + std::to_string(answer.status));
+    }
+    if (answer.status != 200) return;
+    if (answer.body != "answer to " + id) Violate(id + " got \"" + answer.body + "\"");
+    if (answer.Header("x-response-seal").empty()) Violate(id + " got an unsigned success");
+  }
+
+  std::mutex mutex_;
+  std::map<int, int> by_status_;          // Guarded by mutex_, as all below.
+  std::map<std::string, int> purchases_;  // Status of each; 0 for no whole answer.
+  std::map<std::pair<std::size_t, int>, std::uint64_t> served_version_;
+  std::set<std::string> violations_;
+  std::size_t crashes_ = 0;
+};
+
+}  // namespace copperlead::standin
