--- a/src/standin/instance.cc
+++ b/src/standin/instance.cc
@@ -131,8 +131,8 @@
   if (crashed) changed_.wait_until(lock, crashes_.back() + crash_.down, [&] { return stopping_; });
   if (!crashed || stopping_) return false;
   born_ = UnixMilliseconds();
-  // A port that the system chose goes with the listening; one that was named is still bound, so that
-  // this fails.
+  // A port that the system chose goes with the listening; one that was named is still bound, so
+  // that this fails.
   const SystemAddress native = ToSystem(address_);
   (void)bind(listener_, native.get(), native.length);
   return listen(listener_, kBacklog) == 0;
