--- a/src/mesh/crash_watch.cc
+++ b/src/mesh/crash_watch.cc
@@ -9,18 +9,18 @@
 
 void CrashWatch::unanswered (Timestamp now, Timestamp startedAt, const RequestDigest& request)
 {
-    add (startedAt, { request, startedAt, now, false });
+    add ({ request, startedAt, now, false });
 }
 
 void CrashWatch::brokenOff (Timestamp now, Timestamp startedAt, const RequestDigest& request)
 {
-    add (startedAt, { request, startedAt, now, true });
+    add ({ request, startedAt, now, true });
 }
 
-void CrashWatch::add (Timestamp startedAt, const UnansweredRun& run)
+void CrashWatch::add (const UnansweredRun& run)
 {
     // The former incarnation's crash has been told; this one has nothing to do with it.
-    if (startedAt >= since && runs.size() < mostRuns)
+    if (run.startedAt >= since && runs.size() < mostRuns)
         runs.push_back (run);
 }
 
--- a/src/mesh/crash_watch.h
+++ b/src/mesh/crash_watch.h
@@ -7,7 +7,6 @@
 #include <cstdint>
 #include <deque>
 #include <optional>
-#include <string>
 #include <vector>
 
 #include "base/time.h"
@@ -85,7 +84,7 @@
         bool brokenOff = false;
     };
 
-    void add (Timestamp startedAt, const UnansweredRun& run);
+    void add (const UnansweredRun& run);
     void begin (Timestamp now, bool isReplaced);
     bool isOutlived (const UnansweredRun& run) const;
     Timestamp crashTime() const;
