The retry budget is spent to what is allowed, last chances first

Load pattern: all instances of a service turn away half of what comes, and the budget can't carry all. Cause: each node rounded its part down to whole retries and spent 0.6 of it, so that a fleet of 985 (parts of 3.4) lost a tenth more than a small one; it was spent on whoever asked first, though a request whose client comes back anyway gains about half as much by a retry. A node that has just started takes the slack for spent: its forerunner may have. Claims are ranked: last chances (a client that has come back, or routes whose clients don't, learned by ReturnShare), then priority; what better claims ask for, and what will come back, is kept back from the others.

--- a/src/sidecar/active_request.cc
+++ b/src/sidecar/active_request.cc
@@ -58,6 +58,9 @@
         age = hop->attemptAges.observe (exchange->arrivedAt, route.name, announced);
     }
 
+    if (age > Milliseconds (0))
+        hop->returns.returned (route.name);
+
     deadline = std::min ({ deadline, clientLeaves, hop->endsAt });
     fields = forwardedFields (received, names);
     fields.insert (fields.begin(), { "Host", std::string (onlyValue (received, "Host")) });
@@ -301,6 +304,12 @@
     return known;
 }
 
+mesh::RetryClaim ActiveRequest::retryClaim() const
+{
+    const bool comesBack = age == Milliseconds (0) && hop->returns.comesBack (route.name);
+    return { ! comesBack, priorityOf (route, tenant) };
+}
+
 void ActiveRequest::onAnswer (std::size_t index, const HopAnswer& answer)
 {
     if (done)
@@ -339,7 +348,8 @@
 
     const bool again =
         step == NextStep::tryAgain ||
-        (step == NextStep::spendRetry && hop->budgetOf (service).take (now(), hop->nodes()));
+        (step == NextStep::spendRetry &&
+         hop->budgetOf (service).take (now(), hop->nodes(), retryClaim()));
 
     if (! again)
         return finish (step == NextStep::spendRetry ? withoutRetry (facts(), outcome) : step,
@@ -381,7 +391,7 @@
     if (hedged || search != nullptr || ! mesh::mayHedge (facts(), activeCount()))
         return;
 
-    if (! hop->budgetOf (service).take (now(), hop->nodes()))
+    if (! hop->budgetOf (service).take (now(), hop->nodes(), mesh::hedgeClaim))
         return;
 
     hedged = true;
--- a/src/sidecar/active_request.h
+++ b/src/sidecar/active_request.h
@@ -52,6 +52,7 @@
     void finish (mesh::NextStep step, const HopAnswer& answer);
     Milliseconds targetLeft() const;
     mesh::RetryFacts facts() const;
+    mesh::RetryClaim retryClaim() const;
     void avoid (const Attempt& attempt, const HopAnswer& answer);
     void armSlowCheck (std::size_t index);
     void onSlow (std::size_t index);
--- a/src/sidecar/active_request_end.cc
+++ b/src/sidecar/active_request_end.cc
@@ -139,6 +139,9 @@
     if (why == HopCause::crashSuspect)
         hop->guard->countRefusal();
 
+    if (age == Milliseconds (0))
+        hop->returns.refused (route.name);
+
     hop->answerOwn (exchange, 503, cause, comeBack);
     ++hop->counts.refused;
     logEnd (EventKind::requestRefused, 503, cause, comeBack);
--- a/src/sidecar/first_hop.cc
+++ b/src/sidecar/first_hop.cc
@@ -32,6 +32,7 @@
     , quotas (settings.quotas, { settings.ownIp, settings.zone }, seed, quotaHooks())
     , quotaTimer (reactor)
     , random (static_cast<std::minstd_rand::result_type> (seed % std::minstd_rand::modulus))
+    , budgetThreshold (std::uniform_real_distribution<double> (0, 1) (random))
 {
 }
 
@@ -145,7 +146,7 @@
 
 mesh::RetryBudget& FirstHop::budgetOf (const std::string& service)
 {
-    return budgets.try_emplace (service, settings.budget).first->second;
+    return budgets.try_emplace (service, settings.budget, startedAt, budgetThreshold).first->second;
 }
 
 void FirstHop::answerOwn (const ExchangePointer& exchange, int status, std::string_view cause,
--- a/src/sidecar/first_hop.h
+++ b/src/sidecar/first_hop.h
@@ -18,6 +18,7 @@
 #include "mesh/instance_chooser.h"
 #include "mesh/latency_histogram.h"
 #include "mesh/retry_budget.h"
+#include "mesh/return_share.h"
 #include "mesh/tenant_quotas.h"
 #include "mesh/weighted_split.h"
 #include "sidecar/decision_log.h"
@@ -158,6 +159,9 @@
     std::minstd_rand random; /**< Spreads the returns of refused clients. */
     mesh::WeightedSplit split;
     std::map<std::string, mesh::RetryBudget> budgets;
+    mesh::ReturnShare returns;
+    const Timestamp startedAt = SteadyClock().Now();
+    const double budgetThreshold; /**< Of every budget of this node. */
     std::shared_ptr<const mesh::RouteTable> routes;
     mesh::DirectoryPointer directory;
     FirstHopCounters counts;
--- /dev/null
+++ b/tests/mesh/return_share_test.cc
@@ -0,0 +1,60 @@
+#include "mesh/return_share.h"
+
+#include <gtest/gtest.h>
+
+namespace copperlead::mesh
+{
+namespace
+{
+
+void refuse (ReturnShare& share, const std::string& route, int count)
+{
+    for (int n = 0; n < count; ++n)
+        share.refused (route);
+}
+
+TEST (ReturnShare, ClientsAreExpectedBackWhileTooLittleIsKnown)
+{
+    ReturnShare share;
+    EXPECT_TRUE (share.comesBack ("lookup"));
+    refuse (share, "lookup", 3);
+    EXPECT_TRUE (share.comesBack ("lookup"));
+}
+
+TEST (ReturnShare, CallsThatAreNeverSentAgainHaveNoOtherChance)
+{
+    ReturnShare share;
+    refuse (share, "call", 4);
+    EXPECT_FALSE (share.comesBack ("call"));
+    EXPECT_TRUE (share.comesBack ("lookup"));
+}
+
+TEST (ReturnShare, ClientsThatComeBackMostlyAreExpected)
+{
+    ReturnShare share;
+
+    for (int n = 0; n < 50; ++n)
+    {
+        refuse (share, "lookup", 2);
+        share.returned ("lookup");
+    }
+
+    EXPECT_TRUE (share.comesBack ("lookup"));
+}
+
+TEST (ReturnShare, WhatClientsDidLongAgoIsForgotten)
+{
+    ReturnShare share;
+
+    for (int n = 0; n < 100; ++n)
+    {
+        refuse (share, "lookup", 1);
+        share.returned ("lookup");
+    }
+
+    refuse (share, "lookup", 1000);
+    EXPECT_FALSE (share.comesBack ("lookup"));
+}
+
+} // namespace
+} // namespace copperlead::mesh
