A fleet that starts together has a reader a zone, not a reader a node

Load pattern: N nodes and no entry, entries appear at 140 a second; an outage in which no reader of a zone reaches the source. Ruled out: a longer patience (wrong at twice the size); a look at the own entry (grows with the time of listing, so with the square of the nodes). Change: relieving weaker readers needs readers; a node that hears nobody at all, not even one that fails, still reads after 2 s. A node that isn't listed looks at the source once more by an old answer (a tenth of a call) before it reads, and subscribes through listed nodes of its zone to the reader's beats (mesh/subscription): state is soft, 5 s, renewed every 2 s.

--- a/src/mesh/reader_role.cc
+++ b/src/mesh/reader_role.cc
@@ -13,7 +13,9 @@
     , settings (settingsToUse)
     , random (static_cast<std::minstd_rand::result_type> (seed % std::minstd_rand::modulus))
 {
-    drawPatience (settings.unlistedPatience + weaknessPatience(), settings.unlistedSpread);
+    // A look costs the source little, so a weak machine needn't leave it to others.
+    const auto weakness = settings.mayLook ? Milliseconds (0) : weaknessPatience();
+    drawPatience (settings.unlistedPatience + weakness, settings.unlistedSpread);
 }
 
 void ReaderRole::drawPatience (Milliseconds least, Milliseconds spread)
@@ -33,14 +35,39 @@
     return settings.weakerPatience * std::max (0, topStrength - rank.strength);
 }
 
+void ReaderRole::restartPatience (Timestamp now, Milliseconds least, Milliseconds spread)
+{
+    patientSince = now;
+    drawPatience (least + weaknessPatience(), spread);
+}
+
 void ReaderRole::listed (Timestamp now)
 {
-    if (lastSatisfied != Timestamp{} || isReading || hasBeenListed)
+    isListed = true;
+
+    if (lastSatisfied != Timestamp{} || isReading || std::exchange (hasBeenListed, true))
         return;
 
-    hasBeenListed = true;
-    patientSince = now;
-    drawPatience (settings.listedPatience + weaknessPatience(), settings.listedSpread);
+    restartPatience (now, settings.listedPatience, settings.listedSpread);
+}
+
+void ReaderRole::subscribed (Timestamp now)
+{
+    if (lastSatisfied != Timestamp{} || isReading || std::exchange (hasSubscribed, true))
+        return;
+
+    restartPatience (now, settings.subscribedPatience, settings.subscribedSpread);
+}
+
+bool ReaderRole::looksFirst (Timestamp now)
+{
+    if (! settings.mayLook || isListed || lastSatisfied != Timestamp{} ||
+        std::exchange (hasLooked, true))
+        return false;
+
+    wantsLook = true;
+    restartPatience (now, settings.lookPatience, settings.lookSpread);
+    return true;
 }
 
 Milliseconds ReaderRole::tryInterval (Timestamp now) const
@@ -125,6 +152,27 @@
                         });
 }
 
+bool ReaderRole::relievesWeaker (Timestamp now)
+{
+    const bool onlyWeaker =
+        ! readers.empty() &&
+        std::all_of (readers.begin(), readers.end(), [&] (const auto& item)
+                     { return item.second.beat.rank.strength < rank.strength; });
+
+    if (! onlyWeaker)
+        weakerSince = Timestamp::max();
+    else if (weakerSince == Timestamp::max())
+        weakerSince = now;
+
+    return weakerSince != Timestamp::max() && now - weakerSince > settings.takeOverTime;
+}
+
+bool ReaderRole::isAlone (Timestamp now) const
+{
+    return lastSatisfied != Timestamp{} && readers.empty() && failingReaders.empty() &&
+           now - patientSince > settings.takeOverTime;
+}
+
 bool ReaderRole::decide (Timestamp now, bool ownSound)
 {
     if (! std::exchange (begun, true))
@@ -152,18 +200,9 @@
         return isReading;
     }
 
-    const bool onlyWeaker = std::all_of (
-        readers.begin(), readers.end(),
-        [&] (const auto& item) { return item.second.beat.rank.strength < rank.strength; });
-
-    if (! onlyWeaker)
-        weakerSince = Timestamp::max();
-    else if (weakerSince == Timestamp::max())
-        weakerSince = now;
-
-    const bool takeOver =
-        weakerSince != Timestamp::max() && now - weakerSince > settings.takeOverTime;
-    isReading = seenLater || takeOver || now - patientSince > currentPatience;
+    const bool takeOver = relievesWeaker (now) || isAlone (now);
+    const bool outOfPatience = now - patientSince > currentPatience && ! looksFirst (now);
+    isReading = seenLater || takeOver || outOfPatience;
     return isReading;
 }
 
--- a/src/mesh/reader_role.h
+++ b/src/mesh/reader_role.h
@@ -9,7 +9,8 @@
    `patience`, since of a large zone somebody's is always short.
 
    At its start a node waits for a beat before it reads: shortly if it is listed, so that a reader
-   can know it, longer if it isn't. While the source fails, the nodes of a zone share the calls that
+   can know it, longer if it isn't. One that isn't looks for peers before it reads, and subscribes
+   to the beats of the zone's reader through them (see Subscription). While the source fails, the nodes of a zone share the calls that
    find out when it is back: the more of them try, the rarer each does.
 */
 #pragma once
@@ -18,6 +19,7 @@
 #include <map>
 #include <random>
 #include <string>
+#include <utility>
 
 #include "base/time.h"
 
@@ -66,6 +68,16 @@
     */
     Milliseconds listedPatience{ 300 }, unlistedPatience{ 1500 };
     Milliseconds listedSpread{ 300 }, unlistedSpread{ 1000 };
+
+    /** Of a node that isn't listed: until a look at the source has shown peers. */
+    Milliseconds lookPatience{ 500 }, lookSpread{ 300 };
+
+    /** After its first subscription: until the peers have passed it on, or one of those that were
+        listed first begins to read.
+    */
+    Milliseconds subscribedPatience{ 1000 }, subscribedSpread{ 500 };
+    bool mayLook = false; /**< Whether this node can list the source without reading it. */
+
     Milliseconds weakerPatience{ 300 }; /**< More at the start for each step under the strongest. */
 
     /** The nodes of a zone together try a failing source about that often. */
@@ -73,7 +85,11 @@
     Milliseconds longestTryInterval{ 4000 };
     Milliseconds unsoundMemory{ 6000 }; /**< For which a beat of a failing reader counts. */
     Milliseconds behindTime{ 400 };     /**< For which another node may show a later version. */
-    Milliseconds takeOverTime{ 2000 }; /**< After which a stronger node relieves a weaker reader. */
+
+    /** After which a stronger node relieves a weaker reader, and a node that hears no reader at all,
+        not even one that fails, waits for no other of its zone.
+    */
+    Milliseconds takeOverTime{ 2000 };
 };
 
 /** Not thread-safe. */
@@ -103,6 +119,15 @@
     /** This node is listed, so that readers know it: at its start it needs less patience. */
     void listed (Timestamp now);
 
+    /** This node isn't listed, or no longer. */
+    void unlisted() { isListed = false; }
+
+    /** This node has subscribed to the beats of its zone's reader. */
+    void subscribed (Timestamp now);
+
+    /** Whether to list the source once more, for peers to subscribe through; says so once. */
+    bool takeLook() { return std::exchange (wantsLook, false); }
+
     /** Looks at what has been heard.
         @param ownSound  this node reaches the source itself
         @returns whether to read the source itself
@@ -129,10 +154,14 @@
     };
 
     void drawPatience (Milliseconds least, Milliseconds spread);
+    void restartPatience (Timestamp now, Milliseconds least, Milliseconds spread);
+    bool looksFirst (Timestamp now);
     Milliseconds takeOverSpread() const;
     Milliseconds weaknessPatience() const;
     void updateSatisfied (Timestamp now);
     bool relieved (Timestamp now, bool ownSound) const;
+    bool relievesWeaker (Timestamp now);
+    bool isAlone (Timestamp now) const;
 
     std::string name;
     ReaderRank rank;
@@ -148,7 +177,9 @@
     Timestamp patientSince{}; /**< When the patience began that now runs. */
     Milliseconds currentPatience{};
     bool begun = false; /**< decide() was called. */
-    bool hasBeenListed = false;
+    bool isListed = false, hasBeenListed = false;
+    bool hasLooked = false, hasSubscribed = false;
+    bool wantsLook = false;
     bool isReading = false;
 };
 
--- a/src/mesh/source_follower.cc
+++ b/src/mesh/source_follower.cc
@@ -62,6 +62,9 @@
     if (! pages.empty())
         return SourceCallCause::page;
 
+    if (looking)
+        return SourceCallCause::look;
+
     return historyLost ? SourceCallCause::historyLost : SourceCallCause::start;
 }
 
@@ -128,6 +131,18 @@
     return true;
 }
 
+void SourceFollower::lookAgain (Timestamp now)
+{
+    if (out || ! paused || ! listed || failures > 0)
+        return;
+
+    listed = false;
+    stale = true;
+    looking = true;
+    pages.clear();
+    due = now;
+}
+
 Timestamp SourceFollower::nextDue() const
 {
     return out || (paused && listed) ? Timestamp::max() : due;
@@ -228,7 +243,7 @@
     at = std::max (at, listingAt);
     listed = ! stale || listingAt > 0;
     stale = ! listed && paused;
-    historyLost = false;
+    historyLost = looking = false;
 
     // An old answer that holds nothing says nothing.
     if (stale)
--- a/src/mesh/source_follower.h
+++ b/src/mesh/source_follower.h
@@ -51,13 +51,15 @@
     start,       /**< The first page of the first listing. */
     page,        /**< A further page of any listing. */
     historyLost, /**< The first page of a listing after the source forgot its history. */
+    look,        /**< The first page of a later listing of a node that doesn't read. */
     takeOver,    /**< The first watch of a node that begins to read. */
     watch,       /**< A further watch. */
     retry        /**< After a call that failed or was refused. */
 };
 
-inline constexpr std::string_view sourceCallCauseNames[] = { "start",     "page",  "history_lost",
-                                                             "take_over", "watch", "retry" };
+inline constexpr std::string_view sourceCallCauseNames[] = {
+    "start", "page", "history_lost", "look", "take_over", "watch", "retry"
+};
 
 /** Calls, by cause. */
 using SourceCallCounts = std::array<std::uint64_t, std::size (sourceCallCauseNames)>;
@@ -166,6 +168,9 @@
     */
     bool resume (Timestamp now, std::uint64_t revision);
 
+    /** Lists once more, by an answer that may be old, while this node doesn't read. */
+    void lookAgain (Timestamp now);
+
     /** How far apart calls to a failing source are at least, since other nodes try it too. */
     void setTryInterval (Milliseconds interval) { tryInterval = interval; }
 
@@ -202,6 +207,7 @@
     std::uint64_t listingAt = 0; /**< Up to which the pages lack nothing: they are no snapshot. */
     bool stale = false;          /**< Of the listing under way. */
     bool historyLost = false;
+    bool looking = false; /**< The listing under way is a later one. */
     Milliseconds tryInterval{};
     std::vector<SourceEntry> pages;
     int failures = 0;
--- a/src/sidecar/decision_log.cc
+++ b/src/sidecar/decision_log.cc
@@ -33,6 +33,7 @@
     { EventKind::sourceLost, "source_lost", 5, "call cause last_word_ms revision" },
     { EventKind::sourceRegained, "source_regained", 5, "after_ms revision" },
     { EventKind::roleChanged, "role_changed", 5, "reading revision version" },
+    { EventKind::subscribed, "subscribed", 2, "to asked peers revision" },
     { EventKind::configurationTaken, "configuration_taken", 20, "version before revision routes" },
     { EventKind::configurationRefused, "configuration_refused", 20,
       "running place cause revision" },
--- a/src/sidecar/decision_log.h
+++ b/src/sidecar/decision_log.h
@@ -29,6 +29,7 @@
     sourceLost,
     sourceRegained,
     roleChanged,
+    subscribed,
     configurationTaken,
     configurationRefused,
     entryRefused,
--- a/src/sidecar/relay.cc
+++ b/src/sidecar/relay.cc
@@ -36,6 +36,13 @@
     return { settings.strength, XXH3_64bits (settings.node.data(), settings.node.size()) };
 }
 
+mesh::ReaderRoleSettings roleSettings()
+{
+    mesh::ReaderRoleSettings settings;
+    settings.mayLook = true;
+    return settings;
+}
+
 } // namespace
 
 Relay::Relay (std::shared_ptr<Reactor> reactorToUse, RelaySettings settingsToUse,
@@ -44,9 +51,10 @@
     , settings (std::move (settingsToUse))
     , hooks (std::move (hooksToUse))
     , log (std::move (logToUse))
-    , role (settings.node, rankOf (settings), {}, rankOf (settings).hash)
+    , role (settings.node, rankOf (settings), roleSettings(), rankOf (settings).hash)
     , random (static_cast<std::minstd_rand::result_type> (rankOf (settings).hash))
     , client (std::make_shared<HttpClient> (reactor, pullClientSettings()))
+    , subscriptions (rankOf (settings).hash)
 {
 }
 
@@ -74,25 +82,81 @@
 
 void Relay::hear (const SocketAddress& from, std::string_view datagram)
 {
-    const auto heard = mesh::decodeReaderBeat (datagram);
+    if (const auto beat = mesh::decodeReaderBeat (datagram))
+        return hearBeat (from.ip, *beat);
 
-    if (! heard)
-        return;
+    if (const auto subscription = mesh::decodeSubscription (datagram))
+        takeSubscription (from.ip, *subscription);
+}
 
+void Relay::hearBeat (const std::string& ip, const mesh::ReaderBeat& beat)
+{
     const auto now = SteadyClock().Now();
     ++counts.beatsHeard;
-    const bool elsewhere = heard->zone != settings.zone;
+    const bool elsewhere = beat.zone != settings.zone;
 
-    if (! elsewhere && heard->reads)
+    if (! elsewhere && beat.reads)
     {
-        role.heard (now, *heard);
+        role.heard (now, beat);
         // Stepping down at once keeps a zone that starts together from all its nodes' beats.
         applyRole (now);
     }
 
+    if (! elsewhere && beat.reads && beat.sound)
+        send (subscriptions.heardReader (now, ip, role.reading()));
+
     // Also from one that can't read on: what it has is later than what this node has.
-    if (heard->at > ownAt || heard->version > ownVersion)
-        pull (from.ip);
+    if (beat.at > ownAt || beat.version > ownVersion)
+        pull (ip);
+}
+
+void Relay::subscribe (Timestamp now)
+{
+    if (listed || resigned)
+        return;
+
+    const auto sendings = subscriptions.due (now, peers.inZone);
+
+    if (sendings.empty())
+        return;
+
+    send (sendings);
+    role.subscribed (now);
+    log->write (now, EventKind::subscribed,
+                { { "to", sendings.front().to },
+                  { "asked", static_cast<std::int64_t> (sendings.size()) },
+                  { "peers", static_cast<std::int64_t> (peers.inZone.size()) },
+                  { "revision", static_cast<std::int64_t> (ownAt) } });
+}
+
+void Relay::takeSubscription (const std::string& from, const mesh::Subscription& subscription)
+{
+    // Only a listed node passes on others' subscriptions: a stranger's word would send beats to
+    // anybody.
+    const bool passedOn = ! subscription.ip.empty();
+
+    if (subscription.zone != settings.zone || (passedOn && isElsewhere (from)))
+        return;
+
+    const auto now = SteadyClock().Now();
+    const auto& subscriber = passedOn ? subscription.ip : from;
+    ++counts.subscriptionsTaken;
+    send (subscriptions.take (now, subscriber, role.reading()));
+
+    if (role.reading() && hooks.sourceSound (now))
+        sendBeat (subscriber, beatBytes (true, true));
+    else if (! subscriptions.knowsReader (now))
+        role.listed (now); // Its sender has seen so: nobody reads yet, and this node soon may.
+}
+
+void Relay::send (const mesh::SubscriptionSendings& sendings)
+{
+    for (const auto& sending : sendings)
+    {
+        ++counts.subscriptionsSent;
+        channel->Send ({ sending.to, settings.address.port },
+                       mesh::encode (mesh::Subscription{ settings.zone, sending.subscriber }));
+    }
 }
 
 void Relay::pull (const std::string& ip)
@@ -161,10 +225,17 @@
         hooks.setReading (false);
 }
 
-void Relay::setPeers (mesh::PeerAddresses peersToUse)
+void Relay::setPeers (Timestamp now, mesh::PeerAddresses peersToUse, bool isListed)
 {
     peers = std::move (peersToUse);
+    listed = isListed;
     role.setZonePeers (peers.inZone.size());
+
+    if (listed)
+        return role.listed (now);
+
+    role.unlisted();
+    subscribe (now);
 }
 
 void Relay::sawVersion (std::uint64_t version, const std::string& ip)
@@ -255,6 +326,13 @@
 
     for (const auto& ip : peers.inZone)
         sendBeat (ip, bytes);
+
+    if (! reads)
+        return;
+
+    for (const auto& ip : subscriptions.subscribers (SteadyClock().Now()))
+        if (! std::binary_search (peers.inZone.begin(), peers.inZone.end(), ip))
+            sendBeat (ip, bytes);
 }
 
 std::string Relay::beatBytes (bool sound, bool reads) const
@@ -274,6 +352,9 @@
     const bool reading = role.decide (now, hooks.sourceSound (now));
     hooks.setTryInterval (role.tryInterval (now));
 
+    if (role.takeLook())
+        hooks.look();
+
     if (reading != wasReading)
     {
         wasReading = reading;
@@ -289,6 +370,7 @@
 void Relay::tick (Timestamp now)
 {
     applyRole (now);
+    subscribe (now);
 
     if (! role.reading())
         return;
--- a/src/sidecar/relay.h
+++ b/src/sidecar/relay.h
@@ -15,6 +15,7 @@
 #include "mesh/mesh_update.h"
 #include "mesh/peer_addresses.h"
 #include "mesh/reader_role.h"
+#include "mesh/subscription.h"
 #include "sidecar/decision_log.h"
 #include "sidecar/http_client.h"
 #include "transport/datagram_channel.h"
@@ -39,6 +40,7 @@
 {
     std::function<void (Timestamp, mesh::MeshUpdate)> take;
     std::function<void (bool reading)> setReading;
+    std::function<void()> look;      /**< List the source once more, for peers. */
     std::function<void()> overtaken; /**< This node reads, and another told more than the source. */
     std::function<bool (Timestamp)> sourceSound;
     std::function<void (Milliseconds)> setTryInterval; /**< Of calls to a failing source. */
@@ -49,6 +51,7 @@
 {
     std::uint64_t beatsSent = 0, beatsHeard = 0, pulls = 0, failedPulls = 0, roleChanges = 0;
     std::uint64_t pullsElsewhere = 0; /**< Of the pulls: from a node of another zone. */
+    std::uint64_t subscriptionsSent = 0, subscriptionsTaken = 0;
 };
 
 class Relay : public std::enable_shared_from_this<Relay>
@@ -61,10 +64,8 @@
     /** @returns kBadAddress or kAddressInUse naming the address */
     Result<Done> start();
 
-    void setPeers (mesh::PeerAddresses peersToUse);
-
-    /** This node is listed, so that the readers know it. */
-    void listed (Timestamp now) { role.listed (now); }
+    /** @param isListed  this node is, so that the readers know it */
+    void setPeers (Timestamp now, mesh::PeerAddresses peersToUse, bool isListed);
 
     /** This node's state is now up to date with this revision of the source and this version. */
     void reached (Timestamp now, std::uint64_t at, std::uint64_t version);
@@ -97,6 +98,10 @@
     void pull (const std::string& ip);
     void onPulled (const CallResult& result, bool elsewhere);
     bool isElsewhere (const std::string& ip) const;
+    void hearBeat (const std::string& ip, const mesh::ReaderBeat& beat);
+    void subscribe (Timestamp now);
+    void takeSubscription (const std::string& from, const mesh::Subscription& subscription);
+    void send (const mesh::SubscriptionSendings& sendings);
     void beat (bool sound);
 
     /** Tells the zone what this node listed at its start, again and again: a node that starts a
@@ -121,6 +126,8 @@
     std::unique_ptr<DatagramChannel> channel;
     RelayCounters counts;
     mesh::PeerAddresses peers;
+    mesh::Subscriptions subscriptions;
+    bool listed = false; /**< The instance beside this node is. */
     std::uint64_t ownAt = 0, ownVersion = 0;
     Timestamp beatAt{};
     bool saidSound = false;  /**< In the last beat. */
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -230,10 +230,9 @@
 
     if (relay != nullptr)
     {
-        relay->setPeers (mesh::peersOf (*snapshot, settings.zone, settings.instance.ip));
-
-        if (snapshot->byAddress.contains (ToString (settings.instance)))
-            relay->listed (at);
+        const bool isListed = snapshot->byAddress.contains (ToString (settings.instance));
+        relay->setPeers (at, mesh::peersOf (*snapshot, settings.zone, settings.instance.ip),
+                         isListed);
     }
 }
 
@@ -260,6 +259,13 @@
         if (self != nullptr && self->setReading)
             self->setReading (reading, self->state.reached());
     };
+    hooks.look = [weak]
+    {
+        const auto self = weak.lock();
+
+        if (self != nullptr && self->onLook)
+            self->onLook();
+    };
     hooks.overtaken = [weak]
     {
         const auto self = weak.lock();
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -64,6 +64,9 @@
     std::function<void (bool reading, std::uint64_t revision)> setReading;
     std::function<SourceStatus()> sourceStatus;
 
+    /** Other nodes are looked for: asked to list the source once more without reading it. */
+    std::function<void()> onLook;
+
     /** This node reads the source, and another told it up to a later revision. */
     std::function<void (std::uint64_t)> onOvertaken;
 
--- a/src/sidecar/sidecar_metrics.cc
+++ b/src/sidecar/sidecar_metrics.cc
@@ -308,6 +308,11 @@
                       figures.relay.failedPulls);
     families.counter ("copperlead_reader_role_changes_total", "Begins and ends of reading",
                       figures.relay.roleChanges);
+    families.counter ("copperlead_subscriptions_sent_total",
+                      "Subscriptions to a reader's beats, this node's and those passed on",
+                      figures.relay.subscriptionsSent);
+    families.counter ("copperlead_subscriptions_taken_total", "Subscriptions of other nodes",
+                      figures.relay.subscriptionsTaken);
     families.counter ("copperlead_log_lines_left_out_total", "Lines beyond their budget",
                       figures.logLinesLeftOut);
 }
--- a/src/sidecar/source_reader.h
+++ b/src/sidecar/source_reader.h
@@ -87,6 +87,13 @@
             askAnew();
     }
 
+    /** Lists once more, for nodes that have been listed since. */
+    void lookAgain()
+    {
+        follower.lookAgain (SteadyClock().Now());
+        next();
+    }
+
     const mesh::SourceFollower& state() const { return follower; }
 
     /** Calls since the start, by cause. */
