--- a/tests/mesh/reader_role_test.cc
+++ b/tests/mesh/reader_role_test.cc
@@ -194,6 +194,87 @@
     EXPECT_TRUE (reading);
 }
 
+/** The time from which on a node reads that hears of nobody. @param act  at each step */
+template <typename Act>
+std::int64_t readsFromIn (ReaderRole& role, Act act)
+{
+    std::int64_t now = 0;
+
+    for (; ! role.decide (at (now)) && now < 60'000; now += 10)
+        act (now);
+
+    return now;
+}
+
+ReaderRoleSettings withLooks()
+{
+    ReaderRoleSettings settings;
+    settings.mayLook = true;
+    return settings;
+}
+
+TEST (StartingFleetRole, ItsPatienceIsNotCutShortWhereNoReaderIsKnown)
+{
+    ReaderRoleSettings settings;
+    settings.unlistedPatience = Milliseconds (5000);
+    ReaderRole role ("own", own, settings, 7);
+    EXPECT_GE (readsFromIn (role, [] (auto) {}), 5000);
+}
+
+TEST (StartingFleetRole, LooksForPeersOnceBeforeItReads)
+{
+    ReaderRole role ("own", own, withLooks(), 7);
+    int looks = 0;
+    const auto readsAt = readsFromIn (role, [&] (auto) { looks += role.takeLook() ? 1 : 0; });
+    EXPECT_EQ (looks, 1);
+    EXPECT_GE (readsAt, 1500 + 500);
+    EXPECT_LE (readsAt, 1500 + 1000 + 500 + 300 + 300 + 20) << "a step under the strongest";
+}
+
+TEST (StartingFleetRole, AListedNodeNeedsNoLook)
+{
+    ReaderRole role ("own", own, withLooks(), 7);
+    role.decide (at (0));
+    role.listed (at (0));
+    EXPECT_LE (readsFromIn (role, [] (auto) {}), 300 + 300 + 300 + 10);
+    EXPECT_FALSE (role.takeLook());
+}
+
+TEST (StartingFleetRole, WaitsForTheReaderThatItSubscribedTo)
+{
+    ReaderRole role ("own", own, withLooks(), 7);
+    const auto subscribe = [&] (std::int64_t now)
+    {
+        if (now >= 100)
+            role.subscribed (at (now));
+    };
+    const auto readsAt = readsFromIn (role, subscribe);
+    EXPECT_GE (readsAt, 100 + 1000);
+    EXPECT_LE (readsAt, 100 + 1000 + 500 + 300 + 500 + 300 + 300 + 20);
+}
+
+TEST_F (Role, OneThatHearsNobodyAtAllWaitsForNoOtherOfALargeZone)
+{
+    role.setZonePeers (500);
+    EXPECT_FALSE (hear (beat (better), 0, 500));
+    EXPECT_LE (readsFrom (750), 500 + 2000 + 50);
+}
+
+TEST_F (Role, WhereReadersFailTheOthersOfALargeZoneTakeTurns)
+{
+    role.setZonePeers (500);
+    EXPECT_FALSE (hear (beat (better), 0, 500));
+    bool reading = false;
+
+    for (std::int64_t now = 750; now < 4000; now += 250)
+    {
+        role.heard (at (now), beat (better, 5, false));
+        reading = reading || role.decide (at (now));
+    }
+
+    EXPECT_FALSE (reading) << "its turn, drawn from 50 s, isn't due";
+}
+
 TEST_F (Role, ItsOwnBeatTeachesNothing)
 {
     auto echoed = beat (better);
--- a/tests/mesh/source_follower_test.cc
+++ b/tests/mesh/source_follower_test.cc
@@ -223,6 +223,34 @@
     EXPECT_TRUE (follower->poll (at (500))->mayBeStale);
 }
 
+TEST_F (PausedAtStart, LooksAgainByAnOldAnswerAndRestsThen)
+{
+    follower->poll (at (0));
+    follower->lookAgain (at (0)); // While the first is out: nothing.
+    follower->answered (at (1), page ({ entry ("a", 3) }, 7));
+    follower->lookAgain (at (1500));
+    const auto look = follower->poll (at (1500));
+    ASSERT_TRUE (look);
+    EXPECT_EQ (look->cause, SourceCallCause::look);
+    EXPECT_TRUE (look->mayBeStale);
+    const auto update = follower->answered (at (1510), page ({ entry ("a", 3), entry ("b", 9) }, 9));
+    ASSERT_TRUE (update);
+    EXPECT_EQ (update->at, 9U);
+    EXPECT_FALSE (follower->poll (at (60'000)));
+}
+
+TEST_F (PausedAtStart, ALookIsDroppedByWhoBeginsToRead)
+{
+    follower->poll (at (0));
+    follower->answered (at (1), page ({ entry ("a", 3) }, 7));
+    follower->lookAgain (at (1500));
+    follower->poll (at (1500));
+    EXPECT_TRUE (follower->resume (at (1600), 5));
+    const auto watch = follower->poll (at (1600));
+    EXPECT_EQ (watch->call, SourceCall::watch);
+    EXPECT_EQ (watch->afterRevision, 5U);
+}
+
 TEST_F (PausedAtStart, AReaderWithoutAListingAsksForAnExactOne)
 {
     follower->poll (at (0));
