What follows from the instances is worked out when they change, not each second

Cause: each node told all its parts of the directory once a second, changed or not: lists of peers, of nodes and keepers were rebuilt from all instances, work that grows with the fleet (985 entries a second at each of 985 nodes).

--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -1,6 +1,7 @@
 #include "sidecar/sidecar.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "mesh/milliseconds.h"
 #include "sidecar/messages.h"
@@ -225,9 +226,14 @@
 void Sidecar::directoryChanged (Timestamp at)
 {
     const auto snapshot = state.directory().snapshot();
-    firstHop->setDirectory (snapshot);
     lastHop->setDirectory (at, *snapshot);
 
+    // What follows from the same instances is the same, and its work grows with their number.
+    if (std::exchange (directory, snapshot) == snapshot)
+        return;
+
+    firstHop->setDirectory (snapshot);
+
     if (relay != nullptr)
     {
         const bool isListed = snapshot->byAddress.contains (ToString (settings.instance));
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -108,6 +108,7 @@
     std::shared_ptr<Reactor> reactor;
     std::shared_ptr<DecisionLog> log;
     mesh::MeshState state;
+    mesh::DirectoryPointer directory; /**< That the parts were last told of. */
     std::shared_ptr<CrashGuard> crashGuard;
     std::shared_ptr<LastHop> lastHop;
     std::shared_ptr<BodyAdmission> bodies;
