src/sidecar in parts: http, hop, instance, source

Some 60 files in one folder, whose names alone told what serves clients and what stands beside the instance.

--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -1,9 +1,10 @@
 # One static library per folder of src/, one test program per folder of tests/.
 
-# copperlead_module(NAME [LINK ...]): library copperlead_NAME from src/NAME/*.cc.
+# copperlead_module(NAME [LINK ...]): library copperlead_NAME from src/NAME and its parts.
 function(copperlead_module name)
   cmake_parse_arguments(ARGUMENT "" "" "LINK" ${ARGN})
-  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/src/${name}/*.cc)
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/src/${name}/*.cc
+       ${CMAKE_SOURCE_DIR}/src/${name}/*/*.cc)
   if(sources)
     add_library(copperlead_${name} STATIC ${sources})
     target_include_directories(copperlead_${name} PUBLIC ${CMAKE_SOURCE_DIR}/src)
@@ -15,10 +16,11 @@
   endif()
 endfunction()
 
-# copperlead_tests(NAME [LINK ...]): program NAME_test from tests/NAME/*.cc, one CTest entry.
+# copperlead_tests(NAME [LINK ...]): program NAME_test from tests/NAME and its parts, one CTest entry.
 function(copperlead_tests name)
   cmake_parse_arguments(ARGUMENT "" "" "LINK" ${ARGN})
-  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/tests/${name}/*.cc)
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/tests/${name}/*.cc
+       ${CMAKE_SOURCE_DIR}/tests/${name}/*/*.cc)
   if(sources)
     add_executable(${name}_test ${sources})
     target_include_directories(${name}_test PRIVATE ${CMAKE_SOURCE_DIR}/src ${CMAKE_SOURCE_DIR})
--- a/src/mesh/crash_watch.cc
+++ b/src/mesh/crash_watch.cc
@@ -19,8 +19,8 @@
 
 void CrashWatch::add (const UnansweredRun& run)
 {
-    // The former incarnation's crash has been told; this one has nothing to do with it. Nor has what
-    // was sent to one that was gone already.
+    // The former incarnation's crash has been told; this one has nothing to do with it. Nor has
+    // what was sent to one that was gone already.
     if (run.startedAt >= since && run.startedAt <= crashedAt && runs.size() < mostRuns)
         runs.push_back (run);
 }
--- a/src/mesh/crash_watch.h
+++ b/src/mesh/crash_watch.h
@@ -105,9 +105,9 @@
     std::uint64_t crash = 0; /**< Under way; 0: none is known. */
     Timestamp goneAt{};
     Timestamp crashedAt = Timestamp::max(); /**< As first reported; the largest time before. */
-    bool wasUnnoticed = false; /**< Some was sent there after it. */
-    int questionsCut = 0;      /**< Since the last answer. */
-    Timestamp since = Timestamp::min(); /**< This incarnation's runs began later. */
+    bool wasUnnoticed = false;              /**< Some was sent there after it. */
+    int questionsCut = 0;                   /**< Since the last answer. */
+    Timestamp since = Timestamp::min();     /**< This incarnation's runs began later. */
     std::deque<UnansweredRun> runs;
 };
 
--- a/src/mesh/reader_role.cc
+++ b/src/mesh/reader_role.cc
@@ -155,9 +155,10 @@
 bool ReaderRole::relievesWeaker (Timestamp now)
 {
     const bool onlyWeaker =
-        ! readers.empty() &&
-        std::all_of (readers.begin(), readers.end(), [&] (const auto& item)
-                     { return item.second.beat.rank.strength < rank.strength; });
+        ! readers.empty() && std::all_of (readers.begin(), readers.end(),
+                                          [&] (const auto& item) {
+                                              return item.second.beat.rank.strength < rank.strength;
+                                          });
 
     if (! onlyWeaker)
         weakerSince = Timestamp::max();
--- a/src/mesh/reader_role.h
+++ b/src/mesh/reader_role.h
@@ -10,8 +10,9 @@
 
    At its start a node waits for a beat before it reads: shortly if it is listed, so that a reader
    can know it, longer if it isn't. One that isn't looks for peers before it reads, and subscribes
-   to the beats of the zone's reader through them (see Subscription). While the source fails, the nodes of a zone share the calls that
-   find out when it is back: the more of them try, the rarer each does.
+   to the beats of the zone's reader through them (see Subscription). While the source fails, the
+   nodes of a zone share the calls that find out when it is back: the more of them try, the rarer
+   each does.
 */
 #pragma once
 
@@ -86,8 +87,8 @@
     Milliseconds unsoundMemory{ 6000 }; /**< For which a beat of a failing reader counts. */
     Milliseconds behindTime{ 400 };     /**< For which another node may show a later version. */
 
-    /** After which a stronger node relieves a weaker reader, and a node that hears no reader at all,
-        not even one that fails, waits for no other of its zone.
+    /** After which a stronger node relieves a weaker reader, and a node that hears no reader at
+       all, not even one that fails, waits for no other of its zone.
     */
     Milliseconds takeOverTime{ 2000 };
 };
--- a/src/mesh/source_follower.h
+++ b/src/mesh/source_follower.h
@@ -57,9 +57,9 @@
     retry        /**< After a call that failed or was refused. */
 };
 
-inline constexpr std::string_view sourceCallCauseNames[] = {
-    "start", "page", "history_lost", "look", "take_over", "watch", "retry"
-};
+inline constexpr std::string_view sourceCallCauseNames[] = { "start", "page",      "history_lost",
+                                                             "look",  "take_over", "watch",
+                                                             "retry" };
 
 /** Calls, by cause. */
 using SourceCallCounts = std::array<std::uint64_t, std::size (sourceCallCauseNames)>;
--- a/src/sidecar/active_request.cc
+++ b/src/sidecar/hop/active_request.cc
@@ -1,11 +1,11 @@
-#include "sidecar/active_request.h"
+#include "sidecar/hop/active_request.h"
 
 #include <algorithm>
 
 #include "mesh/avoidance.h"
 #include "mesh/enum_names.h"
 #include "mesh/milliseconds.h"
-#include "sidecar/messages.h"
+#include "sidecar/http/messages.h"
 
 namespace copperlead::sidecar
 {
@@ -346,10 +346,9 @@
     if (activeCount() > 0 || search != nullptr)
         return;
 
-    const bool again =
-        step == NextStep::tryAgain ||
-        (step == NextStep::spendRetry &&
-         hop->budgetOf (service).take (now(), hop->nodes(), retryClaim()));
+    const bool again = step == NextStep::tryAgain ||
+                       (step == NextStep::spendRetry &&
+                        hop->budgetOf (service).take (now(), hop->nodes(), retryClaim()));
 
     if (! again)
         return finish (step == NextStep::spendRetry ? withoutRetry (facts(), outcome) : step,
--- a/src/sidecar/active_request.h
+++ b/src/sidecar/hop/active_request.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "mesh/retry_decision.h"
-#include "sidecar/first_hop.h"
+#include "sidecar/hop/first_hop.h"
 
 namespace copperlead::sidecar
 {
--- a/src/sidecar/active_request_end.cc
+++ b/src/sidecar/hop/active_request_end.cc
@@ -3,8 +3,8 @@
 #include "mesh/enum_names.h"
 #include "mesh/milliseconds.h"
 #include "mesh/retry_after.h"
-#include "sidecar/active_request.h"
-#include "sidecar/messages.h"
+#include "sidecar/hop/active_request.h"
+#include "sidecar/http/messages.h"
 
 namespace copperlead::sidecar
 {
--- a/src/sidecar/active_request_log.cc
+++ b/src/sidecar/hop/active_request_log.cc
@@ -1,7 +1,7 @@
 /** The lines that a request leaves in the decision log. */
 #include "mesh/enum_names.h"
 #include "mesh/milliseconds.h"
-#include "sidecar/active_request.h"
+#include "sidecar/hop/active_request.h"
 
 namespace copperlead::sidecar
 {
--- a/src/sidecar/first_hop.cc
+++ b/src/sidecar/hop/first_hop.cc
@@ -1,4 +1,4 @@
-#include "sidecar/first_hop.h"
+#include "sidecar/hop/first_hop.h"
 
 #include <fmt/format.h>
 
@@ -6,8 +6,8 @@
 
 #include "mesh/avoidance.h"
 #include "mesh/enum_names.h"
-#include "sidecar/active_request.h"
-#include "sidecar/messages.h"
+#include "sidecar/hop/active_request.h"
+#include "sidecar/http/messages.h"
 
 namespace copperlead::sidecar
 {
--- a/src/sidecar/first_hop.h
+++ b/src/sidecar/hop/first_hop.h
@@ -24,10 +24,10 @@
 #include "sidecar/decision_log.h"
 #include "sidecar/earliest_timer.h"
 #include "sidecar/header_names.h"
-#include "sidecar/hop_caller.h"
-#include "sidecar/http_client.h"
-#include "sidecar/http_server.h"
-#include "sidecar/instance_search.h"
+#include "sidecar/hop/hop_caller.h"
+#include "sidecar/hop/instance_search.h"
+#include "sidecar/http/http_client.h"
+#include "sidecar/http/http_server.h"
 
 namespace copperlead::sidecar
 {
--- a/src/sidecar/first_hop_tenants.cc
+++ b/src/sidecar/hop/first_hop_tenants.cc
@@ -4,9 +4,9 @@
 
 #include "mesh/enum_names.h"
 #include "mesh/retry_after.h"
-#include "sidecar/active_request.h"
-#include "sidecar/first_hop.h"
-#include "sidecar/messages.h"
+#include "sidecar/hop/active_request.h"
+#include "sidecar/hop/first_hop.h"
+#include "sidecar/http/messages.h"
 
 namespace copperlead::sidecar
 {
--- a/src/sidecar/hop_caller.cc
+++ b/src/sidecar/hop/hop_caller.cc
@@ -1,6 +1,6 @@
-#include "sidecar/hop_caller.h"
+#include "sidecar/hop/hop_caller.h"
 
-#include "sidecar/messages.h"
+#include "sidecar/http/messages.h"
 
 namespace copperlead::sidecar
 {
--- a/src/sidecar/hop_caller.h
+++ b/src/sidecar/hop/hop_caller.h
@@ -7,7 +7,7 @@
 #include <memory>
 #include <string>
 
-#include "sidecar/last_hop.h"
+#include "sidecar/instance/last_hop.h"
 
 namespace copperlead::sidecar
 {
--- a/src/sidecar/instance_search.cc
+++ b/src/sidecar/hop/instance_search.cc
@@ -1,4 +1,4 @@
-#include "sidecar/instance_search.h"
+#include "sidecar/hop/instance_search.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/sidecar/instance_search.h
+++ b/src/sidecar/hop/instance_search.h
@@ -10,8 +10,8 @@
 
 #include "mesh/instance_chooser.h"
 #include "mesh/instance_poll.h"
-#include "sidecar/last_hop.h"
-#include "sidecar/load_queries.h"
+#include "sidecar/hop/load_queries.h"
+#include "sidecar/instance/last_hop.h"
 
 namespace copperlead::sidecar
 {
--- a/src/sidecar/load_queries.cc
+++ b/src/sidecar/hop/load_queries.cc
@@ -1,8 +1,8 @@
-#include "sidecar/load_queries.h"
+#include "sidecar/hop/load_queries.h"
 
 #include <utility>
 
-#include "sidecar/sockets.h"
+#include "sidecar/http/sockets.h"
 
 namespace copperlead::sidecar
 {
--- a/src/sidecar/answer_queue.h
+++ b/src/sidecar/http/answer_queue.h
@@ -8,7 +8,7 @@
 #include <functional>
 #include <string>
 
-#include "sidecar/http_server.h"
+#include "sidecar/http/http_server.h"
 
 namespace copperlead::sidecar
 {
--- a/src/sidecar/body_decoder.cc
+++ b/src/sidecar/http/body_decoder.cc
@@ -1,4 +1,4 @@
-#include "sidecar/body_decoder.h"
+#include "sidecar/http/body_decoder.h"
 
 #include <algorithm>
 #include <charconv>
--- a/src/sidecar/client_connection.cc
+++ b/src/sidecar/http/client_connection.cc
@@ -1,4 +1,4 @@
-#include "sidecar/client_connection.h"
+#include "sidecar/http/client_connection.h"
 
 #include <sys/epoll.h>
 #include <unistd.h>
@@ -10,7 +10,7 @@
 #include <utility>
 
 #include "mesh/milliseconds.h"
-#include "sidecar/sockets.h"
+#include "sidecar/http/sockets.h"
 
 namespace copperlead::sidecar
 {
--- a/src/sidecar/client_connection.h
+++ b/src/sidecar/http/client_connection.h
@@ -5,8 +5,8 @@
 #include <optional>
 #include <string>
 
-#include "sidecar/body_decoder.h"
-#include "sidecar/http_client.h"
+#include "sidecar/http/body_decoder.h"
+#include "sidecar/http/http_client.h"
 
 namespace copperlead::sidecar
 {
--- a/src/sidecar/http_client.cc
+++ b/src/sidecar/http/http_client.cc
@@ -1,8 +1,8 @@
-#include "sidecar/http_client.h"
+#include "sidecar/http/http_client.h"
 
 #include <algorithm>
 
-#include "sidecar/client_connection.h"
+#include "sidecar/http/client_connection.h"
 
 namespace copperlead::sidecar
 {
--- a/src/sidecar/http_server.cc
+++ b/src/sidecar/http/http_server.cc
@@ -1,4 +1,4 @@
-#include "sidecar/http_server.h"
+#include "sidecar/http/http_server.h"
 
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
@@ -8,8 +8,8 @@
 #include <cstring>
 #include <vector>
 
-#include "sidecar/server_connection.h"
-#include "sidecar/sockets.h"
+#include "sidecar/http/server_connection.h"
+#include "sidecar/http/sockets.h"
 
 namespace copperlead::sidecar
 {
--- a/src/sidecar/http_server.h
+++ b/src/sidecar/http/http_server.h
@@ -15,7 +15,7 @@
 #include "mesh/latency_histogram.h"
 #include "mesh/mesh_configuration.h"
 #include "proxy/http_message.h"
-#include "sidecar/link_pacer.h"
+#include "sidecar/instance/link_pacer.h"
 #include "transport/reactor.h"
 
 namespace copperlead::sidecar
--- a/src/sidecar/messages.cc
+++ b/src/sidecar/http/messages.cc
@@ -1,4 +1,4 @@
-#include "sidecar/messages.h"
+#include "sidecar/http/messages.h"
 
 #include <algorithm>
 
--- a/src/sidecar/server_connection.cc
+++ b/src/sidecar/http/server_connection.cc
@@ -1,4 +1,4 @@
-#include "sidecar/server_connection.h"
+#include "sidecar/http/server_connection.h"
 
 #include <sys/epoll.h>
 #include <unistd.h>
--- a/src/sidecar/server_connection.h
+++ b/src/sidecar/http/server_connection.h
@@ -9,9 +9,9 @@
 #include <optional>
 #include <string>
 
-#include "sidecar/answer_queue.h"
-#include "sidecar/body_decoder.h"
-#include "sidecar/http_server.h"
+#include "sidecar/http/answer_queue.h"
+#include "sidecar/http/body_decoder.h"
+#include "sidecar/http/http_server.h"
 
 namespace copperlead::sidecar
 {
--- a/src/sidecar/server_connection_answers.cc
+++ b/src/sidecar/http/server_connection_answers.cc
@@ -7,7 +7,7 @@
 #include <utility>
 
 #include "mesh/milliseconds.h"
-#include "sidecar/server_connection.h"
+#include "sidecar/http/server_connection.h"
 
 namespace copperlead::sidecar
 {
--- a/src/sidecar/server_connection_body.cc
+++ b/src/sidecar/http/server_connection_body.cc
@@ -1,5 +1,5 @@
 /** How a server's connection takes the bodies of requests, told to come or not. */
-#include "sidecar/server_connection.h"
+#include "sidecar/http/server_connection.h"
 
 namespace copperlead::sidecar
 {
--- a/src/sidecar/sockets.cc
+++ b/src/sidecar/http/sockets.cc
@@ -1,4 +1,4 @@
-#include "sidecar/sockets.h"
+#include "sidecar/http/sockets.h"
 
 #include <netinet/tcp.h>
 
--- a/src/sidecar/body_admission.cc
+++ b/src/sidecar/instance/body_admission.cc
@@ -1,4 +1,4 @@
-#include "sidecar/body_admission.h"
+#include "sidecar/instance/body_admission.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/sidecar/crash_guard.cc
+++ b/src/sidecar/instance/crash_guard.cc
@@ -1,4 +1,4 @@
-#include "sidecar/crash_guard.h"
+#include "sidecar/instance/crash_guard.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/sidecar/health_probe.cc
+++ b/src/sidecar/instance/health_probe.cc
@@ -1,9 +1,9 @@
-#include "sidecar/health_probe.h"
+#include "sidecar/instance/health_probe.h"
 
 #include <utility>
 
 #include "mesh/cold_start.h"
-#include "sidecar/messages.h"
+#include "sidecar/http/messages.h"
 
 namespace copperlead::sidecar
 {
--- a/src/sidecar/health_probe.h
+++ b/src/sidecar/instance/health_probe.h
@@ -10,7 +10,7 @@
 
 #include "sidecar/decision_log.h"
 #include "sidecar/header_names.h"
-#include "sidecar/http_client.h"
+#include "sidecar/http/http_client.h"
 
 namespace copperlead::sidecar
 {
--- a/src/sidecar/instance_answer.cc
+++ b/src/sidecar/instance/instance_answer.cc
@@ -1,6 +1,6 @@
-#include "sidecar/instance_answer.h"
+#include "sidecar/instance/instance_answer.h"
 
-#include "sidecar/messages.h"
+#include "sidecar/http/messages.h"
 
 namespace copperlead::sidecar
 {
--- a/src/sidecar/instance_answer.h
+++ b/src/sidecar/instance/instance_answer.h
@@ -3,7 +3,7 @@
 
 #include "mesh/hop_header.h"
 #include "sidecar/header_names.h"
-#include "sidecar/http_client.h"
+#include "sidecar/http/http_client.h"
 
 namespace copperlead::sidecar
 {
--- a/src/sidecar/last_hop.cc
+++ b/src/sidecar/instance/last_hop.cc
@@ -1,12 +1,12 @@
-#include "sidecar/last_hop.h"
+#include "sidecar/instance/last_hop.h"
 
 #include <algorithm>
 #include <random>
 
 #include "mesh/enum_names.h"
 #include "mesh/milliseconds.h"
-#include "sidecar/instance_answer.h"
-#include "sidecar/messages.h"
+#include "sidecar/http/messages.h"
+#include "sidecar/instance/instance_answer.h"
 
 namespace copperlead::sidecar
 {
--- a/src/sidecar/last_hop.h
+++ b/src/sidecar/instance/last_hop.h
@@ -18,12 +18,12 @@
 #include "mesh/latency_histogram.h"
 #include "mesh/load_query.h"
 #include "mesh/local_instance.h"
-#include "sidecar/crash_guard.h"
 #include "sidecar/decision_log.h"
 #include "sidecar/earliest_timer.h"
 #include "sidecar/header_names.h"
-#include "sidecar/health_probe.h"
-#include "sidecar/http_client.h"
+#include "sidecar/http/http_client.h"
+#include "sidecar/instance/crash_guard.h"
+#include "sidecar/instance/health_probe.h"
 
 namespace copperlead::sidecar
 {
--- a/src/sidecar/last_hop_crash.cc
+++ b/src/sidecar/instance/last_hop_crash.cc
@@ -4,8 +4,8 @@
 
 #include <algorithm>
 
-#include "sidecar/last_hop.h"
-#include "sidecar/messages.h"
+#include "sidecar/http/messages.h"
+#include "sidecar/instance/last_hop.h"
 
 namespace copperlead::sidecar
 {
--- a/src/sidecar/last_hop_forecast.cc
+++ b/src/sidecar/instance/last_hop_forecast.cc
@@ -4,7 +4,7 @@
 
 #include "mesh/link_schedule.h"
 #include "mesh/milliseconds.h"
-#include "sidecar/last_hop.h"
+#include "sidecar/instance/last_hop.h"
 
 namespace copperlead::sidecar
 {
--- a/src/sidecar/last_hop_instance.cc
+++ b/src/sidecar/instance/last_hop_instance.cc
@@ -5,8 +5,8 @@
 
 #include "mesh/enum_names.h"
 #include "mesh/milliseconds.h"
-#include "sidecar/last_hop.h"
-#include "sidecar/messages.h"
+#include "sidecar/http/messages.h"
+#include "sidecar/instance/last_hop.h"
 
 namespace copperlead::sidecar
 {
--- a/src/sidecar/link_pacer.cc
+++ b/src/sidecar/instance/link_pacer.cc
@@ -1,4 +1,4 @@
-#include "sidecar/link_pacer.h"
+#include "sidecar/instance/link_pacer.h"
 
 #include <utility>
 
--- a/src/sidecar/peer_endpoint.cc
+++ b/src/sidecar/instance/peer_endpoint.cc
@@ -1,9 +1,9 @@
-#include "sidecar/peer_endpoint.h"
+#include "sidecar/instance/peer_endpoint.h"
 
 #include "mesh/enum_names.h"
 #include "mesh/mesh_update.h"
-#include "sidecar/messages.h"
-#include "sidecar/relay.h"
+#include "sidecar/http/messages.h"
+#include "sidecar/source/relay.h"
 
 namespace copperlead::sidecar
 {
--- a/src/sidecar/peer_endpoint.h
+++ b/src/sidecar/instance/peer_endpoint.h
@@ -7,11 +7,11 @@
 #include <unordered_map>
 
 #include "mesh/mesh_state.h"
-#include "sidecar/body_admission.h"
 #include "sidecar/decision_log.h"
 #include "sidecar/header_names.h"
-#include "sidecar/http_server.h"
-#include "sidecar/last_hop.h"
+#include "sidecar/http/http_server.h"
+#include "sidecar/instance/body_admission.h"
+#include "sidecar/instance/last_hop.h"
 
 namespace copperlead::sidecar
 {
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -4,7 +4,7 @@
 #include <utility>
 
 #include "mesh/milliseconds.h"
-#include "sidecar/messages.h"
+#include "sidecar/http/messages.h"
 
 namespace copperlead::sidecar
 {
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -13,14 +13,14 @@
 #include "mesh/source_follower.h"
 #include "mesh/stop_plan.h"
 #include "sidecar/decision_log.h"
-#include "sidecar/first_hop.h"
-#include "sidecar/http_server.h"
-#include "sidecar/last_hop.h"
-#include "sidecar/peer_endpoint.h"
-#include "sidecar/relay.h"
+#include "sidecar/hop/first_hop.h"
+#include "sidecar/http/http_server.h"
+#include "sidecar/instance/last_hop.h"
+#include "sidecar/instance/peer_endpoint.h"
 #include "sidecar/settings_file.h"
 #include "sidecar/sidecar_metrics.h"
 #include "sidecar/sidecar_settings.h"
+#include "sidecar/source/relay.h"
 
 namespace copperlead::sidecar
 {
--- a/src/sidecar/sidecar_metrics.h
+++ b/src/sidecar/sidecar_metrics.h
@@ -11,13 +11,13 @@
 #include "mesh/latency_histogram.h"
 #include "mesh/source_follower.h"
 #include "mesh/tenant_quotas.h"
-#include "sidecar/body_admission.h"
-#include "sidecar/first_hop.h"
-#include "sidecar/http_client.h"
-#include "sidecar/http_server.h"
-#include "sidecar/last_hop.h"
-#include "sidecar/link_pacer.h"
-#include "sidecar/relay.h"
+#include "sidecar/hop/first_hop.h"
+#include "sidecar/http/http_client.h"
+#include "sidecar/http/http_server.h"
+#include "sidecar/instance/body_admission.h"
+#include "sidecar/instance/last_hop.h"
+#include "sidecar/instance/link_pacer.h"
+#include "sidecar/source/relay.h"
 
 namespace copperlead::sidecar
 {
--- a/src/sidecar/sidecar_servers.cc
+++ b/src/sidecar/sidecar_servers.cc
@@ -1,6 +1,6 @@
 /** The servers of a sidecar: for clients, other nodes, the readiness question and metrics. */
 #include "mesh/milliseconds.h"
-#include "sidecar/messages.h"
+#include "sidecar/http/messages.h"
 #include "sidecar/sidecar.h"
 
 #include <algorithm>
--- a/src/sidecar/relay.cc
+++ b/src/sidecar/source/relay.cc
@@ -1,12 +1,12 @@
-#include "sidecar/relay.h"
+#include "sidecar/source/relay.h"
 
 #include <xxhash.h>
 
 #include <algorithm>
 
 #include "mesh/reader_beat_codec.h"
-#include "sidecar/messages.h"
-#include "sidecar/sockets.h"
+#include "sidecar/http/messages.h"
+#include "sidecar/http/sockets.h"
 
 namespace copperlead::sidecar
 {
--- a/src/sidecar/relay.h
+++ b/src/sidecar/source/relay.h
@@ -17,7 +17,7 @@
 #include "mesh/reader_role.h"
 #include "mesh/subscription.h"
 #include "sidecar/decision_log.h"
-#include "sidecar/http_client.h"
+#include "sidecar/http/http_client.h"
 #include "transport/datagram_channel.h"
 
 namespace copperlead::sidecar
--- a/src/sidecar/source_reader.h
+++ b/src/sidecar/source/source_reader.h
@@ -11,8 +11,8 @@
 #include "mesh/enum_names.h"
 #include "mesh/source_follower.h"
 #include "sidecar/decision_log.h"
-#include "sidecar/http_client.h"
-#include "sidecar/messages.h"
+#include "sidecar/http/http_client.h"
+#include "sidecar/http/messages.h"
 
 namespace copperlead::sidecar
 {
--- a/tests/mesh/choice_test.cc
+++ b/tests/mesh/choice_test.cc
@@ -61,7 +61,8 @@
                 const auto now = at (1000 * second + request);
                 budget.countRequest (now);
                 // Every request fails at first and wants another attempt.
-                spent[static_cast<std::size_t> (second)] += budget.take (now, nodes, { true, 0 }) ? 1 : 0;
+                spent[static_cast<std::size_t> (second)] +=
+                    budget.take (now, nodes, { true, 0 }) ? 1 : 0;
             }
         }
     }
--- a/tests/mesh/fleet_start_test.cc
+++ b/tests/mesh/fleet_start_test.cc
@@ -41,7 +41,10 @@
     }
 
     /** Nodes that haven't been up to date with the source in the last second. */
-    std::size_t outOfDate() const { return countIf ([&] (const Node& n) { return isLate (n); }); }
+    std::size_t outOfDate() const
+    {
+        return countIf ([&] (const Node& n) { return isLate (n); });
+    }
 
     std::size_t withoutConfiguration() const
     {
@@ -104,9 +107,8 @@
     template <typename Predicate>
     std::size_t countIf (Predicate predicate) const
     {
-        return static_cast<std::size_t> (std::count_if (nodes.begin(), nodes.end(),
-                                                        [&] (const auto& node)
-                                                        { return predicate (*node); }));
+        return static_cast<std::size_t> (std::count_if (
+            nodes.begin(), nodes.end(), [&] (const auto& node) { return predicate (*node); }));
     }
 
     bool isLate (const Node& node) const
@@ -118,7 +120,8 @@
     /** How many instances are listed. */
     std::uint64_t listed() const
     {
-        const auto count = std::max<std::int64_t> ((now - firstEntryMs) * entriesPerSecond / 1000, 0);
+        const auto count =
+            std::max<std::int64_t> ((now - firstEntryMs) * entriesPerSecond / 1000, 0);
         return listsNothing ? 0 : std::min<std::uint64_t> (count, nodes.size());
     }
 
@@ -177,8 +180,8 @@
     void call (Node& node, const SourceRequest& request)
     {
         ++(request.mayBeStale ? staleCalls : calls);
-        const bool holds = request.call == SourceCall::watch && ! fails &&
-                           node.follower.revision() >= revision();
+        const bool holds =
+            request.call == SourceCall::watch && ! fails && node.follower.revision() >= revision();
         node.request = request;
         node.answerAt = now + callMs + (holds ? request.wait.count() : 0);
     }
@@ -276,8 +279,7 @@
         node.role.heard (at (now), said);
 
         if (said.sound)
-            send (node,
-                  node.subscriptions.heardReader (at (now), said.node, node.role.reading()));
+            send (node, node.subscriptions.heardReader (at (now), said.node, node.role.reading()));
 
         if (said.at > node.reached && node.pullAt < 0)
         {
--- a/tests/mesh/retry_budget_test.cc
+++ b/tests/mesh/retry_budget_test.cc
@@ -142,8 +142,8 @@
         {
             requests.push_back (0);
             spent.push_back (0);
-            std::poisson_distribution<int> restarts (restartsPerTenth *
-                                                     static_cast<double> (nodes.size()) + 1e-9);
+            std::poisson_distribution<int> restarts (
+                restartsPerTenth * static_cast<double> (nodes.size()) + 1e-9);
 
             for (int left = restarts (random); left > 0; --left)
                 nodes[random() % nodes.size()].budget = start (tenth * 100);
--- a/tests/mesh/source_follower_test.cc
+++ b/tests/mesh/source_follower_test.cc
@@ -233,7 +233,8 @@
     ASSERT_TRUE (look);
     EXPECT_EQ (look->cause, SourceCallCause::look);
     EXPECT_TRUE (look->mayBeStale);
-    const auto update = follower->answered (at (1510), page ({ entry ("a", 3), entry ("b", 9) }, 9));
+    const auto update =
+        follower->answered (at (1510), page ({ entry ("a", 3), entry ("b", 9) }, 9));
     ASSERT_TRUE (update);
     EXPECT_EQ (update->at, 9U);
     EXPECT_FALSE (follower->poll (at (60'000)));
--- a/tests/sidecar/answer_queue_test.cc
+++ b/tests/sidecar/http/answer_queue_test.cc
@@ -1,4 +1,4 @@
-#include "sidecar/answer_queue.h"
+#include "sidecar/http/answer_queue.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/sidecar/body_decoder_test.cc
+++ b/tests/sidecar/http/body_decoder_test.cc
@@ -1,4 +1,4 @@
-#include "sidecar/body_decoder.h"
+#include "sidecar/http/body_decoder.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/sidecar/body_gate_test.cc
+++ b/tests/sidecar/http/body_gate_test.cc
@@ -5,9 +5,9 @@
 
 #include <future>
 
-#include "sidecar/body_admission.h"
-#include "sidecar/http_client.h"
-#include "tests/sidecar/holding_server.h"
+#include "sidecar/http/http_client.h"
+#include "sidecar/instance/body_admission.h"
+#include "tests/sidecar/http/holding_server.h"
 
 namespace copperlead::sidecar
 {
--- a/tests/sidecar/holding_server.h
+++ b/tests/sidecar/http/holding_server.h
@@ -9,8 +9,8 @@
 #include <thread>
 #include <vector>
 
-#include "sidecar/http_server.h"
-#include "sidecar/messages.h"
+#include "sidecar/http/http_server.h"
+#include "sidecar/http/messages.h"
 #include "tests/proxy/raw_socket.h"
 
 namespace copperlead::sidecar::test
--- a/tests/sidecar/http_test.cc
+++ b/tests/sidecar/http/http_test.cc
@@ -5,9 +5,9 @@
 #include <future>
 #include <thread>
 
-#include "sidecar/http_client.h"
-#include "sidecar/http_server.h"
-#include "sidecar/messages.h"
+#include "sidecar/http/http_client.h"
+#include "sidecar/http/http_server.h"
+#include "sidecar/http/messages.h"
 #include "tests/proxy/raw_socket.h"
 
 namespace copperlead::sidecar
--- a/tests/sidecar/pipelining_test.cc
+++ b/tests/sidecar/http/pipelining_test.cc
@@ -11,7 +11,7 @@
 #include <thread>
 #include <vector>
 
-#include "tests/sidecar/holding_server.h"
+#include "tests/sidecar/http/holding_server.h"
 
 namespace copperlead::sidecar
 {
--- a/tests/sidecar/instance_answer_test.cc
+++ b/tests/sidecar/instance/instance_answer_test.cc
@@ -1,4 +1,4 @@
-#include "sidecar/instance_answer.h"
+#include "sidecar/instance/instance_answer.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/sidecar/last_hop_test.cc
+++ b/tests/sidecar/instance/last_hop_test.cc
@@ -1,4 +1,4 @@
-#include "sidecar/last_hop.h"
+#include "sidecar/instance/last_hop.h"
 
 #include <gtest/gtest.h>
 #include <unistd.h>
