--- a/tests/mesh_integration/mesh_relay_test.cc
+++ b/tests/mesh_integration/mesh_relay_test.cc
@@ -211,5 +211,79 @@
   EXPECT_GE(fleet_.store().calls(1), 1U);
 }
 
+// Ten machines of one zone that start together, none of which is listed.
+class UnlistedStart : public ::testing::Test {
+ protected:
+  static constexpr std::size_t kMachines = 10;
+
+  void SetUp() override {
+    fleet_.UseRelay();
+    fleet_.Configure(4);
+    for (std::size_t index = 0; index < kMachines; ++index) fleet_.Add("desk");
+    for (const auto& machine : fleet_.machines()) Unlist(*machine);
+    for (auto& machine : fleet_.machines()) fleet_.Start(*machine);
+  }
+
+  void Unlist(const MeshMachine& machine) {
+    fleet_.store().Remove("servers/" + machine.instance_id);
+  }
+
+  // @return how many machines take `path` for a route's within the time.
+  std::size_t Know(const std::string& path) {
+    const auto until = std::chrono::steady_clock::now() + kInForce;
+    std::size_t known = 0;
+    for (std::size_t index = 0; index < kMachines; ++index) {
+      MeshRequest request;
+      request.path = path;
+      request.id = "s-" + std::to_string(++sent_);
+      int status = 404;
+      while ((status = fleet_.Call(*fleet_.machines()[index], request).status) == 404 &&
+             std::chrono::steady_clock::now() < until) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+      }
+      known += status == 404 ? 0 : 1;
+    }
+    return known;
+  }
+
+  MeshFleet fleet_;
+  int sent_ = 0;
+};
+
+TEST_F(UnlistedStart, ThoseThatAreNotListedYetLiveOnTheReaderOfThoseThatAre) {
+  std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+  for (std::size_t index : {0, 1, 2}) fleet_.List(*fleet_.machines()[index]);
+  std::this_thread::sleep_for(std::chrono::milliseconds(4000));
+  const auto before = fleet_.store().calls(0);
+  // Two old listings a machine, and what a reader or two have asked since.
+  EXPECT_LE(before, 2 * kMachines + 15);
+  fleet_.Configure(5, ExtraRoute("new", "/new/", "desk"));
+  EXPECT_EQ(Know("/new/1"), kMachines);
+  // Seven readers more would have made seven calls and more.
+  EXPECT_LE(fleet_.store().calls(0) - before, 6U);
+}
+
+TEST_F(UnlistedStart, WhereNobodyIsListedEachReadsForItself) {
+  std::this_thread::sleep_for(std::chrono::milliseconds(5000));
+  fleet_.Configure(5, ExtraRoute("new", "/new/", "desk"));
+  EXPECT_EQ(Know("/new/1"), kMachines);
+}
+
+TEST_F(UnlistedStart, TheKilledReaderOfThoseThatAreNotListedIsReplaced) {
+  std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+  for (std::size_t index : {0, 1, 2}) fleet_.List(*fleet_.machines()[index]);
+  std::this_thread::sleep_for(std::chrono::milliseconds(4000));
+  // Whichever of the listed reads: two are killed, the third goes on.
+  for (std::size_t index : {0, 1}) {
+    fleet_.machines()[index]->sidecar->Signal(SIGKILL);
+    fleet_.machines()[index]->sidecar->Wait(std::chrono::seconds(5));
+  }
+  fleet_.Start(*fleet_.machines()[0]);
+  fleet_.Start(*fleet_.machines()[1]);
+  std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+  fleet_.Configure(5, ExtraRoute("new", "/new/", "desk"));
+  EXPECT_EQ(Know("/new/1"), kMachines);
+}
+
 }  // namespace
 }  // namespace copperlead::standin
