A lost history is listed once a zone; turns to read are drawn over the zone as it is now

(a) A reader that lists again counted as one that doesn't reach the source and said so, and the others took their turns. (b) Turns were drawn over the peers known when the first reader was heard: a tenth of the zone in a start that now hears a reader early. Change: a 410 is no failure until the listing that it leads to is late; the share of the spread is drawn, and the spread itself follows the peers. Tests: ZoneOfReaders.ALostHistoryIsListedOnceAZone (160 nodes), Following.ALostHistoryIsNoFailure..., Role.WhereReadersFail... with a zone that grew.

--- a/src/mesh/reader_role.cc
+++ b/src/mesh/reader_role.cc
@@ -20,8 +20,21 @@
 
 void ReaderRole::drawPatience (Milliseconds least, Milliseconds spread)
 {
-    std::uniform_int_distribution<std::int64_t> any (0, spread.count());
-    currentPatience = least + Milliseconds (any (random));
+    leastPatience = least;
+    startSpread = spread;
+    drawnShare = std::uniform_real_distribution<double> (0, 1) (random);
+}
+
+Duration ReaderRole::patience() const
+{
+    const auto spread = startSpread.value_or (takeOverSpread());
+    return leastPatience + std::chrono::duration_cast<Duration> (drawnShare * spread);
+}
+
+void ReaderRole::drawTurn()
+{
+    drawPatience (settings.patience, {});
+    startSpread.reset();
 }
 
 Milliseconds ReaderRole::takeOverSpread() const
@@ -135,7 +148,7 @@
 
     // The patience of the start ends with the first word of a reader.
     if (lastSatisfied == Timestamp{} && ! isReading)
-        drawPatience (settings.patience, takeOverSpread());
+        drawTurn();
 
     lastSatisfied = patientSince = now;
 }
@@ -193,7 +206,7 @@
 
         if (! isReading)
         {
-            drawPatience (settings.patience, takeOverSpread());
+            drawTurn();
             lastSatisfied = patientSince = now;
             weakerSince = Timestamp::max();
         }
@@ -202,7 +215,7 @@
     }
 
     const bool takeOver = relievesWeaker (now) || isAlone (now);
-    const bool outOfPatience = now - patientSince > currentPatience && ! looksFirst (now);
+    const bool outOfPatience = now - patientSince > patience() && ! looksFirst (now);
     isReading = seenLater || takeOver || outOfPatience;
     return isReading;
 }
--- a/src/mesh/reader_role.h
+++ b/src/mesh/reader_role.h
@@ -18,6 +18,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <utility>
@@ -155,6 +156,10 @@
     };
 
     void drawPatience (Milliseconds least, Milliseconds spread);
+
+    /** Draws when, among the nodes of the zone, it is this node's turn to read. */
+    void drawTurn();
+    Duration patience() const;
     void restartPatience (Timestamp now, Milliseconds least, Milliseconds spread);
     bool looksFirst (Timestamp now);
     Milliseconds takeOverSpread() const;
@@ -176,8 +181,10 @@
     Timestamp seenLaterSince = Timestamp::max();
     Timestamp lastSatisfied{}, weakerSince = Timestamp::max();
     Timestamp patientSince{}; /**< When the patience began that now runs. */
-    Milliseconds currentPatience{};
-    bool begun = false; /**< decide() was called. */
+    Milliseconds leastPatience{};
+    std::optional<Milliseconds> startSpread; /**< Empty: by the zone's peers, as known now. */
+    double drawnShare = 0;                   /**< Of the spread. */
+    bool begun = false;                      /**< decide() was called. */
     bool isListed = false, hasBeenListed = false;
     bool hasLooked = false, hasSubscribed = false;
     bool wantsLook = false;
--- a/src/mesh/source_follower.cc
+++ b/src/mesh/source_follower.cc
@@ -150,7 +150,8 @@
 
 bool SourceFollower::reached (Timestamp now) const
 {
-    return listed && ! paused && failures == 0 &&
+    // One that lists again after a lost history hears the source.
+    return (listed || historyLost) && ! paused && failures == 0 &&
            now - successAt <= settings.watchInterval + settings.watchWait + settings.answerTime;
 }
 
--- a/src/mesh/source_follower.h
+++ b/src/mesh/source_follower.h
@@ -178,7 +178,8 @@
     bool sound (Timestamp now) const;
 
     /** True while the source answers: nothing is failing, and its last word is no older than a
-       watch may take.
+        watch may take. Also while a lost history is made up for by a listing: were others to read
+        instead, each would list as well.
     */
     bool reached (Timestamp now) const;
 
--- a/tests/mesh/reader_role_test.cc
+++ b/tests/mesh/reader_role_test.cc
@@ -262,8 +262,9 @@
 
 TEST_F (Role, WhereReadersFailTheOthersOfALargeZoneTakeTurns)
 {
-    role.setZonePeers (500);
+    role.setZonePeers (2); // As known when it heard its first reader.
     EXPECT_FALSE (hear (beat (better), 0, 500));
+    role.setZonePeers (500);
     bool reading = false;
 
     for (std::int64_t now = 750; now < 4000; now += 250)
--- a/tests/mesh/source_follower_test.cc
+++ b/tests/mesh/source_follower_test.cc
@@ -223,6 +223,19 @@
     EXPECT_TRUE (follower->poll (at (500))->mayBeStale);
 }
 
+TEST_F (Following, ALostHistoryIsNoFailureUntilItsListingIsLate)
+{
+    follower.poll (at (10));
+    follower.answered (at (1510), page ({}, 9));
+    follower.poll (at (1510));
+    follower.answered (at (2000), failure (SourceReply::historyLost));
+    EXPECT_TRUE (follower.reached (at (2100)));
+    EXPECT_FALSE (follower.reached (at (1510 + 200 + 1500 + 600 + 1)));
+    EXPECT_EQ (follower.poll (at (2000))->call, SourceCall::list);
+    follower.answered (at (2100), failure (SourceReply::refused));
+    EXPECT_FALSE (follower.reached (at (2101)));
+}
+
 TEST_F (PausedAtStart, LooksAgainByAnOldAnswerAndRestsThen)
 {
     follower->poll (at (0));
--- a/tests/mesh/zone_outage_test.cc
+++ b/tests/mesh/zone_outage_test.cc
@@ -70,6 +70,9 @@
         return count;
     }
 
+    /** The source forgets its history; watches from before are turned away. */
+    void loseHistory() { forgotten = ++revision; }
+
     bool failing = false;
     int calls = 0, staleCalls = 0;
 
@@ -80,6 +83,7 @@
         SourceFollower follower;
         std::string name;
         std::uint64_t hash = 0;
+        SourceRequest request{};
         std::int64_t answerAt = -1, beatAt = -10'000;
         bool saidSound = false;
     };
@@ -93,11 +97,18 @@
         if (const auto request = node.follower.poll (at (now)))
         {
             ++(request->mayBeStale ? staleCalls : calls);
-            const bool holds = request->call == SourceCall::watch && ! failing;
+            node.request = *request;
+            const bool holds =
+                request->call == SourceCall::watch && ! failing && ! isLost (*request);
             node.answerAt = now + callMs + (holds ? request->wait.count() : 0);
         }
     }
 
+    bool isLost (const SourceRequest& request) const
+    {
+        return request.call == SourceCall::watch && request.afterRevision < forgotten;
+    }
+
     void answer (Node& node)
     {
         if (node.answerAt < 0 || now < node.answerAt)
@@ -105,14 +116,16 @@
 
         node.answerAt = -1;
         SourceAnswer answer;
-        answer.reply = failing ? SourceReply::refused : SourceReply::entries;
-        answer.at = 9;
-        answer.entries = { { "a", "v", 9, 1, false } };
+        answer.reply = failing                 ? SourceReply::refused
+                       : isLost (node.request) ? SourceReply::historyLost
+                                               : SourceReply::entries;
+        answer.at = revision;
+        answer.entries = { { "a", "v", revision, 1, false } };
         node.follower.answered (at (now), std::move (answer));
 
         if (node.follower.revision() > 0)
         {
-            node.role.reached (at (now), 9, 1);
+            node.role.reached (at (now), node.follower.revision(), 1);
             node.role.listed (at (now));
         }
     }
@@ -147,15 +160,30 @@
 
         node.beatAt = now;
         node.saidSound = sound;
-        const ReaderBeat said{ node.name, "z", { topStrength, node.hash }, 9, 1, sound };
+        const ReaderBeat said{
+            node.name, "z", { topStrength, node.hash }, node.follower.revision(), 1, sound
+        };
 
         for (auto& other : nodes)
             if (other.get() != &node)
-                other->role.heard (at (now), said);
+                hear (*other, said);
+    }
+
+    void hear (Node& node, const ReaderBeat& said)
+    {
+        node.role.heard (at (now), said);
+
+        // What changed is asked of the reader.
+        if (said.sound && said.at > node.follower.revision() && ! node.role.reading())
+        {
+            node.follower.pause (said.at);
+            node.role.reached (at (now), said.at, 1);
+        }
     }
 
     std::vector<std::unique_ptr<Node>> nodes;
     std::int64_t now = 0;
+    std::uint64_t revision = 9, forgotten = 0;
 };
 
 TEST (ZoneOfReaders, StartsTogetherWithOneOldListingEachAndFewOtherCalls)
@@ -183,6 +211,18 @@
     EXPECT_EQ (zone.readers(), 1);
 }
 
+TEST (ZoneOfReaders, ALostHistoryIsListedOnceAZone)
+{
+    Zone zone (160);
+    zone.runUntil (5000);
+    zone.calls = 0;
+    zone.loseHistory();
+    zone.runUntil (9000);
+    EXPECT_EQ (zone.readers(), 1);
+    EXPECT_EQ (zone.outOfDate(), 0);
+    EXPECT_LE (zone.calls, 8);
+}
+
 TEST (ZoneOfReaders, ASmallZoneTriesAsOftenAsBefore)
 {
     Zone zone (3);
