--- a/tests/mesh_integration/mesh_soak_test.cc
+++ b/tests/mesh_integration/mesh_soak_test.cc
@@ -1,9 +1,9 @@
 // A randomized soak: real sidecars under load while faults come from outside. Checked meanwhile are
 // the promises that callers and instances can see.
 //
-// COPPERLEAD_SOAK_SEED and COPPERLEAD_SOAK_SECONDS play one other seed for that long; without them
-// the seeds below are played, some seconds each. A seed that ever failed joins the list with a line
-// on its cause.
+// COPPERLEAD_SOAK_SEED and COPPERLEAD_SOAK_SECONDS play one other seed for that long, on
+// COPPERLEAD_SOAK_MACHINES machines; without them the seeds below are played, some seconds each. A
+// seed that ever failed joins the list with a line on its cause.
 #include <gtest/gtest.h>
 #include <signal.h>
 
@@ -39,8 +39,11 @@
 // One play of the soak.
 class Soak {
  public:
-  Soak(std::uint64_t seed, SoakKind kind)
-      : random_(seed), wide_(kind != SoakKind::kNarrow), behind_proxies_(kind != SoakKind::kWide) {}
+  Soak(std::uint64_t seed, SoakKind kind, std::size_t machines)
+      : random_(seed),
+        machines_(machines),
+        wide_(kind != SoakKind::kNarrow),
+        behind_proxies_(kind != SoakKind::kWide) {}
 
   void Play(std::chrono::seconds duration) {
     fleet_.UseRelay();
@@ -50,8 +53,10 @@
       fleet_.UseStoreProxies();
     }
     Configure();
-    for (const char* zone : {"ank-a", "ank-b"}) {
-      for (const char* service : {"desk", "desk", "hub"}) fleet_.Add(service, zone, 0);
+    for (std::size_t added = 0; added < machines_; added += 6) {
+      for (const char* zone : {"ank-a", "ank-b"}) {
+        for (const char* service : {"desk", "desk", "hub"}) fleet_.Add(service, zone, 0);
+      }
     }
     if (wide_) SetCrashes();
     lives_ = std::vector<std::atomic<int>>(fleet_.machines().size());
@@ -328,6 +333,7 @@
   }
 
   std::mt19937_64 random_;
+  std::size_t machines_;  // In sixes: two zones of two and one.
   bool wide_;
   bool behind_proxies_;
   std::mutex listing_;  // Guards the machines' instance ids, which crashes change.
@@ -344,7 +350,7 @@
 }
 
 void PlaySeed(std::uint64_t seed, SoakKind kind) {
-  Soak soak(seed, kind);
+  Soak soak(seed, kind, NumberFrom("COPPERLEAD_SOAK_MACHINES", 6));
   soak.Play(std::chrono::seconds(NumberFrom("COPPERLEAD_SOAK_SECONDS", 10)));
   std::cout << "seed " << seed << "  " << soak.seen().Summary() << "\n";
   EXPECT_TRUE(soak.seen().sound()) << "seed " << seed << "\n" << soak.seen().Summary();
