Clients' requests are not charged for repeats that only calls can be

Load pattern: all instances of a service turn away half of what comes, for seconds. Ruled out: how requests are told apart by id or waiting time (not promised, and the same for both here); the ranks (1.5 left is kept for returns, the model has that too). Change: CallShare learns by route how many of its requests may be calls: an instance calls only while something runs there. Unknown, or never idle: all, as before.

--- a/src/mesh/retry_budget.h
+++ b/src/mesh/retry_budget.h
@@ -20,8 +20,8 @@
     will ask for when their clients come back.
 
     The calls that an instance makes in a repeated run are repeats at the service that it calls.
-    A node can't tell them from others, so it charges the share of repeats among the runs beside it
-    to the requests that begin there.
+    A node can't tell which of them are, so it charges the share of repeats among the runs beside it
+    to the requests that begin there, as far as they may be calls (CallShare).
 */
 #pragma once
 
--- a/src/sidecar/hop/active_request.cc
+++ b/src/sidecar/hop/active_request.cc
@@ -62,7 +62,9 @@
     fields = forwardedFields (received, names);
     fields.insert (fields.begin(), { "Host", std::string (onlyValue (received, "Host")) });
     service = route.services[hop->split.next (route)].service;
-    hop->budgetOf (service).countRequest (exchange->arrivedAt, hop->lastHop->repeatShare());
+    hop->calls.observe (route.name, hop->instanceIsIdle());
+    hop->budgetOf (service).countRequest (exchange->arrivedAt,
+                                          hop->lastHop->repeatShare() * hop->calls.of (route.name));
 
     const auto weak = weak_from_this();
     exchange->onGone = [weak]
--- a/src/sidecar/hop/first_hop.h
+++ b/src/sidecar/hop/first_hop.h
@@ -14,6 +14,7 @@
 #include <unordered_set>
 
 #include "mesh/attempt_age.h"
+#include "mesh/call_share.h"
 #include "mesh/credential_check.h"
 #include "mesh/instance_chooser.h"
 #include "mesh/latency_histogram.h"
@@ -80,6 +81,9 @@
     */
     bool mayRunBeside (const RequestHead& head) const;
 
+    /** To be called some times a second. */
+    void tick() { calls.sample (instanceIsIdle()); }
+
     void setRoutes (std::shared_ptr<const mesh::RouteTable> newRoutes);
     void setDirectory (mesh::DirectoryPointer newDirectory);
     void setService (std::string service) { settings.service = std::move (service); }
@@ -141,6 +145,7 @@
     /** As logs show it: negative when there has never been a word. */
     double shownWordAgeMs() const { return wordAgeMs().value_or (-1); }
     mesh::RetryBudget& budgetOf (const std::string& service);
+    bool instanceIsIdle() const { return lastHop->admission().running() == 0; }
     std::size_t nodes() const;
 
     std::shared_ptr<Reactor> reactor;
@@ -160,6 +165,7 @@
     mesh::WeightedSplit split;
     std::map<std::string, mesh::RetryBudget> budgets;
     mesh::ReturnShare returns;
+    mesh::CallShare calls;
     const Timestamp startedAt = SteadyClock().Now();
     const double budgetThreshold; /**< Of every budget of this node. */
     std::shared_ptr<const mesh::RouteTable> routes;
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -320,6 +320,7 @@
     const auto at = now();
     logSleep (at);
     lastHop->tick (at);
+    firstHop->tick();
 
     if (relay != nullptr)
         relay->tick (at);
