--- a/src/mesh/retry_budget.cc
+++ b/src/mesh/retry_budget.cc
@@ -28,7 +28,7 @@
 double shareToSpend (const RetryBudgetSettings& settings, std::size_t nodes)
 {
     const auto count = static_cast<double> (std::max<std::size_t> (nodes, 1));
-    return std::max (settings.margin,
+    return std::max (settings.leastShare,
                      1 - settings.lastingDoubt - thresholdDoubt / std::sqrt (count));
 }
 
--- a/src/mesh/retry_budget.h
+++ b/src/mesh/retry_budget.h
@@ -38,7 +38,7 @@
     double ratio = 0.2;
     double slack = 64;
     Milliseconds window{ 10'000 };
-    double margin = 0.6; /**< The share of its part that a node spends at least. */
+    double leastShare = 0.6; /**< Of its part, that a node may spend in a fleet of any size. */
 
     /** Of a part: nothing is sure about traffic that comes in pulses shorter than a window, nor
         about the time between a retry's decision and its arrival. Fleets of any size have it.
--- a/src/mesh/tenant_quotas_asks.cc
+++ b/src/mesh/tenant_quotas_asks.cc
@@ -7,6 +7,7 @@
 
 namespace copperlead::mesh
 {
+
 namespace
 {
 
--- a/src/sidecar/http/client_connection_answers.cc
+++ b/src/sidecar/http/client_connection_answers.cc
@@ -11,6 +11,7 @@
 
 namespace copperlead::sidecar
 {
+
 namespace
 {
 
--- a/src/sidecar/source/relay_subscriptions.cc
+++ b/src/sidecar/source/relay_subscriptions.cc
@@ -4,6 +4,7 @@
 
 namespace copperlead::sidecar
 {
+
 void Relay::subscribe (Timestamp now)
 {
     if (listed || resigned)
--- a/tests/mesh/retry_budget_test.cc
+++ b/tests/mesh/retry_budget_test.cc
@@ -21,7 +21,7 @@
     RetryBudgetSettings settings;
     settings.ratio = 0.1;
     settings.slack = 0;
-    settings.margin = 1;
+    settings.leastShare = 1;
     return settings;
 }
 
@@ -85,7 +85,7 @@
     RetryBudgetSettings settings;
     settings.ratio = 0;
     settings.slack = 10;
-    settings.margin = 1;
+    settings.leastShare = 1;
     RetryBudget budget (settings);
     EXPECT_EQ (taken (budget, 490), 10) << "at the end of a bucket";
     EXPECT_EQ (taken (budget, 10'010), 0) << "less than a window later";
@@ -98,7 +98,7 @@
     RetryBudgetSettings settings;
     settings.ratio = 0;
     settings.slack = 4;
-    settings.margin = 1;
+    settings.leastShare = 1;
     RetryBudget budget (settings);
     EXPECT_TRUE (budget.take (at (0), 1, last));
     EXPECT_TRUE (budget.take (at (100), 1, urgent)) << "two are left beyond the one kept back";
@@ -114,7 +114,7 @@
     RetryBudgetSettings settings;
     settings.ratio = 0;
     settings.slack = 3;
-    settings.margin = 1;
+    settings.leastShare = 1;
     RetryBudget budget (settings);
     EXPECT_TRUE (budget.take (at (0), 1, hedgeClaim));
     EXPECT_TRUE (budget.take (at (0), 1, { false, 2 }));
