Reading the change again: one share learned by counting, one question about zone peers, one way to draw patience

ReturnShare and CallShare each kept two counts a route, believed them from four on and halved them at 128: RecentShare serves both. The relay asked in two ways whether an IP is a zone peer: isZonePeer (by binary search, the list is in order). drawPatience took a spread that drawTurn then took away: the spread is optional. No behaviour, bound or assertion changed.

--- a/src/mesh/call_share.cc
+++ b/src/mesh/call_share.cc
@@ -7,9 +7,7 @@
 namespace
 {
 
-constexpr double samplingRate = 0.1;   // Remembers some ten samples.
-constexpr double leastExpected = 4;    // Idle moments before anything is concluded.
-constexpr double mostRemembered = 128; // Idle moments; what came before them counts for half.
+constexpr double samplingRate = 0.1; // Remembers some ten samples.
 
 } // namespace
 
@@ -20,22 +18,14 @@
 
 void CallShare::observe (const std::string& route, bool instanceIsIdle)
 {
-    auto& counts = byRoute[route];
-    counts.idle += instanceIsIdle ? 1 : 0;
-    counts.expectedIdle += idleShare;
-
-    if (counts.expectedIdle > mostRemembered)
-        counts = { counts.idle / 2, counts.expectedIdle / 2 };
+    idleByRoute[route].add (instanceIsIdle ? 1 : 0, idleShare);
 }
 
 double CallShare::of (const std::string& route) const
 {
-    const auto found = byRoute.find (route);
-
-    if (found == byRoute.end() || found->second.expectedIdle < leastExpected)
-        return 1;
-
-    return std::clamp (1 - found->second.idle / found->second.expectedIdle, 0.0, 1.0);
+    const auto found = idleByRoute.find (route);
+    const auto idle = found == idleByRoute.end() ? std::nullopt : found->second.value();
+    return std::clamp (1 - idle.value_or (0), 0.0, 1.0);
 }
 
 } // namespace copperlead::mesh
--- a/src/mesh/call_share.h
+++ b/src/mesh/call_share.h
@@ -11,6 +11,8 @@
 #include <string>
 #include <unordered_map>
 
+#include "mesh/recent_share.h"
+
 namespace copperlead::mesh
 {
 
@@ -28,14 +30,12 @@
     double of (const std::string& route) const;
 
 private:
-    struct Counts
-    {
-        double idle = 0;         /**< Requests that came while the instance was idle. */
-        double expectedIdle = 0; /**< As many would have, were none of them a call. */
-    };
-
     double idleShare = 0; /**< Of the time, lately. */
-    std::unordered_map<std::string, Counts> byRoute;
+
+    /** Of the requests that would have come while the instance was idle, were none of them a call:
+        those that did.
+    */
+    std::unordered_map<std::string, RecentShare> idleByRoute;
 };
 
 } // namespace copperlead::mesh
--- a/src/mesh/reader_role.cc
+++ b/src/mesh/reader_role.cc
@@ -18,7 +18,7 @@
     drawPatience (settings.unlistedPatience + weakness, settings.unlistedSpread);
 }
 
-void ReaderRole::drawPatience (Milliseconds least, Milliseconds spread)
+void ReaderRole::drawPatience (Milliseconds least, std::optional<Milliseconds> spread)
 {
     leastPatience = least;
     startSpread = spread;
@@ -31,11 +31,7 @@
     return leastPatience + std::chrono::duration_cast<Duration> (drawnShare * spread);
 }
 
-void ReaderRole::drawTurn()
-{
-    drawPatience (settings.patience, {});
-    startSpread.reset();
-}
+void ReaderRole::drawTurn() { drawPatience (settings.patience, std::nullopt); }
 
 Milliseconds ReaderRole::takeOverSpread() const
 {
--- a/src/mesh/reader_role.h
+++ b/src/mesh/reader_role.h
@@ -155,7 +155,8 @@
         Timestamp when;
     };
 
-    void drawPatience (Milliseconds least, Milliseconds spread);
+    /** @param spread  beyond the least; empty: by the zone's peers */
+    void drawPatience (Milliseconds least, std::optional<Milliseconds> spread);
 
     /** Draws when, among the nodes of the zone, it is this node's turn to read. */
     void drawTurn();
--- a/src/mesh/return_share.h
+++ b/src/mesh/return_share.h
@@ -7,6 +7,8 @@
 #include <string>
 #include <unordered_map>
 
+#include "mesh/recent_share.h"
+
 namespace copperlead::mesh
 {
 
@@ -24,14 +26,7 @@
     bool comesBack (const std::string& route) const;
 
 private:
-    struct Counts
-    {
-        double refusals = 0, returns = 0;
-    };
-
-    void halveOld (Counts& counts);
-
-    std::unordered_map<std::string, Counts> byRoute;
+    std::unordered_map<std::string, RecentShare> returnsByRoute; /**< To the refusals. */
 };
 
 } // namespace copperlead::mesh
--- a/src/sidecar/source/relay.cc
+++ b/src/sidecar/source/relay.cc
@@ -115,7 +115,7 @@
     if (pulling)
         return;
 
-    const bool elsewhere = isElsewhere (ip);
+    const bool elsewhere = ! isZonePeer (ip);
     pulling = true;
     ++counts.pulls;
     counts.pullsElsewhere += elsewhere ? 1 : 0;
@@ -198,9 +198,9 @@
         pull (ip);
 }
 
-bool Relay::isElsewhere (const std::string& ip) const
+bool Relay::isZonePeer (const std::string& ip) const
 {
-    return std::find (peers.inZone.begin(), peers.inZone.end(), ip) == peers.inZone.end();
+    return std::binary_search (peers.inZone.begin(), peers.inZone.end(), ip);
 }
 
 void Relay::announce()
@@ -282,7 +282,7 @@
         return;
 
     for (const auto& ip : subscriptions.subscribers (SteadyClock().Now()))
-        if (! std::binary_search (peers.inZone.begin(), peers.inZone.end(), ip))
+        if (! isZonePeer (ip))
             sendBeat (ip, bytes);
 }
 
--- a/src/sidecar/source/relay.h
+++ b/src/sidecar/source/relay.h
@@ -97,7 +97,7 @@
     void hear (const SocketAddress& from, std::string_view datagram);
     void pull (const std::string& ip);
     void onPulled (const CallResult& result, bool elsewhere);
-    bool isElsewhere (const std::string& ip) const;
+    bool isZonePeer (const std::string& ip) const;
     void hearBeat (const std::string& ip, const mesh::ReaderBeat& beat);
     void subscribe (Timestamp now);
     void takeSubscription (const std::string& from, const mesh::Subscription& subscription);
--- a/src/sidecar/source/relay_subscriptions.cc
+++ b/src/sidecar/source/relay_subscriptions.cc
@@ -30,7 +30,7 @@
     // anybody.
     const bool passedOn = ! subscription.ip.empty();
 
-    if (subscription.zone != settings.zone || (passedOn && isElsewhere (from)))
+    if (subscription.zone != settings.zone || (passedOn && ! isZonePeer (from)))
         return;
 
     const auto now = SteadyClock().Now();
--- a/tests/mesh/retry_budget_test.cc
+++ b/tests/mesh/retry_budget_test.cc
@@ -25,6 +25,16 @@
     return settings;
 }
 
+/** So many retries in a window, whatever is requested, all of them by this node. */
+RetryBudgetSettings slackOnly (double retries)
+{
+    RetryBudgetSettings settings;
+    settings.ratio = 0;
+    settings.slack = retries;
+    settings.leastShare = 1;
+    return settings;
+}
+
 /** Nothing is kept back from it. */
 constexpr RetryClaim onlyChance{ true, 0 };
 
@@ -82,11 +92,7 @@
 
 TEST (MeshRetryBudget, OverTwiceAWindowNoMoreIsSpentThanTwoBudgets)
 {
-    RetryBudgetSettings settings;
-    settings.ratio = 0;
-    settings.slack = 10;
-    settings.leastShare = 1;
-    RetryBudget budget (settings);
+    RetryBudget budget (slackOnly (10));
     EXPECT_EQ (taken (budget, 490), 10) << "at the end of a bucket";
     EXPECT_EQ (taken (budget, 10'010), 0) << "less than a window later";
     EXPECT_EQ (taken (budget, 10'500), 10);
@@ -95,11 +101,7 @@
 TEST (MeshRetryBudget, WhatHasNoOtherChanceGoesFirstThenTheMoreUrgent)
 {
     const RetryClaim last{ true, 2 }, urgent{ false, 1 }, other{ false, 2 };
-    RetryBudgetSettings settings;
-    settings.ratio = 0;
-    settings.slack = 4;
-    settings.leastShare = 1;
-    RetryBudget budget (settings);
+    RetryBudget budget (slackOnly (4));
     EXPECT_TRUE (budget.take (at (0), 1, last));
     EXPECT_TRUE (budget.take (at (100), 1, urgent)) << "two are left beyond the one kept back";
     EXPECT_FALSE (budget.take (at (200), 1, other)) << "two are left, two are kept back";
@@ -111,11 +113,7 @@
 
 TEST (MeshRetryBudget, NothingIsKeptBackForWhatNobodyAsksFor)
 {
-    RetryBudgetSettings settings;
-    settings.ratio = 0;
-    settings.slack = 3;
-    settings.leastShare = 1;
-    RetryBudget budget (settings);
+    RetryBudget budget (slackOnly (3));
     EXPECT_TRUE (budget.take (at (0), 1, hedgeClaim));
     EXPECT_TRUE (budget.take (at (0), 1, { false, 2 }));
     EXPECT_TRUE (budget.take (at (0), 1, { true, 0 }));
