A slow run is forgotten while no other confirms it

Callers saw: an instance that was listed, up and free got no request for 20 s and more, while its neighbours were free; a node asked another machine instead of the instance beside it. Cause: the node beside an instance learns a route's time from its runs alone. One slow run (9 ms instead of 5) made its forecast more than 1.25 of the usual time, so that whoever asked went elsewhere, and nothing corrected the estimate. Ruled out: shared addresses (each fleet had a network of its own; all calls were answered 200), a missed change of the store (the new test lists the instance as draining and back, without foreign entries, and fails in the same way). Change: what sets the learned time apart from the asking node's halves each 2 s without a run; the next run learns from there. An instance that goes on being slow stays known as slow (AdmissionQueue.AnInstanceThatStaysSlow...).

--- a/src/mesh/admission_queue.cc
+++ b/src/mesh/admission_queue.cc
@@ -17,6 +17,10 @@
 constexpr double unknownSpread = 0.3;       // Of the usual time, before the first run has ended.
 constexpr double longRunDeviations = 0.6;   // Above the usual time: most runs are shorter.
 constexpr double firstDeviationShare = 0.5; // Of the first run, before there is a second.
+// In which half of what sets a learned time apart from the sender's is forgotten while no run
+// confirms it. An instance whose first run was slow is chosen by nobody while others are free, and
+// without forgetting had nothing to learn better from.
+constexpr double forgettingHalfLifeMs = 2000;
 constexpr std::size_t mostWaiting = 256;
 constexpr double mostTaken = 0.9; // Of the starts, by more urgent requests that are still to come.
 
@@ -28,6 +32,22 @@
     return known == runsByRoute.end() ? request.usualRunMs : known->second.meanMs;
 }
 
+double AdmissionQueue::fadedMeanMs (Timestamp now, const RunTimes& known, double usualRunMs)
+{
+    if (usualRunMs <= 0)
+        return known.meanMs;
+
+    const auto ageMs = std::max (0.0, toMilliseconds (now - known.learnedAt));
+    return usualRunMs + (known.meanMs - usualRunMs) * std::exp2 (-ageMs / forgettingHalfLifeMs);
+}
+
+double AdmissionQueue::presentRunOf (Timestamp now, const AdmissionRequest& request) const
+{
+    const auto known = runsByRoute.find (request.route);
+    return known == runsByRoute.end() ? request.usualRunMs
+                                      : fadedMeanMs (now, known->second, request.usualRunMs);
+}
+
 double AdmissionQueue::shortRunMs (const AdmissionRequest& request) const
 {
     return shortRunShare * usualRunOf (request);
@@ -117,7 +137,7 @@
 
 AdmissionForecast AdmissionQueue::forecast (Timestamp now, const AdmissionRequest& request) const
 {
-    const auto run = usualRunOf (request);
+    const auto run = presentRunOf (now, request);
 
     if (mayRunAtOnce (now))
         return { AdmissionDecision::run, run };
@@ -137,7 +157,7 @@
 
     if (mayRunAtOnce (now))
     {
-        runningById.emplace (request.id, request.route);
+        runningById.emplace (request.id, Running{ request.route, request.usualRunMs, now });
         starts.started (now);
         ++begins[static_cast<std::size_t> (timelinessAt (now, request))];
         return AdmissionDecision::run;
@@ -241,7 +261,7 @@
 
     const auto held = waitingById.at (order.begin()->id);
     const auto id = held.request.id;
-    runningById.emplace (id, held.request.route);
+    runningById.emplace (id, Running{ held.request.route, held.request.usualRunMs, now });
     starts.started (now);
     countBegin (now, held.rank);
     forget (held);
@@ -271,8 +291,11 @@
 
     if (runMs > 0)
     {
-        const RunTimes first{ runMs, firstDeviationShare * runMs };
-        auto& usual = runsByRoute.try_emplace (found->second, first).first->second;
+        const auto& run = found->second;
+        const RunTimes first{ runMs, firstDeviationShare * runMs, run.begunAt };
+        auto& usual = runsByRoute.try_emplace (run.route, first).first->second;
+        usual.meanMs = fadedMeanMs (run.begunAt, usual, run.usualRunMs);
+        usual.learnedAt = std::max (usual.learnedAt, run.begunAt);
         const auto error = runMs - usual.meanMs;
         usual.meanMs += learningRate * error;
         usual.deviationMs += learningRate * (std::abs (error) - usual.deviationMs);
--- a/src/mesh/admission_queue.h
+++ b/src/mesh/admission_queue.h
@@ -140,6 +140,14 @@
     {
         double meanMs = 0;
         double deviationMs = 0; /**< Mean absolute deviation. */
+        Timestamp learnedAt{};  /**< When the latest run that taught something began. */
+    };
+
+    struct Running
+    {
+        std::string route;
+        double usualRunMs = 0; /**< As the sender knows it. */
+        Timestamp begunAt{};
     };
 
     bool hasFreeSlot() const { return static_cast<int> (running()) < limit; }
@@ -147,6 +155,8 @@
     double waitBehindMs (Timestamp now, std::size_t before, int priority) const;
     std::size_t countBefore (const Rank& rank) const;
     double usualRunOf (const AdmissionRequest& request) const;
+    double presentRunOf (Timestamp now, const AdmissionRequest& request) const;
+    static double fadedMeanMs (Timestamp now, const RunTimes& known, double usualRunMs);
     double shortRunMs (const AdmissionRequest& request) const;
     double longRunMs (const AdmissionRequest& request) const;
     Timeliness timelinessAt (Timestamp begin, const AdmissionRequest& request) const;
@@ -167,7 +177,7 @@
     std::size_t lateWaiting = 0;
     std::array<std::uint64_t, std::size (timelinessNames)> begins{};
     std::unordered_map<std::string, RunTimes> runsByRoute;
-    std::unordered_map<std::uint64_t, std::string> runningById; /**< The route of each. */
+    std::unordered_map<std::uint64_t, Running> runningById;
     std::unordered_map<std::uint64_t, Held> waitingById;
     std::set<Rank> order;
     std::set<std::pair<Timestamp, std::uint64_t>> byLatestStart;
--- a/tests/mesh/admission_queue_test.cc
+++ b/tests/mesh/admission_queue_test.cc
@@ -70,6 +70,39 @@
     EXPECT_EQ (queue.offer (at (0), request (10, 0, 20, 20)), AdmissionDecision::refuse);
 }
 
+/** An instance that lost 20 s of requests to one slow run: nobody chose it while others were free,
+    so that nothing corrected what the run had taught.
+*/
+TEST (AdmissionQueue, ASlowRunIsForgottenWhileNoOtherConfirmsIt)
+{
+    AdmissionQueue queue;
+    queue.setLimit (2);
+    fill (queue, 1);
+    queue.finished (1, 500);
+    EXPECT_EQ (queue.forecast (at (0), request (9, 0, 2000, 5000)).expectedMs, 500);
+    EXPECT_LT (queue.forecast (at (15'000), request (9, 0, 17'000, 20'000)).expectedMs, 60);
+
+    queue.offer (at (15'000), request (2, 0, 17'000, 20'000));
+    queue.finished (2, 50);
+    EXPECT_LT (queue.forecast (at (15'050), request (9, 0, 17'000, 20'000)).expectedMs, 60)
+        << "what was forgotten doesn't come back with the next run";
+}
+
+TEST (AdmissionQueue, AnInstanceThatStaysSlowStaysKnownAsSlow)
+{
+    AdmissionQueue queue;
+    queue.setLimit (2);
+
+    for (std::uint64_t id = 1; id <= 50; ++id)
+    {
+        const auto now = static_cast<std::int64_t> (id) * 200;
+        queue.offer (at (now), request (id, 0, now + 2000, now + 5000));
+        queue.finished (id, 500);
+    }
+
+    EXPECT_GT (queue.forecast (at (10'200), request (99, 0, 12'000, 15'000)).expectedMs, 250);
+}
+
 TEST (AdmissionQueue, UrgentFirstThenTheEarliestTarget)
 {
     AdmissionQueue queue;
--- a/tests/mesh_integration/load_query_test.cc
+++ b/tests/mesh_integration/load_query_test.cc
@@ -11,10 +11,13 @@
 
 #include "tests/integration/process_harness.h"
 #include "tests/mesh_integration/mesh_fleet.h"
+#include "tests/proxy/raw_socket.h"
 
 namespace copperlead::standin {
 namespace {
 
+using std::chrono::milliseconds;
+
 constexpr auto kLongWork = std::chrono::milliseconds(1000);
 constexpr int kSlots = 6;  // Of each instance.
 
@@ -65,6 +68,27 @@
   std::atomic<int> sent_{0};
 };
 
+// An instance that answered slowly before it was out of use for a while: its node's estimate kept
+// it out of use for as long as others were free.
+TEST_F(LoadQueries, AnInstanceWhoseOnlyRunWasSlowIsUsedAgain) {
+  MeshMachine& slow = fleet_.Add("desk");
+  fleet_.Start(slow);
+  ASSERT_TRUE(fleet_.AwaitReady(slow));
+  const auto is_used = [&] {
+    const std::size_t before = slow.instance->runs().size();
+    EXPECT_EQ(Call(slow), 200);
+    return slow.instance->runs().size() > before;
+  };
+  slow.instance->SetWork(milliseconds(20));
+  EXPECT_TRUE(Eventually(is_used));
+  fleet_.List(slow, "draining");
+  EXPECT_TRUE(Eventually([&] { return !is_used(); }));
+  slow.instance->SetWork(milliseconds(5));
+  for (int sent = 0; sent < 60; ++sent) EXPECT_FALSE(is_used());
+  fleet_.List(slow);
+  EXPECT_TRUE(Eventually(is_used));
+}
+
 TEST_F(LoadQueries, BusyInstancesAreLeftAloneByANodeThatHasSentThemNothing) {
   for (int desk = 0; desk < 3; ++desk) Desk(desk).instance->SetWork(kLongWork);
   // Desks 0 to 2 are busy by the requests of their own machines, of which the hub's node hears
