Each grant of a quota lapses by itself

Cause: a grant kept all earlier ones alive. While no instance could be reached each request passed, was refused (503) and gave its place back, so a node's tokens were never used up and never lapsed: two seconds of grants ran in the first second after the instances were back. Evidence: new lines quota_used and quota_kept (a second each). Change: a grant's tokens lapse 0.8 s after it, whatever comes later; what is given back lapses with the grant it came from, and what was passed without a keeper isn't turned into a grant.

--- a/src/mesh/quota_keeper.cc
+++ b/src/mesh/quota_keeper.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace copperlead::mesh
 {
@@ -105,7 +106,10 @@
 void QuotaKeeper::fill (Timestamp now, const Tenant& tenant, Kept& kept)
 {
     if (! kept.bucket || now - kept.askedAt > idleTime)
+    {
         kept.bucket.emplace (now, std::min (startOfSlack * bounds.slack, capacityOf (tenant)));
+        ++kept.report.begun;
+    }
 
     kept.bucket->fill (now, rateOf (now, tenant), capacityOf (tenant));
     kept.askedAt = now;
@@ -133,6 +137,7 @@
     if (! grant.keeper.empty())
     {
         ++counts.redirected;
+        ++kept.report.redirected;
         kept.bucket.reset();
         kept.askedAt = now;
         return grant;
@@ -140,6 +145,7 @@
 
     fill (now, tenant, kept);
     kept.bucket->giveBack (ask.returned, capacityOf (tenant));
+    kept.report.returned += ask.returned;
 
     if (! mayGrant (now, kept))
     {
@@ -156,6 +162,10 @@
     grant.alonePerSecond = alonePartOf (now, tenant, kept, ip);
     counts.granted += grant.granted;
     counts.refused += ask.wanted - grant.granted;
+    kept.report.granted += grant.granted;
+    kept.report.refused += ask.wanted - grant.granted;
+    kept.report.reachableShare = reachableShare (now);
+    kept.report.level = kept.bucket->level();
 
     if (grant.granted < ask.wanted)
     {
@@ -168,6 +178,17 @@
     return grant;
 }
 
+std::vector<std::pair<std::string, QuotaKeeping>> QuotaKeeper::takeReports()
+{
+    std::vector<std::pair<std::string, QuotaKeeping>> reports;
+
+    for (auto& [tenant, kept] : byTenant)
+        if (kept.report.any())
+            reports.emplace_back (tenant, std::exchange (kept.report, {}));
+
+    return reports;
+}
+
 std::vector<std::string> QuotaKeeper::pingsDue (Timestamp now)
 {
     std::vector<std::string> due;
--- a/src/mesh/quota_keeper.h
+++ b/src/mesh/quota_keeper.h
@@ -17,11 +17,13 @@
 #include <random>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "mesh/flow_shares.h"
 #include "mesh/quota_bounds.h"
 #include "mesh/quota_message.h"
+#include "mesh/quota_report.h"
 #include "mesh/quota_view.h"
 #include "mesh/token_bucket.h"
 
@@ -59,6 +61,9 @@
     /** The share of the fleet's nodes that this one can reach, by what it heard lately. */
     double reachableShare (Timestamp now) const;
 
+    /** What was done since the last call, by tenant. */
+    std::vector<std::pair<std::string, QuotaKeeping>> takeReports();
+
     const QuotaKeeperCounters& counters() const { return counts; }
 
     static constexpr Milliseconds pingInterval{ 150 };
@@ -77,6 +82,7 @@
         Timestamp askedAt{};
         Timestamp shortAt{};         /**< When less was granted than asked for. */
         Timestamp standingInSince{}; /**< While others go before this node. */
+        QuotaKeeping report;
     };
 
     bool heardLately (Timestamp now, const std::string& ip) const;
--- a/src/mesh/quota_lease.cc
+++ b/src/mesh/quota_lease.cc
@@ -46,13 +46,31 @@
 
 QuotaStep QuotaLease::takeGranted (Timestamp now)
 {
-    if (! holds (now))
+    dropLapsed (now);
+
+    if (tokens == 0)
         return QuotaStep::wait;
 
+    const auto first = held.begin();
+    latestLapse = first->first;
     --tokens;
+
+    if (--first->second == 0)
+        held.erase (first);
+
     return QuotaStep::pass;
 }
 
+void QuotaLease::dropLapsed (Timestamp now)
+{
+    while (! held.empty() && held.begin()->first <= now)
+    {
+        lapsed += held.begin()->second;
+        tokens -= held.begin()->second;
+        held.erase (held.begin());
+    }
+}
+
 double QuotaLease::alonePart (Timestamp now, const Quota& quota, std::size_t nodes) const
 {
     if (heardAt != Timestamp{} && now - heardAt <= aloneMemory)
@@ -80,14 +98,18 @@
     return alone->take (1) == 1 ? QuotaStep::pass : QuotaStep::refuse;
 }
 
-void QuotaLease::giveBack (Timestamp now)
+void QuotaLease::giveBack (Timestamp now, Timestamp lapsesAt)
 {
-    if (now < lapsesAt)
-        ++tokens;
+    if (now >= lapsesAt)
+        return;
+
+    ++held[lapsesAt];
+    ++tokens;
 }
 
-std::uint32_t QuotaLease::wanted (Timestamp now, std::size_t waiting) const
+std::uint32_t QuotaLease::wanted (Timestamp now, std::size_t waiting)
 {
+    dropLapsed (now);
     const auto needed = static_cast<std::uint32_t> (waiting);
 
     if (now < refusedUntil)
@@ -100,13 +122,13 @@
 
     const auto ahead =
         std::min (static_cast<std::uint32_t> (std::ceil (perSecondNow * aheadSeconds)), mostAhead);
-    const auto held = holds (now) ? tokens : 0;
-    return held > ahead / 2 ? needed : needed + ahead - held;
+    return tokens > ahead / 2 ? needed : needed + ahead - tokens;
 }
 
 std::uint32_t QuotaLease::takeLapsed (Timestamp now)
 {
-    return now < lapsesAt ? 0 : std::exchange (tokens, 0);
+    dropLapsed (now);
+    return std::exchange (lapsed, 0);
 }
 
 void QuotaLease::granted (Timestamp now, std::uint32_t count, double alonePerSecond)
@@ -115,8 +137,8 @@
     alone.reset();
     aloneRate = alonePerSecond;
     heardAt = now;
-    tokens = (holds (now) ? tokens : 0) + count;
-    lapsesAt = now + quotaLeaseTime;
+    held[now + quotaLeaseTime] += count;
+    tokens += count;
 }
 
 } // namespace copperlead::mesh
--- a/src/mesh/quota_lease.h
+++ b/src/mesh/quota_lease.h
@@ -5,10 +5,15 @@
     A node that passes on many requests asks for some ahead, so that they needn't wait for the
     keeper; one that passes on few asks for each, since what it would hold unused lapses and others
     would lack it.
+
+    Each grant lapses by itself. If later grants kept earlier ones alive, a node whose requests are
+    passed and given back, as while no instance can be reached, would save up all that it was
+   granted meanwhile and run it at once.
 */
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 
 #include "mesh/quota_bounds.h"
@@ -41,11 +46,17 @@
     */
     QuotaStep takeAlone (Timestamp now, const Quota& quota, std::size_t nodes, double chance);
 
-    /** A request that was passed has not run after all. */
-    void giveBack (Timestamp now);
+    /** When the grant lapses that the latest pass of take() or takeGranted() was counted on. */
+    Timestamp lapseOfLatestPass() const { return latestLapse; }
+
+    /** A request that was passed has not run after all: another may go on in its place, unless the
+        grant has lapsed meanwhile.
+        @param lapsesAt  of its grant; the time's zero for one that was passed without a keeper
+    */
+    void giveBack (Timestamp now, Timestamp lapsesAt);
 
     /** How many to ask the keeper for now. @param waiting  requests that wait for the answer */
-    std::uint32_t wanted (Timestamp now, std::size_t waiting) const;
+    std::uint32_t wanted (Timestamp now, std::size_t waiting);
 
     /** What lapsed unused since it was asked last, to be given back to the keeper. */
     std::uint32_t takeLapsed (Timestamp now);
@@ -59,12 +70,14 @@
     double perSecond (Timestamp now) const;
 
 private:
-    bool holds (Timestamp now) const { return tokens > 0 && now < lapsesAt; }
+    void dropLapsed (Timestamp now);
     void observe (Timestamp now);
     double alonePart (Timestamp now, const Quota& quota, std::size_t nodes) const;
 
-    std::uint32_t tokens = 0;
-    Timestamp lapsesAt{};
+    std::map<Timestamp, std::uint32_t> held; /**< Tokens, by when their grants lapse. */
+    std::uint32_t tokens = 0;                /**< All that are held. */
+    std::uint32_t lapsed = 0;                /**< Tokens that the keeper may have back. */
+    Timestamp latestLapse{};
     Timestamp refusedUntil{};
     double rate = 0; /**< Requests a second, older ones counting less. */
     Timestamp ratedAt{};
--- a/src/mesh/tenant_quotas.cc
+++ b/src/mesh/tenant_quotas.cc
@@ -7,6 +7,12 @@
 
 namespace copperlead::mesh
 {
+namespace
+{
+
+constexpr Milliseconds reportInterval{ 1000 };
+
+} // namespace
 
 TenantQuotas::TenantQuotas (const QuotaBounds& bounds, QuotaNode ownNode, std::uint64_t seed,
                             TenantQuotaHooks hooksToUse)
@@ -77,12 +83,22 @@
         counts.waited.observe (toMilliseconds (now - waiting.since));
 
     if (alone)
+    {
         ++(passed ? counts.passedAlone : counts.refusedAlone);
+        ++(passed ? state.use.passedAlone : state.use.refusedAlone);
+    }
     else
+    {
         ++(passed ? counts.passed : counts.refused);
+        ++(passed ? state.use.passed : state.use.refused);
+    }
+
+    reportSoon (now);
 
     ++(passed ? state.passed : state.refused);
-    waiting.callback ({ passed, alone ? std::string() : state.lastKeeper });
+
+    const auto lapsesAt = passed && ! alone ? state.lease.lapseOfLatestPass() : Timestamp{};
+    waiting.callback ({ passed, alone ? std::string() : state.lastKeeper, lapsesAt });
 }
 
 std::vector<TenantUse> TenantQuotas::uses (std::size_t most) const
@@ -112,12 +128,14 @@
     return all;
 }
 
-void TenantQuotas::giveBack (Timestamp now, const std::string& tenant)
+void TenantQuotas::giveBack (Timestamp now, const std::string& tenant, Timestamp lapsesAt)
 {
     if (const auto found = byTenant.find (tenant); found != byTenant.end())
     {
         ++counts.returned;
-        found->second.lease.giveBack (now);
+        ++found->second.use.returned;
+        found->second.lease.giveBack (now, lapsesAt);
+        reportSoon (now);
     }
 }
 
@@ -129,6 +147,7 @@
     // Another version may run here, which lacks the tenant or its limit; who asks knows it then.
     tenant.quota = known != nullptr && known->quota.limits() ? known->quota : ask.quota;
     auto grant = keeper.ask (now, tenant, ask, ip);
+    reportSoon (now);
 
     // One that has just become a keeper has to know at once whom it reaches.
     if (pingAt == Timestamp::max())
@@ -147,7 +166,8 @@
 
 Timestamp TenantQuotas::nextDue() const
 {
-    return answersDue.empty() ? pingAt : std::min (pingAt, answersDue.begin()->first);
+    const auto due = std::min (pingAt, reportAt);
+    return answersDue.empty() ? due : std::min (due, answersDue.begin()->first);
 }
 
 void TenantQuotas::advance (Timestamp now)
@@ -160,6 +180,32 @@
 
     if (pingAt <= now)
         ping (now);
+
+    if (reportAt <= now)
+        report();
+}
+
+void TenantQuotas::reportSoon (Timestamp now)
+{
+    if (reportAt == Timestamp::max())
+        reportAt = now + reportInterval;
+}
+
+void TenantQuotas::report()
+{
+    reportAt = Timestamp::max();
+
+    for (auto& [tenant, state] : byTenant)
+    {
+        if (! state.use.any())
+            continue;
+
+        state.use.keeper = state.lastKeeper;
+        hooks.used (tenant, std::exchange (state.use, {}));
+    }
+
+    for (const auto& [tenant, keeping] : keeper.takeReports())
+        hooks.kept (tenant, keeping);
 }
 
 bool TenantQuotas::receive (Timestamp now, const std::string& ip, std::string_view datagram)
--- a/src/mesh/tenant_quotas.h
+++ b/src/mesh/tenant_quotas.h
@@ -21,6 +21,7 @@
 #include "mesh/mesh_configuration.h"
 #include "mesh/quota_keeper.h"
 #include "mesh/quota_lease.h"
+#include "mesh/quota_report.h"
 
 namespace copperlead::mesh
 {
@@ -43,6 +44,10 @@
 
     /** No keeper of a tenant's quota could be reached. */
     std::function<void (const QuotaSolitude&)> alone;
+
+    /** About once a second for each tenant with requests, and for each whose quota is kept here. */
+    std::function<void (const std::string& tenant, const QuotaUse&)> used;
+    std::function<void (const std::string& tenant, const QuotaKeeping&)> kept;
 };
 
 /** Counted since the start. */
@@ -70,7 +75,8 @@
     struct Verdict
     {
         bool passed = true;
-        std::string keeper; /**< IP; empty: this node's part, since no keeper was reached. */
+        std::string keeper;   /**< IP; empty: this node's part, since no keeper was reached. */
+        Timestamp lapsesAt{}; /**< For giveBack(). */
     };
 
     using Callback = std::function<void (const Verdict&)>;
@@ -84,8 +90,10 @@
     /** Asks whether a request of a tenant may go on. The callback may come before this returns. */
     void take (Timestamp now, const Tenant& tenant, Callback callback);
 
-    /** A request that was passed has not run after all. */
-    void giveBack (Timestamp now, const std::string& tenant);
+    /** A request that was passed has not run after all.
+        @param lapsesAt  as the verdict said
+    */
+    void giveBack (Timestamp now, const std::string& tenant, Timestamp lapsesAt);
 
     /** @returns false when the datagram is none of the quotas' */
     bool receive (Timestamp now, const std::string& ip, std::string_view datagram);
@@ -141,6 +149,7 @@
         bool hasCandidates = false;
         std::string lastKeeper; /**< IP of the keeper that answered last. */
         std::uint64_t passed = 0, refused = 0;
+        QuotaUse use; /**< Since the last report. */
         Asking asking;
     };
 
@@ -161,6 +170,8 @@
     QuotaGrant keep (Timestamp now, const QuotaAsk& ask, const std::string& ip);
     void pass (Timestamp now, const Waiting& waiting, TenantState& state, bool passed, bool alone);
     void ping (Timestamp now);
+    void reportSoon (Timestamp now);
+    void report();
 
     QuotaNode own;
     TenantQuotaHooks hooks;
@@ -175,6 +186,7 @@
     std::set<std::pair<Timestamp, std::string>> answersDue; /**< Of tenants. */
     std::uint64_t lastNumber = 0;
     Timestamp pingAt = Timestamp::max();
+    Timestamp reportAt = Timestamp::max();
     TenantQuotaCounters counts;
 };
 
--- a/src/sidecar/decision_log.h
+++ b/src/sidecar/decision_log.h
@@ -55,6 +55,8 @@
     credentialRefused,
     quotaRefused,
     quotaAlone,
+    quotaUsed,
+    quotaKept,
     clientLeft,
     searchFailed,
     attemptEnded,
--- a/src/sidecar/hop/active_request.cc
+++ b/src/sidecar/hop/active_request.cc
@@ -25,13 +25,14 @@
 
 ActiveRequest::ActiveRequest (std::shared_ptr<FirstHop> owner, ExchangePointer exchangeToAnswer,
                               std::shared_ptr<const mesh::RouteTable> routesToUse,
-                              const mesh::Route& routeToUse, const mesh::Tenant* tenantToUse,
+                              const mesh::Route& routeToUse, const RequestTenant& tenantToUse,
                               std::string id)
     : hop (std::move (owner))
     , exchange (std::move (exchangeToAnswer))
     , routes (std::move (routesToUse))
     , route (routeToUse)
-    , tenant (tenantToUse)
+    , tenant (tenantToUse.tenant)
+    , quotaLapsesAt (tenantToUse.quotaLapsesAt)
     , requestId (std::move (id))
 {
     hop->active.insert (this);
--- a/src/sidecar/hop/active_request.h
+++ b/src/sidecar/hop/active_request.h
@@ -13,12 +13,19 @@
 namespace copperlead::sidecar
 {
 
+/** Whose a request is, and how its tenant's quota passed it. */
+struct RequestTenant
+{
+    const mesh::Tenant* tenant = nullptr; /**< Null: nobody's. */
+    Timestamp quotaLapsesAt{};            /**< When the grant lapses that it was counted on. */
+};
+
 class ActiveRequest : public std::enable_shared_from_this<ActiveRequest>
 {
 public:
     ActiveRequest (std::shared_ptr<FirstHop> owner, ExchangePointer exchangeToAnswer,
                    std::shared_ptr<const mesh::RouteTable> routesToUse,
-                   const mesh::Route& routeToUse, const mesh::Tenant* tenantToUse, std::string id);
+                   const mesh::Route& routeToUse, const RequestTenant& tenantToUse, std::string id);
     ~ActiveRequest();
 
     void begin();
@@ -76,6 +83,7 @@
     std::shared_ptr<const mesh::RouteTable> routes; /**< Keeps `route` alive. */
     const mesh::Route& route;
     const mesh::Tenant* tenant; /**< Whose request it is; null: nobody's. Kept alive, too. */
+    const Timestamp quotaLapsesAt;
     std::string requestId, service;
     HeaderFields fields;
     Timestamp deadline{};
--- a/src/sidecar/hop/active_request_end.cc
+++ b/src/sidecar/hop/active_request_end.cc
@@ -129,7 +129,7 @@
 
     // A refusal says that it hasn't run.
     if (tenant != nullptr)
-        hop->giveBackQuota (*tenant);
+        hop->giveBackQuota (*tenant, quotaLapsesAt);
 
     const auto cause = why == HopCause::none ? noInstanceCause : nameOf (why, mesh::hopCauseNames);
     const auto spread = std::uniform_real_distribution<double> (0, 1) (hop->random);
--- a/src/sidecar/hop/first_hop.h
+++ b/src/sidecar/hop/first_hop.h
@@ -118,7 +118,7 @@
     bool takeDatagram (const std::string& ip, std::string_view datagram);
     mesh::TenantQuotaHooks quotaHooks();
     void armQuotaTimer();
-    void giveBackQuota (const mesh::Tenant& tenant);
+    void giveBackQuota (const mesh::Tenant& tenant, Timestamp lapsesAt);
 
     /** Holds the request to its tenant's quota, then begins with it. */
     void admit (const ExchangePointer& exchange, const mesh::Route& route,
--- a/src/sidecar/hop/first_hop_tenants.cc
+++ b/src/sidecar/hop/first_hop_tenants.cc
@@ -34,6 +34,29 @@
                       { "nodes", static_cast<std::int64_t> (alone.nodes) },
                       { "per_second", alone.perSecond } });
     };
+    hooks.used = [this] (const std::string& tenant, const mesh::QuotaUse& use)
+    {
+        log->write (SteadyClock().Now(), EventKind::quotaUsed,
+                    { { "tenant", tenant },
+                      { "keeper", use.keeper },
+                      { "passed", std::int64_t (use.passed) },
+                      { "refused", std::int64_t (use.refused) },
+                      { "passed_alone", std::int64_t (use.passedAlone) },
+                      { "refused_alone", std::int64_t (use.refusedAlone) },
+                      { "returned", std::int64_t (use.returned) } });
+    };
+    hooks.kept = [this] (const std::string& tenant, const mesh::QuotaKeeping& keeping)
+    {
+        log->write (SteadyClock().Now(), EventKind::quotaKept,
+                    { { "tenant", tenant },
+                      { "granted", std::int64_t (keeping.granted) },
+                      { "refused", std::int64_t (keeping.refused) },
+                      { "returned", std::int64_t (keeping.returned) },
+                      { "redirected", std::int64_t (keeping.redirected) },
+                      { "begun", std::int64_t (keeping.begun) },
+                      { "reachable", keeping.reachableShare },
+                      { "level", keeping.level } });
+    };
     return hooks;
 }
 
@@ -52,23 +75,25 @@
                     });
 }
 
-void FirstHop::giveBackQuota (const mesh::Tenant& tenant)
+void FirstHop::giveBackQuota (const mesh::Tenant& tenant, Timestamp lapsesAt)
 {
-    quotas.giveBack (SteadyClock().Now(), tenant.name);
+    quotas.giveBack (SteadyClock().Now(), tenant.name, lapsesAt);
 }
 
 void FirstHop::admit (const ExchangePointer& exchange, const mesh::Route& route,
                       const mesh::Tenant* tenant)
 {
-    const auto begin = [self = shared_from_this(), exchange, held = routes, &route, tenant]
+    const auto begin =
+        [self = shared_from_this(), exchange, held = routes, &route, tenant] (Timestamp lapsesAt)
     {
         const auto id = onlyValue (exchange->head.fields, self->settings.names.requestId);
-        std::make_shared<ActiveRequest> (self, exchange, held, route, tenant, std::string (id))
+        std::make_shared<ActiveRequest> (self, exchange, held, route,
+                                         RequestTenant{ tenant, lapsesAt }, std::string (id))
             ->begin();
     };
 
     if (tenant == nullptr)
-        return begin();
+        return begin ({});
 
     quotas.take (SteadyClock().Now(), *tenant,
                  [weak = weak_from_this(), exchange, held = routes, &route, tenant,
@@ -82,12 +107,12 @@
                      if (exchange->clientLeft())
                          ++self->counts.clientsLeft;
                      else if (verdict.passed)
-                         return begin();
+                         return begin (verdict.lapsesAt);
                      else
                          return self->refuseOverQuota (exchange, route, *tenant, verdict.keeper);
 
                      if (verdict.passed)
-                         self->giveBackQuota (*tenant);
+                         self->giveBackQuota (*tenant, verdict.lapsesAt);
                  });
     armQuotaTimer();
 }
--- /dev/null
+++ b/tests/mesh/quota_fleet.h
@@ -0,0 +1,255 @@
+/** A fleet of nodes that hold one tenant to its quota, in virtual time. */
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "mesh/tenant_quotas.h"
+#include "tests/mesh/fixtures.h"
+
+namespace copperlead::mesh::test
+{
+
+constexpr int nodeCount = 40, zoneCount = 4; /**< Unless a test says otherwise. */
+
+/** Nodes that pass requests of one tenant, in virtual time, over a network that loses, delays and
+    doubles datagrams.
+*/
+class QuotaFleet
+{
+public:
+    explicit QuotaFleet (std::uint64_t seed, double rate = 100)
+        : QuotaFleet (seed, { rate, rate / 5 }, nodeCount, zoneCount)
+    {
+    }
+
+    QuotaFleet (std::uint64_t seed, const Quota& quotaToKeep, int size, int zones)
+        : random (seed)
+        , quota (quotaToKeep)
+    {
+        for (int n = 0; n < size; ++n)
+            places.push_back ({ "10.0.0." + std::to_string (n), "z" + std::to_string (n % zones) });
+
+        nodes.resize (places.size());
+        cutOff.resize (places.size(), false);
+        sleepsUntil.resize (places.size(), 0);
+
+        for (int n = 0; n < size; ++n)
+            start (n);
+    }
+
+    /** Starts a node, or starts it again: it knows nothing of what was before. */
+    void start (int n)
+    {
+        startUnconfigured (n);
+        configure (n);
+    }
+
+    /** It knows who else there is, and not yet whose requests are limited. */
+    void startUnconfigured (int n)
+    {
+        TenantQuotaHooks hooks;
+        hooks.send = [this, n] (const std::string& ip, const std::string& bytes)
+        { post (n, ip, bytes); };
+        hooks.alone = [] (const QuotaSolitude&) {};
+        hooks.used = [] (const std::string&, const QuotaUse&) {};
+        hooks.kept = [] (const std::string&, const QuotaKeeping&) {};
+        nodes[n] = std::make_unique<TenantQuotas> (QuotaBounds{}, places[n], random(), hooks);
+        nodes[n]->setDirectory (*directory());
+    }
+
+    void configure (int n) { nodes[n]->setRoutes (routes()); }
+
+    /** It runs a version that knows nothing of the tenant. */
+    void configureWithoutTenant (int n)
+    {
+        nodes[n]->setRoutes (std::make_shared<const RouteTable> (
+            std::make_shared<const MeshConfiguration> (makeConfiguration (1))));
+    }
+
+    void kill (int n) { nodes[n].reset(); }
+
+    /** The store's list as the node knows it lacks some. */
+    void listWithout (int n, const std::set<int>& missing)
+    {
+        nodes[n]->setDirectory (*directory (missing));
+    }
+
+    void setQuota (double rate)
+    {
+        quota = { rate, rate / 5 };
+
+        for (auto& node : nodes)
+            if (node != nullptr)
+                node->setRoutes (routes());
+    }
+
+    /** Plays on while each of the nodes `from` to `until` gets requests. */
+    void play (std::int64_t howLongMs, double perSecondEach, int from = 0, int until = nodeCount)
+    {
+        const auto size = static_cast<int> (nodes.size());
+        std::bernoulli_distribution comes (perSecondEach / 1000);
+
+        for (const auto end = nowMs + howLongMs; nowMs < end; ++nowMs)
+        {
+            deliver();
+
+            for (int n = 0; n < size; ++n)
+            {
+                if (! isAwake (n))
+                    continue;
+
+                if (nodes[n]->nextDue() <= at (nowMs))
+                    nodes[n]->advance (at (nowMs));
+
+                if (n >= from && n < until && comes (random))
+                    request (n);
+            }
+        }
+    }
+
+    int keeper() const { return indexOf (QuotaView (places, places[0]).candidates ("a")[0].ip); }
+    double allowed() const { return 5 * quota.requestsPerSecond + quota.burst; }
+    double bound() const { return allowed() + QuotaBounds{}.excess (quota); }
+
+    /** The most that was passed in any window of five seconds. */
+    double most() const
+    {
+        std::size_t most = 0, first = 0;
+
+        for (std::size_t last = 0; last < passedAt.size(); ++last)
+        {
+            while (passedAt[last] - passedAt[first] >= 5000)
+                ++first;
+
+            most = std::max (most, last - first + 1);
+        }
+
+        return static_cast<double> (most);
+    }
+
+    double refusedShare() const
+    {
+        return refused / std::max (1.0, refused + static_cast<double> (passedAt.size()));
+    }
+
+    void forgetCounts()
+    {
+        passedAt.clear();
+        refused = 0;
+    }
+
+    double lossShare = 0;
+    bool instancesAreDown = false;  /**< What is passed doesn't run, and is given back at once. */
+    std::vector<bool> cutOff;       /**< Nodes that reach no other. */
+    std::set<std::string> cutZones; /**< Zones that reach no other. */
+    std::vector<std::int64_t> sleepsUntil; /**< Nodes that are stopped, and wake late. */
+    std::vector<QuotaNode> places;
+    std::mt19937_64 random;
+    std::int64_t nowMs = 0;
+
+private:
+    struct Datagram
+    {
+        int from, to;
+        std::string bytes;
+    };
+
+    bool isAwake (int n) const { return nodes[n] != nullptr && sleepsUntil[n] <= nowMs; }
+
+    int indexOf (const std::string& ip) const { return std::stoi (ip.substr (7)); }
+
+    std::shared_ptr<const RouteTable> routes() const
+    {
+        auto config = makeConfiguration (1);
+        Tenant tenant;
+        tenant.name = "a";
+        tenant.quota = quota;
+        config.tenants = { tenant };
+        return std::make_shared<const RouteTable> (
+            std::make_shared<const MeshConfiguration> (config));
+    }
+
+    DirectoryPointer directory (const std::set<int>& missing = {}) const
+    {
+        InstanceDirectory all;
+
+        for (int n = 0; n < static_cast<int> (places.size()); ++n)
+        {
+            if (missing.contains (n))
+                continue;
+
+            auto instance = makeInstance ("i" + std::to_string (n), places[n].zone, n);
+            instance.address.ip = places[n].ip;
+            all.put (at (0), instance, 1);
+        }
+
+        return all.snapshot();
+    }
+
+    bool reaches (int a, int b) const
+    {
+        const bool sameZone = places[a].zone == places[b].zone;
+        return ! cutOff[a] && ! cutOff[b] &&
+               (sameZone ||
+                (! cutZones.contains (places[a].zone) && ! cutZones.contains (places[b].zone)));
+    }
+
+    void post (int from, const std::string& ip, const std::string& bytes)
+    {
+        std::uniform_real_distribution<double> share (0, 1);
+        std::uniform_int_distribution<std::int64_t> delay (1, 6);
+        const int to = indexOf (ip);
+
+        if (share (random) < lossShare || ! reaches (from, to))
+            return;
+
+        under.emplace (nowMs + delay (random), Datagram{ from, to, bytes });
+
+        if (share (random) < lossShare / 2)
+            under.emplace (nowMs + 3 * delay (random), Datagram{ from, to, bytes });
+    }
+
+    void deliver()
+    {
+        while (! under.empty() && under.begin()->first <= nowMs)
+        {
+            const auto datagram = under.extract (under.begin()).mapped();
+
+            // What comes to a sleeper waits for it.
+            if (sleepsUntil[datagram.to] > nowMs)
+                under.emplace (sleepsUntil[datagram.to], datagram);
+            else if (nodes[datagram.to] != nullptr)
+                nodes[datagram.to]->receive (at (nowMs), places[datagram.from].ip, datagram.bytes);
+        }
+    }
+
+    void request (int n)
+    {
+        const auto table = routes();
+        nodes[n]->take (at (nowMs), *table->tenants().named ("a"),
+                        [this, n] (const TenantQuotas::Verdict& verdict)
+                        {
+                            if (verdict.passed && instancesAreDown)
+                                nodes[n]->giveBack (at (nowMs), "a", verdict.lapsesAt);
+                            else if (verdict.passed)
+                                passedAt.push_back (nowMs);
+                            else
+                                ++refused;
+                        });
+    }
+
+    Quota quota;
+    std::vector<std::unique_ptr<TenantQuotas>> nodes;
+    std::multimap<std::int64_t, Datagram> under; /**< Way, by when they arrive. */
+    std::vector<std::int64_t> passedAt;
+    double refused = 0;
+};
+
+} // namespace copperlead::mesh::test
--- a/tests/mesh/quota_test.cc
+++ b/tests/mesh/quota_test.cc
@@ -237,12 +237,33 @@
     QuotaLease lease;
     lease.granted (at (0), 1, 1);
     EXPECT_EQ (lease.take (at (0)), QuotaStep::pass);
-    lease.giveBack (at (10));
+    lease.giveBack (at (10), lease.lapseOfLatestPass());
     EXPECT_EQ (lease.take (at (20)), QuotaStep::pass);
-    lease.giveBack (at (2000)); // Lapsed: others may have it by now.
+    lease.giveBack (at (2000), lease.lapseOfLatestPass()); // Lapsed: others may have it by now.
     EXPECT_EQ (lease.take (at (2000)), QuotaStep::wait);
 }
 
+TEST (QuotaLease, LaterGrantsDoNotKeepEarlierOnesAlive)
+{
+    QuotaLease lease;
+    lease.granted (at (0), 5, 1);
+    lease.granted (at (700), 1, 1);
+    EXPECT_EQ (lease.take (at (700)), QuotaStep::pass) << "of the first grant";
+    EXPECT_EQ (lease.take (at (900)), QuotaStep::pass) << "of the second";
+    EXPECT_EQ (lease.take (at (900)), QuotaStep::wait);
+    EXPECT_EQ (lease.takeLapsed (at (900)), 4U);
+}
+
+TEST (QuotaLease, WhatWasPassedWithoutAKeeperIsNoGrantWhenItComesBack)
+{
+    QuotaLease lease;
+    lease.granted (at (0), 1, 30);
+    EXPECT_EQ (lease.takeAlone (at (500), { 100, 20 }, 10, 0), QuotaStep::pass);
+    lease.giveBack (at (510), {});
+    EXPECT_EQ (lease.takeGranted (at (520)), QuotaStep::pass);
+    EXPECT_EQ (lease.takeGranted (at (520)), QuotaStep::wait);
+}
+
 /** @returns how many of a hundred requests a second pass in five seconds alone */
 int passedAlone (QuotaLease& lease, std::int64_t fromMs, std::size_t nodes)
 {
