Two keepers of one quota share its rate; what lapses is granted again only within bounds

Callers would have seen: a tenant runs twice its limit for as long as two parts of the fleet know different lists of nodes. Pings, replies and asks now carry a digest of the tenant's candidates; a zone counts for a keeper only while its latest word agrees. Returned room is taken now only up to what nodes hold when they are granted steadily, and a burst.

--- a/src/mesh/crash_message.cc
+++ b/src/mesh/crash_message.cc
@@ -12,19 +12,6 @@
 constexpr std::uint32_t newsMark = 0x636f7063;
 constexpr std::uint32_t oldestMs = 7 * 24 * 3'600'000; // Beyond it a message is no message.
 
-/** A count of at most `most` items, before them. @returns the count to read or write */
-template <typename Archive>
-std::size_t archiveCount (Archive& archive, std::size_t size, std::size_t most)
-{
-    auto count = static_cast<std::uint8_t> (std::min (size, most));
-    archive (count);
-
-    if (count > most)
-        throw cereal::Exception ("more items than a message holds");
-
-    return count;
-}
-
 } // namespace
 
 template <typename Archive>
--- a/src/mesh/datagram_archive.h
+++ b/src/mesh/datagram_archive.h
@@ -1,6 +1,7 @@
 /** Encodes and decodes one message as a datagram: a mark that tells its kind, then its fields. */
 #pragma once
 
+#include <algorithm>
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/string.hpp>
 #include <cstdint>
@@ -12,6 +13,19 @@
 namespace copperlead::mesh
 {
 
+/** A count of at most `most` items, before them. @returns the count to read or write */
+template <typename Archive>
+std::size_t archiveCount (Archive& archive, std::size_t size, std::size_t most)
+{
+    auto count = static_cast<std::uint8_t> (std::min (size, most));
+    archive (count);
+
+    if (count > most)
+        throw cereal::Exception ("more items than a message holds");
+
+    return count;
+}
+
 template <typename Message>
 std::string encodeDatagram (std::uint32_t mark, const Message& message)
 {
--- a/src/mesh/quota_keeper.cc
+++ b/src/mesh/quota_keeper.cc
@@ -33,15 +33,52 @@
 {
 }
 
+void QuotaKeeper::setView (QuotaView newView)
+{
+    view = std::move (newView);
+    digests.clear();
+}
+
 void QuotaKeeper::heard (Timestamp now, const std::string& ip)
+{
+    if (view.zoneOf (ip) != nullptr)
+        heardAt[ip] = now;
+}
+
+QuotaStanding QuotaKeeper::standingOf (const std::string& tenant)
+{
+    if (digests.size() >= mostDigests)
+        digests.clear();
+
+    const auto [found, isNew] = digests.try_emplace (tenant, 0);
+
+    if (isNew)
+        found->second = digestOf (view.candidates (tenant));
+
+    return { tenant, found->second };
+}
+
+std::vector<QuotaStanding> QuotaKeeper::standings()
+{
+    std::vector<QuotaStanding> all;
+
+    for (const auto& [tenant, kept] : byTenant)
+        all.push_back (standingOf (tenant));
+
+    return all;
+}
+
+void QuotaKeeper::takeStanding (Timestamp now, const std::string& ip, const QuotaStanding& standing)
 {
     const auto* zone = view.zoneOf (ip);
+    const auto found = byTenant.find (standing.tenant);
 
-    if (zone == nullptr)
+    // That this node hears itself says nothing of its zone.
+    if (zone == nullptr || found == byTenant.end() || ip == view.own().ip)
         return;
 
-    heardAt[ip] = now;
-    zoneHeardAt[*zone] = now;
+    const bool agrees = standing.candidates == standingOf (standing.tenant).candidates;
+    found->second.words[*zone] = { now, agrees };
 }
 
 bool QuotaKeeper::heardLately (Timestamp now, const std::string& ip) const
@@ -50,15 +87,22 @@
     return found != heardAt.end() && now - found->second <= hearingTime;
 }
 
-double QuotaKeeper::reachableShare (Timestamp now) const
+double QuotaKeeper::reachableShare (Timestamp now, const std::string& tenant) const
+{
+    const auto found = byTenant.find (tenant);
+    return reachableShare (now, found == byTenant.end() ? Kept{} : found->second);
+}
+
+double QuotaKeeper::reachableShare (Timestamp now, const Kept& kept) const
 {
     std::size_t reachable = 0;
 
     for (const auto& [zone, nodes] : view.byZone())
     {
-        const auto found = zoneHeardAt.find (zone);
+        const auto found = kept.words.find (zone);
 
-        if (found != zoneHeardAt.end() && now - found->second <= hearingTime)
+        if (found != kept.words.end() && found->second.agrees &&
+            now - found->second.at <= hearingTime)
             reachable += nodes.size();
         else if (zone == view.own().zone)
             reachable += 1; // This node itself.
@@ -73,9 +117,9 @@
     return burstKept * tenant.quota.burst + excessKept * bounds.excess (tenant.quota);
 }
 
-double QuotaKeeper::rateOf (Timestamp now, const Tenant& tenant) const
+double QuotaKeeper::rateOf (Timestamp now, const Tenant& tenant, const Kept& kept) const
 {
-    return bounds.perSecond (tenant.quota) * reachableShare (now);
+    return bounds.perSecond (tenant.quota) * reachableShare (now, kept);
 }
 
 std::string QuotaKeeper::livingKeeper (Timestamp now, const Tenant& tenant, Kept& kept)
@@ -109,12 +153,33 @@
     {
         kept.bucket.emplace (now, std::min (startOfSlack * bounds.slack, capacityOf (tenant)));
         ++kept.report.begun;
+        begun = true;
     }
 
-    kept.bucket->fill (now, rateOf (now, tenant), capacityOf (tenant));
+    kept.bucket->fill (now, rateOf (now, tenant, kept), capacityOf (tenant));
     kept.askedAt = now;
 }
 
+void QuotaKeeper::takeBack (Timestamp now, const Tenant& tenant, Kept& kept,
+                            std::uint32_t returned) const
+{
+    while (! kept.unlapsed.empty() && now - kept.unlapsed.front().first >= quotaLeaseTime)
+    {
+        kept.unlapsedSum -= kept.unlapsed.front().second;
+        kept.unlapsed.pop_front();
+    }
+
+    // Nodes hold no more than was granted steadily in a lease's time, and a burst. Otherwise what
+    // lapses unused while no instance can be reached would be granted again and again beside what
+    // is new, without end.
+    const auto steady = bounds.perSecond (tenant.quota) *
+                        std::chrono::duration<double> (quotaLeaseTime).count();
+    const auto capacity = capacityOf (tenant);
+    const auto room = std::clamp (steady + capacity - kept.unlapsedSum, 0.0, capacity);
+    kept.bucket->giveBack (returned, room);
+    kept.report.returned += returned;
+}
+
 double QuotaKeeper::alonePartOf (Timestamp now, const Tenant& tenant, const Kept& kept,
                                  const std::string& ip) const
 {
@@ -132,6 +197,7 @@
     grant.number = ask.number;
     ++counts.asked;
     lastAskAt = now;
+    takeStanding (now, ip, { tenant.name, ask.candidates });
     grant.keeper = livingKeeper (now, tenant, kept);
 
     if (! grant.keeper.empty())
@@ -144,8 +210,7 @@
     }
 
     fill (now, tenant, kept);
-    kept.bucket->giveBack (ask.returned, capacityOf (tenant));
-    kept.report.returned += ask.returned;
+    takeBack (now, tenant, kept, ask.returned);
 
     if (! mayGrant (now, kept))
     {
@@ -155,6 +220,8 @@
 
     grant.granted = kept.bucket->take (ask.wanted);
     kept.flow.observe (now, ip, grant.granted);
+    kept.unlapsed.emplace_back (now, grant.granted);
+    kept.unlapsedSum += grant.granted;
 
     if (grant.granted < ask.wanted)
         kept.shortAt = now;
@@ -164,12 +231,12 @@
     counts.refused += ask.wanted - grant.granted;
     kept.report.granted += grant.granted;
     kept.report.refused += ask.wanted - grant.granted;
-    kept.report.reachableShare = reachableShare (now);
+    kept.report.reachableShare = reachableShare (now, kept);
     kept.report.level = kept.bucket->level();
 
     if (grant.granted < ask.wanted)
     {
-        const auto rate = std::max (rateOf (now, tenant), 1e-3);
+        const auto rate = std::max (rateOf (now, tenant, kept), 1e-3);
         const auto ms = 1000 * (1 - kept.bucket->level()) / rate;
         grant.retryAfterMs =
             static_cast<std::uint32_t> (std::clamp<double> (ms, leastRetryMs, mostRetryMs));
--- a/src/mesh/quota_message.cc
+++ b/src/mesh/quota_message.cc
@@ -25,7 +25,7 @@
 {
     auto perSecond = static_cast<float> (ask.quota.requestsPerSecond);
     auto burst = static_cast<float> (ask.quota.burst);
-    archive (ask.number, ask.tenant, ask.wanted, ask.returned, perSecond, burst);
+    archive (ask.number, ask.tenant, ask.wanted, ask.returned, perSecond, burst, ask.candidates);
     ask.quota = { perSecond, burst };
 }
 
@@ -35,10 +35,20 @@
     archive (grant.number, grant.granted, grant.retryAfterMs, grant.keeper, grant.alonePerSecond);
 }
 
+template <typename Archive>
+void serialize (Archive& archive, QuotaStanding& standing)
+{
+    archive (standing.tenant, standing.candidates);
+}
+
 template <typename Archive>
 void serialize (Archive& archive, QuotaPing& ping)
 {
     archive (ping.isReply);
+    ping.standings.resize (archiveCount (archive, ping.standings.size(), QuotaPing::mostStandings));
+
+    for (auto& standing : ping.standings)
+        archive (standing);
 }
 
 std::string encode (const QuotaAsk& ask) { return encodeDatagram (askMark, ask); }
--- a/src/mesh/quota_message.h
+++ b/src/mesh/quota_message.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "mesh/tenant.h"
 
@@ -21,6 +22,7 @@
     std::uint32_t wanted = 0;   /**< Requests. */
     std::uint32_t returned = 0; /**< Of an earlier grant, which won't be used. */
     Quota quota{}; /**< As the asking node knows it, for a keeper whose version lacks it. */
+    std::uint64_t candidates = 0; /**< Digest of those that the asking node knows. */
 };
 
 struct QuotaGrant
@@ -32,9 +34,22 @@
     double alonePerSecond = 0; /**< What the asking node may pass on while it reaches nobody. */
 };
 
+/** Whom a node takes for the candidates of a tenant's quota. */
+struct QuotaStanding
+{
+    std::string tenant;
+    std::uint64_t candidates = 0; /**< Digest, see digestOf(). */
+};
+
+/** A keeper asks whether a node can be reached and whom it takes for candidates. */
 struct QuotaPing
 {
     bool isReply = false;
+
+    /** Of the tenants that the keeper keeps; the reply has its sender's. */
+    std::vector<QuotaStanding> standings;
+
+    static constexpr std::size_t mostStandings = 32;
 };
 
 std::string encode (const QuotaAsk& ask);
--- a/src/mesh/quota_view.cc
+++ b/src/mesh/quota_view.cc
@@ -56,6 +56,16 @@
     return before;
 }
 
+std::uint64_t digestOf (const std::vector<QuotaNode>& candidates)
+{
+    std::uint64_t digest = 0;
+
+    for (const auto& node : candidates)
+        digest = XXH3_64bits_withSeed (node.ip.data(), node.ip.size(), digest);
+
+    return digest;
+}
+
 std::vector<QuotaNode> quotaNodesOf (const DirectorySnapshot& directory)
 {
     std::set<QuotaNode> nodes;
--- a/src/mesh/quota_view.h
+++ b/src/mesh/quota_view.h
@@ -53,6 +53,9 @@
     std::unordered_map<std::string, std::string> zoneByIp;
 };
 
+/** The same for the same candidates in the same order. */
+std::uint64_t digestOf (const std::vector<QuotaNode>& candidates);
+
 /** The nodes beside listed instances. */
 std::vector<QuotaNode> quotaNodesOf (const DirectorySnapshot& directory);
 
--- a/src/mesh/tenant_quotas.cc
+++ b/src/mesh/tenant_quotas.cc
@@ -54,7 +54,10 @@
     auto& state = byTenant[tenant];
 
     if (! std::exchange (state.hasCandidates, true))
+    {
         state.candidates = view.candidates (tenant);
+        state.candidatesDigest = digestOf (state.candidates);
+    }
 
     return state;
 }
@@ -150,7 +153,7 @@
     reportSoon (now);
 
     // One that has just become a keeper has to know at once whom it reaches.
-    if (pingAt == Timestamp::max())
+    if (pingAt == Timestamp::max() || keeper.hasBegun())
         ping (now);
 
     return grant;
@@ -158,8 +161,22 @@
 
 void TenantQuotas::ping (Timestamp now)
 {
-    for (const auto& ip : keeper.pingsDue (now))
-        hooks.send (ip, encode (QuotaPing{ false }));
+    const auto receivers = keeper.pingsDue (now);
+    const auto standings = keeper.standings();
+    std::size_t told = 0;
+
+    do
+    {
+        const auto count = std::min (standings.size() - told, QuotaPing::mostStandings);
+        const auto first = standings.begin() + static_cast<std::ptrdiff_t> (told);
+        const auto bytes =
+            encode (QuotaPing{ false, { first, first + static_cast<std::ptrdiff_t> (count) } });
+
+        for (const auto& ip : receivers)
+            hooks.send (ip, bytes);
+
+        told += count;
+    } while (told < standings.size());
 
     pingAt = keeper.active (now) ? now + QuotaKeeper::pingInterval : Timestamp::max();
 }
@@ -208,13 +225,23 @@
         hooks.kept (tenant, keeping);
 }
 
+QuotaPing TenantQuotas::replyTo (const QuotaPing& ping)
+{
+    QuotaPing reply{ true, {} };
+
+    for (const auto& asked : ping.standings)
+        reply.standings.push_back (keeper.standingOf (asked.tenant));
+
+    return reply;
+}
+
 bool TenantQuotas::receive (Timestamp now, const std::string& ip, std::string_view datagram)
 {
     if (const auto ask = decodeQuotaAsk (datagram))
     {
         // A node that has just started doesn't know whose keeper it is, and mustn't be taken for a
         // keeper that lives: it says nothing, so that another stands in.
-        if (routes == nullptr)
+        if (! knowsTheFleet())
             return true;
 
         keeper.heard (now, ip);
@@ -232,8 +259,11 @@
     {
         keeper.heard (now, ip);
 
-        if (! ping->isReply && routes != nullptr)
-            hooks.send (ip, encode (QuotaPing{ true }));
+        if (ping->isReply)
+            for (const auto& standing : ping->standings)
+                keeper.takeStanding (now, ip, standing);
+        else if (knowsTheFleet())
+            hooks.send (ip, encode (replyTo (*ping)));
 
         return true;
     }
--- a/src/mesh/tenant_quotas.h
+++ b/src/mesh/tenant_quotas.h
@@ -146,6 +146,7 @@
         QuotaLease lease;
         std::deque<Waiting> waiting;
         std::vector<QuotaNode> candidates;
+        std::uint64_t candidatesDigest = 0;
         bool hasCandidates = false;
         std::string lastKeeper; /**< IP of the keeper that answered last. */
         std::uint64_t passed = 0, refused = 0;
@@ -170,6 +171,10 @@
     QuotaGrant keep (Timestamp now, const QuotaAsk& ask, const std::string& ip);
     void pass (Timestamp now, const Waiting& waiting, TenantState& state, bool passed, bool alone);
     void ping (Timestamp now);
+    QuotaPing replyTo (const QuotaPing& ping);
+
+    /** Whether this node can say whose keeper it is. */
+    bool knowsTheFleet() const { return routes != nullptr; }
     void reportSoon (Timestamp now);
     void report();
 
--- a/src/mesh/tenant_quotas_asks.cc
+++ b/src/mesh/tenant_quotas_asks.cc
@@ -60,10 +60,11 @@
     asking.number = ++lastNumber;
 
     if (ip == own.ip)
-        return onGrant (
-            now, tenant,
-            keep (now, { asking.number, tenant, asking.wanted, asking.returned, asking.quota },
-                  ip));
+        return onGrant (now, tenant,
+                        keep (now,
+                              { asking.number, tenant, asking.wanted, asking.returned, asking.quota,
+                                state.candidatesDigest },
+                              ip));
 
     forgetOldAsks (now);
     sentAsks[asking.number] = { tenant, ip, {}, 0 };
@@ -81,8 +82,8 @@
     sent.sent = asking.sent;
     // Given back once, or a doubled datagram would give it back twice.
     const auto returned = std::exchange (asking.returned, 0);
-    hooks.send (asking.ip,
-                encode (QuotaAsk{ asking.number, tenant, asking.wanted, returned, asking.quota }));
+    hooks.send (asking.ip, encode (QuotaAsk{ asking.number, tenant, asking.wanted, returned,
+                                             asking.quota, state.candidatesDigest }));
     asking.dueAt = now + answerTime.current();
     answersDue.emplace (asking.dueAt, tenant);
 }
--- a/tests/mesh/quota_test.cc
+++ b/tests/mesh/quota_test.cc
@@ -91,7 +91,10 @@
     {
         for (const auto& node : nodes)
             if (! silent.contains (node.zone))
+            {
                 keeper.heard (now, node.ip);
+                keeper.takeStanding (now, node.ip, keeper.standingOf ("a"));
+            }
     }
 
     /** Asks for all there is, every 50 ms. @returns how many were granted */
@@ -148,6 +151,24 @@
     EXPECT_NEAR (drain (first, 3000, 5000, others), 52, 3);
 }
 
+TEST_F (Keeping, GrantsNothingForNodesThatTakeOthersForCandidates)
+{
+    drain (first, 0, 2000);
+
+    for (auto ms = 2000; ms < 2500; ms += 50)
+    {
+        hearAll (first, at (ms));
+
+        for (const auto& node : nodes)
+            if (node.zone != order[0].zone)
+                first.takeStanding (at (ms), node.ip, { "a", 1 });
+
+        first.ask (at (ms), tenant, { 1, "a", 1000, 0 }, "x");
+    }
+
+    EXPECT_NEAR (first.reachableShare (at (2500), "a"), 3.0 / 12, 1e-9) << "its own zone";
+}
+
 TEST_F (Keeping, AStandInGrantsNothingWhileTheKeeperLives)
 {
     second.heard (at (0), order[0].ip);
@@ -172,7 +193,7 @@
     // It was stopped for four seconds and hasn't heard anybody yet.
     const auto grant = first.ask (at (9000), tenant, { 1, "a", 1000, 0 }, "x");
     EXPECT_LE (grant.granted, 5U);
-    EXPECT_NEAR (first.reachableShare (at (9000)), 1.0 / 12, 1e-9) << "itself";
+    EXPECT_NEAR (first.reachableShare (at (9000), "a"), 1.0 / 12, 1e-9) << "itself";
 }
 
 TEST_F (Keeping, TakesBackWhatLapsedUnused)
@@ -330,7 +351,12 @@
     ASSERT_TRUE (grant);
     EXPECT_EQ (grant->keeper, "10.0.0.1");
     EXPECT_EQ (grant->alonePerSecond, 3.5);
-    EXPECT_TRUE (decodeQuotaPing (encode (QuotaPing{ true }))->isReply);
+    const auto ping = decodeQuotaPing (encode (QuotaPing{ true, { { "a", 9 }, { "b", 10 } } }));
+    ASSERT_TRUE (ping);
+    EXPECT_TRUE (ping->isReply);
+    ASSERT_EQ (ping->standings.size(), 2U);
+    EXPECT_EQ (ping->standings[1].tenant, "b");
+    EXPECT_EQ (ping->standings[1].candidates, 10U);
 
     const auto bytes = encode (QuotaAsk{ 5, "a", 7, 2, { 20, 10 } });
     EXPECT_FALSE (decodeQuotaGrant (bytes));
--- a/tests/mesh_integration/evidence.cc
+++ b/tests/mesh_integration/evidence.cc
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <atomic>
+#include <cstdlib>
 #include <filesystem>
 #include <iostream>
 #include <nlohmann/json.hpp>
@@ -50,7 +51,9 @@
   std::filesystem::remove_all(path_, ignored);
 }
 
-bool EvidenceFolder::wanted() const { return CountFailures() != failures_before_; }
+bool EvidenceFolder::wanted() const {
+  return CountFailures() != failures_before_ || std::getenv("COPPERLEAD_KEEP_EVIDENCE") != nullptr;
+}
 
 void EvidenceFolder::Record(const std::string& name, const nlohmann::json& line) {
   const std::string text = line.dump() + "\n";
--- a/tests/mesh_integration/evidence.h
+++ b/tests/mesh_integration/evidence.h
@@ -27,7 +27,8 @@
   EvidenceFolder& operator=(const EvidenceFolder&) = delete;
 
   std::string PathOf(const std::string& file) const { return path_ + "/" + file; }
-  // Whether the running test has failed since the start of this.
+  // Whether the running test has failed since the start of this, or the environment's
+  // COPPERLEAD_KEEP_EVIDENCE asks for it.
   bool wanted() const;
   // Appends a line to the file `name`.jsonl.
   void Record(const std::string& name, const nlohmann::json& line);
