A client has left as soon as its connection ended, also by a reset or behind unread bytes

A queue asks before it sends a request on whether its client is still there, since on a busy node the event may wait behind others. The question was a peek at the stream: a reset (-1) and an end behind bytes that were not read yet (a pipelined request) both looked like a client that stays. Now poll() is asked for the end itself. Before: two of the three ways in Serving.AClientHasLeftAsSoonAs... went unnoticed; after: none.

--- a/src/sidecar/http/server_connection.cc
+++ b/src/sidecar/http/server_connection.cc
@@ -1,5 +1,6 @@
 #include "sidecar/http/server_connection.h"
 
+#include <poll.h>
 #include <sys/epoll.h>
 #include <unistd.h>
 
@@ -200,8 +201,9 @@
 
 bool ServerConnection::clientLeft() const
 {
-    char byte = 0;
-    return ::recv (socket.descriptor(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+    // Reading ahead shows neither a reset nor an end behind bytes that are still unread.
+    pollfd stream{ socket.descriptor(), POLLRDHUP, 0 };
+    return ::poll (&stream, 1, 0) == 1;
 }
 
 void ServerConnection::handOn()
--- a/tests/sidecar/http/http_test.cc
+++ b/tests/sidecar/http/http_test.cc
@@ -51,7 +51,12 @@
 
     ~Serving() override
     {
-        reactor->RunAndWait ([&] { server->stopListening(); });
+        reactor->RunAndWait (
+            [&]
+            {
+                held.reset();
+                server->stopListening();
+            });
         reactor->Stop();
     }
 
@@ -62,6 +67,7 @@
         if (exchange->head.target == "/hold")
         {
             exchange->onGone = [this] { gone = true; };
+            held = exchange;
             return;
         }
 
@@ -74,6 +80,7 @@
     std::shared_ptr<Reactor> reactor;
     std::shared_ptr<HttpServer> server;
     SocketAddress address;
+    ExchangePointer held; /**< The latest that isn't answered. Of the reactor's thread. */
     std::atomic<bool> gone{ false };
     std::atomic<int> taken{ 0 };
 };
@@ -154,6 +161,39 @@
     EXPECT_EQ (next.Read().status(), 200);
 }
 
+/** A queue that gives the next request to an instance asks whether its client is still there, since
+    the event that says so may wait behind others.
+*/
+TEST_F (Serving, AClientHasLeftAsSoonAsItsConnectionEndedInAnyWay)
+{
+    void (*const ways[]) (RawSocket&) = {
+        [] (RawSocket& socket) { socket.Close(); },
+        [] (RawSocket& socket) { socket.Reset(); },
+        [] (RawSocket& socket)
+        {
+            socket.Send ("GET /more HTTP/1.1\r\nHost: h\r\n\r\n");
+            socket.Close();
+        },
+    };
+
+    for (const auto& leave : ways)
+    {
+        auto socket = RawSocket::Connect (address);
+        const int before = taken;
+        socket.Send ("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n");
+        ASSERT_TRUE (Eventually ([&] { return taken > before; }));
+        bool left = false;
+        reactor->RunAndWait (
+            [&]
+            {
+                EXPECT_FALSE (held->clientLeft());
+                leave (socket);
+                left = held->clientLeft();
+            });
+        EXPECT_TRUE (left);
+    }
+}
+
 TEST_F (Serving, AConnectionThatAsksForItClosesAfterTheAnswer)
 {
     auto socket = RawSocket::Connect (address);
