A body that doesn't come gives up its place on the link after a few usual transfers

Cause, read off the code: a sender that fell silent after it was told to send kept its place until its request's deadline. Change: after four usual transfers (learned, at least 250 ms more) the place goes to the next; the body is still taken when it comes, and how long it took is learned, so that a slow link isn't filled by senders that are only late. Counter copperlead_bodies_overdue_total.

--- a/src/sidecar/instance/body_admission.cc
+++ b/src/sidecar/instance/body_admission.cc
@@ -14,6 +14,10 @@
 constexpr double mostQueueMs = 80; // Of bodies on the link, in front of small messages.
 constexpr int mostInTransfer = 64;
 constexpr double learningRate = 0.1;
+// A sender that falls silent would keep its place until its request's deadline, and there are one
+// or two places on a slow link.
+constexpr double overdueAfterTransfers = 4;
+constexpr double leastPatienceMs = 250;
 
 Timestamp now() { return SteadyClock().Now(); }
 
@@ -33,8 +37,13 @@
 void BodyAdmission::learnSize (std::size_t bytes)
 {
     usualBytes += learningRate * (static_cast<double> (bytes) - usualBytes);
+    setPlaces();
+}
+
+void BodyAdmission::setPlaces()
+{
     const auto fitting = std::lround (mostQueueMs / transferMs (usualBytes));
-    queue.setLimit (std::clamp (static_cast<int> (fitting), 1, mostInTransfer));
+    queue.setLimit (std::clamp (static_cast<int> (fitting), 1, mostInTransfer) + overdueNow);
 }
 
 BodyAdmission::Id BodyAdmission::ask (const mesh::HopRequest& facts, std::size_t bytes,
@@ -43,7 +52,10 @@
     const auto at = now();
     const auto id = ++lastId;
     const auto run = mesh::fromMilliseconds (facts.usualRunMs);
-    asked.emplace (id, Asked{ std::move (decision), at + facts.timeLeft, {} });
+    asked.emplace (id, Asked{ std::move (decision),
+                              at + facts.timeLeft,
+                              {},
+                              transferMs (static_cast<double> (bytes)) });
     learnSize (bytes);
 
     // By then it must be here for its run to end in time.
@@ -71,16 +83,42 @@
     auto& begun = asked.at (id);
     begun.calledAt = now();
     ++counts.called;
-    // A sender that falls silent must not keep its place on the link.
     reactor->RunAt (begun.deadline,
                     [weak = weak_from_this(), id]
                     {
                         if (const auto self = weak.lock())
                             self->left (id);
                     });
+    reactor->RunAt (begun.calledAt + patience (begun),
+                    [weak = weak_from_this(), id]
+                    {
+                        if (const auto self = weak.lock())
+                            self->giveUpWaiting (id);
+                    });
     std::exchange (begun.decision, nullptr) (true);
 }
 
+Duration BodyAdmission::patience (const Asked& begun) const
+{
+    const auto usualMs = std::max (begun.usualMs, queue.usualRunMs());
+    return mesh::fromMilliseconds (overdueAfterTransfers * usualMs + leastPatienceMs);
+}
+
+void BodyAdmission::giveUpWaiting (Id id)
+{
+    const auto found = asked.find (id);
+
+    if (found == asked.end())
+        return;
+
+    // It may still come, and is taken then; how late it was is learned.
+    found->second.isOverdue = true;
+    ++counts.overdue;
+    ++overdueNow;
+    setPlaces();
+    pump();
+}
+
 void BodyAdmission::decline (Id id)
 {
     const auto found = asked.find (id);
@@ -102,7 +140,7 @@
         return;
 
     const auto took = mesh::toMilliseconds (now() - found->second.calledAt);
-    asked.erase (found);
+    forget (id);
     ++counts.arrived;
     counts.bytes += bytes;
     counts.transfer.observe (took);
@@ -112,13 +150,25 @@
 
 void BodyAdmission::left (Id id)
 {
-    if (asked.erase (id) == 0)
+    if (! asked.contains (id))
         return;
 
+    forget (id);
     queue.cancel (id);
     pump();
 }
 
+void BodyAdmission::forget (Id id)
+{
+    const auto known = asked.extract (id);
+
+    if (! known.mapped().isOverdue)
+        return;
+
+    --overdueNow;
+    setPlaces();
+}
+
 void BodyAdmission::pump()
 {
     for (const auto id : queue.expire (now()))
--- a/src/sidecar/instance/body_admission.h
+++ b/src/sidecar/instance/body_admission.h
@@ -27,6 +27,7 @@
     std::uint64_t called = 0;        /**< Bodies that their senders were told to send. */
     std::uint64_t refused = 0;       /**< Bodies that couldn't arrive in time. */
     std::uint64_t arrived = 0;       /**< Bodies that arrived whole. */
+    std::uint64_t overdue = 0;       /**< Bodies whose places went to others before they came. */
     std::uint64_t bytes = 0;         /**< Of those that arrived. */
     mesh::LatencyHistogram transfer; /**< From the call for a body until it was there. */
 };
@@ -66,19 +67,26 @@
     {
         Decision decision;
         Timestamp deadline{}, calledAt{};
+        double usualMs = 0; /**< Of its transfer, by its size. */
+        bool isOverdue = false;
     };
 
     void begin (Id id);
     void decline (Id id);
     void pump();
     void armExpiry();
+    Duration patience (const Asked& begun) const;
+    void giveUpWaiting (Id id);
     void learnSize (std::size_t bytes);
+    void setPlaces();
+    void forget (Id id);
     double transferMs (double bytes) const;
 
     std::shared_ptr<Reactor> reactor;
     EarliestTimer expiry; /**< Of what waits in the queue. */
     double bytesPerMs;
     double usualBytes;
+    int overdueNow = 0; /**< Bodies that were called for and no longer count against the limit. */
     mesh::AdmissionQueue queue;
     std::unordered_map<Id, Asked> asked;
     BodyCounters counts;
--- a/src/sidecar/sidecar_metrics.cc
+++ b/src/sidecar/sidecar_metrics.cc
@@ -214,6 +214,9 @@
     families.counter ("copperlead_bodies_refused_total",
                       "Large bodies that couldn't arrive in time over this link",
                       figures.bodies.refused);
+    families.counter ("copperlead_bodies_overdue_total",
+                      "Large bodies whose places on the link went to others before they came",
+                      figures.bodies.overdue);
     families.counter ("copperlead_bodies_arrived_total", "Large bodies that arrived whole",
                       figures.bodies.arrived);
     families.counter ("copperlead_body_bytes_total", "Bytes of those that arrived",
--- a/tests/sidecar/http/body_gate_test.cc
+++ b/tests/sidecar/http/body_gate_test.cc
@@ -323,5 +323,21 @@
     EXPECT_TRUE (Eventually ([&] { return granted > before; }));
 }
 
+/** Uploads were unanswered after 5.7 and 7.5 s of 8 on links that hold one or two bodies. */
+TEST_F (Admitting, ASilentSenderKeepsItsPlaceForAFewTransfersOnly)
+{
+    BodyAdmission::Id silent = ask (2000, 8000);
+
+    while (bodies->waiting() == 0)
+        ask (2000, 8000);
+
+    const int before = granted;
+    const auto begunAt = SteadyClock().Now();
+    EXPECT_TRUE (Eventually ([&] { return granted > before; }));
+    EXPECT_LT (SteadyClock().Now() - begunAt, Milliseconds (2000)) << "a quarter of its time";
+    reactor->RunAndWait ([&] { bodies->arrived (silent, bytes); });
+    EXPECT_EQ (bodies->counters().arrived, 1U) << "it is taken when it comes after all";
+}
+
 } // namespace
 } // namespace copperlead::sidecar
