--- a/src/sidecar/decision_log.h
+++ b/src/sidecar/decision_log.h
@@ -58,6 +58,7 @@
     quotaUsed,
     quotaKept,
     clientLeft,
+    runAbandoned,
     searchFailed,
     attemptEnded,
     admissionRefused,
--- a/src/sidecar/instance/last_hop.cc
+++ b/src/sidecar/instance/last_hop.cc
@@ -209,6 +209,13 @@
     if (! abandoned || ! abandoned())
         return false;
 
+    const auto now = SteadyClock().Now();
+    log->write (now, EventKind::runAbandoned,
+                { { "request", found->second.call.facts.requestId },
+                  { "instance", instance.id() },
+                  { "waited_ms", toMilliseconds (now - found->second.arrivedAt) },
+                  { "running", static_cast<std::int64_t> (queue.running()) },
+                  { "waiting", static_cast<std::int64_t> (queue.waiting()) } });
     queue.cancel (id);
     calls.erase (found);
     return true;
--- a/tests/mesh_integration/mesh_soak_test.cc
+++ b/tests/mesh_integration/mesh_soak_test.cc
@@ -134,13 +134,11 @@
                               {"detail", detail}});
   }
 
-  // Sends a request; a refusal that no fault explains is a violation.
+  // Sends a request to a machine, for a service.
   HttpAnswer Call(std::size_t machine, const std::string& service, const MeshRequest& request) {
     const auto sent = std::chrono::steady_clock::now();
     HttpAnswer answer = fleet_.Call(*fleet_.machines()[machine], request);
-    if (answer.status == 503 && health_.ShouldServe(machine, service, sent)) {
-      seen_.RefusedWithoutCause(request.id, answer);
-    }
+    if (health_.ShouldServe(machine, service, sent)) seen_.AnsweredInHealth(request.id, answer);
     return answer;
   }
 
--- a/tests/mesh_integration/soak_observations.h
+++ b/tests/mesh_integration/soak_observations.h
@@ -88,10 +88,12 @@
 
   void Violate(const std::string& what) { violations_.insert(what); }
 
-  // A request was refused although no fault explains it.
-  void RefusedWithoutCause(const std::string& id, const HttpAnswer& answer) {
+  // A request was answered while nothing was at fault that could keep it from an instance: a
+  // refusal is a violation.
+  void AnsweredInHealth(const std::string& id, const HttpAnswer& answer) {
     const std::lock_guard lock(mutex_);
-    if (unexplained_refusals_++ == 0) {
+    ++answers_in_health_;
+    if (answer.status == 503 && unexplained_refusals_++ == 0) {
       Violate(id + " was refused (" + answer.body + ") though nothing was at fault");
     }
   }
@@ -120,7 +122,8 @@
             "  most of a tenant in 5 s: " + std::to_string(busiest_.runs) + " of " +
             std::to_string(kBound) + ", from " +
             std::to_string(ToUnixMilliseconds(busiest_.begin)) +
-            " on  unexplained refusals: " + std::to_string(unexplained_refusals_);
+            " on  refused though all was well: " + std::to_string(unexplained_refusals_) + " of " +
+            std::to_string(answers_in_health_);
     for (const std::string& violation : violations_) text += "\n" + violation;
     return text;
   }
@@ -155,6 +158,7 @@
   std::set<std::string> violations_;
   std::size_t crashes_ = 0;
   BusiestWindow busiest_;
+  int answers_in_health_ = 0;
   int unexplained_refusals_ = 0;
 };
 
