--- /dev/null
+++ b/tests/mesh_integration/soak.h
@@ -0,0 +1,94 @@
+// A randomized soak: real sidecars under load while faults come from outside. Checked meanwhile are
+// the promises that callers and instances can see.
+#pragma once
+
+#include <atomic>
+#include <chrono>
+#include <map>
+#include <mutex>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "tests/mesh_integration/mesh_fleet.h"
+#include "tests/mesh_integration/soak_health.h"
+#include "tests/mesh_integration/soak_observations.h"
+
+namespace copperlead::standin {
+
+enum class SoakKind {
+  kNarrow,  // Fault proxies before stores and instances.
+  kWide,    // Besides: requests that crash instances, entries of other writers, faults in series.
+            // Nothing stands before the instances, so that it shows when one is gone.
+  kWideBehindProxies  // As above, behind fault proxies, whose ports accept all the while.
+};
+
+// One play of the soak.
+class Soak {
+ public:
+  Soak(std::uint64_t seed, SoakKind kind, std::size_t machines)
+      : random_(seed),
+        machines_(machines),
+        wide_(kind != SoakKind::kNarrow),
+        behind_proxies_(kind != SoakKind::kWide) {}
+
+  void Play(std::chrono::seconds duration);
+
+  Observations& seen() { return seen_; }
+
+ private:
+  std::uint64_t Pick(std::uint64_t from, std::uint64_t to);
+  std::string NewRoutes() const;
+  void Configure();
+  void WatchHealth();
+
+  // Joins the evidence.
+  void RecordFault(const std::string& fault, const MeshMachine* machine = nullptr,
+                   const std::string& detail = "");
+
+  // Sends a request to a machine, for a service.
+  HttpAnswer Call(std::size_t machine, const std::string& service, const MeshRequest& request);
+  void RunHotClient(int client);
+  void SetCrashes();
+
+  // Comes again at any machine, under a new id each time.
+  void RunCrashingClient();
+
+  // Uses its connection until that ends, through every stop of the node, then opens the next.
+  void RunKeptClient();
+
+  // Lists instances that have started again after a crash, under their id or another.
+  void KeepListed();
+
+  // Another writer's entry, of an id of its own or in place of an instance's.
+  void WriteForeign(std::size_t index);
+
+  // Stops, kills and changes that come one upon the other.
+  void InjectSeries();
+  void RunClient(int client);
+  void InjectFault();
+  void SetStoreFault();
+  void SetInstanceFault(MeshMachine& machine);
+  void SetNetworkFault(std::size_t index, const std::string& where, FaultBoard& board);
+  Fault SomeNetworkFault();
+  void Change();
+  void Pause(std::size_t index);
+  void Restart(std::size_t index, int signal);
+  void Heal();
+  void CheckSettled();
+
+  std::mt19937_64 random_;
+  std::size_t machines_;  // In sixes: two zones of two and one.
+  bool wide_;
+  bool behind_proxies_;
+  std::mutex listing_;  // Guards the machines' instance ids, which crashes change.
+  MeshFleet fleet_;
+  SoakHealth health_{fleet_};
+  std::map<const FaultBoard*, bool> network_faults_;  // Whether one is in force.
+  Observations seen_;
+  std::atomic<std::uint64_t> version_{5};
+  std::vector<std::atomic<int>> lives_;
+  std::atomic<bool> stopping_{false};
+};
+
+}  // namespace copperlead::standin
--- /dev/null
+++ b/tests/mesh_integration/soak_faults.cc
@@ -0,0 +1,177 @@
+// The faults of a soak.
+#include <signal.h>
+
+#include <nlohmann/json.hpp>
+#include <thread>
+
+#include "tests/integration/process_harness.h"
+#include "tests/mesh_integration/soak.h"
+
+namespace copperlead::standin {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr auto kGraceTime = std::chrono::seconds(8);
+
+}  // namespace
+
+std::uint64_t Soak::Pick(std::uint64_t from, std::uint64_t to) {
+  return std::uniform_int_distribution<std::uint64_t>(from, to)(random_);
+}
+
+void Soak::RecordFault(const std::string& fault, const MeshMachine* machine,
+                       const std::string& detail) {
+  fleet_.evidence().Record("faults",
+                           {{"time", ToUnixMilliseconds(std::chrono::steady_clock::now())},
+                            {"fault", fault},
+                            {"ip", machine == nullptr ? "" : machine->ip},
+                            {"detail", detail}});
+}
+
+void Soak::WriteForeign(std::size_t index) {
+  const MeshMachine& machine = *fleet_.machines()[index];
+  static constexpr const char* kFields[] = {R"({"value":7})", R"({"value":"%%%"})",
+                                            R"({"value":"e30="})", R"({"value":null})",
+                                            R"({"value":"e30=","created_at":"x"})"};
+  const bool own = Pick(0, 1) == 0;
+  {
+    const std::lock_guard lock(listing_);
+    const std::string key = own ? "foreign" : machine.instance_id;
+    RecordFault("foreign entry", &machine, key);
+    if (!own) health_.BeginFault(index);
+    fleet_.store().PutForeign("servers/" + key, kFields[Pick(0, std::size(kFields) - 1)]);
+  }
+  if (own) return;
+  std::this_thread::sleep_for(milliseconds(Pick(50, 800)));
+  const std::lock_guard lock(listing_);
+  fleet_.List(machine);
+  health_.EndFault(index);
+}
+
+void Soak::InjectSeries() {
+  for (auto left = Pick(2, 4); left > 0; --left) {
+    const std::size_t index = Pick(0, fleet_.machines().size() - 1);
+    const int signal = Pick(0, 1) == 0 ? SIGTERM : SIGKILL;
+    RecordFault("signal", fleet_.machines()[index].get(), std::to_string(signal));
+    health_.BeginFault(index);
+    fleet_.machines()[index]->sidecar->Signal(signal);
+    Change();
+    std::this_thread::sleep_for(milliseconds(Pick(0, 150)));
+    Restart(index, SIGKILL);
+    health_.EndFault(index);
+  }
+}
+
+void Soak::InjectFault() {
+  const std::size_t index = Pick(0, fleet_.machines().size() - 1);
+  MeshMachine& machine = *fleet_.machines()[index];
+  switch (Pick(0, wide_ ? 10 : 8)) {
+    case 0:
+      return Change();
+    case 1:
+      return SetStoreFault();
+    case 2:
+    case 3:
+      return SetInstanceFault(machine);
+    case 4:
+      return SetNetworkFault(index, "to the store", *machine.store_faults);
+    case 5:
+      if (machine.instance_faults == nullptr) return InjectSeries();
+      return SetNetworkFault(index, "to the instance", *machine.instance_faults);
+    case 6:
+      return Pause(index);
+    case 7:
+      return Restart(index, SIGKILL);
+    case 9:
+      return WriteForeign(index);
+    case 10:
+      return InjectSeries();
+    default:
+      return Restart(index, SIGTERM);
+  }
+}
+
+void Soak::SetStoreFault() {
+  const StoreFault fault{static_cast<StoreTrouble>(Pick(0, 6)), milliseconds(Pick(20, 300))};
+  RecordFault("store", nullptr, std::to_string(static_cast<int>(fault.trouble)));
+  health_.SetStoreFault(fault.trouble != StoreTrouble::kNone);
+  fleet_.store().SetFault(0, fault);
+}
+
+void Soak::SetInstanceFault(MeshMachine& machine) {
+  const InstanceFault fault{static_cast<InstanceTrouble>(Pick(0, 9)), Pick(1, 10)};
+  RecordFault(
+      "instance", &machine,
+      std::to_string(static_cast<int>(fault.trouble)) + " x " + std::to_string(fault.times));
+  machine.instance->SetFault(fault);
+}
+
+void Soak::SetNetworkFault(std::size_t index, const std::string& where, FaultBoard& board) {
+  const Fault fault = SomeNetworkFault();
+  RecordFault("network", fleet_.machines()[index].get(),
+              where + ": " + std::to_string(static_cast<int>(fault.kind)));
+  network_faults_[&board] = fault.kind != FaultKind::kNone;
+  const MeshMachine& machine = *fleet_.machines()[index];
+  health_.SetNetworkFault(
+      index, network_faults_[machine.store_faults] || network_faults_[machine.instance_faults]);
+  board.Set(fault);
+}
+
+Fault Soak::SomeNetworkFault() {
+  static constexpr FaultKind kinds[] = {FaultKind::kNone,  FaultKind::kCut,   FaultKind::kFreeze,
+                                        FaultKind::kDelay, FaultKind::kReset, FaultKind::kDrop};
+  Fault fault;
+  fault.kind = kinds[Pick(0, std::size(kinds) - 1)];
+  fault.direction = static_cast<FaultDirection>(Pick(0, 2));
+  fault.wait = milliseconds(Pick(1, 60));
+  fault.after = Pick(0, 400);
+  fault.times = Pick(1, 5);
+  fault.percent = static_cast<std::uint32_t>(Pick(1, 40));
+  return fault;
+}
+
+void Soak::Change() {
+  ++version_;
+  Configure();
+}
+
+void Soak::Pause(std::size_t index) {
+  const auto how_long = milliseconds(Pick(100, 1500));
+  RecordFault("pause", fleet_.machines()[index].get(), std::to_string(how_long.count()) + " ms");
+  health_.BeginFault(index);
+  {
+    const Paused paused(*fleet_.machines()[index]->sidecar);
+    std::this_thread::sleep_for(how_long);
+  }
+  health_.EndFault(index);
+}
+
+void Soak::Restart(std::size_t index, int signal) {
+  MeshMachine& machine = *fleet_.machines()[index];
+  RecordFault("restart", &machine, std::to_string(signal));
+  health_.BeginFault(index);
+  machine.sidecar->Signal(signal);
+  const auto code = machine.sidecar->Wait(kGraceTime);
+  if (signal == SIGTERM && code != 0) seen_.Violate("a stop ended with another code than 0");
+  ++lives_[index];
+  std::this_thread::sleep_for(milliseconds(Pick(0, 400)));
+  fleet_.Start(machine);
+  health_.EndFault(index);
+}
+
+void Soak::Heal() {
+  RecordFault("heal");
+  fleet_.store().SetFault(0, {});
+  health_.SetStoreFault(false);
+  for (std::size_t index = 0; index < fleet_.machines().size(); ++index) {
+    const auto& machine = fleet_.machines()[index];
+    health_.SetNetworkFault(index, false);
+    machine->instance->SetFault({});
+    machine->store_faults->Set({});
+    if (machine->instance_faults != nullptr) machine->instance_faults->Set({});
+  }
+  Change();
+}
+
+}  // namespace copperlead::standin
