--- a/src/mesh/quota_keeper.cc
+++ b/src/mesh/quota_keeper.cc
@@ -172,8 +172,8 @@
     // Nodes hold no more than was granted steadily in a lease's time, and a burst. Otherwise what
     // lapses unused while no instance can be reached would be granted again and again beside what
     // is new, without end.
-    const auto steady = bounds.perSecond (tenant.quota) *
-                        std::chrono::duration<double> (quotaLeaseTime).count();
+    const auto steady =
+        bounds.perSecond (tenant.quota) * std::chrono::duration<double> (quotaLeaseTime).count();
     const auto capacity = capacityOf (tenant);
     const auto room = std::clamp (steady + capacity - kept.unlapsedSum, 0.0, capacity);
     kept.bucket->giveBack (returned, room);
