--- a/src/mesh/admission_queue.h
+++ b/src/mesh/admission_queue.h
@@ -155,7 +155,11 @@
     double waitBehindMs (Timestamp now, std::size_t before, int priority) const;
     std::size_t countBefore (const Rank& rank) const;
     double usualRunOf (const AdmissionRequest& request) const;
+
+    /** As above, with part of what no run has confirmed lately forgotten. */
     double presentRunOf (Timestamp now, const AdmissionRequest& request) const;
+
+    /** @param usualRunMs  of the sender, towards which the learned time moves */
     static double fadedMeanMs (Timestamp now, const RunTimes& known, double usualRunMs);
     double shortRunMs (const AdmissionRequest& request) const;
     double longRunMs (const AdmissionRequest& request) const;
--- a/src/mesh/quota_keeper.cc
+++ b/src/mesh/quota_keeper.cc
@@ -45,9 +45,9 @@
         heardAt[ip] = now;
 }
 
-QuotaStanding QuotaKeeper::standingOf (const std::string& tenant)
+CandidatesDigest QuotaKeeper::digestFor (const std::string& tenant)
 {
-    if (digests.size() >= mostDigests)
+    if (digests.size() >= mostKnownDigests)
         digests.clear();
 
     const auto [found, isNew] = digests.try_emplace (tenant, 0);
@@ -58,26 +58,26 @@
     return { tenant, found->second };
 }
 
-std::vector<QuotaStanding> QuotaKeeper::standings()
+std::vector<CandidatesDigest> QuotaKeeper::keptDigests()
 {
-    std::vector<QuotaStanding> all;
+    std::vector<CandidatesDigest> all;
 
     for (const auto& [tenant, kept] : byTenant)
-        all.push_back (standingOf (tenant));
+        all.push_back (digestFor (tenant));
 
     return all;
 }
 
-void QuotaKeeper::takeStanding (Timestamp now, const std::string& ip, const QuotaStanding& standing)
+void QuotaKeeper::heardDigest (Timestamp now, const std::string& ip, const CandidatesDigest& told)
 {
     const auto* zone = view.zoneOf (ip);
-    const auto found = byTenant.find (standing.tenant);
+    const auto found = byTenant.find (told.tenant);
 
     // That this node hears itself says nothing of its zone.
     if (zone == nullptr || found == byTenant.end() || ip == view.own().ip)
         return;
 
-    const bool agrees = standing.candidates == standingOf (standing.tenant).candidates;
+    const bool agrees = told.digest == digestFor (told.tenant).digest;
     found->second.words[*zone] = { now, agrees };
 }
 
@@ -197,7 +197,7 @@
     grant.number = ask.number;
     ++counts.asked;
     lastAskAt = now;
-    takeStanding (now, ip, { tenant.name, ask.candidates });
+    heardDigest (now, ip, { tenant.name, ask.candidates });
     grant.keeper = livingKeeper (now, tenant, kept);
 
     if (! grant.keeper.empty())
--- a/src/mesh/quota_keeper.h
+++ b/src/mesh/quota_keeper.h
@@ -51,14 +51,14 @@
     /** Something came from a node. */
     void heard (Timestamp now, const std::string& ip);
 
-    /** Whom a node takes for a tenant's candidates. */
-    void takeStanding (Timestamp now, const std::string& ip, const QuotaStanding& standing);
+    /** A node told its digest of a tenant's candidates. */
+    void heardDigest (Timestamp now, const std::string& ip, const CandidatesDigest& told);
 
-    /** Whom this node takes for a tenant's candidates. */
-    QuotaStanding standingOf (const std::string& tenant);
+    /** The digest of a tenant's candidates as this node knows them. */
+    CandidatesDigest digestFor (const std::string& tenant);
 
     /** Those of the tenants whose quotas are kept here. */
-    std::vector<QuotaStanding> standings();
+    std::vector<CandidatesDigest> keptDigests();
 
     /** @param ip  of the node that asks */
     QuotaGrant ask (Timestamp now, const Tenant& tenant, const QuotaAsk& ask,
@@ -131,7 +131,7 @@
 
     // Ranking all nodes for each ping would cost a large fleet much; bounded, since names come from
     // others' datagrams.
-    static constexpr std::size_t mostDigests = 1024;
+    static constexpr std::size_t mostKnownDigests = 1024;
     std::unordered_map<std::string, std::uint64_t> digests; /**< By tenant, of the present view. */
     Timestamp lastAskAt{};
     bool begun = false;
--- a/src/mesh/quota_message.cc
+++ b/src/mesh/quota_message.cc
@@ -36,19 +36,19 @@
 }
 
 template <typename Archive>
-void serialize (Archive& archive, QuotaStanding& standing)
+void serialize (Archive& archive, CandidatesDigest& told)
 {
-    archive (standing.tenant, standing.candidates);
+    archive (told.tenant, told.digest);
 }
 
 template <typename Archive>
 void serialize (Archive& archive, QuotaPing& ping)
 {
     archive (ping.isReply);
-    ping.standings.resize (archiveCount (archive, ping.standings.size(), QuotaPing::mostStandings));
+    ping.digests.resize (archiveCount (archive, ping.digests.size(), QuotaPing::mostDigests));
 
-    for (auto& standing : ping.standings)
-        archive (standing);
+    for (auto& told : ping.digests)
+        archive (told);
 }
 
 std::string encode (const QuotaAsk& ask) { return encodeDatagram (askMark, ask); }
--- a/src/mesh/quota_message.h
+++ b/src/mesh/quota_message.h
@@ -34,11 +34,11 @@
     double alonePerSecond = 0; /**< What the asking node may pass on while it reaches nobody. */
 };
 
-/** Whom a node takes for the candidates of a tenant's quota. */
-struct QuotaStanding
+/** A digest of the candidates of a tenant's quota, as one node knows them. */
+struct CandidatesDigest
 {
     std::string tenant;
-    std::uint64_t candidates = 0; /**< Digest, see digestOf(). */
+    std::uint64_t digest = 0; /**< See digestOf(). */
 };
 
 /** A keeper asks whether a node can be reached and whom it takes for candidates. */
@@ -46,10 +46,10 @@
 {
     bool isReply = false;
 
-    /** Of the tenants that the keeper keeps; the reply has its sender's. */
-    std::vector<QuotaStanding> standings;
+    /** Of the tenants that the keeper keeps; a reply has its sender's own, for the same tenants. */
+    std::vector<CandidatesDigest> digests;
 
-    static constexpr std::size_t mostStandings = 32;
+    static constexpr std::size_t mostDigests = 32;
 };
 
 std::string encode (const QuotaAsk& ask);
--- a/src/mesh/tenant_quotas.cc
+++ b/src/mesh/tenant_quotas.cc
@@ -12,6 +12,25 @@
 
 constexpr Milliseconds reportInterval{ 1000 };
 
+/** Pings that carry the digests, as many as fit into each; one without any when there are none. */
+std::vector<std::string> pingDatagrams (const std::vector<CandidatesDigest>& digests)
+{
+    std::vector<std::string> datagrams;
+    std::size_t begin = 0;
+
+    do
+    {
+        const auto end = std::min (begin + QuotaPing::mostDigests, digests.size());
+        QuotaPing ping;
+        ping.digests.assign (digests.begin() + static_cast<std::ptrdiff_t> (begin),
+                             digests.begin() + static_cast<std::ptrdiff_t> (end));
+        datagrams.push_back (encode (ping));
+        begin = end;
+    } while (begin < digests.size());
+
+    return datagrams;
+}
+
 } // namespace
 
 TenantQuotas::TenantQuotas (const QuotaBounds& bounds, QuotaNode ownNode, std::uint64_t seed,
@@ -162,22 +181,11 @@
 void TenantQuotas::ping (Timestamp now)
 {
     const auto receivers = keeper.pingsDue (now);
-    const auto standings = keeper.standings();
-    std::size_t told = 0;
-
-    do
-    {
-        const auto count = std::min (standings.size() - told, QuotaPing::mostStandings);
-        const auto first = standings.begin() + static_cast<std::ptrdiff_t> (told);
-        const auto bytes =
-            encode (QuotaPing{ false, { first, first + static_cast<std::ptrdiff_t> (count) } });
 
+    for (const auto& bytes : pingDatagrams (keeper.keptDigests()))
         for (const auto& ip : receivers)
             hooks.send (ip, bytes);
 
-        told += count;
-    } while (told < standings.size());
-
     pingAt = keeper.active (now) ? now + QuotaKeeper::pingInterval : Timestamp::max();
 }
 
@@ -229,8 +237,8 @@
 {
     QuotaPing reply{ true, {} };
 
-    for (const auto& asked : ping.standings)
-        reply.standings.push_back (keeper.standingOf (asked.tenant));
+    for (const auto& asked : ping.digests)
+        reply.digests.push_back (keeper.digestFor (asked.tenant));
 
     return reply;
 }
@@ -241,7 +249,7 @@
     {
         // A node that has just started doesn't know whose keeper it is, and mustn't be taken for a
         // keeper that lives: it says nothing, so that another stands in.
-        if (! knowsTheFleet())
+        if (! isConfigured())
             return true;
 
         keeper.heard (now, ip);
@@ -260,9 +268,9 @@
         keeper.heard (now, ip);
 
         if (ping->isReply)
-            for (const auto& standing : ping->standings)
-                keeper.takeStanding (now, ip, standing);
-        else if (knowsTheFleet())
+            for (const auto& told : ping->digests)
+                keeper.heardDigest (now, ip, told);
+        else if (isConfigured())
             hooks.send (ip, encode (replyTo (*ping)));
 
         return true;
--- a/src/mesh/tenant_quotas.h
+++ b/src/mesh/tenant_quotas.h
@@ -174,7 +174,7 @@
     QuotaPing replyTo (const QuotaPing& ping);
 
     /** Whether this node can say whose keeper it is. */
-    bool knowsTheFleet() const { return routes != nullptr; }
+    bool isConfigured() const { return routes != nullptr; }
     void reportSoon (Timestamp now);
     void report();
 
--- a/tests/mesh/quota_test.cc
+++ b/tests/mesh/quota_test.cc
@@ -93,7 +93,7 @@
             if (! silent.contains (node.zone))
             {
                 keeper.heard (now, node.ip);
-                keeper.takeStanding (now, node.ip, keeper.standingOf ("a"));
+                keeper.heardDigest (now, node.ip, keeper.digestFor ("a"));
             }
     }
 
@@ -161,7 +161,7 @@
 
         for (const auto& node : nodes)
             if (node.zone != order[0].zone)
-                first.takeStanding (at (ms), node.ip, { "a", 1 });
+                first.heardDigest (at (ms), node.ip, { "a", 1 });
 
         first.ask (at (ms), tenant, { 1, "a", 1000, 0 }, "x");
     }
@@ -354,9 +354,9 @@
     const auto ping = decodeQuotaPing (encode (QuotaPing{ true, { { "a", 9 }, { "b", 10 } } }));
     ASSERT_TRUE (ping);
     EXPECT_TRUE (ping->isReply);
-    ASSERT_EQ (ping->standings.size(), 2U);
-    EXPECT_EQ (ping->standings[1].tenant, "b");
-    EXPECT_EQ (ping->standings[1].candidates, 10U);
+    ASSERT_EQ (ping->digests.size(), 2U);
+    EXPECT_EQ (ping->digests[1].tenant, "b");
+    EXPECT_EQ (ping->digests[1].digest, 10U);
 
     const auto bytes = encode (QuotaAsk{ 5, "a", 7, 2, { 20, 10 } });
     EXPECT_FALSE (decodeQuotaGrant (bytes));
--- a/tests/mesh_integration/mesh_soak_test.cc
+++ b/tests/mesh_integration/mesh_soak_test.cc
@@ -44,8 +44,8 @@
   for (const std::uint64_t seed : {1001, 1006}) PlaySeed(seed, SoakKind::kWideBehindProxies);
 }
 
-// 158 requests of a tenant ran in a window in which 157 may: what had been granted while no instance
-// could be reached ran at once when they were back.
+// 158 requests of a tenant ran in a window in which 157 may: what had been granted while no
+// instance could be reached ran at once when they were back.
 TEST(MeshSoak, ALimitHoldsThroughStopsAndKills) {
   for (const std::uint64_t seed : {4016, 5006}) PlaySeed(seed, SoakKind::kWide);
 }
