--- a/src/mesh/quota_keeper.cc
+++ b/src/mesh/quota_keeper.cc
@@ -220,8 +220,12 @@
 
     grant.granted = kept.bucket->take (ask.wanted);
     kept.flow.observe (now, ip, grant.granted);
-    kept.unlapsed.emplace_back (now, grant.granted);
-    kept.unlapsedSum += grant.granted;
+
+    if (grant.granted > 0)
+    {
+        kept.unlapsed.emplace_back (now, grant.granted);
+        kept.unlapsedSum += grant.granted;
+    }
 
     if (grant.granted < ask.wanted)
         kept.shortAt = now;
--- a/src/mesh/quota_keeper.h
+++ b/src/mesh/quota_keeper.h
@@ -6,8 +6,8 @@
     can reach and that take the same nodes for candidates: it asks one node of each other zone now
     and then, and a zone that doesn't answer, or answers that it has others, counts for nothing. Two
     sides of a cut so add up to one whole, and so do two keepers of which each is the first in the
-    lists of some. What a node that reaches nobody
-    may pass on is its part of what was granted lately, so that the parts of all add up to one, too.
+    lists of some. What a node that reaches nobody may pass on is its part of what was granted
+    lately, so that the parts of all add up to one, too.
    A node that isn't the first in its own ranking grants only while all that go before it are
    silent. A keeper that begins, or was not asked for a while, begins with little, since another may
    have granted meanwhile; one that slept finds all that it heard too old.
--- a/src/mesh/tenant_quotas.cc
+++ b/src/mesh/tenant_quotas.cc
@@ -73,10 +73,7 @@
     auto& state = byTenant[tenant];
 
     if (! std::exchange (state.hasCandidates, true))
-    {
         state.candidates = view.candidates (tenant);
-        state.candidatesDigest = digestOf (state.candidates);
-    }
 
     return state;
 }
--- a/src/mesh/tenant_quotas.h
+++ b/src/mesh/tenant_quotas.h
@@ -146,7 +146,6 @@
         QuotaLease lease;
         std::deque<Waiting> waiting;
         std::vector<QuotaNode> candidates;
-        std::uint64_t candidatesDigest = 0;
         bool hasCandidates = false;
         std::string lastKeeper; /**< IP of the keeper that answered last. */
         std::uint64_t passed = 0, refused = 0;
@@ -160,6 +159,7 @@
     void askNext (Timestamp now, const std::string& tenant, TenantState& state);
     void askAt (Timestamp now, const std::string& tenant, TenantState& state,
                 const std::string& ip);
+    static QuotaAsk askOf (const std::string& tenant, const TenantState& state);
     void sendAsk (Timestamp now, const std::string& tenant, TenantState& state);
     void giveUpAnswer (Timestamp now, const std::string& tenant);
     void takeGrant (Timestamp now, const std::string& ip, const QuotaGrant& grant);
--- a/src/mesh/tenant_quotas_asks.cc
+++ b/src/mesh/tenant_quotas_asks.cc
@@ -50,6 +50,13 @@
     askAt (now, tenant, state, node->ip);
 }
 
+QuotaAsk TenantQuotas::askOf (const std::string& tenant, const TenantState& state)
+{
+    const auto& asking = state.asking;
+    return { asking.number,   tenant,       asking.wanted,
+             asking.returned, asking.quota, digestOf (state.candidates) };
+}
+
 void TenantQuotas::askAt (Timestamp now, const std::string& tenant, TenantState& state,
                           const std::string& ip)
 {
@@ -60,11 +67,7 @@
     asking.number = ++lastNumber;
 
     if (ip == own.ip)
-        return onGrant (now, tenant,
-                        keep (now,
-                              { asking.number, tenant, asking.wanted, asking.returned, asking.quota,
-                                state.candidatesDigest },
-                              ip));
+        return onGrant (now, tenant, keep (now, askOf (tenant, state), ip));
 
     forgetOldAsks (now);
     sentAsks[asking.number] = { tenant, ip, {}, 0 };
@@ -80,10 +83,8 @@
     auto& sent = sentAsks[asking.number];
     sent.sentAt = now;
     sent.sent = asking.sent;
-    // Given back once, or a doubled datagram would give it back twice.
-    const auto returned = std::exchange (asking.returned, 0);
-    hooks.send (asking.ip, encode (QuotaAsk{ asking.number, tenant, asking.wanted, returned,
-                                             asking.quota, state.candidatesDigest }));
+    hooks.send (asking.ip, encode (askOf (tenant, state)));
+    asking.returned = 0; // Given back once: the ask may be sent again.
     asking.dueAt = now + answerTime.current();
     answersDue.emplace (asking.dueAt, tenant);
 }
--- a/tests/mesh_integration/soak.cc
+++ b/tests/mesh_integration/soak.cc
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
 #include <nlohmann/json.hpp>
 #include <thread>
 
--- a/tests/mesh_integration/soak.h
+++ b/tests/mesh_integration/soak.h
@@ -4,7 +4,6 @@
 
 #include <atomic>
 #include <chrono>
-#include <map>
 #include <mutex>
 #include <random>
 #include <string>
@@ -84,7 +83,6 @@
   std::mutex listing_;  // Guards the machines' instance ids, which crashes change.
   MeshFleet fleet_;
   SoakHealth health_{fleet_};
-  std::map<const FaultBoard*, bool> network_faults_;  // Whether one is in force.
   Observations seen_;
   std::atomic<std::uint64_t> version_{5};
   std::vector<std::atomic<int>> lives_;
--- a/tests/mesh_integration/soak_faults.cc
+++ b/tests/mesh_integration/soak_faults.cc
@@ -14,6 +14,11 @@
 
 constexpr auto kGraceTime = std::chrono::seconds(8);
 
+// @param board  null: nothing stands in the way
+bool IsAtFault(const FaultBoard* board) {
+  return board != nullptr && board->Get().fault.kind != FaultKind::kNone;
+}
+
 }  // namespace
 
 std::uint64_t Soak::Pick(std::uint64_t from, std::uint64_t to) {
@@ -111,11 +116,10 @@
   const Fault fault = SomeNetworkFault();
   RecordFault("network", fleet_.machines()[index].get(),
               where + ": " + std::to_string(static_cast<int>(fault.kind)));
-  network_faults_[&board] = fault.kind != FaultKind::kNone;
-  const MeshMachine& machine = *fleet_.machines()[index];
-  health_.SetNetworkFault(
-      index, network_faults_[machine.store_faults] || network_faults_[machine.instance_faults]);
   board.Set(fault);
+  const MeshMachine& machine = *fleet_.machines()[index];
+  health_.SetNetworkFault(index,
+                          IsAtFault(machine.store_faults) || IsAtFault(machine.instance_faults));
 }
 
 Fault Soak::SomeNetworkFault() {
