Log restores, lost history and ignored listings of the source

Add the log events source_restored, history_lost and listing_ignored.

During the incident, the nodes logged nothing between 18.6 and 23 s, although each reader made about 32 answered and 32 refused calls per second. Their logs don't show whether a refusal was a 410 or a 503, which revision an answer named, or that a listing was ignored.

The dialect now reads the epoch from the header of every answer, whatever its status. A missing, repeated or malformed header yields no epoch.

- source_restored: the epoch differs from that of the last answer that held one.
- history_lost: logged for each 410.
- listing_ignored: a listing is older than the state the node already has.

The epoch is only logged; no decision depends on it yet.

--- a/src/mesh/mesh_state.cc
+++ b/src/mesh/mesh_state.cc
@@ -12,7 +12,10 @@
 
     // An old listing lacks what came after it.
     if (update.complete && update.at < at)
+    {
+        outcome.listingIgnored = true;
         return outcome;
+    }
 
     outcome.instancesChanged = update.complete || ! update.instances.empty();
 
--- a/src/mesh/mesh_state.h
+++ b/src/mesh/mesh_state.h
@@ -22,7 +22,8 @@
 
 struct UpdateOutcome
 {
-    bool instancesChanged = false;             /**< Or which of them may be used. */
+    bool listingIgnored = false;   /**< The update is a listing older than the revision reached. */
+    bool instancesChanged = false; /**< Or which of them may be used. */
     std::vector<EvacuationChange> evacuations; /**< Zones that were evacuated or given back. */
     std::optional<ConfigurationOutcome> configuration; /**< Empty: the update held none. */
     std::vector<std::string> wentBack; /**< Ids of instances whose entries tell of an earlier start
--- a/src/mesh/source_follower.h
+++ b/src/mesh/source_follower.h
@@ -92,6 +92,9 @@
     std::vector<SourceEntry> entries;
     bool hasMore = false;
     std::uint64_t at = 0; /**< The source's revision. */
+
+    /** Number of times the source was restored from a backup; empty: not in the answer. */
+    std::optional<std::uint64_t> epoch{};
 };
 
 /** What the node learns. */
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -127,8 +127,14 @@
 
 void Sidecar::takeUpdate (Timestamp at, mesh::MeshUpdate update)
 {
+    const auto revision = update.at;
     const auto outcome = state.take (at, std::move (update));
 
+    if (outcome.listingIgnored)
+        log->write (at, EventKind::listingIgnored,
+                    { { "revision", static_cast<std::int64_t> (revision) },
+                      { "known", static_cast<std::int64_t> (state.reached()) } });
+
     // First, since it says what a cold instance bears.
     if (outcome.configuration)
         followConfiguration (at, *outcome.configuration);
--- a/src/sidecar/source/source_reader.h
+++ b/src/sidecar/source/source_reader.h
@@ -6,7 +6,9 @@
 #include <concepts>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <utility>
 
 #include "mesh/enum_names.h"
 #include "mesh/source_follower.h"
@@ -19,14 +21,14 @@
 
 /** The words of one kind of source. */
 template <typename T>
-concept SourceDialect = requires (const T& dialect, const mesh::SourceRequest& request, int status,
-                                  const std::string& body)
+concept SourceDialect = requires (const T& dialect, const mesh::SourceRequest& request,
+                                  const ResponseHead& head, const std::string& body)
 {
     {
         dialect.target (request)
         } -> std::convertible_to<std::string>;
     {
-        dialect.read (status, body)
+        dialect.read (head, body)
         } -> std::convertible_to<mesh::SourceAnswer>;
 };
 
@@ -163,7 +165,9 @@
         mesh::SourceAnswer answer;
 
         if (result.end == CallEnd::answered)
-            answer = dialect.read (result.head.status, result.body);
+            answer = dialect.read (result.head, result.body);
+
+        logEpochChange (now, answer);
 
         const auto reply = answer.reply;
         const bool wasFailing = follower.failing();
@@ -182,12 +186,33 @@
                         });
     }
 
+    /** Logs that the epoch differs from that of the last answer that held one. */
+    void logEpochChange (Timestamp now, const mesh::SourceAnswer& answer)
+    {
+        if (! answer.epoch)
+            return;
+
+        const auto before = std::exchange (lastEpoch, answer.epoch).value_or (*answer.epoch);
+
+        if (before != *answer.epoch)
+            log->write (now, EventKind::sourceRestored,
+                        { { "epoch", static_cast<std::int64_t> (*answer.epoch) },
+                          { "before", static_cast<std::int64_t> (before) },
+                          { "revision", static_cast<std::int64_t> (answer.at) },
+                          { "known", static_cast<std::int64_t> (follower.revision()) } });
+    }
+
     void logChange (Timestamp now, bool wasFailing, Timestamp lastWord, const CallResult& result,
                     mesh::SourceReply reply)
     {
         const auto since = std::chrono::duration_cast<Milliseconds> (now - lastWord).count();
         const auto revision = static_cast<std::int64_t> (follower.revision());
 
+        if (reply == mesh::SourceReply::historyLost)
+            log->write (now, EventKind::historyLost,
+                        { { "epoch", static_cast<std::int64_t> (lastEpoch.value_or (0)) },
+                          { "revision", revision } });
+
         if (follower.failing() && ! wasFailing)
             log->write (now, EventKind::sourceLost,
                         { { "call", mesh::nameOf (result.end, callEndNames) },
@@ -208,6 +233,7 @@
     std::shared_ptr<HttpClient> client;
     CallPointer call;
     mesh::SourceCallCounts counts{};
+    std::optional<std::uint64_t> lastEpoch; /**< Of the last answer that held one. */
     std::uint64_t sent = 0;
     Timestamp armedFor{};
 };
--- a/tests/platform_adapter/store_dialect_test.cc
+++ b/tests/platform_adapter/store_dialect_test.cc
@@ -23,6 +23,11 @@
  "limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_ms":3000,
            "idle_timeout_ms":15000}})";
 
+mesh::SourceAnswer readAnswer (int status, const std::string& body, const HeaderFields& fields = {})
+{
+    return StoreDialect().read ({ status, {}, 1, fields }, body);
+}
+
 std::string replaced (const std::string& what, const std::string& by)
 {
     auto text = whole;
@@ -202,18 +207,35 @@
 
     for (const auto& wanted : cases)
     {
-        const auto answer = StoreDialect().read (wanted.status, wanted.body);
+        const auto answer = readAnswer (wanted.status, wanted.body);
         EXPECT_EQ (answer.reply, wanted.reply) << wanted.body;
         EXPECT_EQ (answer.entries.size(), wanted.entries) << wanted.body;
     }
 
-    const auto first = StoreDialect().read (200, cases[0].body);
+    const auto first = readAnswer (200, cases[0].body);
     EXPECT_TRUE (first.hasMore);
     EXPECT_EQ (first.at, 9U);
     EXPECT_EQ (first.entries[0].value, "node-1");
     EXPECT_EQ (first.entries[0].createdAt, 2U);
 }
 
+/** A restore must also be detected while the store refuses calls. */
+TEST (StoreDialect, ReadsTheEpochWhateverTheStatus)
+{
+    const std::string events = R"({"events":[],"at":5})";
+
+    for (const auto& [status, body] : std::map<int, std::string>{
+             { 200, events }, { 404, "" }, { 410, "" }, { 429, "" }, { 503, "" } })
+        EXPECT_EQ (readAnswer (status, body, { { "store-era", "3" } }).epoch, 3U) << status;
+
+    EXPECT_FALSE (readAnswer (200, events).epoch);
+
+    for (const auto* const value : { "", "x", "-1", "1.5", "99999999999999999999999" })
+        EXPECT_FALSE (readAnswer (200, events, { { "Store-Era", value } }).epoch) << value;
+
+    EXPECT_FALSE (readAnswer (200, events, { { "Store-Era", "3" }, { "Store-Era", "4" } }).epoch);
+}
+
 TEST (StoreDialect, AnItemThatCannotBeReadIsFaultyAlone)
 {
     const std::string deep (60'000, '[');
@@ -246,8 +268,8 @@
         {
             const std::string good =
                 R"({"private_key":"servers/b","value":"e30=","revision":5,"created_at":5})";
-            const auto answer = StoreDialect().read (200, std::string ("{\"") + list + "\":[" +
-                                                              item + "," + good + R"(],"at":9})");
+            const auto answer = readAnswer (200, std::string ("{\"") + list + "\":[" + item + "," +
+                                                     good + R"(],"at":9})");
             ASSERT_EQ (answer.reply, SourceReply::entries) << item.substr (0, 100);
             ASSERT_EQ (answer.entries.size(), 2U);
             EXPECT_FALSE (answer.entries[0].fault.empty()) << item.substr (0, 100);
@@ -256,7 +278,7 @@
             EXPECT_EQ (answer.at, 9U);
         }
 
-    EXPECT_EQ (StoreDialect().read (200, R"({"items":)" + deep).reply, SourceReply::failed);
+    EXPECT_EQ (readAnswer (200, R"({"items":)" + deep).reply, SourceReply::failed);
 }
 
 /** Seeded; whatever comes, the good item behind it holds unless the answer itself is damaged. */
@@ -274,7 +296,7 @@
         for (auto changes = 1 + random() % 4; changes > 0; --changes)
             item[random() % item.size()] = bytes[random() % bytes.size()];
 
-        const auto answer = StoreDialect().read (
+        const auto answer = readAnswer (
             200, "{\"events\":[" + item +
                      R"(,{"private_key":"servers/b","value":"e30=","revision":5}],"at":9})");
 
