--- a/src/standin/store.cc
+++ b/src/standin/store.cc
@@ -17,6 +17,8 @@
 constexpr std::size_t kThreads = 64;
 constexpr auto kPeerCheckInterval = std::chrono::milliseconds(20);
 constexpr std::uint64_t kLongestWatchMs = 30'000;
+constexpr auto kCopyLifetime = std::chrono::seconds(10);
+constexpr char kEpochHeader[] = "Store-Era";
 
 // Base64 with padding (RFC 4648 section 4).
 std::string Base64(const std::string& bytes) {
@@ -74,6 +76,10 @@
 void Store::AddHandlers(httplib::Server& server, std::size_t listener) {
   using Request = httplib::Request;
   using Response = httplib::Response;
+  server.set_post_routing_handler([this](const Request&, Response& response) {
+    const std::lock_guard lock(mutex_);
+    if (response.get_header_value_count(kEpochHeader) == 0) NameEpoch(response);
+  });
   server.Get("/v1/kv-range", [this, listener](const Request& request, Response& response) {
     if (PassFault(listener, request, response)) Range(request, response);
   });
@@ -112,12 +118,28 @@
     Compact();
     AnswerJson(response, "{}");
   });
+  server.Post("/control/restore", [this](const Request& request, Response& response) {
+    Restore(std::chrono::milliseconds(NumberParameter(request, "age_ms", 0)));
+    AnswerJson(response, "{}");
+  });
   server.Get("/control/counters", [this](const Request& request, Response& response) {
     const auto listener = NumberParameter(request, "listener", 0);
     AnswerJson(response, nlohmann::json{{"calls", calls(listener)}}.dump());
   });
 }
 
+void Store::NameEpoch(httplib::Response& response) const {
+  response.set_header(kEpochHeader, std::to_string(epoch_));
+}
+
+void Store::KeepCopy() {
+  const auto now = std::chrono::steady_clock::now();
+  while (copies_.size() > 1 && now - copies_.front().replaced_at > kCopyLifetime) {
+    copies_.pop_front();
+  }
+  copies_.push_back({now, items_, revision_});
+}
+
 void Store::Record(const Item& item) {
   history_.push_back(item);
   changed_.notify_all();
@@ -134,6 +156,7 @@
 std::uint64_t Store::Write(const std::string& key, const std::string& value,
                            const std::string& foreign_fields) {
   const std::lock_guard lock(mutex_);
+  KeepCopy();
   Item& item = items_[key];
   if (item.created_at == 0) item.created_at = revision_ + 1;
   item.key = key;
@@ -146,7 +169,9 @@
 
 std::uint64_t Store::Remove(const std::string& key) {
   const std::lock_guard lock(mutex_);
-  if (items_.erase(key) == 0) return revision_;
+  if (items_.count(key) == 0) return revision_;
+  KeepCopy();
+  items_.erase(key);
   Record({key, "", ++revision_, 0, true, ""});
   return revision_;
 }
@@ -167,7 +192,22 @@
   const std::lock_guard lock(mutex_);
   history_.clear();
   forgotten_ = revision_;
-  ++compactions_;
+  ++cuts_;
+  changed_.notify_all();
+}
+
+void Store::Restore(std::chrono::milliseconds age) {
+  const std::lock_guard lock(mutex_);
+  const auto from = std::chrono::steady_clock::now() - age;
+  while (!copies_.empty() && copies_.back().replaced_at >= from) {
+    items_ = std::move(copies_.back().items);
+    revision_ = copies_.back().revision;
+    copies_.pop_back();
+  }
+  while (!history_.empty() && history_.back().revision > revision_) history_.pop_back();
+  forgotten_ = std::min(forgotten_, revision_);
+  ++epoch_;
+  ++cuts_;
   changed_.notify_all();
 }
 
@@ -235,12 +275,14 @@
     if (more) break;
     items.push_back(ItemJson(item));
   }
+  NameEpoch(response);
   AnswerJson(response,
              nlohmann::json{{"items", items}, {"has_more", more}, {"at", revision_}}.dump());
 }
 
 void Store::Key(const httplib::Request& request, httplib::Response& response) {
   const std::lock_guard lock(mutex_);
+  NameEpoch(response);
   const auto found = items_.find(request.get_param_value("private_key"));
   if (found == items_.end()) {
     response.status = 404;
@@ -274,10 +316,10 @@
   const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(wait);
   const int socket = SocketOf(request);
   std::unique_lock lock(mutex_);
-  const auto compactions = compactions_;
+  const auto cuts = cuts_;
   const auto number = fault_numbers_[listener];
-  while (!stopped_ && compactions_ == compactions && !HasEvent(prefix, after) &&
-         after >= forgotten_ && std::chrono::steady_clock::now() < until && !IsPeerGone(socket)) {
+  while (!stopped_ && cuts_ == cuts && !HasEvent(prefix, after) && !IsLost(after) &&
+         std::chrono::steady_clock::now() < until && !IsPeerGone(socket)) {
     changed_.wait_for(lock, kPeerCheckInterval);
   }
   // A trouble that began meanwhile strikes the watch that waits.
@@ -286,8 +328,9 @@
     if (!PassFault(listener, request, response)) return;
     lock.lock();
   }
-  if (compactions_ != compactions) return CloseConnection(socket);
-  if (after < forgotten_) {
+  if (cuts_ != cuts) return CloseConnection(socket);
+  NameEpoch(response);
+  if (IsLost(after)) {
     response.status = 410;
     return;
   }
--- a/src/standin/store.h
+++ b/src/standin/store.h
@@ -53,6 +53,10 @@
   void SetFault(std::size_t listener, const StoreFault& fault);
   // Forgets the history: watches from earlier revisions get 410, those that wait are cut.
   void Compact();
+  // Returns to the contents of `age` ago, or of the oldest copy that is kept. Later changes are
+  // lost, their revisions are given out again, watches that wait are cut, those from a lost
+  // revision get 410, and all answers name the next epoch.
+  void Restore(std::chrono::milliseconds age);
   // Entries a page of a listing holds at most.
   void SetPageSize(std::size_t entries);
   // Ends waits, for shutdown.
@@ -71,6 +75,13 @@
     std::string foreign_fields{};  // JSON; empty: the item is as usual.
   };
 
+  // The contents before a change.
+  struct Copy {
+    std::chrono::steady_clock::time_point replaced_at;
+    std::map<std::string, Item> items;
+    std::uint64_t revision = 0;
+  };
+
   // Applies the listener's fault. @return false when the request needs no further answer.
   bool PassFault(std::size_t listener, const httplib::Request& request,
                  httplib::Response& response);
@@ -82,6 +93,11 @@
   void Record(const Item& item);
   std::string EventsText(const std::string& prefix, std::uint64_t after) const;
   bool HasEvent(const std::string& prefix, std::uint64_t after) const;
+  // @return true when changes after this revision can't be told.
+  bool IsLost(std::uint64_t after) const { return after < forgotten_ || after > revision_; }
+  void KeepCopy();
+  // Names the epoch of what the answer holds; mutex_ is held.
+  void NameEpoch(httplib::Response& response) const;
   StoreFault FaultOf(std::size_t listener) const;
 
   mutable std::mutex mutex_;
@@ -90,7 +106,9 @@
   std::deque<Item> history_;           // Changes since `forgotten_`.
   std::uint64_t revision_ = 0;
   std::uint64_t forgotten_ = 0;  // History up to this revision is gone.
-  std::uint64_t compactions_ = 0;
+  std::uint64_t cuts_ = 0;       // How often all waiting watches were cut.
+  std::uint64_t epoch_ = 1;
+  std::deque<Copy> copies_;  // Oldest first.
   std::size_t page_size_ = 500;
   std::map<std::size_t, StoreFault> faults_;
   std::map<std::size_t, std::uint64_t> fault_numbers_;
--- a/tests/standin/standin_test.cc
+++ b/tests/standin/standin_test.cc
@@ -101,6 +101,28 @@
   EXPECT_GE(counters["total"], 9);
 }
 
+TEST(StoreStandinTest, RestoresACopyAndGivesRevisionsOutAgain) {
+  const auto store = Start({"store"});
+  const auto put = [&](const std::string& value) {
+    return nlohmann::json::parse(Put(store.control, "/control/key?key=a", value).body)["revision"];
+  };
+  EXPECT_EQ(put("one"), 1);
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  EXPECT_EQ(put("two"), 2);
+  EXPECT_EQ(put("three"), 3);
+  EXPECT_EQ(Get(store.listen, "/v1/kv-key?private_key=a").Header("store-era"), "1");
+
+  Post(store.control, "/control/restore?age_ms=100");
+  const auto restored = Get(store.listen, "/v1/kv-key?private_key=a");
+  EXPECT_EQ(restored.Header("store-era"), "2");
+  EXPECT_EQ(nlohmann::json::parse(restored.body)["revision"], 1);
+  const auto lost = Get(store.listen, "/v1/kv-watch?path_prefix=&after=3&wait_ms=0");
+  EXPECT_EQ(lost.status, 410);
+  EXPECT_EQ(lost.Header("store-era"), "2");
+  EXPECT_EQ(put("four"), 2);
+  EXPECT_EQ(Get(store.listen, "/v1/kv-watch?path_prefix=&after=1&wait_ms=0").status, 200);
+}
+
 TEST(BackendStandinTest, CountsRunsAndRefusesTruly) {
   const auto backend = Start({"backend", "--id", "b1", "--slots", "1", "--drain-ms", "0"});
   const std::string body = ContentFor("u1", 0, 300000);
