--- a/src/mesh/instance_directory.cc
+++ b/src/mesh/instance_directory.cc
@@ -6,12 +6,65 @@
 namespace copperlead::mesh
 {
 
-bool InstanceDirectory::put (Timestamp now, Instance instance, std::uint64_t revision)
+namespace
 {
-    auto& entry = byId[instance.id];
 
-    if (entry.revision > revision)
+/** @returns true if a restored source lists an entry older than the known one */
+bool predatesKnownEntry (const Instance& listed, SourcePosition position,
+                         const ListedInstance& known)
+{
+    if (position.epoch <= known.position.epoch)
+        return false;
+
+    if (listed.born != known.instance.born && listed.born != 0)
+        return listed.born < known.instance.born;
+
+    return position.revision <= known.writtenRevision;
+}
+
+} // namespace
+
+void InstanceDirectory::keepAcrossRestore (Timestamp now, ListedInstance& entry,
+                                           const Instance& listed, SourcePosition position)
+{
+    const bool isSameStart = listed.born == 0 || listed.born == entry.instance.born;
+    entry.position = position;
+    current.reset();
+
+    if (entry.state == InstanceState::leaving)
+    {
+        entry.retainedAt = now;
+        return;
+    }
+
+    entry.state = isSameStart ? InstanceState::ready : InstanceState::lapsed;
+
+    if (! isSameStart)
+        entry.changedAt = now;
+}
+
+bool InstanceDirectory::put (Timestamp now, Instance instance, SourcePosition position)
+{
+    const auto [found, isNew] = byId.try_emplace (instance.id);
+    auto& entry = found->second;
+
+    if (! isNew && entry.position > position)
+        return true;
+
+    // Repeating the same entry must not revive an instance that has lapsed or left since.
+    if (! isNew && entry.position == position && entry.state != InstanceState::ready)
+        return true;
+
+    if (! isNew && ! instance.draining && predatesKnownEntry (instance, position, entry))
+    {
+        keepAcrossRestore (now, entry, instance, position);
         return true;
+    }
+
+    // An entry that survives a restore keeps its creation position, so that it sorts before entries
+    // that were created since.
+    if (! isNew && entry.instance.createdAt.revision == instance.createdAt.revision)
+        instance.createdAt = std::min (instance.createdAt, entry.instance.createdAt);
 
     // Nobody starts before the one that he follows: another writer's entry, or one that is spoilt.
     const auto knownBorn = entry.instance.born;
@@ -20,40 +73,60 @@
     entry.state = usable ? InstanceState::ready : InstanceState::leaving;
     entry.instance = std::move (instance);
     entry.instance.born = std::max (entry.instance.born, knownBorn);
-    entry.revision = revision;
+    entry.position = position;
+    entry.writtenRevision = position.revision;
+    entry.retainedAt.reset();
     entry.changedAt = now;
     current.reset();
     return ! goesBack;
 }
 
-void InstanceDirectory::remove (Timestamp now, const std::string& id, std::uint64_t revision,
+void InstanceDirectory::retain (Timestamp now, Instance instance, SourcePosition position)
+{
+    auto& entry = byId[instance.id];
+
+    if (entry.position > position ||
+        (entry.position == position && entry.state == InstanceState::leaving))
+        return;
+
+    entry.instance = std::move (instance);
+    entry.state = InstanceState::leaving;
+    entry.position = position;
+    entry.writtenRevision = std::max (entry.writtenRevision, position.revision);
+    entry.retainedAt = now;
+    entry.changedAt = now;
+    current.reset();
+}
+
+void InstanceDirectory::remove (Timestamp now, const std::string& id, SourcePosition position,
                                 bool trusted)
 {
     const auto found = byId.find (id);
 
-    if (found == byId.end() || found->second.revision > revision)
+    if (found == byId.end() || found->second.position > position)
         return;
 
     auto& entry = found->second;
+    entry.retainedAt.reset();
 
     if (entry.state == InstanceState::leaving ||
         (entry.state == InstanceState::lapsed && ! trusted))
         return;
 
     entry.state = trusted ? InstanceState::leaving : InstanceState::lapsed;
-    entry.revision = revision;
+    entry.position = position;
     entry.changedAt = now;
     current.reset();
 }
 
 void InstanceDirectory::removeAllBut (Timestamp now, const std::vector<std::string>& ids,
-                                      std::uint64_t revision, bool trusted)
+                                      SourcePosition position, bool trusted)
 {
     const std::set<std::string> kept (ids.begin(), ids.end());
 
     for (const auto& [id, entry] : byId)
         if (! kept.contains (id))
-            remove (now, id, revision, trusted);
+            remove (now, id, position, trusted);
 }
 
 void InstanceDirectory::setEvacuatedZones (std::set<std::string> zones)
@@ -76,11 +149,22 @@
             current.reset();
         }
 
-        const bool isForgotten = entry.state == InstanceState::leaving && age > memoryTime;
+        // An instance that is still listed after this time is in service, unless it announced that
+        // it is draining.
+        if (entry.retainedAt && ! entry.instance.draining && now - *entry.retainedAt > memoryTime)
+        {
+            entry.state = InstanceState::ready;
+            entry.retainedAt.reset();
+            entry.changedAt = now;
+            current.reset();
+        }
+
+        const bool isForgotten =
+            entry.state == InstanceState::leaving && ! entry.retainedAt && age > memoryTime;
 
         if (isForgotten)
         {
-            forgotten = std::max (forgotten, entry.revision);
+            forgotten = std::max (forgotten, entry.position);
             current.reset();
         }
 
@@ -88,13 +172,13 @@
     }
 }
 
-bool InstanceDirectory::changesSince (std::uint64_t revision,
+bool InstanceDirectory::changesSince (SourcePosition position,
                                       std::vector<ListedInstance>& changes) const
 {
-    const bool whole = revision < forgotten;
+    const bool whole = position < forgotten;
 
     for (const auto& [id, entry] : byId)
-        if (whole || entry.revision > revision)
+        if (whole || entry.position > position)
             changes.push_back (entry);
 
     return ! whole;
--- a/src/mesh/instance_directory.h
+++ b/src/mesh/instance_directory.h
@@ -4,6 +4,10 @@
     An entry that vanishes means that the instance leaves, but only while the source is sound: when
     it is down, entries lapse although their instances live. Such an instance stays usable for a
     while, behind those that are listed; the node beside it refuses what it can't run.
+
+    A source that was restored from a backup lists older entries. Newer state that is known here
+    takes precedence until they are written again: an instance that is leaving isn't used, and one
+    that the source has lost counts as lapsed.
 */
 #pragma once
 
@@ -11,6 +15,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -19,6 +24,7 @@
 #include "base/time.h"
 #include "mesh/cold_start.h"
 #include "mesh/locality.h"
+#include "mesh/source_position.h"
 
 namespace copperlead::mesh
 {
@@ -32,9 +38,9 @@
     SocketAddress address;
     int slots = 1;
     bool draining = false;
-    std::uint64_t createdAt = 0; /**< The source's revision when the entry was created. */
-    std::uint64_t born = 0;      /**< Unix ms of this incarnation's start; 0: it doesn't tell. */
-    Milliseconds coldFor{};      /**< As of the entry; unreadableColdTime when it can't be read. */
+    SourcePosition createdAt; /**< The source's position when the entry was created. */
+    std::uint64_t born = 0;   /**< Unix ms of this incarnation's start; 0: it doesn't tell. */
+    Milliseconds coldFor{};   /**< As of the entry; unreadableColdTime when it can't be read. */
 };
 
 /** How an instance may be used. */
@@ -49,9 +55,13 @@
 {
     Instance instance;
     InstanceState state = InstanceState::ready;
-    std::uint64_t revision = 0;                  /**< Of the entry's last change. */
+    SourcePosition position;                     /**< Of the entry's last change. */
     Timestamp changedAt{};                       /**< When this node learned of it. */
     Proximity proximity = Proximity::sameRegion; /**< To this node; set in snapshots. */
+    std::uint64_t writtenRevision = 0;           /**< The revision that wrote `instance`. */
+
+    /** When it was last retained as leaving although a restored source lists it as ready. */
+    std::optional<Timestamp> retainedAt{};
 };
 
 /** Everything known at one moment; immutable. */
@@ -90,43 +100,49 @@
     /** Says how far zones are; without it all count as of this node's region. */
     void setLocality (Locality newLocality);
 
-    /** Takes an entry that was written at `revision`; older ones than the known are ignored.
+    /** Takes an entry that was written at `position`, unless a newer one is known.
         @returns false when it tells of an earlier start than the entry before: it names no
                  instance to use
     */
-    bool put (Timestamp now, Instance instance, std::uint64_t revision);
+    bool put (Timestamp now, Instance instance, SourcePosition position);
+
+    /** Takes from another node that an instance is leaving, which a restored source has lost. */
+    void retain (Timestamp now, Instance instance, SourcePosition position);
 
     /** @param trusted  false while the source is unsound, so that absence says little */
-    void remove (Timestamp now, const std::string& id, std::uint64_t revision, bool trusted);
+    void remove (Timestamp now, const std::string& id, SourcePosition position, bool trusted);
 
     /** Removes every instance that a complete listing doesn't hold. */
-    void removeAllBut (Timestamp now, const std::vector<std::string>& ids, std::uint64_t revision,
+    void removeAllBut (Timestamp now, const std::vector<std::string>& ids, SourcePosition position,
                        bool trusted);
 
-    /** What was removed up to this revision isn't known here, or not all of it: whoever has reached
+    /** Removals up to this position are unknown here, at least in part: whoever has reached
         less gets everything from changesSince(), so that he sees what he lacks.
     */
-    void forgetRemovals (std::uint64_t revision) { forgotten = std::max (forgotten, revision); }
+    void forgetRemovals (SourcePosition position) { forgotten = std::max (forgotten, position); }
 
     /** Instances of these zones, and of no others, get nothing new. */
     void setEvacuatedZones (std::set<std::string> zones);
 
-    /** Ends lapses that have lasted too long and forgets what is long gone. */
+    /** Ends expired lapses and retentions, and forgets entries that are long gone. */
     void advance (Timestamp now);
 
     DirectoryPointer snapshot();
 
-    /** The entries that have changed after a revision, those that are gone among them.
+    /** The entries that changed after a position, including those that are gone.
         @returns false when some of those were forgotten: then `changes` holds all that are known
     */
-    bool changesSince (std::uint64_t revision, std::vector<ListedInstance>& changes) const;
+    bool changesSince (SourcePosition position, std::vector<ListedInstance>& changes) const;
 
 private:
+    void keepAcrossRestore (Timestamp now, ListedInstance& entry, const Instance& listed,
+                            SourcePosition position);
+
     std::map<std::string, ListedInstance> byId;
     std::set<std::string> evacuatedZones;
     Locality locality;
-    std::uint64_t forgotten = 0; /**< Removals up to this revision may be unknown here. */
-    DirectoryPointer current;    /**< Null after a change. */
+    SourcePosition forgotten; /**< Removals up to this position may be unknown here. */
+    DirectoryPointer current; /**< Null after a change. */
 };
 
 } // namespace copperlead::mesh
--- a/src/mesh/local_instance.h
+++ b/src/mesh/local_instance.h
@@ -63,7 +63,7 @@
 
     std::string configured, currentId, currentService, spoken;
     IdentitySource source = IdentitySource::entry;
-    std::uint64_t createdAt = 0;
+    SourcePosition createdAt;
     std::uint64_t born = 0; /**< Unix ms; 0: it isn't known. */
     int slotCount = 1;
     bool isLeaving = false, isLost = false;
--- a/src/mesh/mesh_state.cc
+++ b/src/mesh/mesh_state.cc
@@ -8,7 +8,17 @@
 UpdateOutcome MeshState::take (Timestamp now, MeshUpdate update)
 {
     UpdateOutcome outcome;
-    std::vector<std::string> listed;
+
+    // Only the configuration can still be newer, since its version orders it across epochs.
+    if (update.at.epoch < at.epoch)
+    {
+        outcome.listingIgnored = update.complete;
+
+        if (update.configuration)
+            outcome.configuration = takeConfiguration (std::move (*update.configuration));
+
+        return outcome;
+    }
 
     // An old listing lacks what came after it.
     if (update.complete && update.at < at)
@@ -17,50 +27,58 @@
         return outcome;
     }
 
+    outcome.restored = at.isKnown() && update.at.epoch > at.epoch;
     outcome.instancesChanged = update.complete || ! update.instances.empty();
 
+    // A restored source may lack the entries of running instances.
+    outcome.wentBack = takeInstances (now, update, update.trusted && ! outcome.restored);
+    outcome.evacuations = takeEvacuations (now, update);
+    outcome.instancesChanged = outcome.instancesChanged || ! outcome.evacuations.empty();
+
+    if (update.configuration)
+        outcome.configuration = takeConfiguration (std::move (*update.configuration));
+
+    at = std::max (at, update.at);
+    return outcome;
+}
+
+std::vector<std::string> MeshState::takeInstances (Timestamp now, MeshUpdate& update, bool trusted)
+{
+    std::vector<std::string> wentBack, listed;
+
     for (auto& change : update.instances)
     {
+        const auto id = change.instance.id;
+
         // What only lapsed is listed nowhere, and isn't to be taken for gone below.
         if (! change.gone || ! change.trusted)
-            listed.push_back (change.instance.id);
+            listed.push_back (id);
 
         if (change.gone)
-        {
-            instances.remove (now, change.instance.id, change.revision, change.trusted);
-            continue;
-        }
-
-        const auto id = change.instance.id;
-
-        if (! instances.put (now, std::move (change.instance), change.revision))
-            outcome.wentBack.push_back (id);
+            instances.remove (now, id, change.position, change.trusted);
+        else if (change.retained)
+            instances.retain (now, std::move (change.instance), change.position);
+        else if (! instances.put (now, std::move (change.instance), change.position))
+            wentBack.push_back (id);
     }
 
     if (update.complete)
     {
-        instances.removeAllBut (now, listed, update.at, update.trusted);
+        instances.removeAllBut (now, listed, update.at, trusted);
         instances.forgetRemovals (update.at);
     }
 
-    outcome.evacuations = takeEvacuations (update);
-    outcome.instancesChanged = outcome.instancesChanged || ! outcome.evacuations.empty();
-
-    if (update.configuration)
-        outcome.configuration = takeConfiguration (std::move (*update.configuration));
-
-    at = std::max (at, update.at);
-    return outcome;
+    return wentBack;
 }
 
-std::vector<EvacuationChange> MeshState::takeEvacuations (const MeshUpdate& update)
+std::vector<EvacuationChange> MeshState::takeEvacuations (Timestamp now, const MeshUpdate& update)
 {
     std::vector<EvacuationChange> changed;
     std::set<std::string> listed;
 
     for (const auto& change : update.evacuations)
     {
-        if (evacuations.take (change))
+        if (evacuations.take (now, change))
             changed.push_back (change);
 
         if (! change.over)
@@ -69,7 +87,7 @@
 
     if (update.complete)
     {
-        const auto removed = evacuations.removeAllBut (listed, update.at);
+        const auto removed = evacuations.removeAllBut (now, listed, update.at);
         changed.insert (changed.end(), removed.begin(), removed.end());
     }
 
@@ -79,12 +97,23 @@
     return changed;
 }
 
+std::vector<EvacuationChange> MeshState::advance (Timestamp now)
+{
+    instances.advance (now);
+    auto changed = evacuations.advance (now);
+
+    if (! changed.empty())
+        instances.setEvacuatedZones (evacuations.zones());
+
+    return changed;
+}
+
 ConfigurationOutcome MeshState::takeConfiguration (ConfigurationChange change)
 {
     ConfigurationOutcome outcome;
     outcome.version = change.content.version;
     outcome.before = holder.version();
-    outcome.revision = change.revision;
+    outcome.position = change.position;
 
     const auto& running = holder.routes();
     const auto* base = running == nullptr ? nullptr : &running->configuration();
@@ -112,24 +141,26 @@
     return outcome;
 }
 
-MeshUpdate MeshState::changesSince (std::uint64_t revision, std::uint64_t version) const
+MeshUpdate MeshState::changesSince (SourcePosition position, std::uint64_t version) const
 {
     MeshUpdate update;
     std::vector<ListedInstance> changes;
     update.at = at;
-    update.complete = ! instances.changesSince (revision, changes);
+    update.complete = ! instances.changesSince (position, changes);
 
     for (const auto& entry : changes)
     {
         // A draining instance is listed as such; one that left or lapsed has no entry any more.
-        const bool gone = entry.state != InstanceState::ready && ! entry.instance.draining;
+        const bool retained = entry.retainedAt.has_value();
+        const bool gone =
+            entry.state != InstanceState::ready && ! entry.instance.draining && ! retained;
 
-        if (! update.complete || entry.state != InstanceState::leaving || entry.instance.draining)
-            update.instances.push_back (
-                { entry.instance, entry.revision, gone, entry.state != InstanceState::lapsed });
+        if (! update.complete || ! gone || entry.state == InstanceState::lapsed)
+            update.instances.push_back ({ entry.instance, entry.position, gone,
+                                          entry.state != InstanceState::lapsed, retained });
     }
 
-    update.evacuations = evacuations.changesSince (update.complete ? 0 : revision);
+    update.evacuations = evacuations.changesSince (update.complete ? SourcePosition{} : position);
     const auto& routes = holder.routes();
 
     if (routes == nullptr || routes->configuration().version <= version)
--- a/src/mesh/mesh_update.cc
+++ b/src/mesh/mesh_update.cc
@@ -133,19 +133,19 @@
 template <typename Archive>
 void serialize (Archive& archive, InstanceChange& change)
 {
-    archive (change.instance, change.revision, change.gone, change.trusted);
+    archive (change.instance, change.position, change.gone, change.trusted, change.retained);
 }
 
 template <typename Archive>
 void serialize (Archive& archive, EvacuationChange& change)
 {
-    archive (change.zone, change.revision, change.over);
+    archive (change.zone, change.position, change.over, change.retained);
 }
 
 template <typename Archive>
 void serialize (Archive& archive, ConfigurationChange& change)
 {
-    archive (change.revision, change.baseVersion, change.content, change.removedRoutes,
+    archive (change.position, change.baseVersion, change.content, change.removedRoutes,
              change.removedTenants);
 }
 
@@ -157,10 +157,10 @@
 }
 
 ConfigurationChange difference (const MeshConfiguration& base, const MeshConfiguration& next,
-                                std::uint64_t revision)
+                                SourcePosition position)
 {
     ConfigurationChange change;
-    change.revision = revision;
+    change.position = position;
     change.baseVersion = base.version;
     change.content.version = next.version;
     change.content.services = next.services;
--- a/src/mesh/mesh_update.h
+++ b/src/mesh/mesh_update.h
@@ -19,9 +19,10 @@
 struct InstanceChange
 {
     Instance instance; /**< Only its id counts when it is gone. */
-    std::uint64_t revision = 0;
+    SourcePosition position;
     bool gone = false;
     bool trusted = true; /**< Of one that is gone: the source was sound when its entry vanished. */
+    bool retained = false; /**< It is leaving although a restored source lists it as ready. */
 };
 
 /** A later configuration: whole, or the routes and tenants in which it differs from an earlier
@@ -29,7 +30,7 @@
 */
 struct ConfigurationChange
 {
-    std::uint64_t revision = 0;
+    SourcePosition position;
     std::uint64_t baseVersion = 0; /**< 0: whole. */
     /** Holds only added and changed routes and tenants unless whole. */
     MeshConfiguration content;
@@ -40,7 +41,7 @@
 {
     bool complete = false; /**< Holds every instance: those it lacks are gone. */
     bool trusted = true;   /**< Of those that a complete update lacks. */
-    std::uint64_t at = 0;  /**< The source's revision up to which nothing is missing. */
+    SourcePosition at;     /**< The source's position up to which nothing is missing. */
     std::vector<InstanceChange> instances;
     std::vector<EvacuationChange> evacuations;
     std::optional<ConfigurationChange> configuration;
@@ -48,7 +49,7 @@
 
 /** Finds what `next` changes against `base`. */
 ConfigurationChange difference (const MeshConfiguration& base, const MeshConfiguration& next,
-                                std::uint64_t revision);
+                                SourcePosition position);
 
 /** Rebuilds the whole configuration.
     @returns kUnknownBase when `base` isn't the version that the change was made against
--- a/src/mesh/reader_beat_codec.cc
+++ b/src/mesh/reader_beat_codec.cc
@@ -7,7 +7,7 @@
 namespace
 {
 
-constexpr std::uint32_t beatMark = 0x636f7063; // Tells beats of this form from stray datagrams.
+constexpr std::uint32_t beatMark = 0x636f7064; // Tells beats of this form from stray datagrams.
 
 } // namespace
 
--- a/src/mesh/reader_role.cc
+++ b/src/mesh/reader_role.cc
@@ -110,7 +110,7 @@
     updateSatisfied (now);
 }
 
-void ReaderRole::reached (Timestamp now, std::uint64_t at, std::uint64_t version)
+void ReaderRole::reached (Timestamp now, SourcePosition at, std::uint64_t version)
 {
     ownAt = std::max (ownAt, at);
     ownVersion = std::max (ownVersion, version);
--- a/src/mesh/reader_role.h
+++ b/src/mesh/reader_role.h
@@ -24,6 +24,7 @@
 #include <utility>
 
 #include "base/time.h"
+#include "mesh/source_position.h"
 
 namespace copperlead::mesh
 {
@@ -51,7 +52,7 @@
     std::string node;
     std::string zone;
     ReaderRank rank;
-    std::uint64_t at = 0;      /**< The source's revision that it has read up to. */
+    SourcePosition at;         /**< The source's position that it has read up to. */
     std::uint64_t version = 0; /**< Of the configuration that it runs. */
     bool sound = false;        /**< It reaches the source and goes on reading. */
 
@@ -104,7 +105,7 @@
     void heard (Timestamp now, const ReaderBeat& beat);
 
     /** This node's state has changed. */
-    void reached (Timestamp now, std::uint64_t at, std::uint64_t version);
+    void reached (Timestamp now, SourcePosition at, std::uint64_t version);
 
     /** Another node's answer showed the version that it runs. */
     void sawVersion (Timestamp now, std::uint64_t version);
@@ -142,7 +143,7 @@
 
     bool reading() const { return isReading; }
 
-    /** The revision or version of a sound reader is later than this node's. */
+    /** The position or version of a sound reader is later than this node's. */
     bool behind() const { return heardAt > ownAt || heardVersion > ownVersion; }
 
     /** When this node was last up to date with a sound reader. */
@@ -177,7 +178,8 @@
     std::map<std::string, Heard> readers;
     std::map<std::string, Timestamp> failingReaders; /**< When each last said so. */
     std::size_t zonePeers = 0;
-    std::uint64_t ownAt = 0, ownVersion = 0, heardAt = 0, heardVersion = 0;
+    SourcePosition ownAt, heardAt;
+    std::uint64_t ownVersion = 0, heardVersion = 0;
     std::uint64_t seenVersion = 0;
     Timestamp seenLaterSince = Timestamp::max();
     Timestamp lastSatisfied{}, weakerSince = Timestamp::max();
--- a/src/mesh/source_follower.cc
+++ b/src/mesh/source_follower.cc
@@ -44,7 +44,9 @@
         // After a failure, too, an answer at once tells soonest that the source is back.
         takingOver = std::exchange (firstWatch, false) || failures > 0;
         const auto wait = takingOver ? Milliseconds (0) : settings.watchWait;
-        return SourceRequest{ current, {}, at, wait, wait + settings.answerTime, false, cause };
+        watchStart = at;
+        return SourceRequest{ current, {},   at.revision, wait, wait + settings.answerTime,
+                              false,   cause };
     }
 
     return SourceRequest{ current,           lastKey (pages), 0,    Milliseconds (0),
@@ -68,9 +70,9 @@
     return historyLost ? SourceCallCause::historyLost : SourceCallCause::start;
 }
 
-bool SourceFollower::skipListing (std::uint64_t revision)
+bool SourceFollower::skipListing (SourcePosition position)
 {
-    if (listed || revision == 0)
+    if (listed || ! position.isKnown())
         return false;
 
     listed = true;
@@ -78,21 +80,27 @@
     return true;
 }
 
-bool SourceFollower::pause (std::uint64_t revision)
+void SourceFollower::advanceTo (SourcePosition position)
 {
-    const bool dropped = skipListing (revision) || listed;
+    at = std::max (at, position);
+    epoch = std::max (epoch, at.epoch);
+}
+
+bool SourceFollower::pause (SourcePosition position)
+{
+    const bool dropped = skipListing (position) || listed;
     paused = true;
-    at = std::max (at, revision);
+    advanceTo (position);
     out = out && ! dropped;
     return dropped;
 }
 
-bool SourceFollower::resume (Timestamp now, std::uint64_t revision)
+bool SourceFollower::resume (Timestamp now, SourcePosition position)
 {
-    const bool dropped = skipListing (revision);
+    const bool dropped = skipListing (position);
     paused = false;
     firstWatch = true;
-    at = std::max (at, revision);
+    advanceTo (position);
     out = out && ! dropped;
 
     if (! out)
@@ -101,15 +109,19 @@
         stale = stale && ! pages.empty();
     }
 
+    // A watch can't start from a position of an earlier epoch.
+    if (listed && at.epoch < epoch)
+        listAnew (now);
+
     return dropped;
 }
 
-bool SourceFollower::overtaken (Timestamp now, std::uint64_t revision)
+bool SourceFollower::overtaken (Timestamp now, SourcePosition position)
 {
-    if (revision <= at || ! listed || paused)
+    if (position <= at || ! listed || paused)
         return false;
 
-    at = revision;
+    advanceTo (position);
 
     if (! out || now - sentAt < settings.hurryAfter)
         return false;
@@ -157,48 +169,112 @@
 
 bool SourceFollower::sound (Timestamp now) const { return failures == 0 && now >= unsoundUntil; }
 
+Milliseconds SourceFollower::backoff (int attempts) const
+{
+    const auto doubled = settings.firstBackoff * (1 << std::clamp (attempts - 1, 0, 4));
+    return std::min (doubled, settings.longestBackoff);
+}
+
 void SourceFollower::failed (Timestamp now)
 {
     ++failures;
     unsoundUntil = now + settings.unsoundTime;
-    const auto doubled = settings.firstBackoff * (1 << std::min (failures - 1, 4));
-    const auto longest = std::max (std::min (doubled, settings.longestBackoff), tryInterval);
+    const auto longest = std::max (backoff (failures), tryInterval);
     std::uniform_int_distribution<std::int64_t> spread (longest.count() / 2, longest.count());
     due = now + Milliseconds (spread (random));
 }
 
+void SourceFollower::listAnew (Timestamp when)
+{
+    listed = false;
+    historyLost = true;
+    stale = false; // An old answer could name a revision whose history is gone, too.
+    pages.clear();
+    due = when;
+}
+
+void SourceFollower::beginEpoch (Timestamp now, std::uint64_t newEpoch)
+{
+    epoch = newEpoch;
+
+    if (at.isKnown())
+        unsoundUntil = now + settings.unsoundTime;
+}
+
+bool SourceFollower::matchesCallEpoch (const SourceAnswer& answer) const
+{
+    if (current == SourceCall::watch)
+        return answer.at.epoch == watchStart.epoch;
+
+    return pages.empty() || answer.at.epoch == listingAt.epoch;
+}
+
+void SourceFollower::handleRestore (Timestamp now)
+{
+    failures = 0;
+    successAt = now;
+    due = now;
+
+    // Not needed if another node has already passed on the changes since the restore.
+    if (! listed || at.epoch < epoch)
+    {
+        std::uniform_int_distribution<std::int64_t> spread (0,
+                                                            settings.longestRestoreDelay.count());
+        listAnew (now + Milliseconds (spread (random)));
+    }
+}
+
+void SourceFollower::handleHistoryLoss (Timestamp now)
+{
+    // The backoff prevents a listing loop if the source rejects each position it has just reported.
+    ++historyLosses;
+    listAnew (historyLosses == 1 ? now : now + backoff (historyLosses - 1));
+}
+
 std::optional<SourceUpdate> SourceFollower::answered (Timestamp now, SourceAnswer answer)
 {
     out = false;
+    const bool isReadable = answer.reply != SourceReply::failed;
 
-    if (answer.reply == SourceReply::historyLost)
+    if (isReadable && answer.at.epoch > epoch)
+        beginEpoch (now, answer.at.epoch);
+
+    // An answer of an earlier epoch was sent before the source was restored.
+    if (! isReadable || answer.reply == SourceReply::refused || answer.at.epoch < epoch)
     {
-        listed = false;
-        historyLost = true;
-        stale = false; // An old answer could name a revision whose history is gone, too.
-        pages.clear();
-        due = now;
+        failed (now);
         return std::nullopt;
     }
 
-    if (answer.reply != SourceReply::entries)
+    if (! matchesCallEpoch (answer))
     {
-        failed (now);
+        handleRestore (now);
+        return std::nullopt;
+    }
+
+    if (answer.reply == SourceReply::historyLost)
+    {
+        handleHistoryLoss (now);
         return std::nullopt;
     }
 
     failures = 0;
     due = now;
 
-    if (current == SourceCall::list && stale)
-        return takePage (std::move (answer));
+    if (current == SourceCall::watch)
+        return takeChanges (now, std::move (answer));
 
-    successAt = now;
+    if (! stale)
+        successAt = now;
 
-    if (current == SourceCall::list)
-        return takePage (std::move (answer));
+    return takePage (std::move (answer));
+}
 
-    at = std::max (at, answer.at);
+std::optional<SourceUpdate> SourceFollower::takeChanges (Timestamp now, SourceAnswer answer)
+{
+    successAt = now;
+    historyLosses = 0;
+    advanceTo (answer.at);
     due = std::max<Timestamp> (now, sentAt + settings.watchInterval);
 
     // That the source is reached again is news to the zone, whatever it tells.
@@ -214,7 +290,7 @@
 /** Up to which a page lacks nothing. What a stale answer says of the source's revision isn't
     believed, only that it is no older than the latest of its entries.
 */
-std::uint64_t completeUpTo (const SourceAnswer& answer, bool stale)
+SourcePosition completeUpTo (const SourceAnswer& answer, bool stale)
 {
     if (! stale)
         return answer.at;
@@ -224,7 +300,7 @@
     for (const auto& entry : answer.entries)
         latest = std::max (latest, entry.revision);
 
-    return std::min (latest, answer.at);
+    return { answer.at.epoch, std::min (latest, answer.at.revision) };
 }
 
 } // namespace
@@ -241,8 +317,8 @@
     if (! last)
         return std::nullopt;
 
-    at = std::max (at, listingAt);
-    listed = ! stale || listingAt > 0;
+    advanceTo (listingAt);
+    listed = ! stale || listingAt.isKnown();
     stale = ! listed && paused;
     historyLost = looking = false;
 
--- a/src/mesh/source_follower.h
+++ b/src/mesh/source_follower.h
@@ -2,6 +2,10 @@
     listing named. A state machine without I/O: the shell sends what poll() asks for and hands back
     what came of it.
 
+    The epoch of the answers rises when the source is restored from a backup. Changes between the
+    backup and the revision that this node has reached are then unknown, so the source is listed
+    again, by each follower after a random delay.
+
     Calls are priced. A node that isn't to read the source lists it once at its start, by an answer
     that may be some seconds old and costs less, so that it can serve; what the listing lacks comes
     from the zone's reader, or from this node's own watch if it has to read after all. Of such a
@@ -22,6 +26,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "mesh/source_position.h"
 
 namespace copperlead::mesh
 {
@@ -91,18 +96,15 @@
     SourceReply reply = SourceReply::failed;
     std::vector<SourceEntry> entries;
     bool hasMore = false;
-    std::uint64_t at = 0; /**< The source's revision. */
-
-    /** Number of times the source was restored from a backup; empty: not in the answer. */
-    std::optional<std::uint64_t> epoch{};
+    SourcePosition at; /**< The source's; its revision is valid only with SourceReply::entries. */
 };
 
 /** What the node learns. */
 struct SourceUpdate
 {
-    bool complete = false; /**< A listing: what it doesn't hold is gone. */
-    std::vector<SourceEntry> entries;
-    std::uint64_t at = 0;
+    bool complete = false;            /**< A listing: what it doesn't hold is gone. */
+    std::vector<SourceEntry> entries; /**< Their revisions belong to the epoch of `at`. */
+    SourcePosition at;
 };
 
 struct FollowerSettings
@@ -117,8 +119,12 @@
     Milliseconds listTime{ 1200 };
     Milliseconds firstBackoff{ 100 };
     Milliseconds longestBackoff{ 400 };
-    Milliseconds hurryAfter{ 200 };   /**< A watch younger than this may just be on its way. */
-    Milliseconds unsoundTime{ 2500 }; /**< After a failure, absence isn't trusted for so long. */
+    Milliseconds hurryAfter{ 200 }; /**< A watch younger than this may just be on its way. */
+    /** How long absence isn't trusted after a failure or a restore. */
+    Milliseconds unsoundTime{ 2500 };
+
+    /** Upper bound of the random delay before a restored source is listed. */
+    Milliseconds longestRestoreDelay{ 300 };
 
     /** Until an old listing that held nothing is repeated. */
     Milliseconds emptyListInterval{ 500 };
@@ -153,23 +159,23 @@
     */
     bool hurry (Timestamp now);
 
-    /** A revision was reached by other means while this node reads: what a watch from an earlier
+    /** A position was reached by other means while this node reads: what a watch from an earlier
        one would bring is known, and may take long over a narrow link.
         @returns true if the watch that is out is to be dropped and poll() called again
     */
-    bool overtaken (Timestamp now, std::uint64_t revision);
+    bool overtaken (Timestamp now, SourcePosition position);
 
-    /** Watches no more until resume(). The first listing goes on, unless `revision` (0: none) was
-        reached by other means.
+    /** Stops watching until resume(). The first listing goes on, unless `position` was reached by
+        other means.
         @returns true if the request that is out, if any, is to be dropped
     */
-    bool pause (std::uint64_t revision = 0);
+    bool pause (SourcePosition position = {});
 
-    /** Goes on from a revision that was reached by other means, 0 if none was. The first watch is
+    /** Resumes, from a position that was reached by other means, if any was. The first watch is
         answered at once, so that the source is known to be reached.
         @returns true if the request that is out, if any, is to be dropped
     */
-    bool resume (Timestamp now, std::uint64_t revision);
+    bool resume (Timestamp now, SourcePosition position);
 
     /** Lists once more, by an answer that may be old, while this node doesn't read. */
     void lookAgain (Timestamp now);
@@ -189,11 +195,24 @@
     bool hasListed() const { return listed; }
     bool failing() const { return failures > 0; }
     Timestamp lastSuccess() const { return successAt; }
-    std::uint64_t revision() const { return at; }
+    SourcePosition position() const { return at; }
+
+    /** The latest epoch that an answer or another node has reported. */
+    std::uint64_t latestEpoch() const { return epoch; }
 
 private:
     void failed (Timestamp now);
-    bool skipListing (std::uint64_t revision);
+    Milliseconds backoff (int attempts) const;
+    bool skipListing (SourcePosition position);
+    void advanceTo (SourcePosition position);
+    void listAnew (Timestamp when);
+    void beginEpoch (Timestamp now, std::uint64_t newEpoch);
+
+    /** @returns true if the answer is of the epoch that the watch or the listing started in */
+    bool matchesCallEpoch (const SourceAnswer& answer) const;
+    void handleRestore (Timestamp now);
+    void handleHistoryLoss (Timestamp now);
+    std::optional<SourceUpdate> takeChanges (Timestamp now, SourceAnswer answer);
     SourceCallCause causeOf (SourceCall call) const;
     std::optional<SourceUpdate> takePage (SourceAnswer answer);
 
@@ -207,14 +226,17 @@
     bool listed = false;
     SourceCall current = SourceCall::list;
     Timestamp due{}, sentAt{};
-    std::uint64_t at = 0;
-    std::uint64_t listingAt = 0; /**< Up to which the pages lack nothing: they are no snapshot. */
-    bool stale = false;          /**< Of the listing under way. */
+    SourcePosition at;
+    SourcePosition watchStart; /**< Of the watch that is out. */
+    SourcePosition listingAt;  /**< Up to which the pages lack nothing: they are no snapshot. */
+    std::uint64_t epoch = 0;
+    bool stale = false; /**< Of the listing under way. */
     bool historyLost = false;
     bool looking = false; /**< The listing under way is a later one. */
     Milliseconds tryInterval{};
     std::vector<SourceEntry> pages;
     int failures = 0;
+    int historyLosses = 0; /**< Since a watch was last answered. */
     Timestamp successAt{};
     Timestamp unsoundUntil{};
 };
--- a/src/sidecar/instance/peer_endpoint.cc
+++ b/src/sidecar/instance/peer_endpoint.cc
@@ -56,12 +56,19 @@
 void PeerEndpoint::answerChanges (const ExchangePointer& exchange)
 {
     const auto numbers = std::string_view (exchange->head.target).substr (changesPath.size());
-    const auto slash = numbers.find ('/');
-    std::uint64_t from = 0, version = 0;
-
-    if (slash == std::string_view::npos || ! ParseWholeNumber (numbers.substr (0, slash), from) ||
-        ! ParseWholeNumber (numbers.substr (slash + 1), version))
-        return exchange->respond (plainAnswer (400, "not a revision and a version"), true);
+    const auto firstSlash = numbers.find ('/');
+    const auto secondSlash =
+        firstSlash == std::string_view::npos ? firstSlash : numbers.find ('/', firstSlash + 1);
+    mesh::SourcePosition from;
+    std::uint64_t version = 0;
+
+    if (secondSlash == std::string_view::npos ||
+        ! ParseWholeNumber (numbers.substr (0, firstSlash), from.epoch) ||
+        ! ParseWholeNumber (numbers.substr (firstSlash + 1, secondSlash - firstSlash - 1),
+                            from.revision) ||
+        ! ParseWholeNumber (numbers.substr (secondSlash + 1), version))
+        return exchange->respond (plainAnswer (400, "not an epoch, a revision and a version"),
+                                  true);
 
     exchange->respond (
         answerMessage (
@@ -70,7 +77,7 @@
         exchange->mustClose());
 }
 
-const std::string& PeerEndpoint::encodedChanges (std::uint64_t from, std::uint64_t version)
+const std::string& PeerEndpoint::encodedChanges (mesh::SourcePosition from, std::uint64_t version)
 {
     const auto now = SteadyClock().Now();
     const auto ownVersion = state.configurations().version();
--- a/src/sidecar/instance/peer_endpoint.h
+++ b/src/sidecar/instance/peer_endpoint.h
@@ -42,13 +42,15 @@
     */
     struct EncodedChanges
     {
-        std::uint64_t from = 0, version = 0;  /**< That were asked for. */
-        std::uint64_t at = 0, ownVersion = 0; /**< Of this node's state. */
+        mesh::SourcePosition from; /**< The position that the asking node has reached. */
+        std::uint64_t version = 0; /**< The version that the asking node runs. */
+        mesh::SourcePosition at;   /**< The position of this node's state. */
+        std::uint64_t ownVersion = 0;
         Timestamp madeAt{};
         std::string bytes;
     };
 
-    const std::string& encodedChanges (std::uint64_t from, std::uint64_t version);
+    const std::string& encodedChanges (mesh::SourcePosition from, std::uint64_t version);
 
     HeaderNames names;
     std::shared_ptr<LastHop> lastHop;
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -127,13 +127,10 @@
 
 void Sidecar::takeUpdate (Timestamp at, mesh::MeshUpdate update)
 {
-    const auto revision = update.at;
+    const auto updated = update.at;
+    const auto known = state.reached();
     const auto outcome = state.take (at, std::move (update));
-
-    if (outcome.listingIgnored)
-        log->write (at, EventKind::listingIgnored,
-                    { { "revision", static_cast<std::int64_t> (revision) },
-                      { "known", static_cast<std::int64_t> (state.reached()) } });
+    logListingOutcome (at, outcome, updated, known);
 
     // First, since it says what a cold instance bears.
     if (outcome.configuration)
@@ -152,6 +149,19 @@
         relay->reached (at, state.reached(), state.configurations().version());
 }
 
+void Sidecar::logListingOutcome (Timestamp at, const mesh::UpdateOutcome& outcome,
+                                 mesh::SourcePosition updated, mesh::SourcePosition known)
+{
+    if (! outcome.listingIgnored && ! outcome.restored)
+        return;
+
+    log->write (at, outcome.restored ? EventKind::sourceRestored : EventKind::listingIgnored,
+                { { "epoch", static_cast<std::int64_t> (updated.epoch) },
+                  { "revision", static_cast<std::int64_t> (updated.revision) },
+                  { "known_epoch", static_cast<std::int64_t> (known.epoch) },
+                  { "known_revision", static_cast<std::int64_t> (known.revision) } });
+}
+
 void Sidecar::announceUpdate()
 {
     if (relay != nullptr)
@@ -164,7 +174,7 @@
         relay->wantWhole();
 
     if (! outcome.verdict || outcome.verdict == mesh::ConfigurationVerdict::older)
-        return refuseConfiguration (at, outcome.error, outcome.revision);
+        return refuseConfiguration (at, outcome.error, outcome.position);
 
     if (outcome.verdict != mesh::ConfigurationVerdict::taken)
         return;
@@ -177,7 +187,8 @@
         at, EventKind::configurationTaken,
         { { "version", static_cast<std::int64_t> (outcome.version) },
           { "before", static_cast<std::int64_t> (outcome.before) },
-          { "revision", static_cast<std::int64_t> (outcome.revision) },
+          { "epoch", static_cast<std::int64_t> (outcome.position.epoch) },
+          { "revision", static_cast<std::int64_t> (outcome.position.revision) },
           { "routes", static_cast<std::int64_t> (routes->configuration().routes.size()) } });
 }
 
@@ -209,17 +220,19 @@
                        [&] (const auto& item) { return item.second.instance.zone == change.zone; });
     log->write (at, change.over ? EventKind::zoneReturned : EventKind::zoneEvacuated,
                 { { "zone", change.zone },
-                  { "revision", static_cast<std::int64_t> (change.revision) },
+                  { "epoch", static_cast<std::int64_t> (change.position.epoch) },
+                  { "revision", static_cast<std::int64_t> (change.position.revision) },
                   { "instances", static_cast<std::int64_t> (instances) } });
 }
 
-void Sidecar::refuseConfiguration (Timestamp at, const Error& error, std::uint64_t revision)
+void Sidecar::refuseConfiguration (Timestamp at, const Error& error, mesh::SourcePosition position)
 {
     log->write (at, EventKind::configurationRefused,
                 { { "running", static_cast<std::int64_t> (state.configurations().version()) },
                   { "place", error.place },
                   { "cause", error.cause },
-                  { "revision", static_cast<std::int64_t> (revision) } });
+                  { "epoch", static_cast<std::int64_t> (position.epoch) },
+                  { "revision", static_cast<std::int64_t> (position.revision) } });
 }
 
 void Sidecar::refuseEntry (Timestamp at, const std::string& key, const Error& error)
@@ -309,7 +322,7 @@
 
 bool Sidecar::ready() const
 {
-    return ! stopPlan && state.configurations().routes() != nullptr && state.reached() > 0;
+    return ! stopPlan && state.configurations().routes() != nullptr && state.reached().isKnown();
 }
 
 void Sidecar::logSleep (Timestamp at)
@@ -335,7 +348,9 @@
 
     if (++ticks % ticksPerFileCheck == 0)
     {
-        state.directory().advance (at);
+        for (const auto& change : state.advance (at))
+            logEvacuation (at, change);
+
         directoryChanged (at);
         checkSettingsFile();
     }
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -50,7 +50,7 @@
 
     /** After an update from the source itself: the zone's other nodes may want it. */
     void announceUpdate();
-    void refuseConfiguration (Timestamp now, const Error& error, std::uint64_t revision);
+    void refuseConfiguration (Timestamp now, const Error& error, mesh::SourcePosition position);
     void refuseEntry (Timestamp now, const std::string& key, const Error& error);
 
     /** A value could not be meant; the careful reading was taken instead. */
@@ -60,15 +60,15 @@
     /** Another node runs a later version; asked to look at the source again. */
     std::function<void()> onBehind;
 
-    /** Whether to read the source, and the revision that was reached by other means. */
-    std::function<void (bool reading, std::uint64_t revision)> setReading;
+    /** Whether to read the source, and the position that was reached by other means. */
+    std::function<void (bool reading, mesh::SourcePosition position)> setReading;
     std::function<SourceStatus()> sourceStatus;
 
     /** Other nodes are looked for: asked to list the source once more without reading it. */
     std::function<void()> onLook;
 
-    /** This node reads the source, and another told it up to a later revision. */
-    std::function<void (std::uint64_t)> onOvertaken;
+    /** This node reads the source, and another node has reported a later position. */
+    std::function<void (mesh::SourcePosition)> onOvertaken;
 
     /** How far apart this node's calls to a failing source are at least. */
     std::function<void (Milliseconds)> setSourceTryInterval;
@@ -83,6 +83,8 @@
 private:
     void followConfiguration (Timestamp now, const mesh::ConfigurationOutcome& outcome);
     void directoryChanged (Timestamp now);
+    void logListingOutcome (Timestamp now, const mesh::UpdateOutcome& outcome,
+                            mesh::SourcePosition updated, mesh::SourcePosition known);
     void logEvacuation (Timestamp now, const mesh::EvacuationChange& change);
     void setServiceSettings (Timestamp now, const mesh::MeshConfiguration& configuration);
     void connectFirstHop();
--- a/src/sidecar/sidecar_metrics.cc
+++ b/src/sidecar/sidecar_metrics.cc
@@ -277,7 +277,9 @@
     families.gauge ("copperlead_running_version", "Version of the configuration that runs",
                     static_cast<double> (figures.configurationVersion));
     families.gauge ("copperlead_source_revision", "Revision of the source that is known here",
-                    static_cast<double> (figures.sourceRevision));
+                    static_cast<double> (figures.sourcePosition.revision));
+    families.gauge ("copperlead_source_epoch", "How often the source was restored, as it says",
+                    static_cast<double> (figures.sourcePosition.epoch));
     families.gauge ("copperlead_zones_evacuated", "Zones whose instances get nothing new",
                     static_cast<double> (figures.zonesEvacuated));
     families.gauge ("copperlead_is_reader", "1 while this node reads the source itself",
--- a/src/sidecar/sidecar_metrics.h
+++ b/src/sidecar/sidecar_metrics.h
@@ -42,7 +42,8 @@
     std::uint64_t linkWaiting = 0;
     std::array<std::uint64_t, std::size (mesh::timelinessNames)> begun{}; /**< Runs, by class. */
     std::uint64_t inFlight = 0, running = 0, waiting = 0, connections = 0, bodiesWaiting = 0;
-    std::uint64_t configurationVersion = 0, sourceRevision = 0, logLinesLeftOut = 0;
+    mesh::SourcePosition sourcePosition;
+    std::uint64_t configurationVersion = 0, logLinesLeftOut = 0;
     mesh::SourceCallCounts sourceCalls{};
     std::uint64_t entriesRefused = 0;
     bool ready = false, reading = false;
--- a/src/sidecar/sidecar_servers.cc
+++ b/src/sidecar/sidecar_servers.cc
@@ -111,7 +111,7 @@
     shown.bodiesWaiting = bodies->waiting();
     shown.begun = lastHop->admission().begun();
     shown.configurationVersion = state.configurations().version();
-    shown.sourceRevision = state.reached();
+    shown.sourcePosition = state.reached();
     shown.sourceCalls = source.calls;
     shown.entriesRefused = entriesRefused;
     shown.logLinesLeftOut = log->leftOut();
--- a/src/sidecar/source/relay.cc
+++ b/src/sidecar/source/relay.cc
@@ -120,8 +120,8 @@
     ++counts.pulls;
     counts.pullsElsewhere += elsewhere ? 1 : 0;
     const auto version = std::exchange (wantsWhole, false) ? 0 : ownVersion;
-    const auto target =
-        std::string (changesPath) + std::to_string (ownAt) + "/" + std::to_string (version);
+    const auto target = std::string (changesPath) + std::to_string (ownAt.epoch) + "/" +
+                        std::to_string (ownAt.revision) + "/" + std::to_string (version);
     CallOptions options;
     options.deadline = SteadyClock().Now() + pullTimeout;
     const HeaderFields fields{ { "Host", ip } };
@@ -165,14 +165,14 @@
         beat (false);
 }
 
-void Relay::reached (Timestamp now, std::uint64_t at, std::uint64_t version)
+void Relay::reached (Timestamp now, mesh::SourcePosition at, std::uint64_t version)
 {
     ownAt = std::max (ownAt, at);
     ownVersion = std::max (ownVersion, version);
     role.reached (now, ownAt, ownVersion);
 
     // Of what a peer told, nothing needs to be listed again.
-    if (ownAt > 0 && ! std::exchange (reachedOnce, true) && ! role.reading())
+    if (ownAt.isKnown() && ! std::exchange (reachedOnce, true) && ! role.reading())
         hooks.setReading (false);
 }
 
@@ -312,7 +312,8 @@
         ++counts.roleChanges;
         log->write (now, EventKind::roleChanged,
                     { { "reading", reading ? "yes" : "no" },
-                      { "revision", static_cast<std::int64_t> (ownAt) },
+                      { "epoch", static_cast<std::int64_t> (ownAt.epoch) },
+                      { "revision", static_cast<std::int64_t> (ownAt.revision) },
                       { "version", static_cast<std::int64_t> (ownVersion) } });
         hooks.setReading (reading);
     }
--- a/src/sidecar/source/relay.h
+++ b/src/sidecar/source/relay.h
@@ -23,7 +23,9 @@
 namespace copperlead::sidecar
 {
 
-/** Where nodes ask each other for changes: this, the revision and the version that they have. */
+/** Path prefix of the requests for changes between nodes; followed by the epoch and the revision
+   that the asking node has reached, and the version that it runs.
+*/
 inline constexpr std::string_view changesPath = "/copperlead/changes/";
 
 struct RelaySettings
@@ -67,8 +69,8 @@
     /** @param isListed  this node is, so that the readers know it */
     void setPeers (Timestamp now, mesh::PeerAddresses peersToUse, bool isListed);
 
-    /** This node's state is now up to date with this revision of the source and this version. */
-    void reached (Timestamp now, std::uint64_t at, std::uint64_t version);
+    /** This node has reached this position of the source and runs this version. */
+    void reached (Timestamp now, mesh::SourcePosition at, std::uint64_t version);
 
     /** Another node's answer showed that it runs a later version: its changes are asked of it,
        which takes a few kilobytes where the source would send the whole configuration.
@@ -128,7 +130,8 @@
     mesh::PeerAddresses peers;
     mesh::Subscriptions subscriptions;
     bool listed = false; /**< The instance beside this node is. */
-    std::uint64_t ownAt = 0, ownVersion = 0;
+    mesh::SourcePosition ownAt;
+    std::uint64_t ownVersion = 0;
     Timestamp beatAt{};
     bool saidSound = false;  /**< In the last beat. */
     bool announcing = false; /**< A beat is due as soon as the shortest interval allows. */
--- a/src/sidecar/source/relay_subscriptions.cc
+++ b/src/sidecar/source/relay_subscriptions.cc
@@ -21,7 +21,8 @@
                 { { "to", sendings.front().to },
                   { "asked", static_cast<std::int64_t> (sendings.size()) },
                   { "peers", static_cast<std::int64_t> (peers.inZone.size()) },
-                  { "revision", static_cast<std::int64_t> (ownAt) } });
+                  { "epoch", static_cast<std::int64_t> (ownAt.epoch) },
+                  { "revision", static_cast<std::int64_t> (ownAt.revision) } });
 }
 
 void Relay::takeSubscription (const std::string& from, const mesh::Subscription& subscription)
--- a/src/sidecar/source/source_reader.h
+++ b/src/sidecar/source/source_reader.h
@@ -6,9 +6,7 @@
 #include <concepts>
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
-#include <utility>
 
 #include "mesh/enum_names.h"
 #include "mesh/source_follower.h"
@@ -55,11 +53,11 @@
 
     void start() { next(); }
 
-    /** Starts or stops reading. @param revision  reached by other means, 0 if none was */
-    void setActive (bool active, std::uint64_t revision)
+    /** Starts or stops reading. @param position  reached by other means, if any was */
+    void setActive (bool active, mesh::SourcePosition position)
     {
         const bool drop =
-            active ? follower.resume (SteadyClock().Now(), revision) : follower.pause (revision);
+            active ? follower.resume (SteadyClock().Now(), position) : follower.pause (position);
 
         if (drop)
         {
@@ -82,10 +80,10 @@
             askAnew();
     }
 
-    /** A revision was reached by other means. */
-    void overtaken (std::uint64_t revision)
+    /** A position was reached by other means. */
+    void overtaken (mesh::SourcePosition position)
     {
-        if (follower.overtaken (SteadyClock().Now(), revision))
+        if (follower.overtaken (SteadyClock().Now(), position))
             askAnew();
     }
 
@@ -167,8 +165,6 @@
         if (result.end == CallEnd::answered)
             answer = dialect.read (result.head, result.body);
 
-        logEpochChange (now, answer);
-
         const auto reply = answer.reply;
         const bool wasFailing = follower.failing();
         const auto lastWord = follower.lastSuccess();
@@ -186,42 +182,29 @@
                         });
     }
 
-    /** Logs that the epoch differs from that of the last answer that held one. */
-    void logEpochChange (Timestamp now, const mesh::SourceAnswer& answer)
-    {
-        if (! answer.epoch)
-            return;
-
-        const auto before = std::exchange (lastEpoch, answer.epoch).value_or (*answer.epoch);
-
-        if (before != *answer.epoch)
-            log->write (now, EventKind::sourceRestored,
-                        { { "epoch", static_cast<std::int64_t> (*answer.epoch) },
-                          { "before", static_cast<std::int64_t> (before) },
-                          { "revision", static_cast<std::int64_t> (answer.at) },
-                          { "known", static_cast<std::int64_t> (follower.revision()) } });
-    }
-
     void logChange (Timestamp now, bool wasFailing, Timestamp lastWord, const CallResult& result,
                     mesh::SourceReply reply)
     {
         const auto since = std::chrono::duration_cast<Milliseconds> (now - lastWord).count();
-        const auto revision = static_cast<std::int64_t> (follower.revision());
+        const auto epoch = static_cast<std::int64_t> (follower.position().epoch);
+        const auto revision = static_cast<std::int64_t> (follower.position().revision);
 
         if (reply == mesh::SourceReply::historyLost)
             log->write (now, EventKind::historyLost,
-                        { { "epoch", static_cast<std::int64_t> (lastEpoch.value_or (0)) },
-                          { "revision", revision } });
+                        { { "epoch", epoch },
+                          { "revision", revision },
+                          { "answered", static_cast<std::int64_t> (follower.latestEpoch()) } });
 
         if (follower.failing() && ! wasFailing)
             log->write (now, EventKind::sourceLost,
                         { { "call", mesh::nameOf (result.end, callEndNames) },
                           { "cause", mesh::nameOf (reply, mesh::sourceReplyNames) },
                           { "last_word_ms", since },
+                          { "epoch", epoch },
                           { "revision", revision } });
         else if (wasFailing && ! follower.failing())
             log->write (now, EventKind::sourceRegained,
-                        { { "after_ms", since }, { "revision", revision } });
+                        { { "after_ms", since }, { "epoch", epoch }, { "revision", revision } });
     }
 
     std::shared_ptr<Reactor> reactor;
@@ -233,7 +216,6 @@
     std::shared_ptr<HttpClient> client;
     CallPointer call;
     mesh::SourceCallCounts counts{};
-    std::optional<std::uint64_t> lastEpoch; /**< Of the last answer that held one. */
     std::uint64_t sent = 0;
     Timestamp armedFor{};
 };
--- a/src/standin/store.cc
+++ b/src/standin/store.cc
@@ -17,7 +17,7 @@
 constexpr std::size_t kThreads = 64;
 constexpr auto kPeerCheckInterval = std::chrono::milliseconds(20);
 constexpr std::uint64_t kLongestWatchMs = 30'000;
-constexpr auto kCopyLifetime = std::chrono::seconds(10);
+constexpr auto kBackupLifetime = std::chrono::seconds(10);
 constexpr char kEpochHeader[] = "Store-Era";
 
 // Base64 with padding (RFC 4648 section 4).
@@ -78,7 +78,7 @@
   using Response = httplib::Response;
   server.set_post_routing_handler([this](const Request&, Response& response) {
     const std::lock_guard lock(mutex_);
-    if (response.get_header_value_count(kEpochHeader) == 0) NameEpoch(response);
+    if (response.get_header_value_count(kEpochHeader) == 0) AddEpochHeader(response);
   });
   server.Get("/v1/kv-range", [this, listener](const Request& request, Response& response) {
     if (PassFault(listener, request, response)) Range(request, response);
@@ -128,16 +128,16 @@
   });
 }
 
-void Store::NameEpoch(httplib::Response& response) const {
+void Store::AddEpochHeader(httplib::Response& response) const {
   response.set_header(kEpochHeader, std::to_string(epoch_));
 }
 
-void Store::KeepCopy() {
+void Store::KeepBackup() {
   const auto now = std::chrono::steady_clock::now();
-  while (copies_.size() > 1 && now - copies_.front().replaced_at > kCopyLifetime) {
-    copies_.pop_front();
+  while (backups_.size() > 1 && now - backups_.front().replaced_at > kBackupLifetime) {
+    backups_.pop_front();
   }
-  copies_.push_back({now, items_, revision_});
+  backups_.push_back({now, items_, revision_});
 }
 
 void Store::Record(const Item& item) {
@@ -156,7 +156,7 @@
 std::uint64_t Store::Write(const std::string& key, const std::string& value,
                            const std::string& foreign_fields) {
   const std::lock_guard lock(mutex_);
-  KeepCopy();
+  KeepBackup();
   Item& item = items_[key];
   if (item.created_at == 0) item.created_at = revision_ + 1;
   item.key = key;
@@ -170,7 +170,7 @@
 std::uint64_t Store::Remove(const std::string& key) {
   const std::lock_guard lock(mutex_);
   if (items_.count(key) == 0) return revision_;
-  KeepCopy();
+  KeepBackup();
   items_.erase(key);
   Record({key, "", ++revision_, 0, true, ""});
   return revision_;
@@ -192,22 +192,22 @@
   const std::lock_guard lock(mutex_);
   history_.clear();
   forgotten_ = revision_;
-  ++cuts_;
+  ++watch_resets_;
   changed_.notify_all();
 }
 
 void Store::Restore(std::chrono::milliseconds age) {
   const std::lock_guard lock(mutex_);
   const auto from = std::chrono::steady_clock::now() - age;
-  while (!copies_.empty() && copies_.back().replaced_at >= from) {
-    items_ = std::move(copies_.back().items);
-    revision_ = copies_.back().revision;
-    copies_.pop_back();
+  while (!backups_.empty() && backups_.back().replaced_at >= from) {
+    items_ = std::move(backups_.back().items);
+    revision_ = backups_.back().revision;
+    backups_.pop_back();
   }
   while (!history_.empty() && history_.back().revision > revision_) history_.pop_back();
   forgotten_ = std::min(forgotten_, revision_);
   ++epoch_;
-  ++cuts_;
+  ++watch_resets_;
   changed_.notify_all();
 }
 
@@ -275,14 +275,14 @@
     if (more) break;
     items.push_back(ItemJson(item));
   }
-  NameEpoch(response);
+  AddEpochHeader(response);
   AnswerJson(response,
              nlohmann::json{{"items", items}, {"has_more", more}, {"at", revision_}}.dump());
 }
 
 void Store::Key(const httplib::Request& request, httplib::Response& response) {
   const std::lock_guard lock(mutex_);
-  NameEpoch(response);
+  AddEpochHeader(response);
   const auto found = items_.find(request.get_param_value("private_key"));
   if (found == items_.end()) {
     response.status = 404;
@@ -316,10 +316,10 @@
   const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(wait);
   const int socket = SocketOf(request);
   std::unique_lock lock(mutex_);
-  const auto cuts = cuts_;
+  const auto watch_resets = watch_resets_;
   const auto number = fault_numbers_[listener];
-  while (!stopped_ && cuts_ == cuts && !HasEvent(prefix, after) && !IsLost(after) &&
-         std::chrono::steady_clock::now() < until && !IsPeerGone(socket)) {
+  while (!stopped_ && watch_resets_ == watch_resets && !HasEvent(prefix, after) &&
+         !IsHistoryLost(after) && std::chrono::steady_clock::now() < until && !IsPeerGone(socket)) {
     changed_.wait_for(lock, kPeerCheckInterval);
   }
   // A trouble that began meanwhile strikes the watch that waits.
@@ -328,9 +328,9 @@
     if (!PassFault(listener, request, response)) return;
     lock.lock();
   }
-  if (cuts_ != cuts) return CloseConnection(socket);
-  NameEpoch(response);
-  if (IsLost(after)) {
+  if (watch_resets_ != watch_resets) return CloseConnection(socket);
+  AddEpochHeader(response);
+  if (IsHistoryLost(after)) {
     response.status = 410;
     return;
   }
--- a/src/standin/store.h
+++ b/src/standin/store.h
@@ -53,9 +53,9 @@
   void SetFault(std::size_t listener, const StoreFault& fault);
   // Forgets the history: watches from earlier revisions get 410, those that wait are cut.
   void Compact();
-  // Returns to the contents of `age` ago, or of the oldest copy that is kept. Later changes are
-  // lost, their revisions are given out again, watches that wait are cut, those from a lost
-  // revision get 410, and all answers name the next epoch.
+  // Restores the contents of `age` ago, or the oldest backup that is kept. Later changes are lost
+  // and their revisions are reused, watches that wait are cut, those from a lost revision get 410,
+  // and answers carry the next epoch.
   void Restore(std::chrono::milliseconds age);
   // Entries a page of a listing holds at most.
   void SetPageSize(std::size_t entries);
@@ -76,7 +76,7 @@
   };
 
   // The contents before a change.
-  struct Copy {
+  struct Backup {
     std::chrono::steady_clock::time_point replaced_at;
     std::map<std::string, Item> items;
     std::uint64_t revision = 0;
@@ -93,11 +93,11 @@
   void Record(const Item& item);
   std::string EventsText(const std::string& prefix, std::uint64_t after) const;
   bool HasEvent(const std::string& prefix, std::uint64_t after) const;
-  // @return true when changes after this revision can't be told.
-  bool IsLost(std::uint64_t after) const { return after < forgotten_ || after > revision_; }
-  void KeepCopy();
-  // Names the epoch of what the answer holds; mutex_ is held.
-  void NameEpoch(httplib::Response& response) const;
+  // @return true when changes after this revision are no longer available.
+  bool IsHistoryLost(std::uint64_t after) const { return after < forgotten_ || after > revision_; }
+  void KeepBackup();
+  // Requires mutex_ to be held.
+  void AddEpochHeader(httplib::Response& response) const;
   StoreFault FaultOf(std::size_t listener) const;
 
   mutable std::mutex mutex_;
@@ -105,10 +105,10 @@
   std::map<std::string, Item> items_;  // Guarded by mutex_, as all below.
   std::deque<Item> history_;           // Changes since `forgotten_`.
   std::uint64_t revision_ = 0;
-  std::uint64_t forgotten_ = 0;  // History up to this revision is gone.
-  std::uint64_t cuts_ = 0;       // How often all waiting watches were cut.
+  std::uint64_t forgotten_ = 0;     // History up to this revision is gone.
+  std::uint64_t watch_resets_ = 0;  // Number of times that all waiting watches were cut.
   std::uint64_t epoch_ = 1;
-  std::deque<Copy> copies_;  // Oldest first.
+  std::deque<Backup> backups_;  // Oldest first.
   std::size_t page_size_ = 500;
   std::map<std::size_t, StoreFault> faults_;
   std::map<std::size_t, std::uint64_t> fault_numbers_;
--- a/tests/mesh/choice_test.cc
+++ b/tests/mesh/choice_test.cc
@@ -101,8 +101,8 @@
 protected:
     Choosing()
     {
-        directory.put (at (0), makeInstance ("near", "z1", 1), 1);
-        directory.put (at (0), makeInstance ("far", "z2", 2), 2);
+        directory.put (at (0), makeInstance ("near", "z1", 1), revision (1));
+        directory.put (at (0), makeInstance ("far", "z2", 2), revision (2));
 
         for (const auto* id : { "near", "far" })
         {
@@ -161,29 +161,29 @@
         chooser.choose (at (499), *directory.snapshot(), { &route, "desk", 0, { "far" } }, choice));
     EXPECT_TRUE (
         chooser.choose (at (501), *directory.snapshot(), { &route, "desk", 0, { "far" } }, choice));
-    directory.remove (at (501), "near", 9, true);
+    directory.remove (at (501), "near", revision (9), true);
     EXPECT_FALSE (
         chooser.choose (at (502), *directory.snapshot(), { &route, "desk", 0, { "far" } }, choice));
 }
 
 TEST_F (Choosing, WhatWasLearnedOfAnIncarnationIsForgottenWithIt)
 {
-    directory.put (at (0), bornAt (makeInstance ("near", "z1", 1), 1000), 5);
+    directory.put (at (0), bornAt (makeInstance ("near", "z1", 1), 1000), revision (5));
     chooser.forgetAllBut (*directory.snapshot());
     chooser.shun (at (0), "near", Milliseconds (5000));
     chooser.forgetAllBut (*directory.snapshot());
     EXPECT_FALSE (chooser.mayPrefer (at (1), "near"));
-    directory.put (at (1), bornAt (makeInstance ("near", "z1", 1), 2000), 6);
+    directory.put (at (1), bornAt (makeInstance ("near", "z1", 1), 2000), revision (6));
     chooser.forgetAllBut (*directory.snapshot());
     EXPECT_TRUE (chooser.mayPrefer (at (1), "near"));
 }
 
 TEST_F (Choosing, AnIncarnationsEndedRunsAreStillCountedOff)
 {
-    directory.put (at (0), bornAt (makeInstance ("near", "z1", 1), 1000), 5);
+    directory.put (at (0), bornAt (makeInstance ("near", "z1", 1), 1000), revision (5));
     chooser.forgetAllBut (*directory.snapshot());
     chooser.started ("near");
-    directory.put (at (1), bornAt (makeInstance ("near", "z1", 1), 2000), 6);
+    directory.put (at (1), bornAt (makeInstance ("near", "z1", 1), 2000), revision (6));
     chooser.forgetAllBut (*directory.snapshot());
     chooser.ended ("near");
     EXPECT_EQ (choices (chooser, *directory.snapshot(), route)["near"], 10);
@@ -200,7 +200,7 @@
         for (int n = 0; n < 180; ++n)
             directory.put (at (0),
                            makeInstance ("i" + std::to_string (n), "z" + std::to_string (n % 6), n),
-                           static_cast<std::uint64_t> (n + 1));
+                           revision (static_cast<std::uint64_t> (n + 1)));
     }
 
     std::vector<Instance> draw (std::size_t count, Proximity proximity,
@@ -263,7 +263,7 @@
         chooser.suspect (at (0), "i" + std::to_string (n), Milliseconds (1000));
 
     chooser.shun (at (0), "i164", Milliseconds (1000));
-    directory.remove (at (0), "i170", 900, false);
+    directory.remove (at (0), "i170", revision (900), false);
 
     for (int draws = 0; draws < 100; ++draws)
         for (const auto& instance : draw (3, Proximity::sameZone, { "i176" }))
@@ -303,9 +303,9 @@
 
 TEST_F (Choosing, ALapsedInstanceIsTheLastChoice)
 {
-    directory.remove (at (0), "near", 9, false);
+    directory.remove (at (0), "near", revision (9), false);
     EXPECT_EQ (choices (chooser, *directory.snapshot(), route)["far"], 10);
-    directory.remove (at (0), "far", 10, false);
+    directory.remove (at (0), "far", revision (10), false);
     EXPECT_EQ (choices (chooser, *directory.snapshot(), route)["near"], 10);
 }
 
--- a/tests/mesh/fixtures.h
+++ b/tests/mesh/fixtures.h
@@ -14,6 +14,9 @@
     return Timestamp (Milliseconds (1'000'000 + milliseconds));
 }
 
+/** A position in epoch 0. */
+inline SourcePosition revision (std::uint64_t number) { return { 0, number }; }
+
 inline Route makeRoute (const std::string& name, const std::string& prefix)
 {
     Route route;
@@ -47,7 +50,7 @@
     instance.zone = zone;
     instance.address = { "10.0.0." + std::to_string (lastByte), 8000 };
     instance.slots = 2;
-    instance.createdAt = createdAt;
+    instance.createdAt = revision (createdAt);
     return instance;
 }
 
--- a/tests/mesh/fleet_start_test.cc
+++ b/tests/mesh/fleet_start_test.cc
@@ -149,13 +149,13 @@
     void learn (Node& node, std::uint64_t seen)
     {
         node.reached = std::max (node.reached, seen);
-        node.role.reached (at (now), node.reached, 1);
+        node.role.reached (at (now), { 0, node.reached }, 1);
 
         if (isListedAt (node.index, node.reached))
             node.role.listed (at (now));
 
         if (node.role.satisfiedAt() != Timestamp{} && ! node.role.reading())
-            node.follower.pause (node.reached);
+            node.follower.pause ({ 0, node.reached });
     }
 
     void step (Node& node)
@@ -180,8 +180,8 @@
     void call (Node& node, const SourceRequest& request)
     {
         ++(request.mayBeStale ? staleCalls : calls);
-        const bool holds =
-            request.call == SourceCall::watch && ! fails && node.follower.revision() >= revision();
+        const bool holds = request.call == SourceCall::watch && ! fails &&
+                           node.follower.position().revision >= revision();
         node.request = request;
         node.answerAt = now + callMs + (holds ? request.wait.count() : 0);
     }
@@ -191,7 +191,7 @@
         node.answerAt = -1;
         SourceAnswer answer;
         answer.reply = fails ? SourceReply::refused : SourceReply::entries;
-        answer.at = revision();
+        answer.at = { 0, revision() };
 
         // Entries are told apart by their revisions, which are as long as keys.
         const auto key = [] (std::uint64_t r) { return std::to_string (10'000 + r); };
@@ -208,7 +208,7 @@
         }
 
         if (const auto update = node.follower.answered (at (now), std::move (answer)))
-            learn (node, update->at);
+            learn (node, update->at.revision);
     }
 
     void decide (Node& node)
@@ -223,8 +223,8 @@
         if (reading == before)
             return;
 
-        const bool dropped = reading ? node.follower.resume (at (now), node.reached)
-                                     : node.follower.pause (node.reached);
+        const bool dropped = reading ? node.follower.resume (at (now), { 0, node.reached })
+                                     : node.follower.pause ({ 0, node.reached });
 
         if (dropped)
             node.answerAt = -1;
@@ -264,7 +264,7 @@
 
         node.beatAt = now;
         const bool sound = node.follower.reached (at (now));
-        const ReaderBeat said{ nameOf (node.index), "z", node.rank, node.reached, 1, sound };
+        const ReaderBeat said{ nameOf (node.index), "z", node.rank, { 0, node.reached }, 1, sound };
         auto told = peersOf (node);
 
         for (const auto& name : node.subscriptions.subscribers (at (now)))
@@ -281,10 +281,10 @@
         if (said.sound)
             send (node, node.subscriptions.heardReader (at (now), said.node, node.role.reading()));
 
-        if (said.at > node.reached && node.pullAt < 0)
+        if (said.at.revision > node.reached && node.pullAt < 0)
         {
             node.pullAt = now + callMs;
-            node.toPull = said.at;
+            node.toPull = said.at.revision;
         }
     }
 
--- a/tests/mesh/instance_directory_test.cc
+++ b/tests/mesh/instance_directory_test.cc
@@ -29,33 +29,33 @@
 TEST (InstanceDirectory, DrainingAndRemovedInstancesGetNothingNew)
 {
     InstanceDirectory directory;
-    directory.put (at (0), makeInstance ("a", "z1", 1), 5);
-    directory.put (at (0), makeInstance ("b", "z1", 2), 6);
+    directory.put (at (0), makeInstance ("a", "z1", 1), revision (5));
+    directory.put (at (0), makeInstance ("b", "z1", 2), revision (6));
     auto draining = makeInstance ("a", "z1", 1);
     draining.draining = true;
-    directory.put (at (1), draining, 7);
+    directory.put (at (1), draining, revision (7));
     EXPECT_EQ (usable (directory), Ids{ "b" });
-    directory.remove (at (2), "b", 8, sound);
+    directory.remove (at (2), "b", revision (8), sound);
     EXPECT_TRUE (usable (directory).empty());
 }
 
 TEST (InstanceDirectory, OlderNewsChangesNothing)
 {
     InstanceDirectory directory;
-    directory.put (at (0), makeInstance ("a", "z1", 1), 9);
-    directory.remove (at (1), "a", 8, sound);
+    directory.put (at (0), makeInstance ("a", "z1", 1), revision (9));
+    directory.remove (at (1), "a", revision (8), sound);
     EXPECT_EQ (usable (directory), Ids{ "a" });
     auto draining = makeInstance ("a", "z1", 1);
     draining.draining = true;
-    directory.put (at (1), draining, 8);
+    directory.put (at (1), draining, revision (8));
     EXPECT_EQ (usable (directory), Ids{ "a" });
 }
 
 TEST (InstanceDirectory, EntriesThatLapseWhileTheSourceIsUnsoundStayUsableForAWhile)
 {
     InstanceDirectory directory;
-    directory.put (at (0), makeInstance ("a", "z1", 1), 5);
-    directory.removeAllBut (at (10), {}, 9, unsound);
+    directory.put (at (0), makeInstance ("a", "z1", 1), revision (5));
+    directory.removeAllBut (at (10), {}, revision (9), unsound);
     EXPECT_EQ (usable (directory), Ids{ "a" });
     EXPECT_EQ (directory.snapshot()->byService.at ("desk")[0].state, InstanceState::lapsed);
     directory.advance (at (2500));
@@ -67,9 +67,9 @@
 TEST (InstanceDirectory, AnEntryThatComesBackIsReadyAgain)
 {
     InstanceDirectory directory;
-    directory.put (at (0), makeInstance ("a", "z1", 1), 5);
-    directory.remove (at (10), "a", 9, unsound);
-    directory.put (at (20), makeInstance ("a", "z1", 1), 11);
+    directory.put (at (0), makeInstance ("a", "z1", 1), revision (5));
+    directory.remove (at (10), "a", revision (9), unsound);
+    directory.put (at (20), makeInstance ("a", "z1", 1), revision (11));
     directory.advance (at (9000));
     EXPECT_EQ (directory.snapshot()->byService.at ("desk")[0].state, InstanceState::ready);
 }
@@ -77,10 +77,10 @@
 TEST (InstanceDirectory, TheNewestEntryOfAnAddressCounts)
 {
     InstanceDirectory directory;
-    directory.put (at (0), makeInstance ("dead", "z1", 1, 5), 5);
+    directory.put (at (0), makeInstance ("dead", "z1", 1, 5), revision (5));
     auto other = makeInstance ("new", "z1", 1, 9);
     other.service = "hub";
-    directory.put (at (1), other, 9);
+    directory.put (at (1), other, revision (9));
     EXPECT_EQ (directory.snapshot()->byAddress.at ("10.0.0.1:8000").instance.id, "new");
     EXPECT_EQ (directory.snapshot()->nodes, 1U);
 }
@@ -88,37 +88,37 @@
 ListedInstance listed (const std::string& id, std::uint64_t createdAt,
                        InstanceState state = InstanceState::ready)
 {
-    return { makeInstance (id, "z1", 1, createdAt), state, createdAt, at (0) };
+    return { makeInstance (id, "z1", 1, createdAt), state, revision (createdAt), at (0) };
 }
 
 TEST (InstanceDirectory, AnIncarnationThatBeganEarlierThanTheKnownNamesNoInstance)
 {
     InstanceDirectory directory;
-    directory.put (at (0), bornAt (makeInstance ("a", "z1", 1), 2000), 5);
-    directory.put (at (1), bornAt (makeInstance ("a", "z1", 1), 1000), 6);
+    directory.put (at (0), bornAt (makeInstance ("a", "z1", 1), 2000), revision (5));
+    directory.put (at (1), bornAt (makeInstance ("a", "z1", 1), 1000), revision (6));
     EXPECT_TRUE (usable (directory).empty());
-    directory.put (at (2), bornAt (makeInstance ("a", "z1", 1), 1500), 7);
+    directory.put (at (2), bornAt (makeInstance ("a", "z1", 1), 1500), revision (7));
     EXPECT_TRUE (usable (directory).empty());
-    directory.put (at (3), bornAt (makeInstance ("a", "z1", 1), 2000), 8);
+    directory.put (at (3), bornAt (makeInstance ("a", "z1", 1), 2000), revision (8));
     EXPECT_EQ (usable (directory), Ids{ "a" });
 }
 
 TEST (InstanceDirectory, ALaterIncarnationIsInUseAtOnceThoughTheIdsLeavingIsRemembered)
 {
     InstanceDirectory directory;
-    directory.put (at (0), bornAt (makeInstance ("a", "z1", 1), 1000), 5);
-    directory.remove (at (1), "a", 6, sound);
-    directory.put (at (2), bornAt (makeInstance ("a", "z1", 1), 2000), 7);
+    directory.put (at (0), bornAt (makeInstance ("a", "z1", 1), 1000), revision (5));
+    directory.remove (at (1), "a", revision (6), sound);
+    directory.put (at (2), bornAt (makeInstance ("a", "z1", 1), 2000), revision (7));
     EXPECT_EQ (usable (directory), Ids{ "a" });
 }
 
 TEST (InstanceDirectory, EntriesThatDoNotTellTheirStartAreTakenAsTheyAre)
 {
     InstanceDirectory directory;
-    directory.put (at (0), bornAt (makeInstance ("a", "z1", 1), 1000), 5);
-    directory.put (at (1), makeInstance ("a", "z1", 1), 6);
+    directory.put (at (0), bornAt (makeInstance ("a", "z1", 1), 1000), revision (5));
+    directory.put (at (1), makeInstance ("a", "z1", 1), revision (6));
     EXPECT_EQ (usable (directory), Ids{ "a" });
-    directory.put (at (2), bornAt (makeInstance ("a", "z1", 1), 500), 7);
+    directory.put (at (2), bornAt (makeInstance ("a", "z1", 1), 500), revision (7));
     EXPECT_TRUE (usable (directory).empty()) << "it told before";
 }
 
@@ -195,8 +195,8 @@
 TEST (InstanceDirectory, EvacuatedZonesKeepTheirPlaceAmongTheNodes)
 {
     InstanceDirectory directory;
-    directory.put (at (0), makeInstance ("a", "z1", 1), 5);
-    directory.put (at (0), makeInstance ("b", "z2", 2), 6);
+    directory.put (at (0), makeInstance ("a", "z1", 1), revision (5));
+    directory.put (at (0), makeInstance ("b", "z2", 2), revision (6));
     directory.setEvacuatedZones ({ "z1" });
     EXPECT_EQ (usable (directory), Ids{ "b" });
     EXPECT_EQ (directory.snapshot()->nodes, 2U);
--- a/tests/mesh/locality_test.cc
+++ b/tests/mesh/locality_test.cc
@@ -42,9 +42,9 @@
     Regions()
     {
         directory.setLocality (locality);
-        directory.put (at (0), makeInstance ("far", "s1", 3), 1);
-        directory.put (at (0), makeInstance ("beside", "n1", 1), 2);
-        directory.put (at (0), makeInstance ("near", "n2", 2), 3);
+        directory.put (at (0), makeInstance ("far", "s1", 3), revision (1));
+        directory.put (at (0), makeInstance ("beside", "n1", 1), revision (2));
+        directory.put (at (0), makeInstance ("near", "n2", 2), revision (3));
     }
 
     std::vector<std::string> draw (Proximity proximity)
--- a/tests/mesh/mesh_state_test.cc
+++ b/tests/mesh/mesh_state_test.cc
@@ -9,24 +9,25 @@
 namespace
 {
 
-MeshUpdate whole (std::uint64_t version, std::uint64_t revision)
+MeshUpdate whole (std::uint64_t version, std::uint64_t number)
 {
     MeshUpdate update;
     update.complete = true;
-    update.at = revision;
-    update.instances = { { makeInstance ("a", "z1", 1), 2, false, true },
-                         { makeInstance ("b", "z1", 2), 3, false, true } };
-    update.configuration = ConfigurationChange{ revision, 0, makeConfiguration (version), {} };
+    update.at = revision (number);
+    update.instances = { { makeInstance ("a", "z1", 1), revision (2), false, true },
+                         { makeInstance ("b", "z1", 2), revision (3), false, true } };
+    update.configuration =
+        ConfigurationChange{ revision (number), 0, makeConfiguration (version), {} };
     return update;
 }
 
-MeshUpdate gone (const std::string& id, std::uint64_t revision, bool trusted)
+MeshUpdate gone (const std::string& id, std::uint64_t number, bool trusted)
 {
     MeshUpdate update;
-    update.at = revision;
+    update.at = revision (number);
     InstanceChange change;
     change.instance.id = id;
-    change.revision = revision;
+    change.position = revision (number);
     change.gone = true;
     change.trusted = trusted;
     update.instances = { change };
@@ -53,7 +54,7 @@
     reader.take (at (0), whole (4, 9));
     const auto outcome = passOn (reader, node);
     EXPECT_EQ (outcome.configuration->verdict, ConfigurationVerdict::taken);
-    EXPECT_EQ (node.reached(), 9U);
+    EXPECT_EQ (node.reached(), revision (9));
     EXPECT_EQ (usable (node), 2U);
 }
 
@@ -63,12 +64,12 @@
     node.take (at (0), whole (4, 9));
     node.take (at (1), gone ("a", 10, true));
     auto late = whole (3, 8);
-    late.instances.push_back ({ makeInstance ("c", "z1", 3), 7, false, true });
+    late.instances.push_back ({ makeInstance ("c", "z1", 3), revision (7), false, true });
     const auto outcome = node.take (at (2), late);
     EXPECT_FALSE (outcome.instancesChanged);
     EXPECT_FALSE (outcome.configuration);
     EXPECT_EQ (usable (node), 1U);
-    EXPECT_EQ (node.reached(), 10U);
+    EXPECT_EQ (node.reached(), revision (10));
 }
 
 TEST (MeshState, ANodeThatIsUpToDateGetsNothing)
@@ -76,7 +77,7 @@
     MeshState reader, node;
     reader.take (at (0), whole (4, 9));
     passOn (reader, node);
-    const auto again = reader.changesSince (9, 4);
+    const auto again = reader.changesSince (revision (9), 4);
     EXPECT_FALSE (again.complete);
     EXPECT_TRUE (again.instances.empty());
     EXPECT_FALSE (again.configuration);
@@ -88,7 +89,7 @@
     reader.take (at (0), whole (4, 9));
     passOn (reader, node);
     reader.take (at (1), whole (6, 12));
-    const auto change = reader.changesSince (9, 4);
+    const auto change = reader.changesSince (revision (9), 4);
     EXPECT_EQ (change.configuration->baseVersion, 4U);
 
     node.take (at (1), whole (5, 11)); // From the source itself, meanwhile.
@@ -97,7 +98,7 @@
     EXPECT_EQ (refused.configuration->error.kind, ErrorKind::kUnknownBase);
     EXPECT_EQ (node.configurations().version(), 5U);
 
-    node.take (at (3), reader.changesSince (9, 0));
+    node.take (at (3), reader.changesSince (revision (9), 0));
     EXPECT_EQ (node.configurations().version(), 6U);
 }
 
@@ -136,7 +137,7 @@
     listing.instances.pop_back();
     started.take (at (1), listing);
     passOn (started, node);
-    EXPECT_EQ (node.reached(), 12U);
+    EXPECT_EQ (node.reached(), revision (12));
     EXPECT_EQ (usable (node), 1U);
 }
 
@@ -147,17 +148,17 @@
     passOn (reader, node);
     reader.take (at (1), gone ("b", 10, false));
     reader.take (at (1), gone ("a", 11, true));
-    auto update = reader.changesSince (0, 4);
+    auto update = reader.changesSince (revision (0), 4);
     update.complete = true;
     node.take (at (2), update);
     EXPECT_EQ (usable (node), 1U);
 }
 
-MeshUpdate evacuation (const std::string& zone, std::uint64_t revision, bool over)
+MeshUpdate evacuation (const std::string& zone, std::uint64_t number, bool over)
 {
     MeshUpdate update;
-    update.at = revision;
-    update.evacuations = { { zone, revision, over } };
+    update.at = revision (number);
+    update.evacuations = { { zone, revision (number), over } };
     return update;
 }
 
--- a/tests/mesh/mesh_update_test.cc
+++ b/tests/mesh/mesh_update_test.cc
@@ -25,7 +25,7 @@
     next.routes[0].timeout = Milliseconds (900);
     next.routes[1] = makeRoute ("added", "/added/");
     next.limits.idleTimeout = Milliseconds (77);
-    const auto change = difference (base, next, 12);
+    const auto change = difference (base, next, revision (12));
     EXPECT_EQ (change.content.routes.size(), 2U);
     EXPECT_EQ (change.removedRoutes, std::vector<std::string>{ "deep" });
 
@@ -38,7 +38,7 @@
 
 TEST (MeshUpdate, ADifferenceAgainstAnotherVersionIsRefused)
 {
-    const auto change = difference (makeConfiguration (4), makeConfiguration (9), 12);
+    const auto change = difference (makeConfiguration (4), makeConfiguration (9), revision (12));
     const auto other = makeConfiguration (5);
 
     for (const auto* base : { static_cast<const MeshConfiguration*> (nullptr), &other })
@@ -53,16 +53,17 @@
 {
     MeshUpdate update;
     update.complete = true;
-    update.at = 31;
-    update.instances = { { bornAt (makeInstance ("a", "z1", 1), 1768005044252), 7, false, true },
-                         { makeInstance ("b", "z1", 2), 9, true, false } };
+    update.at = revision (31);
+    update.instances = { { bornAt (makeInstance ("a", "z1", 1), 1768005044252), revision (7), false,
+                           true },
+                         { makeInstance ("b", "z1", 2), revision (9), true, false } };
     auto config = makeConfiguration (9);
 
     for (int route = 0; route < 300; ++route)
         config.routes.push_back (
             makeRoute ("idle-" + std::to_string (route), "/idle/" + std::to_string (route) + "/"));
 
-    update.configuration = ConfigurationChange{ 12, 0, config, {} };
+    update.configuration = ConfigurationChange{ revision (12), 0, config, {} };
     return update;
 }
 
@@ -74,7 +75,7 @@
     const auto read = Resolve ([&] { return decodeMeshUpdate (bytes); });
     ASSERT_TRUE (read);
     EXPECT_TRUE (read.value().complete);
-    EXPECT_EQ (read.value().at, 31U);
+    EXPECT_EQ (read.value().at, revision (31));
     ASSERT_EQ (read.value().instances.size(), 2U);
     EXPECT_EQ (read.value().instances[0].instance.address, update.instances[0].instance.address);
     EXPECT_EQ (read.value().instances[0].instance.born, 1768005044252U);
@@ -97,19 +98,19 @@
 TEST (InstanceDirectory, TellsWhatChangedSinceARevisionUntilItForgets)
 {
     InstanceDirectory directory;
-    directory.put (at (0), makeInstance ("a", "z1", 1), 5);
-    directory.put (at (0), makeInstance ("b", "z1", 2), 6);
-    directory.remove (at (1), "b", 8, true);
+    directory.put (at (0), makeInstance ("a", "z1", 1), revision (5));
+    directory.put (at (0), makeInstance ("b", "z1", 2), revision (6));
+    directory.remove (at (1), "b", revision (8), true);
     std::vector<ListedInstance> changes;
-    EXPECT_TRUE (directory.changesSince (6, changes));
+    EXPECT_TRUE (directory.changesSince (revision (6), changes));
     ASSERT_EQ (changes.size(), 1U);
     EXPECT_EQ (changes[0].instance.id, "b");
 
     directory.advance (at (40'000));
     changes.clear();
-    EXPECT_FALSE (directory.changesSince (6, changes)); // It can't know that b is gone.
+    EXPECT_FALSE (directory.changesSince (revision (6), changes)); // It can't know that b is gone.
     changes.clear();
-    EXPECT_TRUE (directory.changesSince (8, changes));
+    EXPECT_TRUE (directory.changesSince (revision (8), changes));
     EXPECT_TRUE (changes.empty());
 }
 
@@ -122,7 +123,7 @@
     update.evacuations = { { "z1", 8, false }, { "z2", 9, true } };
     auto config = makeConfiguration (3);
     config.services["desk"].cold = { Milliseconds (3000), 13 };
-    update.configuration = ConfigurationChange{ 9, 0, config, {} };
+    update.configuration = ConfigurationChange{ revision (9), 0, config, {} };
 
     const auto read = Resolve ([&] { return decodeMeshUpdate (encode (update)); });
     ASSERT_TRUE (read);
--- a/tests/mesh/peer_addresses_test.cc
+++ b/tests/mesh/peer_addresses_test.cc
@@ -19,13 +19,13 @@
 protected:
     Peers()
     {
-        directory.put (at (0), makeInstance ("own", "z1", 1), 1);
-        directory.put (at (0), makeInstance ("a", "z1", 3), 2);
+        directory.put (at (0), makeInstance ("own", "z1", 1), revision (1));
+        directory.put (at (0), makeInstance ("a", "z1", 3), revision (2));
         auto draining = makeInstance ("b", "z1", 2);
         draining.draining = true;
-        directory.put (at (0), draining, 3);
-        directory.put (at (0), makeInstance ("c", "z2", 4), 4);
-        directory.put (at (0), makeInstance ("d", "z3", 5), 5);
+        directory.put (at (0), draining, revision (3));
+        directory.put (at (0), makeInstance ("c", "z2", 4), revision (4));
+        directory.put (at (0), makeInstance ("d", "z3", 5), revision (5));
     }
 
     PeerAddresses peers() { return peersOf (*directory.snapshot(), "z1", "10.0.0.1"); }
@@ -43,7 +43,7 @@
 {
     auto second = makeInstance ("e", "z2", 4);
     second.address.port = 8001;
-    directory.put (at (0), second, 6);
+    directory.put (at (0), second, revision (6));
     EXPECT_EQ (peers().elsewhere, (Ips{ "10.0.0.4", "10.0.0.5" }));
 }
 
--- a/tests/mesh/quota_fleet.h
+++ b/tests/mesh/quota_fleet.h
@@ -187,7 +187,7 @@
 
             auto instance = makeInstance ("i" + std::to_string (n), places[n].zone, n);
             instance.address.ip = places[n].ip;
-            all.put (at (0), instance, 1);
+            all.put (at (0), instance, revision (1));
         }
 
         return all.snapshot();
--- a/tests/mesh/reader_role_test.cc
+++ b/tests/mesh/reader_role_test.cc
@@ -13,9 +13,9 @@
 constexpr ReaderRank own{ 1, 50 }, better{ 1, 10 }, worse{ 1, 90 }, stronger{ 2, 90 },
     weaker{ 0, 1 };
 
-ReaderBeat beat (ReaderRank rank, std::uint64_t revision = 5, bool sound = true)
+ReaderBeat beat (ReaderRank rank, std::uint64_t number = 5, bool sound = true)
 {
-    return { "other", "ank-a", rank, revision, 3, sound };
+    return { "other", "ank-a", rank, revision (number), 3, sound };
 }
 
 /** So that a node reads as soon as nobody else does. */
@@ -32,7 +32,7 @@
 protected:
     Role()
     {
-        role.reached (at (0), 5, 3);
+        role.reached (at (0), revision (5), 3);
         role.decide (at (0) - Milliseconds (1));
         EXPECT_TRUE (role.decide (at (0)));
     }
@@ -102,7 +102,7 @@
     role.decide (at (0));
     role.listed (at (0));
     role.heard (at (250), beat ({ topStrength, 10 }));
-    role.reached (at (260), 5, 3); // What it pulled.
+    role.reached (at (260), revision (5), 3); // What it pulled.
 
     for (int now = 500; now <= 5000; now += 250)
     {
@@ -141,7 +141,7 @@
 {
     EXPECT_TRUE (hear (beat (better, 9), 0, 500));
     EXPECT_TRUE (role.behind());
-    role.reached (at (500), 9, 3);
+    role.reached (at (500), revision (9), 3);
     EXPECT_FALSE (hear (beat (better, 9), 500, 750));
 }
 
@@ -172,14 +172,14 @@
     role.sawVersion (at (1000), 4);
     EXPECT_FALSE (hear (beat (better), 1000, 1250));
     EXPECT_TRUE (hear (beat (better), 1500, 1500));
-    role.reached (at (1600), 6, 4);
+    role.reached (at (1600), revision (6), 4);
     EXPECT_FALSE (hear (beat (better, 6), 1600, 1850));
 }
 
 TEST_F (Role, RelievesAWeakerReaderAfterAWhile)
 {
     ReaderRole strong{ "self", stronger, {}, 7 };
-    strong.reached (at (0), 5, 3);
+    strong.reached (at (0), revision (5), 3);
     strong.heard (at (0), beat ({ 3, 1 }));
     ASSERT_FALSE (strong.decide (at (0)));
     bool reading = false;
@@ -285,13 +285,13 @@
 
 TEST_F (Role, KnowsForHowLongAnotherNodeHasRunALaterVersion)
 {
-    role.reached (at (0), 5, 3);
+    role.reached (at (0), revision (5), 3);
     role.sawVersion (at (10), 3);
     EXPECT_EQ (role.seenLaterFor (at (100)), Duration (0));
     role.sawVersion (at (100), 4);
     role.sawVersion (at (150), 4);
     EXPECT_EQ (role.seenLaterFor (at (160)), Milliseconds (60));
-    role.reached (at (170), 6, 4);
+    role.reached (at (170), revision (6), 4);
     EXPECT_EQ (role.seenLaterFor (at (180)), Duration (0));
 }
 
@@ -300,7 +300,7 @@
     const auto bytes = encode (beat (better, 77));
     const auto read = decodeReaderBeat (bytes);
     ASSERT_TRUE (read);
-    EXPECT_EQ (read->at, 77U);
+    EXPECT_EQ (read->at, revision (77));
     EXPECT_EQ (read->zone, "ank-a");
     EXPECT_EQ (read->rank.hash, better.hash);
     EXPECT_TRUE (read->sound);
--- /dev/null
+++ b/tests/mesh/restored_source_test.cc
@@ -0,0 +1,412 @@
+// State of a node after its source was restored from a backup, which lists older entries and reuses
+// revisions in a later epoch.
+#include <gtest/gtest.h>
+
+#include "mesh/local_instance.h"
+#include "mesh/mesh_state.h"
+#include "mesh/reader_role.h"
+#include "mesh/source_follower.h"
+#include "tests/mesh/fixtures.h"
+
+namespace copperlead::mesh::test
+{
+namespace
+{
+
+using Ids = std::vector<std::string>;
+
+SourceAnswer answer (SourceReply reply, SourcePosition position, bool more = false)
+{
+    return { reply, { { "a", "v", position.revision, 1, false } }, more, position };
+}
+
+/** A follower that watches from revision 20 of epoch 1. */
+class RestoredSourceFollower : public ::testing::Test
+{
+protected:
+    RestoredSourceFollower()
+    {
+        follower.poll (at (0));
+        follower.answered (at (1), answer (SourceReply::entries, { 1, 20 }));
+        follower.poll (at (1));
+    }
+
+    /** Polls for up to a second. @returns the first request; std::nullopt if none is due */
+    std::optional<SourceRequest> pollWithin (std::int64_t now)
+    {
+        for (auto until = now + 1000; now <= until; now += 10)
+            if (auto request = follower.poll (at (now)))
+            {
+                polledAt = now;
+                return request;
+            }
+
+        return std::nullopt;
+    }
+
+    SourceFollower follower{ {}, 1 };
+    std::int64_t polledAt = 0;
+};
+
+TEST_F (RestoredSourceFollower, ListsOnceAndContinuesFromTheLowerRevision)
+{
+    follower.answered (at (100), answer (SourceReply::historyLost, { 2, 0 }));
+    EXPECT_EQ (pollWithin (100)->call, SourceCall::list);
+    EXPECT_LE (polledAt, 400);
+    const auto update = follower.answered (at (polledAt), answer (SourceReply::entries, { 2, 15 }));
+    ASSERT_TRUE (update);
+    EXPECT_TRUE (update->complete);
+    EXPECT_EQ (update->at, (SourcePosition{ 2, 15 }));
+    const auto watch = pollWithin (polledAt);
+    EXPECT_EQ (watch->call, SourceCall::watch);
+    EXPECT_EQ (watch->afterRevision, 15U);
+}
+
+TEST_F (RestoredSourceFollower, ListsWhenItsRevisionWasReused)
+{
+    EXPECT_FALSE (follower.answered (at (100), answer (SourceReply::entries, { 2, 25 })));
+    EXPECT_EQ (pollWithin (100)->call, SourceCall::list);
+}
+
+TEST_F (RestoredSourceFollower, DetectsARestoreByARefusedCall)
+{
+    follower.answered (at (100), answer (SourceReply::refused, { 2, 0 }));
+    EXPECT_TRUE (pollWithin (100));
+    EXPECT_FALSE (follower.answered (at (polledAt), answer (SourceReply::entries, { 2, 21 })));
+    EXPECT_EQ (pollWithin (polledAt)->call, SourceCall::list);
+}
+
+TEST_F (RestoredSourceFollower, DoesNotTrustAbsenceRightAfterARestore)
+{
+    EXPECT_TRUE (follower.sound (at (99)));
+    follower.answered (at (100), answer (SourceReply::historyLost, { 2, 0 }));
+    EXPECT_FALSE (follower.sound (at (2000)));
+    EXPECT_TRUE (follower.sound (at (2700)));
+}
+
+TEST_F (RestoredSourceFollower, IgnoresAnAnswerOfAnEarlierEpoch)
+{
+    follower.overtaken (at (10), { 2, 15 });
+
+    for (const auto reply : { SourceReply::entries, SourceReply::historyLost })
+    {
+        EXPECT_FALSE (follower.answered (at (100), answer (reply, { 1, 30 })));
+        const auto watch = pollWithin (100);
+        EXPECT_EQ (watch->call, SourceCall::watch);
+        EXPECT_EQ (watch->afterRevision, 15U);
+    }
+}
+
+TEST_F (RestoredSourceFollower, IgnoresAWatchThatStartedInAnEarlierEpoch)
+{
+    follower.overtaken (at (10), { 2, 15 });
+    EXPECT_FALSE (follower.answered (at (100), answer (SourceReply::entries, { 2, 25 })));
+    EXPECT_EQ (pollWithin (100)->afterRevision, 15U);
+}
+
+TEST_F (RestoredSourceFollower, DiscardsAListingWithPagesOfTwoEpochs)
+{
+    follower.answered (at (100), answer (SourceReply::historyLost, { 1, 0 }));
+    follower.poll (at (100));
+    EXPECT_FALSE (follower.answered (at (101), answer (SourceReply::entries, { 1, 21 }, true)));
+    follower.poll (at (101));
+    EXPECT_FALSE (follower.answered (at (102), answer (SourceReply::entries, { 2, 15 })));
+    const auto list = pollWithin (102);
+    EXPECT_EQ (list->call, SourceCall::list);
+    EXPECT_TRUE (list->afterKey.empty());
+}
+
+TEST_F (RestoredSourceFollower, ListsWhenResumedFromAnEarlierEpoch)
+{
+    follower.answered (at (100), answer (SourceReply::historyLost, { 2, 0 }));
+    follower.pause ({ 1, 20 });
+    EXPECT_FALSE (pollWithin (200));
+    follower.resume (at (2000), { 1, 20 });
+    EXPECT_EQ (pollWithin (2000)->call, SourceCall::list);
+}
+
+TEST_F (RestoredSourceFollower, BacksOffIfTheSourceRejectsEachPositionItReports)
+{
+    int calls = 0;
+    std::int64_t now = 100;
+    follower.answered (at (now), answer (SourceReply::historyLost, { 1, 0 }));
+
+    for (; now < 5000; now += 5)
+        if (const auto request = follower.poll (at (now)))
+        {
+            ++calls;
+            const auto reply = request->call == SourceCall::watch ? SourceReply::historyLost
+                                                                  : SourceReply::entries;
+            follower.answered (at (now), answer (reply, { 1, 10 }));
+        }
+
+    EXPECT_LE (calls, 40);
+}
+
+TEST (RestoredSourceRole, AReaderOfAnEarlierEpochIsNotAhead)
+{
+    ReaderRole role ("own", { topStrength, 5 }, {}, 1);
+    role.reached (at (0), { 2, 16 }, 3);
+    role.heard (at (0), { "other", "z", { topStrength, 1 }, { 1, 500 }, 3, true });
+    EXPECT_FALSE (role.behind());
+    role.heard (at (1), { "other", "z", { topStrength, 1 }, { 2, 17 }, 3, true });
+    EXPECT_TRUE (role.behind());
+}
+
+/** A node that has reached revision 20 of epoch 1 with version 6 and the instances "a" and "b". */
+class RestoredSourceState : public ::testing::Test
+{
+protected:
+    RestoredSourceState()
+    {
+        put ("a", 5);
+        put ("b", 6);
+        node.take (at (0), listing ({ 1, 20 }, 6));
+    }
+
+    void put (const std::string& id, std::uint64_t number, bool draining = false,
+              std::uint64_t born = 0)
+    {
+        auto instance = makeInstance (id, "z1", id[0] - 'a' + 1, number);
+        instance.draining = draining;
+        instance.born = born;
+        entries[id] = { instance, { 0, number }, false, true };
+    }
+
+    /** A complete listing of `entries` at a position. */
+    MeshUpdate listing (SourcePosition position, std::uint64_t version)
+    {
+        MeshUpdate update;
+        update.complete = true;
+        update.at = position;
+
+        for (auto [id, entry] : entries)
+        {
+            entry.position.epoch = position.epoch;
+            entry.instance.createdAt.epoch = position.epoch;
+            update.instances.push_back (entry);
+        }
+
+        update.configuration = ConfigurationChange{ position, 0, makeConfiguration (version), {} };
+        return update;
+    }
+
+    /** The change of one entry, as a watch reports it. */
+    static MeshUpdate event (InstanceChange change, SourcePosition position)
+    {
+        MeshUpdate update;
+        update.at = change.position = position;
+        update.instances = { std::move (change) };
+        return update;
+    }
+
+    static Ids usable (MeshState& state)
+    {
+        Ids ids;
+        const auto snapshot = state.directory().snapshot();
+
+        for (const auto& [service, instances] : snapshot->byService)
+            for (const auto& listed : instances)
+                ids.push_back (listed.instance.id);
+
+        return ids;
+    }
+
+    static UpdateOutcome passOn (const MeshState& from, MeshState& to, std::int64_t now)
+    {
+        const auto update = from.changesSince (to.reached(), to.configurations().version());
+        return to.take (at (now),
+                        Resolve ([&] { return decodeMeshUpdate (encode (update)); }).value());
+    }
+
+    std::map<std::string, InstanceChange> entries;
+    MeshState node;
+};
+
+TEST_F (RestoredSourceState, TakesAListingOfTheNextEpochWithALowerRevision)
+{
+    put ("c", 16);
+    const auto outcome = node.take (at (1), listing ({ 2, 16 }, 7));
+    EXPECT_TRUE (outcome.restored);
+    EXPECT_EQ (usable (node), (Ids{ "a", "b", "c" }));
+    EXPECT_EQ (node.configurations().version(), 7U);
+    EXPECT_EQ (node.reached(), (SourcePosition{ 2, 16 }));
+}
+
+TEST_F (RestoredSourceState, ALostConfigurationStaysInForce)
+{
+    const auto outcome = node.take (at (1), listing ({ 2, 15 }, 4));
+    EXPECT_EQ (outcome.configuration->verdict, ConfigurationVerdict::older);
+    EXPECT_EQ (node.configurations().version(), 6U);
+}
+
+TEST_F (RestoredSourceState, TakesALaterConfigurationOfAnEarlierEpoch)
+{
+    MeshState started;
+    started.take (at (1), listing ({ 2, 15 }, 4));
+    const auto outcome = passOn (node, started, 2);
+    EXPECT_EQ (outcome.configuration->verdict, ConfigurationVerdict::taken);
+    EXPECT_EQ (started.configurations().version(), 6U);
+    EXPECT_EQ (started.reached(), (SourcePosition{ 2, 15 }));
+}
+
+TEST_F (RestoredSourceState, IgnoresInstancesOfAnEarlierEpoch)
+{
+    MeshState started;
+    entries.erase ("b");
+    started.take (at (1), listing ({ 2, 15 }, 6));
+    put ("b", 18);
+    put ("c", 19);
+    node.take (at (1), listing ({ 1, 25 }, 6));
+    started.take (at (2), node.changesSince ({}, 0));
+    EXPECT_EQ (usable (started), Ids{ "a" });
+}
+
+TEST_F (RestoredSourceState, ADrainingInstanceThatIsListedAsReadyAgainIsNotUsed)
+{
+    auto draining = entries["a"];
+    draining.instance.draining = true;
+    node.take (at (1), event (draining, { 1, 21 }));
+    node.take (at (2), listing ({ 2, 15 }, 6));
+    EXPECT_EQ (usable (node), Ids{ "b" });
+    node.take (at (3), listing ({ 2, 16 }, 6));
+    node.take (at (4), listing ({ 3, 12 }, 6));
+    EXPECT_EQ (usable (node), Ids{ "b" }) << "listed again, and restored once more";
+
+    MeshState other;
+    put ("a", 5);
+    other.take (at (4), listing ({ 3, 12 }, 6));
+    passOn (node, other, 5);
+    node.advance (at (120'000));
+    EXPECT_EQ (usable (node), Ids{ "b" });
+}
+
+TEST_F (RestoredSourceState, ADrainingInstanceIsUsedAgainOnceItsEntryIsRewritten)
+{
+    auto draining = entries["a"];
+    draining.instance.draining = true;
+    node.take (at (1), event (draining, { 1, 21 }));
+    node.take (at (2), listing ({ 2, 15 }, 6));
+    node.take (at (3), event (entries["a"], { 2, 16 }));
+    EXPECT_EQ (usable (node), (Ids{ "a", "b" }));
+}
+
+TEST_F (RestoredSourceState, ARemovedInstanceIsUsedAgainAfterTheRetentionTime)
+{
+    auto gone = entries["a"];
+    gone.gone = true;
+    node.take (at (1), event (gone, { 1, 21 }));
+    node.take (at (2), listing ({ 2, 15 }, 6));
+    node.advance (at (29'000));
+    EXPECT_EQ (usable (node), Ids{ "b" });
+    node.advance (at (31'000));
+    EXPECT_EQ (usable (node), (Ids{ "a", "b" }));
+}
+
+TEST_F (RestoredSourceState, PassesOnARemovalThatTheSourceLost)
+{
+    auto gone = entries["a"];
+    gone.gone = true;
+    node.take (at (1), event (gone, { 1, 21 }));
+    node.take (at (2), listing ({ 2, 15 }, 6));
+    MeshState started, cutOff;
+    cutOff.take (at (0), listing ({ 1, 18 }, 6));
+    passOn (node, started, 3);
+    passOn (node, cutOff, 3);
+    EXPECT_EQ (usable (started), Ids{ "b" });
+    EXPECT_EQ (usable (cutOff), Ids{ "b" });
+    EXPECT_EQ (cutOff.reached(), node.reached());
+}
+
+TEST_F (RestoredSourceState, AnInstanceThatTheSourceLostLapsesUnlessItIsRewritten)
+{
+    const auto lost = entries["b"];
+    entries.erase ("b");
+    node.take (at (1), listing ({ 2, 5 }, 6));
+    EXPECT_EQ (usable (node), (Ids{ "a", "b" }));
+    MeshState rewritten = node;
+    rewritten.take (at (1000), event (lost, { 2, 6 }));
+
+    for (auto* const state : { &node, &rewritten })
+        state->advance (at (2600));
+
+    EXPECT_EQ (usable (node), Ids{ "a" });
+    EXPECT_EQ (usable (rewritten), (Ids{ "a", "b" }));
+}
+
+TEST_F (RestoredSourceState, AnEarlierIncarnationDoesNotReplaceTheLaterOne)
+{
+    put ("a", 18, false, 2000);
+    node.take (at (1), listing ({ 1, 21 }, 6));
+    put ("a", 5, false, 1000);
+    node.take (at (2), listing ({ 2, 15 }, 6));
+    EXPECT_EQ (node.directory().snapshot()->byService.at ("desk")[0].instance.born, 2000U);
+    EXPECT_EQ (usable (node), (Ids{ "a", "b" }));
+    put ("a", 16, false, 2000);
+    node.take (at (3), event (entries["a"], { 2, 16 }));
+    node.advance (at (9000));
+    EXPECT_EQ (usable (node), (Ids{ "a", "b" }));
+}
+
+TEST_F (RestoredSourceState, ASuccessorWithALowerRevisionTakesOverTheAddress)
+{
+    node.take (at (1), listing ({ 2, 3 }, 6)); // "a" was created at 5 of epoch 1.
+    auto next = entries["a"];
+    next.instance.id = "next";
+    next.instance.createdAt = { 2, 4 };
+    node.take (at (2), event (next, { 2, 4 }));
+    EXPECT_EQ (node.directory().snapshot()->byAddress.at ("10.0.0.1:8000").instance.id, "next");
+}
+
+MeshUpdate order (SourcePosition position, bool over)
+{
+    MeshUpdate update;
+    update.at = position;
+    update.evacuations = { { "z1", position, over } };
+    return update;
+}
+
+TEST_F (RestoredSourceState, AnEvacuationThatTheSourceLostIsRetainedForALimitedTime)
+{
+    node.take (at (1), order ({ 1, 21 }, false));
+    EXPECT_TRUE (node.take (at (2), listing ({ 2, 15 }, 6)).evacuations.empty());
+    node.take (at (3), listing ({ 2, 16 }, 6));
+    MeshState started;
+    passOn (node, started, 4);
+
+    for (auto* const state : { &node, &started })
+    {
+        EXPECT_TRUE (usable (*state).empty());
+        EXPECT_TRUE (state->advance (at (29'000)).empty());
+        EXPECT_EQ (state->advance (at (31'000)).size(), 1U);
+        EXPECT_EQ (usable (*state).size(), 2U);
+    }
+}
+
+TEST_F (RestoredSourceState, AnEvacuationThatIsOrderedAgainHoldsUntilItIsTakenBack)
+{
+    node.take (at (1), order ({ 1, 21 }, false));
+    node.take (at (2), listing ({ 2, 15 }, 6));
+    node.take (at (3), order ({ 2, 16 }, false));
+    EXPECT_TRUE (node.advance (at (60'000)).empty());
+    EXPECT_TRUE (usable (node).empty());
+    node.take (at (60'001), order ({ 2, 17 }, true));
+    EXPECT_EQ (usable (node).size(), 2U);
+}
+
+TEST_F (RestoredSourceState, AnEvacuationThatWasTakenBackIsNotRevived)
+{
+    node.take (at (1), order ({ 1, 21 }, false));
+    node.take (at (2), order ({ 1, 22 }, true));
+    auto copy = listing ({ 2, 21 }, 6);
+    copy.evacuations = { { "z1", { 2, 21 }, false } };
+    node.take (at (3), copy);
+    copy.at.revision = 22;
+    node.take (at (4), copy);
+    EXPECT_EQ (usable (node).size(), 2U);
+    node.take (at (5), order ({ 2, 23 }, false));
+    EXPECT_TRUE (usable (node).empty());
+}
+
+} // namespace
+} // namespace copperlead::mesh::test
--- a/tests/mesh/sleep_watch_test.cc
+++ b/tests/mesh/sleep_watch_test.cc
@@ -46,8 +46,8 @@
 TEST (AfterASleep, AnEntryThatLapsedBeforeIsNoLongerUsable)
 {
     InstanceDirectory directory;
-    directory.put (at (0), makeInstance ("a", "z1", 1), 5);
-    directory.remove (at (10), "a", 6, false);
+    directory.put (at (0), makeInstance ("a", "z1", 1), revision (5));
+    directory.remove (at (10), "a", revision (6), false);
     directory.advance (at (10 + sleep));
     EXPECT_TRUE (directory.snapshot()->byService.empty());
 }
--- a/tests/mesh/source_follower_test.cc
+++ b/tests/mesh/source_follower_test.cc
@@ -16,12 +16,12 @@
     return { key, "v", revision, revision, false };
 }
 
-SourceAnswer page (std::vector<SourceEntry> entries, std::uint64_t revision, bool more = false)
+SourceAnswer page (std::vector<SourceEntry> entries, std::uint64_t number, bool more = false)
 {
-    return { SourceReply::entries, std::move (entries), more, revision };
+    return { SourceReply::entries, std::move (entries), more, revision (number) };
 }
 
-SourceAnswer failure (SourceReply reply) { return { reply, {}, false, 0 }; }
+SourceAnswer failure (SourceReply reply) { return { reply, {}, false, {} }; }
 
 /** A follower that has listed one entry at revision 7. */
 class Following : public ::testing::Test
@@ -154,7 +154,7 @@
 TEST_F (Following, ResumedItGoesOnFromTheRevisionReachedAndIsAnsweredAtOnceFirst)
 {
     follower.pause();
-    follower.resume (at (9000), 40);
+    follower.resume (at (9000), revision (40));
     const auto first = follower.poll (at (9000));
     ASSERT_TRUE (first);
     EXPECT_EQ (first->call, SourceCall::watch);
@@ -209,8 +209,8 @@
     follower->answered (at (1), page ({ entry ("a", 3), entry ("b", 6) }, 9, true));
     EXPECT_EQ (follower->poll (at (1))->cause, SourceCallCause::page);
     const auto update = follower->answered (at (2), page ({ entry ("c", 5) }, 9));
-    EXPECT_EQ (update->at, 5U);
-    follower->resume (at (10), 0);
+    EXPECT_EQ (update->at, revision (5));
+    follower->resume (at (10), revision (0));
     EXPECT_EQ (follower->poll (at (10))->afterRevision, 5U);
 }
 
@@ -249,7 +249,7 @@
     const auto update =
         follower->answered (at (1510), page ({ entry ("a", 3), entry ("b", 9) }, 9));
     ASSERT_TRUE (update);
-    EXPECT_EQ (update->at, 9U);
+    EXPECT_EQ (update->at, revision (9));
     EXPECT_FALSE (follower->poll (at (60'000)));
 }
 
@@ -259,7 +259,7 @@
     follower->answered (at (1), page ({ entry ("a", 3) }, 7));
     follower->lookAgain (at (1500));
     follower->poll (at (1500));
-    EXPECT_TRUE (follower->resume (at (1600), 5));
+    EXPECT_TRUE (follower->resume (at (1600), revision (5)));
     const auto watch = follower->poll (at (1600));
     EXPECT_EQ (watch->call, SourceCall::watch);
     EXPECT_EQ (watch->afterRevision, 5U);
@@ -269,7 +269,7 @@
 {
     follower->poll (at (0));
     follower->answered (at (1), page ({}, 9));
-    follower->resume (at (100), 0);
+    follower->resume (at (100), revision (0));
     const auto list = follower->poll (at (100));
     EXPECT_EQ (list->call, SourceCall::list);
     EXPECT_FALSE (list->mayBeStale);
@@ -279,7 +279,7 @@
 {
     follower->poll (at (0));
     follower->answered (at (1), page ({ entry ("a", 3) }, 7));
-    follower->resume (at (10), 0);
+    follower->resume (at (10), revision (0));
     follower->poll (at (10));
     follower->answered (at (11), failure (SourceReply::historyLost));
     const auto list = follower->poll (at (11));
@@ -292,9 +292,9 @@
     follower->poll (at (0));
     follower->answered (at (1), failure (SourceReply::refused));
     follower->poll (at (500));
-    EXPECT_TRUE (follower->pause (40)) << "the request that is out is dropped";
+    EXPECT_TRUE (follower->pause (revision (40))) << "the request that is out is dropped";
     EXPECT_FALSE (follower->poll (at (60'000)));
-    follower->resume (at (60'000), 40);
+    follower->resume (at (60'000), revision (40));
     EXPECT_EQ (follower->poll (at (60'000))->afterRevision, 40U);
 }
 
@@ -310,12 +310,13 @@
 TEST_F (Following, AWatchThatAnotherNodeOvertookIsAskedAnewFromThere)
 {
     EXPECT_EQ (follower.poll (at (10))->afterRevision, 7U);
-    EXPECT_FALSE (follower.overtaken (at (300), 7)) << "not overtaken";
-    EXPECT_TRUE (follower.overtaken (at (300), 12));
+    EXPECT_FALSE (follower.overtaken (at (300), revision (7))) << "not overtaken";
+    EXPECT_TRUE (follower.overtaken (at (300), revision (12)));
     const auto watch = follower.poll (at (300));
     ASSERT_TRUE (watch);
     EXPECT_EQ (watch->afterRevision, 12U);
-    EXPECT_FALSE (follower.overtaken (at (400), 13)) << "its answer may just be on its way";
+    EXPECT_FALSE (follower.overtaken (at (400), revision (13)))
+        << "its answer may just be on its way";
 }
 
 FollowerSettings delayed()
@@ -332,7 +333,7 @@
     EXPECT_FALSE (follower.poll (at (0)));
     EXPECT_EQ (follower.nextDue(), at (500));
     EXPECT_FALSE (follower.poll (at (499)));
-    follower.pause (7);
+    follower.pause (revision (7));
     EXPECT_FALSE (follower.poll (at (500))) << "a revision was reached by other means";
     EXPECT_EQ (follower.nextDue(), Timestamp::max());
 }
@@ -351,7 +352,7 @@
 {
     SourceFollower follower (delayed(), 1);
     EXPECT_FALSE (follower.poll (at (0)));
-    follower.resume (at (10), 0);
+    follower.resume (at (10), revision (0));
     EXPECT_TRUE (follower.poll (at (10)));
 }
 
--- a/tests/mesh/tenant_test.cc
+++ b/tests/mesh/tenant_test.cc
@@ -92,7 +92,7 @@
     auto next = makeConfiguration (9);
     // A key passes from one tenant to another, and the third tenant goes.
     next.tenants = { makeTenant ("a", {}), makeTenant ("b", { "k2", "k1" }) };
-    const auto change = difference (base, next, 12);
+    const auto change = difference (base, next, revision (12));
     EXPECT_EQ (change.content.tenants, next.tenants);
     EXPECT_EQ (change.removedTenants, std::vector<std::string>{ "c" });
 
@@ -105,7 +105,7 @@
     EXPECT_EQ (whole.value().tenants, next.tenants);
 
     next.tenants[1].quota.burst = 7;
-    EXPECT_EQ (difference (whole.value(), next, 13).content.tenants.size(), 1U);
+    EXPECT_EQ (difference (whole.value(), next, revision (13)).content.tenants.size(), 1U);
 }
 
 TEST (CredentialCheck, ByKeyRouteAndAgeOfTheWord)
--- a/tests/mesh/zone_outage_test.cc
+++ b/tests/mesh/zone_outage_test.cc
@@ -71,7 +71,28 @@
     }
 
     /** The source forgets its history; watches from before are turned away. */
-    void loseHistory() { forgotten = ++revision; }
+    void loseHistory() { forgotten = ++position.revision; }
+
+    /** Restores the source from a backup that lacks its latest five changes. */
+    void restore()
+    {
+        ++position.epoch;
+        position.revision -= 5;
+        forgotten = std::min (forgotten, position.revision);
+    }
+
+    void change() { ++position.revision; }
+
+    /** The number of nodes that lack the source's latest change. */
+    int behind() const
+    {
+        int count = 0;
+
+        for (const auto& node : nodes)
+            count += node->follower.position() == position ? 0 : 1;
+
+        return count;
+    }
 
     bool failing = false;
     int calls = 0, staleCalls = 0;
@@ -106,7 +127,8 @@
 
     bool isLost (const SourceRequest& request) const
     {
-        return request.call == SourceCall::watch && request.afterRevision < forgotten;
+        return request.call == SourceCall::watch &&
+               (request.afterRevision < forgotten || request.afterRevision > position.revision);
     }
 
     void answer (Node& node)
@@ -119,13 +141,13 @@
         answer.reply = failing                 ? SourceReply::refused
                        : isLost (node.request) ? SourceReply::historyLost
                                                : SourceReply::entries;
-        answer.at = revision;
-        answer.entries = { { "a", "v", revision, 1, false } };
+        answer.at = position;
+        answer.entries = { { "a", "v", position.revision, 1, false } };
         node.follower.answered (at (now), std::move (answer));
 
-        if (node.follower.revision() > 0)
+        if (node.follower.position().isKnown())
         {
-            node.role.reached (at (now), node.follower.revision(), 1);
+            node.role.reached (at (now), node.follower.position(), 1);
             node.role.listed (at (now));
         }
     }
@@ -139,8 +161,8 @@
         if (reading == before)
             return;
 
-        const bool dropped = reading ? node.follower.resume (at (now), node.follower.revision())
-                                     : node.follower.pause (node.follower.revision());
+        const bool dropped = reading ? node.follower.resume (at (now), node.follower.position())
+                                     : node.follower.pause (node.follower.position());
 
         if (dropped)
             node.answerAt = -1;
@@ -161,7 +183,7 @@
         node.beatAt = now;
         node.saidSound = sound;
         const ReaderBeat said{
-            node.name, "z", { topStrength, node.hash }, node.follower.revision(), 1, sound
+            node.name, "z", { topStrength, node.hash }, node.follower.position(), 1, sound
         };
 
         for (auto& other : nodes)
@@ -174,7 +196,7 @@
         node.role.heard (at (now), said);
 
         // What changed is asked of the reader.
-        if (said.sound && said.at > node.follower.revision() && ! node.role.reading())
+        if (said.sound && said.at > node.follower.position() && ! node.role.reading())
         {
             node.follower.pause (said.at);
             node.role.reached (at (now), said.at, 1);
@@ -183,7 +205,8 @@
 
     std::vector<std::unique_ptr<Node>> nodes;
     std::int64_t now = 0;
-    std::uint64_t revision = 9, forgotten = 0;
+    SourcePosition position{ 1, 19 };
+    std::uint64_t forgotten = 0;
 };
 
 TEST (ZoneOfReaders, StartsTogetherWithOneOldListingEachAndFewOtherCalls)
@@ -223,6 +246,41 @@
     EXPECT_LE (zone.calls, 8);
 }
 
+// Guards against readers that list a restored source in a loop until it reaches their revision.
+TEST (ZoneOfReaders, ARestoredSourceIsListedOnceAZone)
+{
+    Zone zone (160);
+    zone.runUntil (5000);
+    zone.calls = 0;
+    zone.restore();
+    zone.runUntil (7000);
+    EXPECT_EQ (zone.behind(), 0);
+    zone.change();
+    zone.runUntil (9000);
+    EXPECT_EQ (zone.readers(), 1);
+    EXPECT_EQ (zone.outOfDate(), 0);
+    EXPECT_EQ (zone.behind(), 0);
+    EXPECT_LE (zone.calls, 9);
+}
+
+TEST (ZoneOfReaders, ASourceThatIsRestoredInAnOutageIsListedByFew)
+{
+    Zone zone (160);
+    zone.runUntil (5000);
+    zone.failing = true;
+    zone.runUntil (8000);
+    zone.restore();
+    zone.restore();
+    zone.calls = 0;
+    zone.failing = false;
+    zone.runUntil (10'000);
+    zone.change();
+    zone.runUntil (12'000);
+    EXPECT_EQ (zone.readers(), 1);
+    EXPECT_EQ (zone.behind(), 0);
+    EXPECT_LE (zone.calls, 40);
+}
+
 TEST (ZoneOfReaders, ASmallZoneTriesAsOftenAsBefore)
 {
     Zone zone (3);
--- a/tests/mesh_integration/restored_store_test.cc
+++ b/tests/mesh_integration/restored_store_test.cc
@@ -1,5 +1,5 @@
-// Sidecars whose store is restored from a copy: it has lost its latest changes and gives their
-// revisions out again.
+// Sidecars whose store is restored from a backup: it loses its latest changes and reuses their
+// revisions.
 #include <gtest/gtest.h>
 #include <signal.h>
 
@@ -47,8 +47,8 @@
     fleet_.Configure(static_cast<std::uint64_t>(version_), routes);
   }
 
-  // Writes versions that a copy from before them lacks, and waits until they are in force.
-  void ChangeAndLose(int changes) {
+  // Writes versions, waits until they are in force, then restores a backup that lacks them.
+  void ChangeAndRestore(int changes) {
     const auto before = Clock::now();
     for (int change = 0; change < changes; ++change) Configure();
     EXPECT_TRUE(InForce());
@@ -97,23 +97,23 @@
   int sent_ = 0;
 };
 
-// Changes below a revision that was known before the restoration were left out.
+// Guards against ignoring changes at revisions that nodes had passed before the restore.
 TEST_F(RestoredStore, AChangeUnderARevisionGivenOutAgainIsInForceInTime) {
-  ChangeAndLose(5);
+  ChangeAndRestore(5);
   Configure();
   EXPECT_TRUE(InForce());
 }
 
 TEST_F(RestoredStore, AnInstanceThatLeavesUnderARevisionGivenOutAgainGetsNothingNew) {
-  ChangeAndLose(5);
+  ChangeAndRestore(5);
   fleet_.List(machine(kDesk), "draining");
   std::this_thread::sleep_for(kInForce);
   EXPECT_EQ(RunsAt(kDesk), 0U);
 }
 
-// Each reader listed and watched in turn, without a pause, until the old revision was reached.
+// Guards against readers that list and watch in a loop until the old revision is reached.
 TEST_F(RestoredStore, IsListedOnceByEachReader) {
-  ChangeAndLose(5);
+  ChangeAndRestore(5);
   const auto before = fleet_.store().calls(0);
   std::this_thread::sleep_for(milliseconds(3000));
   // Two readers watch about twice each in that time.
@@ -121,7 +121,7 @@
 }
 
 TEST_F(RestoredStore, ALostConfigurationStaysInForceUntilItIsWrittenAgain) {
-  ChangeAndLose(3);
+  ChangeAndRestore(3);
   std::this_thread::sleep_for(kInForce);
   EXPECT_TRUE(InForce());
   Rewrite();
@@ -157,14 +157,14 @@
 TEST_F(RestoredStore, NodesThatMissedTheRestorationEndWithTheSameState) {
   {
     const Paused paused(*machine(kHub).sidecar);
-    const auto copied = Clock::now();
+    const auto backup_time = Clock::now();
     Configure();
     std::this_thread::sleep_for(milliseconds(600));
     fleet_.store().SetFault(0, {StoreTrouble::kReset, {}});
     machine(kOtherDesk).sidecar->Signal(SIGKILL);
     machine(kOtherDesk).sidecar->Wait(std::chrono::seconds(5));
     fleet_.Start(machine(kOtherDesk));
-    RestoreTo(copied);
+    RestoreTo(backup_time);
     std::this_thread::sleep_for(milliseconds(500));
     fleet_.store().SetFault(0, {});
     Configure();
--- a/tests/platform_adapter/store_dialect_test.cc
+++ b/tests/platform_adapter/store_dialect_test.cc
@@ -214,7 +214,7 @@
 
     const auto first = readAnswer (200, cases[0].body);
     EXPECT_TRUE (first.hasMore);
-    EXPECT_EQ (first.at, 9U);
+    EXPECT_EQ (first.at.revision, 9U);
     EXPECT_EQ (first.entries[0].value, "node-1");
     EXPECT_EQ (first.entries[0].createdAt, 2U);
 }
@@ -226,14 +226,17 @@
 
     for (const auto& [status, body] : std::map<int, std::string>{
              { 200, events }, { 404, "" }, { 410, "" }, { 429, "" }, { 503, "" } })
-        EXPECT_EQ (readAnswer (status, body, { { "store-era", "3" } }).epoch, 3U) << status;
+        EXPECT_EQ (readAnswer (status, body, { { "store-era", "3" } }).at.epoch, 3U) << status;
 
-    EXPECT_FALSE (readAnswer (200, events).epoch);
+    EXPECT_EQ (readAnswer (200, events).reply, SourceReply::entries);
+    EXPECT_EQ (readAnswer (200, events).at, (mesh::SourcePosition{ 0, 5 }));
 
     for (const auto* const value : { "", "x", "-1", "1.5", "99999999999999999999999" })
-        EXPECT_FALSE (readAnswer (200, events, { { "Store-Era", value } }).epoch) << value;
+        EXPECT_EQ (readAnswer (200, events, { { "Store-Era", value } }).reply, SourceReply::failed)
+            << value;
 
-    EXPECT_FALSE (readAnswer (200, events, { { "Store-Era", "3" }, { "Store-Era", "4" } }).epoch);
+    const HeaderFields twice{ { "Store-Era", "3" }, { "Store-Era", "4" } };
+    EXPECT_EQ (readAnswer (410, "", twice).reply, SourceReply::failed);
 }
 
 TEST (StoreDialect, AnItemThatCannotBeReadIsFaultyAlone)
@@ -275,7 +278,7 @@
             EXPECT_FALSE (answer.entries[0].fault.empty()) << item.substr (0, 100);
             EXPECT_TRUE (answer.entries[1].fault.empty());
             EXPECT_EQ (answer.entries[1].key, "servers/b");
-            EXPECT_EQ (answer.at, 9U);
+            EXPECT_EQ (answer.at.revision, 9U);
         }
 
     EXPECT_EQ (readAnswer (200, R"({"items":)" + deep).reply, SourceReply::failed);
@@ -308,7 +311,7 @@
 
         for (const auto& entry : answer.entries)
             if (entry.fault.empty() && ! entry.gone)
-                (void)Resolve ([&] { return readInstance (entry); });
+                (void)Resolve ([&] { return readInstance (entry, 2); });
     }
 }
 
@@ -330,7 +333,7 @@
 
         return Resolve (
             [&] {
-                return readInstance ({ "servers/i-1", text + "}", 5, 3, false, {} });
+                return readInstance ({ "servers/i-1", text + "}", 5, 3, false, {} }, 2);
             });
     };
     ASSERT_TRUE (read (usual));
@@ -382,7 +385,7 @@
 TEST (ReadInstance, WholeAndDamaged)
 {
     const auto read = [] (const std::string& value) {
-        return Resolve ([&] { return readInstance ({ "servers/i-1", value, 5, 3, false }); });
+        return Resolve ([&] { return readInstance ({ "servers/i-1", value, 5, 3, false }, 2); });
     };
     const auto instance = read (
         R"({"service":"desk","address":"10.0.0.9:80","zone":"z","slots":6,"state":"draining"})");
@@ -390,7 +393,7 @@
     EXPECT_EQ (instance.value().id, "i-1");
     EXPECT_EQ (instance.value().address.port, 80);
     EXPECT_TRUE (instance.value().draining);
-    EXPECT_EQ (instance.value().createdAt, 3U);
+    EXPECT_EQ (instance.value().createdAt, (mesh::SourcePosition{ 2, 3 }));
 
     for (const auto* value :
          { "", "{", "4", "[]", "\xff\xfe", R"({"service":"desk","zone":"z","state":"ready"})",
@@ -436,7 +439,7 @@
         entry.value =
             R"({"service":"desk","address":"10.0.0.1:80","zone":"z","slots":6,"state":"ready")" +
             wanted.text + "}";
-        const auto read = Resolve ([&] { return readInstance (entry); });
+        const auto read = Resolve ([&] { return readInstance (entry, 2); });
         ASSERT_TRUE (read) << wanted.text;
         EXPECT_EQ (read.value().coldFor, wanted.wanted) << wanted.text;
     }
--- a/tests/sidecar/instance/last_hop_test.cc
+++ b/tests/sidecar/instance/last_hop_test.cc
@@ -53,7 +53,7 @@
                 listed.id = "i-1";
                 listed.service = "desk";
                 listed.address = address;
-                directory.put (SteadyClock().Now(), listed, 1);
+                directory.put (SteadyClock().Now(), listed, { 0, 1 });
                 hop->setDirectory (SteadyClock().Now(), *directory.snapshot());
             });
     }
@@ -209,8 +209,8 @@
         listed.service = "desk";
         listed.address = instance.address();
         listed.slots = 50;
-        listed.createdAt = ++revision;
-        directory.put (SteadyClock().Now(), listed, revision);
+        listed.createdAt = { 0, ++revision };
+        directory.put (SteadyClock().Now(), listed, { 0, revision });
         directory.setEvacuatedZones (evacuated);
         hop->setDirectory (SteadyClock().Now(), *directory.snapshot());
     }
--- a/tests/standin/standin_test.cc
+++ b/tests/standin/standin_test.cc
@@ -101,7 +101,7 @@
   EXPECT_GE(counters["total"], 9);
 }
 
-TEST(StoreStandinTest, RestoresACopyAndGivesRevisionsOutAgain) {
+TEST(StoreStandinTest, RestoresABackupAndReusesRevisions) {
   const auto store = Start({"store"});
   const auto put = [&](const std::string& value) {
     return nlohmann::json::parse(Put(store.control, "/control/key?key=a", value).body)["revision"];
