Add a failing test of a source that is restored empty

A node whose source is restored to revision 0 treats its position as unknown, because SourcePosition::isKnown() checks only the revision, and its readiness check asks for a known position: by the code it answers 503 until the first entry is written again. Found by rereading the change. The test fails at isKnown(), after the position {2, 0} was reached.

--- a/tests/mesh/restored_source_test.cc
+++ b/tests/mesh/restored_source_test.cc
@@ -408,5 +408,14 @@
     EXPECT_TRUE (usable (node).empty());
 }
 
+// Guards against a node that reports itself as not ready after a restore from an empty backup.
+TEST_F (RestoredSourceState, AnEmptyBackupLeavesItsPositionKnown)
+{
+    entries.clear();
+    node.take (at (1), listing ({ 2, 0 }, 6));
+    EXPECT_EQ (node.reached(), (SourcePosition{ 2, 0 }));
+    EXPECT_TRUE (node.reached().isKnown());
+}
+
 } // namespace
 } // namespace copperlead::mesh::test
