--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -16,9 +16,10 @@
   endif()
 endfunction()
 
-# copperlead_tests(NAME [LINK ...]): program NAME_test from tests/NAME and its parts, one CTest entry.
+# copperlead_tests(NAME [SHARDS N] [LINK ...]): program NAME_test from tests/NAME and its parts, one
+# CTest entry, or N entries that run the program's tests side by side.
 function(copperlead_tests name)
-  cmake_parse_arguments(ARGUMENT "" "" "LINK" ${ARGN})
+  cmake_parse_arguments(ARGUMENT "" "SHARDS" "LINK" ${ARGN})
   file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/tests/${name}/*.cc
        ${CMAKE_SOURCE_DIR}/tests/${name}/*/*.cc)
   if(sources)
@@ -26,8 +27,18 @@
     target_include_directories(${name}_test PRIVATE ${CMAKE_SOURCE_DIR}/src ${CMAKE_SOURCE_DIR})
     target_link_libraries(${name}_test PRIVATE ${ARGUMENT_LINK} GTest::gtest GTest::gmock
                                                GTest::gtest_main)
-    add_test(NAME ${name} COMMAND ${name}_test)
-    set_tests_properties(${name} PROPERTIES TIMEOUT 600 ENVIRONMENT
-                         "COPPERLEAD_BINARIES=${CMAKE_RUNTIME_OUTPUT_DIRECTORY}")
+    set(environment "COPPERLEAD_BINARIES=${CMAKE_RUNTIME_OUTPUT_DIRECTORY}")
+    if(ARGUMENT_SHARDS)
+      math(EXPR last_shard "${ARGUMENT_SHARDS} - 1")
+      foreach(shard RANGE ${last_shard})
+        add_test(NAME ${name}_${shard} COMMAND ${name}_test)
+        set_tests_properties(
+          ${name}_${shard} PROPERTIES TIMEOUT 600 ENVIRONMENT
+          "${environment};GTEST_TOTAL_SHARDS=${ARGUMENT_SHARDS};GTEST_SHARD_INDEX=${shard}")
+      endforeach()
+    else()
+      add_test(NAME ${name} COMMAND ${name}_test)
+      set_tests_properties(${name} PROPERTIES TIMEOUT 600 ENVIRONMENT "${environment}")
+    endif()
   endif()
 endfunction()
