--- a/tests/mesh/restored_source_test.cc
+++ b/tests/mesh/restored_source_state_test.cc
@@ -2,10 +2,7 @@
 // revisions in a later epoch.
 #include <gtest/gtest.h>
 
-#include "mesh/local_instance.h"
 #include "mesh/mesh_state.h"
-#include "mesh/reader_role.h"
-#include "mesh/source_follower.h"
 #include "tests/mesh/fixtures.h"
 
 namespace copperlead::mesh::test
@@ -15,144 +12,6 @@
 
 using Ids = std::vector<std::string>;
 
-SourceAnswer answer (SourceReply reply, SourcePosition position, bool more = false)
-{
-    return { reply, { { "a", "v", position.revision, 1, false } }, more, position };
-}
-
-/** A follower that watches from revision 20 of epoch 1. */
-class RestoredSourceFollower : public ::testing::Test
-{
-protected:
-    RestoredSourceFollower()
-    {
-        follower.poll (at (0));
-        follower.answered (at (1), answer (SourceReply::entries, { 1, 20 }));
-        follower.poll (at (1));
-    }
-
-    /** Polls for up to a second. @returns the first request; std::nullopt if none is due */
-    std::optional<SourceRequest> pollWithin (std::int64_t now)
-    {
-        for (auto until = now + 1000; now <= until; now += 10)
-            if (auto request = follower.poll (at (now)))
-            {
-                polledAt = now;
-                return request;
-            }
-
-        return std::nullopt;
-    }
-
-    SourceFollower follower{ {}, 1 };
-    std::int64_t polledAt = 0;
-};
-
-TEST_F (RestoredSourceFollower, ListsOnceAndContinuesFromTheLowerRevision)
-{
-    follower.answered (at (100), answer (SourceReply::historyLost, { 2, 0 }));
-    EXPECT_EQ (pollWithin (100)->call, SourceCall::list);
-    EXPECT_LE (polledAt, 400);
-    const auto update = follower.answered (at (polledAt), answer (SourceReply::entries, { 2, 15 }));
-    ASSERT_TRUE (update);
-    EXPECT_TRUE (update->complete);
-    EXPECT_EQ (update->at, (SourcePosition{ 2, 15 }));
-    const auto watch = pollWithin (polledAt);
-    EXPECT_EQ (watch->call, SourceCall::watch);
-    EXPECT_EQ (watch->afterRevision, 15U);
-}
-
-TEST_F (RestoredSourceFollower, ListsWhenItsRevisionWasReused)
-{
-    EXPECT_FALSE (follower.answered (at (100), answer (SourceReply::entries, { 2, 25 })));
-    EXPECT_EQ (pollWithin (100)->call, SourceCall::list);
-}
-
-TEST_F (RestoredSourceFollower, DetectsARestoreByARefusedCall)
-{
-    follower.answered (at (100), answer (SourceReply::refused, { 2, 0 }));
-    EXPECT_TRUE (pollWithin (100));
-    EXPECT_FALSE (follower.answered (at (polledAt), answer (SourceReply::entries, { 2, 21 })));
-    EXPECT_EQ (pollWithin (polledAt)->call, SourceCall::list);
-}
-
-TEST_F (RestoredSourceFollower, DoesNotTrustAbsenceRightAfterARestore)
-{
-    EXPECT_TRUE (follower.sound (at (99)));
-    follower.answered (at (100), answer (SourceReply::historyLost, { 2, 0 }));
-    EXPECT_FALSE (follower.sound (at (2000)));
-    EXPECT_TRUE (follower.sound (at (2700)));
-}
-
-TEST_F (RestoredSourceFollower, IgnoresAnAnswerOfAnEarlierEpoch)
-{
-    follower.overtaken (at (10), { 2, 15 });
-
-    for (const auto reply : { SourceReply::entries, SourceReply::historyLost })
-    {
-        EXPECT_FALSE (follower.answered (at (100), answer (reply, { 1, 30 })));
-        const auto watch = pollWithin (100);
-        EXPECT_EQ (watch->call, SourceCall::watch);
-        EXPECT_EQ (watch->afterRevision, 15U);
-    }
-}
-
-TEST_F (RestoredSourceFollower, IgnoresAWatchThatStartedInAnEarlierEpoch)
-{
-    follower.overtaken (at (10), { 2, 15 });
-    EXPECT_FALSE (follower.answered (at (100), answer (SourceReply::entries, { 2, 25 })));
-    EXPECT_EQ (pollWithin (100)->afterRevision, 15U);
-}
-
-TEST_F (RestoredSourceFollower, DiscardsAListingWithPagesOfTwoEpochs)
-{
-    follower.answered (at (100), answer (SourceReply::historyLost, { 1, 0 }));
-    follower.poll (at (100));
-    EXPECT_FALSE (follower.answered (at (101), answer (SourceReply::entries, { 1, 21 }, true)));
-    follower.poll (at (101));
-    EXPECT_FALSE (follower.answered (at (102), answer (SourceReply::entries, { 2, 15 })));
-    const auto list = pollWithin (102);
-    EXPECT_EQ (list->call, SourceCall::list);
-    EXPECT_TRUE (list->afterKey.empty());
-}
-
-TEST_F (RestoredSourceFollower, ListsWhenResumedFromAnEarlierEpoch)
-{
-    follower.answered (at (100), answer (SourceReply::historyLost, { 2, 0 }));
-    follower.pause ({ 1, 20 });
-    EXPECT_FALSE (pollWithin (200));
-    follower.resume (at (2000), { 1, 20 });
-    EXPECT_EQ (pollWithin (2000)->call, SourceCall::list);
-}
-
-TEST_F (RestoredSourceFollower, BacksOffIfTheSourceRejectsEachPositionItReports)
-{
-    int calls = 0;
-    std::int64_t now = 100;
-    follower.answered (at (now), answer (SourceReply::historyLost, { 1, 0 }));
-
-    for (; now < 5000; now += 5)
-        if (const auto request = follower.poll (at (now)))
-        {
-            ++calls;
-            const auto reply = request->call == SourceCall::watch ? SourceReply::historyLost
-                                                                  : SourceReply::entries;
-            follower.answered (at (now), answer (reply, { 1, 10 }));
-        }
-
-    EXPECT_LE (calls, 40);
-}
-
-TEST (RestoredSourceRole, AReaderOfAnEarlierEpochIsNotAhead)
-{
-    ReaderRole role ("own", { topStrength, 5 }, {}, 1);
-    role.reached (at (0), { 2, 16 }, 3);
-    role.heard (at (0), { "other", "z", { topStrength, 1 }, { 1, 500 }, 3, true });
-    EXPECT_FALSE (role.behind());
-    role.heard (at (1), { "other", "z", { topStrength, 1 }, { 2, 17 }, 3, true });
-    EXPECT_TRUE (role.behind());
-}
-
 /** A node that has reached revision 20 of epoch 1 with version 6 and the instances "a" and "b". */
 class RestoredSourceState : public ::testing::Test
 {
@@ -164,15 +23,34 @@
         node.take (at (0), listing ({ 1, 20 }, 6));
     }
 
-    void put (const std::string& id, std::uint64_t number, bool draining = false,
-              std::uint64_t born = 0)
+    void put (const std::string& id, std::uint64_t number, std::uint64_t born = 0)
     {
         auto instance = makeInstance (id, "z1", id[0] - 'a' + 1, number);
-        instance.draining = draining;
         instance.born = born;
         entries[id] = { instance, { 0, number }, false, true };
     }
 
+    InstanceChange draining()
+    {
+        auto change = entries["a"];
+        change.instance.draining = true;
+        return change;
+    }
+
+    InstanceChange gone()
+    {
+        auto change = entries["a"];
+        change.gone = true;
+        return change;
+    }
+
+    /** Takes a change, then a listing that lacks it. */
+    void restoreAfter (const InstanceChange& change)
+    {
+        node.take (at (1), event (change, { 1, 21 }));
+        node.take (at (2), listing ({ 2, 15 }, 6));
+    }
+
     /** A complete listing of `entries` at a position. */
     MeshUpdate listing (SourcePosition position, std::uint64_t version)
     {
@@ -264,39 +142,26 @@
 
 TEST_F (RestoredSourceState, ADrainingInstanceThatIsListedAsReadyAgainIsNotUsed)
 {
-    auto draining = entries["a"];
-    draining.instance.draining = true;
-    node.take (at (1), event (draining, { 1, 21 }));
-    node.take (at (2), listing ({ 2, 15 }, 6));
+    restoreAfter (draining());
     EXPECT_EQ (usable (node), Ids{ "b" });
     node.take (at (3), listing ({ 2, 16 }, 6));
     node.take (at (4), listing ({ 3, 12 }, 6));
     EXPECT_EQ (usable (node), Ids{ "b" }) << "listed again, and restored once more";
 
-    MeshState other;
-    put ("a", 5);
-    other.take (at (4), listing ({ 3, 12 }, 6));
-    passOn (node, other, 5);
     node.advance (at (120'000));
     EXPECT_EQ (usable (node), Ids{ "b" });
 }
 
 TEST_F (RestoredSourceState, ADrainingInstanceIsUsedAgainOnceItsEntryIsRewritten)
 {
-    auto draining = entries["a"];
-    draining.instance.draining = true;
-    node.take (at (1), event (draining, { 1, 21 }));
-    node.take (at (2), listing ({ 2, 15 }, 6));
+    restoreAfter (draining());
     node.take (at (3), event (entries["a"], { 2, 16 }));
     EXPECT_EQ (usable (node), (Ids{ "a", "b" }));
 }
 
 TEST_F (RestoredSourceState, ARemovedInstanceIsUsedAgainAfterTheRetentionTime)
 {
-    auto gone = entries["a"];
-    gone.gone = true;
-    node.take (at (1), event (gone, { 1, 21 }));
-    node.take (at (2), listing ({ 2, 15 }, 6));
+    restoreAfter (gone());
     node.advance (at (29'000));
     EXPECT_EQ (usable (node), Ids{ "b" });
     node.advance (at (31'000));
@@ -305,10 +170,7 @@
 
 TEST_F (RestoredSourceState, PassesOnARemovalThatTheSourceLost)
 {
-    auto gone = entries["a"];
-    gone.gone = true;
-    node.take (at (1), event (gone, { 1, 21 }));
-    node.take (at (2), listing ({ 2, 15 }, 6));
+    restoreAfter (gone());
     MeshState started, cutOff;
     cutOff.take (at (0), listing ({ 1, 18 }, 6));
     passOn (node, started, 3);
@@ -336,13 +198,13 @@
 
 TEST_F (RestoredSourceState, AnEarlierIncarnationDoesNotReplaceTheLaterOne)
 {
-    put ("a", 18, false, 2000);
+    put ("a", 18, 2000);
     node.take (at (1), listing ({ 1, 21 }, 6));
-    put ("a", 5, false, 1000);
+    put ("a", 5, 1000);
     node.take (at (2), listing ({ 2, 15 }, 6));
     EXPECT_EQ (node.directory().snapshot()->byService.at ("desk")[0].instance.born, 2000U);
     EXPECT_EQ (usable (node), (Ids{ "a", "b" }));
-    put ("a", 16, false, 2000);
+    put ("a", 16, 2000);
     node.take (at (3), event (entries["a"], { 2, 16 }));
     node.advance (at (9000));
     EXPECT_EQ (usable (node), (Ids{ "a", "b" }));
