Log the limit and the leaving that an instance states in its answers

Nothing acts on either field yet.

- instance_limited: at the node beside the instance, when an answer states another limit and each second while it does, with the requests sent to the instance since the line before; instance_unlimited when an answer no longer states one.
- instance_leaving names its origin: the entry of the store, or the instance's own answer.
- value_doubted and copperlead_instance_unusable_fields_total for values that can't be used.
- The stand-in instance states a limit or that it leaves, from the command line, too.

Against hypothesis 1 (nobody reads the field) sent doesn't change when the limit is stated; 2 (each sender counts for itself) and 3 (forgotten now and then) show as sent of about the limit for each sender, and as instance_unlimited or a lower sent between.

--- a/src/sidecar/decision_log.h
+++ b/src/sidecar/decision_log.h
@@ -47,6 +47,8 @@
     suspectCleared,
     suspectRefused,
     instanceLeaving,
+    instanceLimited,
+    instanceUnlimited,
     instanceFailing,
     instanceCold,
     instanceWarm,
--- a/src/sidecar/header_names.h
+++ b/src/sidecar/header_names.h
@@ -18,7 +18,10 @@
     std::string instanceId = "copperlead-instance"; /**< On 421 and health answers. */
     std::string notRun = "copperlead-not-run";   /**< On answers to requests that have not run. */
     std::string coldTime = "copperlead-cold-ms"; /**< On health answers: remaining cold time. */
-    std::string caller = "copperlead-caller";    /**< The service that sent the request. */
+    /** On an instance's answers: the requests per second that it accepts from all nodes. */
+    std::string rateLimit = "copperlead-rate-limit";
+    std::string leaving = "copperlead-leaving"; /**< "1" on the answers of a leaving instance. */
+    std::string caller = "copperlead-caller";   /**< The service that sent the request. */
     std::string credential = "copperlead-credential"; /**< A client's key; not forwarded. */
     std::string tenant = "copperlead-tenant"; /**< To instances: the tenant of the client's key. */
 };
--- a/src/sidecar/instance/last_hop.cc
+++ b/src/sidecar/instance/last_hop.cc
@@ -231,6 +231,8 @@
 
     auto& running = calls.at (id);
     running.startedAt = now;
+    running.addressedId = instance.id();
+    ++sentSinceLimitLine;
     repeats += repeatAveragingWeight * ((running.call.facts.isRepeat ? 1 : 0) - repeats);
 
     CallOptions options;
@@ -278,7 +280,7 @@
         recordUnanswered (found->second);
 
     counts.queue.observe (toMilliseconds (found->second.startedAt - found->second.arrivedAt));
-    updateInstance (result);
+    updateInstance (result, found->second.addressedId);
     answer.report = report (outcome, cause);
     answer.report.tookMs = took;
 
--- a/src/sidecar/instance/last_hop.h
+++ b/src/sidecar/instance/last_hop.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -24,6 +25,7 @@
 #include "sidecar/http/http_client.h"
 #include "sidecar/instance/crash_guard.h"
 #include "sidecar/instance/health_probe.h"
+#include "sidecar/instance/instance_statement.h"
 
 namespace copperlead::sidecar
 {
@@ -73,6 +75,8 @@
     std::uint64_t crashProbes = 0;          /**< Probes of whether the instance has crashed. */
     /** Crashes of the instance while requests ran there. */
     std::uint64_t crashes = 0;
+    /** Fields of its answers that were ignored since their values can't be used. */
+    std::uint64_t unusableFields = 0;
 };
 
 class LastHop : public std::enable_shared_from_this<LastHop>
@@ -166,6 +170,7 @@
         HopCall call;
         Callback callback;
         Timestamp arrivedAt{}, deadline{}, startedAt{};
+        std::string addressedId; /**< The instance that the request was sent to. */
         CallPointer http;
     };
 
@@ -185,7 +190,10 @@
     void refuse (CallId id, mesh::HopCause cause);
     void refuseAll (const std::vector<CallId>& ids, mesh::HopCause cause);
     void onResult (CallId id, CallResult result);
-    void updateInstance (const CallResult& result);
+    void updateInstance (const CallResult& result, const std::string& addressedId);
+    void recordStatement (Timestamp now, const CallResult& result);
+    void recordLimit (Timestamp now, std::optional<double> perSecond);
+    void logLimit (Timestamp now);
     void recordUnanswered (const PendingCall& running);
     void recordAlive (Timestamp sentAt);
     void recordRefusedConnection (Timestamp now);
@@ -231,6 +239,11 @@
     bool stopping = false;
     /** Whether this node's zone is evacuated. */
     bool evacuated = false;
+    /** Requests per second that the instance accepts, as stated in its latest answer. */
+    std::optional<double> statedLimit;
+    bool statedLeaving = false;
+    std::uint64_t sentSinceLimitLine = 0;
+    Timestamp limitLineAt{};
 };
 
 } // namespace copperlead::sidecar
--- a/src/sidecar/instance/last_hop_instance.cc
+++ b/src/sidecar/instance/last_hop_instance.cc
@@ -2,6 +2,7 @@
     reachable, failing, cold or closed to requests.
 */
 #include <algorithm>
+#include <utility>
 
 #include "mesh/enum_names.h"
 #include "mesh/milliseconds.h"
@@ -21,10 +22,12 @@
 constexpr int serverFailure = 500, gatewayTimeout = 504; // HTTP status codes.
 // A larger share of failures is logged. A single failure among the latest runs doesn't reach it.
 constexpr double failingShare = 0.3;
+// While a limit is in force, a line this often states how much the instance gets.
+constexpr Milliseconds limitLineInterval{ 1000 };
 
 } // namespace
 
-void LastHop::updateInstance (const CallResult& result)
+void LastHop::updateInstance (const CallResult& result, const std::string& addressedId)
 {
     const auto now = SteadyClock().Now();
     const auto before = instance.id();
@@ -50,17 +53,73 @@
         log->write (now, EventKind::instanceRegained,
                     { { "instance", before }, { "after_ms", toMilliseconds (lostFor) } });
 
-    const auto reportedId = onlyValue (result.head.fields, settings.names.instanceId);
-
     if (result.end != CallEnd::answered)
         return;
 
+    const std::string reportedId (onlyValue (result.head.fields, settings.names.instanceId));
+
     // The first answer of another incarnation shows that the previous one is gone, not that it is
     // alive.
-    if (instance.recordReportedId (std::string (reportedId)))
+    if (instance.recordReportedId (reportedId))
         adoptIdentity (now, mesh::IdentitySource::selfReported, before);
     else
         recordAlive (now - result.took);
+
+    // An answer to a request that was addressed to a predecessor says nothing about the instance.
+    if ((reportedId.empty() ? addressedId : reportedId) == instance.id())
+        recordStatement (now, result);
+}
+
+void LastHop::recordStatement (Timestamp now, const CallResult& result)
+{
+    const auto statement = statementOf (result.head.fields, settings.names);
+
+    for (const auto& field : statement.unusable)
+    {
+        ++counts.unusableFields;
+        log->write (
+            now, EventKind::valueDoubted,
+            { { "key", instance.id() }, { "place", field.name }, { "cause", field.value } });
+    }
+
+    recordLimit (now, statement.requestsPerSecond);
+
+    if (statement.leaving && ! std::exchange (statedLeaving, true))
+        log->write (now, EventKind::instanceLeaving,
+                    { { "instance", instance.id() },
+                      { "by", "answer" },
+                      { "running", static_cast<std::int64_t> (queue.running()) },
+                      { "waiting", static_cast<std::int64_t> (queue.waiting()) } });
+}
+
+void LastHop::recordLimit (Timestamp now, std::optional<double> perSecond)
+{
+    if (statedLimit == perSecond)
+        return;
+
+    statedLimit = perSecond;
+
+    if (statedLimit)
+        return logLimit (now);
+
+    log->write (now, EventKind::instanceUnlimited,
+                { { "instance", instance.id() },
+                  { "cause", "answer" },
+                  { "sent", static_cast<std::int64_t> (std::exchange (sentSinceLimitLine, 0)) },
+                  { "running", static_cast<std::int64_t> (queue.running()) },
+                  { "waiting", static_cast<std::int64_t> (queue.waiting()) } });
+}
+
+void LastHop::logLimit (Timestamp now)
+{
+    limitLineAt = now;
+    log->write (now, EventKind::instanceLimited,
+                { { "instance", instance.id() },
+                  { "per_second", statedLimit.value_or (0) },
+                  { "by", "answer" },
+                  { "sent", static_cast<std::int64_t> (std::exchange (sentSinceLimitLine, 0)) },
+                  { "running", static_cast<std::int64_t> (queue.running()) },
+                  { "waiting", static_cast<std::int64_t> (queue.waiting()) } });
 }
 
 void LastHop::adoptIdentity (Timestamp now, mesh::IdentitySource by, const std::string& before)
@@ -84,6 +143,8 @@
         queue.startWindow().clear();
 
     failures = {};
+    statedLimit.reset();
+    statedLeaving = false;
 
     presumeCold (now, "new_instance");
 }
@@ -205,6 +266,7 @@
     if (instance.leaving() && ! wasLeaving)
         log->write (now, EventKind::instanceLeaving,
                     { { "instance", instance.id() },
+                      { "by", "entry" },
                       { "running", static_cast<std::int64_t> (queue.running()) },
                       { "waiting", static_cast<std::int64_t> (queue.waiting()) } });
 
@@ -223,6 +285,9 @@
     }
 
     probeIfColdUnknown (now);
+
+    if (statedLimit && now - limitLineAt >= limitLineInterval)
+        logLimit (now);
 }
 
 void LastHop::probe()
@@ -240,7 +305,7 @@
 {
     const auto now = SteadyClock().Now();
     const auto before = instance.id();
-    updateInstance (answer.call);
+    updateInstance (answer.call, {});
 
     if (answer.call.end == CallEnd::connectionLost)
         recordLostProbe();
--- a/src/sidecar/sidecar_metrics.cc
+++ b/src/sidecar/sidecar_metrics.cc
@@ -147,6 +147,9 @@
                     "For how long it stays cold and gets few requests", figures.coldMs);
     families.counter ("copperlead_instance_cold_questions_total",
                       "Times that it was asked whether it is cold", figures.last.coldProbes);
+    families.counter ("copperlead_instance_unusable_fields_total",
+                      "Fields of its answers that were ignored since their values can't be used",
+                      figures.last.unusableFields);
     families.counters ("copperlead_instance_runs_begun_total",
                        "Runs by what their answers were expected to be", "timeliness",
                        mesh::timelinessNames, figures.begun);
--- a/src/sidecar/sidecar_settings.cc
+++ b/src/sidecar/sidecar_settings.cc
@@ -61,6 +61,8 @@
         ("header-instance-id", header (names.instanceId), "field by which an instance names itself")
         ("header-not-run", header (names.notRun), "field of answers to what was not run")
         ("header-cold-time", header (names.coldTime), "field of health answers that says how long the instance stays cold, in ms")
+        ("header-rate-limit", header (names.rateLimit), "field of an instance's answers with the requests a second that it accepts from all nodes")
+        ("header-leaving", header (names.leaving), "field that is 1 on the answers of an instance that leaves")
         ("header-caller", header (names.caller), "field with the calling service")
         ("header-credential", header (names.credential), "field with a client's key; goes to nobody")
         ("header-tenant", header (names.tenant), "field that tells instances whose key the client showed")
@@ -269,6 +271,8 @@
     names.instanceId = values.text ("header-instance-id");
     names.notRun = values.text ("header-not-run");
     names.coldTime = values.text ("header-cold-time");
+    names.rateLimit = values.text ("header-rate-limit");
+    names.leaving = values.text ("header-leaving");
     names.caller = values.text ("header-caller");
     names.credential = values.text ("header-credential");
     names.tenant = values.text ("header-tenant");
--- a/src/standin/instance.cc
+++ b/src/standin/instance.cc
@@ -65,6 +65,7 @@
   }
   address_ = {listen_address.ip, BoundPort(listener_)};
   born_ = UnixMilliseconds();
+  starts_.push_back(std::chrono::steady_clock::now());
   accepting_ = std::thread([this] { Accept(); });
   return true;
 }
@@ -137,6 +138,10 @@
   if (crashed) changed_.wait_until(lock, crashes_.back() + crash_.down, [&] { return stopping_; });
   if (!crashed || stopping_) return false;
   born_ = UnixMilliseconds();
+  starts_.push_back(std::chrono::steady_clock::now());
+  // The next incarnation states nothing that its predecessor did.
+  limits_.push_back({starts_.back(), ""});
+  leaving_.clear();
   down_ = false;
   // A port that the system chose goes with the listening; one that was named is still bound, so
   // that this fails.
@@ -150,6 +155,36 @@
   settings_.work = work;
 }
 
+void Instance::StateLimit(const std::string& text) {
+  const std::lock_guard lock(mutex_);
+  limits_.push_back({std::chrono::steady_clock::now(), text});
+}
+
+void Instance::StateLeaving(const std::string& text) {
+  const std::lock_guard lock(mutex_);
+  leaving_ = text;
+}
+
+void Instance::KeepLimitFromHealthAnswers() {
+  const std::lock_guard lock(mutex_);
+  health_states_limit_ = false;
+}
+
+std::vector<StatedLimit> Instance::stated_limits() const {
+  const std::lock_guard lock(mutex_);
+  return limits_;
+}
+
+std::vector<std::chrono::steady_clock::time_point> Instance::starts() const {
+  const std::lock_guard lock(mutex_);
+  return starts_;
+}
+
+std::uint64_t Instance::health_checks() const {
+  const std::lock_guard lock(mutex_);
+  return health_checks_;
+}
+
 void Instance::SetId(const std::string& id) {
   const std::lock_guard lock(mutex_);
   settings_.id = id;
@@ -265,7 +300,9 @@
   run.key = FirstValue(fields, "X-Credential");
   ParseWholeNumber(FirstValue(fields, "X-Deadline-Ms"), run.deadline_ms);
   run.body = message.body;
+  run.came_at = std::chrono::steady_clock::now();
   const std::lock_guard lock(mutex_);
+  run.instance = settings_.id;
   runs_.push_back(run);
   return runs_.size() - 1;
 }
@@ -276,6 +313,12 @@
   std::string text = "HTTP/1.1 " + std::to_string(status) + " Answer\r\n";
   if (!id.empty()) text += "X-Request-Id: " + id + "\r\n";
   if (is_signed) text += kSignature;
+  if (!id.empty()) text += "X-Answered-By: " + settings_.id + "\r\n";
+  const bool states_limit = !limits_.empty() && !limits_.back().text.empty();
+  if (states_limit && (health_states_limit_ || !id.empty())) {
+    text += "Server-Limit: " + limits_.back().text + "\r\n";
+  }
+  if (!leaving_.empty()) text += "Server-Leaving: " + leaving_ + "\r\n";
   if (framed) text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
   if (status == 421 || id.empty()) text += "X-Instance-Id: " + settings_.id + "\r\n";
   if (id.empty()) {
@@ -315,7 +358,13 @@
 bool Instance::Handle(int socket, const Message& message) {
   const auto& fields = message.head.fields;
   const std::string id = FirstValue(fields, "X-Request-Id");
-  if (message.head.target == "/health") return SendAll(socket, Answer(200, "", "", false, true));
+  if (message.head.target == "/health") {
+    {
+      const std::lock_guard lock(mutex_);
+      ++health_checks_;
+    }
+    return SendAll(socket, Answer(200, "", "", false, true));
+  }
   const std::size_t run = AddRun(message);
   const std::string expected = FirstValue(fields, "X-Expect-Instance");
   bool other = false;
--- a/src/standin/instance.h
+++ b/src/standin/instance.h
@@ -63,15 +63,23 @@
   std::string target;
   std::string caller;
   std::string expected;  // The instance that the request was meant for.
+  std::string instance;  // The id of the instance that it came to.
   std::string tenant;    // Whose request it is, as the caller says.
   std::string key;       // A client's key, which should not come here.
   std::uint64_t deadline_ms = 0;
   std::string body;
+  std::chrono::steady_clock::time_point came_at{};
   bool ran = false;
   std::chrono::steady_clock::time_point ran_at{};
   bool broken_off = false;  // The connection ended while it worked.
 };
 
+// A value of Server-Limit in the instance's answers.
+struct StatedLimit {
+  std::chrono::steady_clock::time_point since;
+  std::string text;  // Empty: no limit is stated.
+};
+
 // Thread-safe. One thread a connection.
 class Instance {
  public:
@@ -89,6 +97,12 @@
   void SetFault(const InstanceFault& fault);
   void SetCrash(const InstanceCrash& crash);
   void SetWork(std::chrono::milliseconds work);
+  // States a limit in all answers from now on. @param text  as it is sent; empty: none is stated
+  void StateLimit(const std::string& text);
+  // States in all answers from now on whether it leaves. @param text  as it is sent; empty: nothing
+  void StateLeaving(const std::string& text = "1");
+  // Leaves the limit out of health answers.
+  void KeepLimitFromHealthAnswers();
   // Another incarnation has the address from now on.
   void SetId(const std::string& id);
 
@@ -99,9 +113,14 @@
   bool down() const;
   // Whether a fault applies to requests that are still to come.
   bool troubled() const;
+  // When each of its incarnations began.
+  std::vector<std::chrono::steady_clock::time_point> starts() const;
   // When it crashed.
   std::vector<std::chrono::steady_clock::time_point> crashes() const;
   std::vector<InstanceRun> runs() const;
+  // The limits that it has stated, oldest first.
+  std::vector<StatedLimit> stated_limits() const;
+  std::uint64_t health_checks() const;
   // How often a request was run.
   int RunsOf(const std::string& request_id) const;
   // Is cold again from now on, under the same id.
@@ -146,6 +165,11 @@
   std::set<int> open_;
   std::deque<std::chrono::steady_clock::time_point> arrivals_;  // Of the last second.
   std::chrono::steady_clock::time_point cold_until_{};
+  std::vector<std::chrono::steady_clock::time_point> starts_;
+  std::vector<StatedLimit> limits_;
+  std::string leaving_;
+  bool health_states_limit_ = true;
+  std::uint64_t health_checks_ = 0;
   int falls_ = 0;
   std::int64_t born_ = 0;
   bool down_ = false;
--- a/src/standin/instance_command.cc
+++ b/src/standin/instance_command.cc
@@ -40,6 +40,11 @@
       ("id", text()->required(), "id of this incarnation")                         //
       ("slots", number(6), "requests worked on at a time")                         //
       ("work-ms", number(5), "work of a request")                                  //
+      (
+          "limit", text()->default_value(""),
+          "requests a second that its answers say it takes from all machines; empty: none is "
+          "stated")                                                                  //
+      ("leaving", program_options::bool_switch(), "its answers say that it leaves")  //
       ("fault", text()->default_value("none"),
        "none, lost, cut, extra, unframed, unsigned, error, shed, closing or silent");
   program_options::variables_map values;
@@ -55,6 +60,8 @@
   settings.work = std::chrono::milliseconds(values["work-ms"].as<std::uint32_t>());
   Instance instance(settings);
   instance.SetFault({*trouble, UINT64_MAX});
+  instance.StateLimit(values["limit"].as<std::string>());
+  if (values["leaving"].as<bool>()) instance.StateLeaving();
   if (!instance.Start(*listen)) return kExitUsage;
   std::cout << nlohmann::json{{"listen", ToString(instance.address())}} << std::endl;
   WaitForStopSignal();
