Enforce the limit that an instance states, at the node beside it

What callers and back ends saw: an instance of permit-desk that named 24.9 requests a second got 244 in 4 s from machines that it had told (154 allowed), one that named 1.8 got 42 (16 allowed); in the reproduction 385 and 389 at 12.5 and 1.9.

Cause: nobody read the field. The node beside the instance admitted by slots and cold rate alone.

Ruled out: each sender counting for itself (50 and 7.6 a second at most), and a limit that is kept and forgotten (no window within the limit, no instance_unlimited line, reports before the first SIGTERM).

Why this mends it: every request to the instance passes the node beside it, whichever node it began at, so a token bucket there holds for all together. Senders name the limit that they know with each request, which covers that node's restarts; forecasts count the limit, so that what doesn't fit goes elsewhere before anything is sent, and is refused with the limit's own time if nothing has room.

--- a/src/mesh/admission_queue.cc
+++ b/src/mesh/admission_queue.cc
@@ -79,13 +79,24 @@
 
 bool AdmissionQueue::canStartNow (Timestamp now) const
 {
-    return hasFreeSlot() && waitingByRank.empty() && starts.earliestStart (now, 0) <= now;
+    return hasFreeSlot() && waitingByRank.empty() && earliestStart (now, 0) <= now;
+}
+
+Timestamp AdmissionQueue::earliestStart (Timestamp now, std::size_t before) const
+{
+    return std::max (starts.earliestStart (now, before), rate.earliestStart (now, before));
+}
+
+void AdmissionQueue::recordStart (Timestamp now)
+{
+    starts.recordStart (now);
+    rate.recordStart (now);
 }
 
 double AdmissionQueue::expectedWaitBehindMs (Timestamp now, std::size_t before, int priority) const
 {
     const auto slots = static_cast<double> (std::max (limit, 1));
-    const auto startDelayMs = toMilliseconds (starts.earliestStart (now, before) - now);
+    const auto startDelayMs = toMilliseconds (earliestStart (now, before) - now);
 
     if (before == 0 && hasFreeSlot())
         return startDelayMs;
@@ -178,7 +189,7 @@
     if (canStartNow (now))
     {
         runningById.emplace (request.id, Running{ request.route, request.usualRunMs, now });
-        starts.recordStart (now);
+        recordStart (now);
         ++startCounts[static_cast<std::size_t> (timelinessAt (now, request))];
         return AdmissionDecision::run;
     }
@@ -242,6 +253,27 @@
     return std::exchange (expired, {});
 }
 
+void AdmissionQueue::reassess (Timestamp now)
+{
+    std::vector<WaitingRequest> all;
+
+    for (const auto& rank : waitingByRank)
+        all.push_back (waitingById.at (rank.id));
+
+    for (const auto& entry : all)
+        removeWaiting (entry);
+
+    for (const auto& entry : all)
+    {
+        WaitingRequest reassessed;
+
+        if (assignRank (now, entry.request, reassessed))
+            enqueue (now, reassessed);
+        else
+            expired.push_back (entry.request.id);
+    }
+}
+
 std::vector<std::uint64_t> AdmissionQueue::clear()
 {
     auto all = std::exchange (expired, {});
@@ -273,7 +305,7 @@
 
 std::uint64_t AdmissionQueue::next (Timestamp now)
 {
-    if (! hasFreeSlot() || starts.earliestStart (now, 0) > now)
+    if (! hasFreeSlot() || earliestStart (now, 0) > now)
         return 0;
 
     reclassifyOverdue (now);
@@ -284,12 +316,18 @@
     const auto entry = waitingById.at (waitingByRank.begin()->id);
     const auto id = entry.request.id;
     runningById.emplace (id, Running{ entry.request.route, entry.request.usualRunMs, now });
-    starts.recordStart (now);
+    recordStart (now);
     countStart (now, entry.rank);
     removeWaiting (entry);
     return id;
 }
 
+void AdmissionQueue::cancelStart (std::uint64_t id)
+{
+    runningById.erase (id);
+    rate.cancelStart();
+}
+
 bool AdmissionQueue::cancel (std::uint64_t id)
 {
     if (const auto found = waitingById.find (id); found != waitingById.end())
@@ -329,8 +367,7 @@
 
 Timestamp AdmissionQueue::nextRateLimitedStart (Timestamp now) const
 {
-    return hasFreeSlot() && ! waitingByRank.empty() ? starts.earliestStart (now, 0)
-                                                    : Timestamp::max();
+    return hasFreeSlot() && ! waitingByRank.empty() ? earliestStart (now, 0) : Timestamp::max();
 }
 
 Timestamp AdmissionQueue::nextExpiry() const
--- a/src/mesh/admission_queue.h
+++ b/src/mesh/admission_queue.h
@@ -25,6 +25,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "mesh/instance_rate_limit.h"
 #include "mesh/start_window.h"
 #include "mesh/urgent_arrivals.h"
 
@@ -75,6 +76,20 @@
     StartWindow& startWindow() { return starts; }
     const StartWindow& startWindow() const { return starts; }
 
+    /** The limit that the instance states, in addition to the other two. Call reassess() after a
+        change of it.
+    */
+    InstanceRateLimit& rateLimit() { return rate; }
+    const InstanceRateLimit& rateLimit() const { return rate; }
+
+    /** @returns true if a further request would have to wait for the instance's own limit */
+    bool isRateLimited (Timestamp now) const { return rate.earliestStart (now, waiting()) > now; }
+
+    /** Ranks all waiting requests again. expire() then returns those that can no longer be expected
+        to run in time for their deadline.
+    */
+    void reassess (Timestamp now);
+
     /** Returns what offer() would decide, without accepting the request. */
     AdmissionForecast forecast (Timestamp now, const AdmissionRequest& request) const;
 
@@ -93,6 +108,9 @@
     */
     std::uint64_t next (Timestamp now);
 
+    /** Removes a request that was selected to run but wasn't sent. */
+    void cancelStart (std::uint64_t id);
+
     /** Removes a waiting or running request that was cancelled.
         @returns true if it was waiting
     */
@@ -159,6 +177,8 @@
 
     bool hasFreeSlot() const { return static_cast<int> (running()) < limit; }
     bool canStartNow (Timestamp now) const;
+    Timestamp earliestStart (Timestamp now, std::size_t before) const;
+    void recordStart (Timestamp now);
     double expectedWaitBehindMs (Timestamp now, std::size_t before, int priority) const;
     std::size_t countBefore (const Rank& rank) const;
     double learnedRunMsOf (const AdmissionRequest& request) const;
@@ -182,6 +202,7 @@
     UrgentArrivals arrivals;
     int limit = 1;
     StartWindow starts;
+    InstanceRateLimit rate;
     double meanRunMs = 0;
     double lateStartIntervalMs = 0; /**< Estimated time between starts of late requests. */
 
--- a/src/mesh/hop_header.cc
+++ b/src/mesh/hop_header.cc
@@ -1,5 +1,6 @@
 #include "mesh/hop_header.h"
 
+#include <array>
 #include <charconv>
 #include <cmath>
 #include <vector>
@@ -47,6 +48,13 @@
 
     void add (std::string_view name, std::int64_t value) { add (name, std::to_string (value)); }
 
+    void addDecimal (std::string_view name, double value)
+    {
+        std::array<char, 32> digits{};
+        const auto end = std::to_chars (digits.begin(), digits.end(), value).ptr;
+        add (name, std::string_view (digits.begin(), end));
+    }
+
     void addMilliseconds (std::string_view name, double value)
     {
         add (name, static_cast<std::int64_t> (std::lround (value)));
@@ -137,6 +145,21 @@
         return value;
     }
 
+    /** @returns nothing if the pair is missing */
+    std::optional<double> decimal (std::string_view name)
+    {
+        const auto found = text (name);
+
+        if (found.empty())
+            return std::nullopt;
+
+        double value = 0;
+        const auto* const end = found.data() + found.size();
+        const auto [stop, code] = std::from_chars (found.data(), end, value);
+        valid = valid && code == std::errc() && stop == end && std::isfinite (value) && value >= 0;
+        return value;
+    }
+
     bool isValid() const { return valid; }
 
 private:
@@ -164,6 +187,9 @@
     if (! request.tenant.empty())
         writer.addEscaped ("tenant", request.tenant);
 
+    if (request.statedLimit)
+        writer.addDecimal ("limit", *request.statedLimit);
+
     return writer.take();
 }
 
@@ -179,6 +205,13 @@
     writer.addMilliseconds ("waited", report.waitedMs);
     writer.addMilliseconds ("body", report.bodyTransferMs);
     writer.add ("version", static_cast<std::int64_t> (report.configurationVersion));
+
+    if (report.statedLimit)
+        writer.addDecimal ("limit", *report.statedLimit);
+
+    if (report.availableMs > 0)
+        writer.addMilliseconds ("available", report.availableMs);
+
     return writer.take();
 }
 
@@ -198,6 +231,7 @@
     request.isRepeat = reader.integer ("repeat") == 1;
     request.usualRunMs = static_cast<double> (reader.integer ("run"));
     request.tenant = reader.unescaped ("tenant");
+    request.statedLimit = reader.decimal ("limit");
 
     if (! reader.isValid() || request.service.empty())
         return std::nullopt;
@@ -218,6 +252,8 @@
     report.waitedMs = static_cast<double> (reader.integer ("waited"));
     report.bodyTransferMs = static_cast<double> (reader.integer ("body"));
     report.configurationVersion = static_cast<std::uint64_t> (reader.integer ("version"));
+    report.statedLimit = reader.decimal ("limit");
+    report.availableMs = static_cast<double> (reader.integer ("available"));
 
     if (! reader.isValid() || outcome < 0 || outcome >= std::ssize (hopOutcomeNames) || cause < 0 ||
         cause >= std::ssize (hopCauseNames))
--- a/src/mesh/hop_header.h
+++ b/src/mesh/hop_header.h
@@ -35,6 +35,11 @@
     bool isRepeat = false; /**< An instance may have run this request before. */
     double usualRunMs = 0;
     std::string tenant; /**< Empty for a request without a tenant. */
+
+    /** The limit that the chosen instance stated in the latest answer that the sender passed on. It
+        reaches a node that has started since and hasn't seen an answer itself.
+    */
+    std::optional<double> statedLimit;
 };
 
 /** The result of the request at the node beside the instance. */
@@ -66,21 +71,22 @@
     linkFull,     /**< Its body can't be expected to arrive in time over the node's link. */
     instanceCold, /**< Like queueFull, at an instance that is cold. */
     zoneEvacuated,
-    crashSuspect /**< Instances crashed while this request ran there; see CrashLedger. */
+    crashSuspect,   /**< Instances crashed while this request ran there; see CrashLedger. */
+    instanceLimited /**< Beyond the rate of requests that the instance states to accept. */
 };
 
 inline constexpr std::string_view hopCauseNames[] = {
-    "none",          "queue_full",    "expired",           "instance_leaving", "instance_unknown",
-    "instance_down", "other_service", "instance_rejected", "other_instance",   "answer_lost",
-    "answer_broken", "node_stopping", "link_full",         "instance_cold",    "zone_evacuated",
-    "crash_suspect"
+    "none",          "queue_full",      "expired",           "instance_leaving", "instance_unknown",
+    "instance_down", "other_service",   "instance_rejected", "other_instance",   "answer_lost",
+    "answer_broken", "node_stopping",   "link_full",         "instance_cold",    "zone_evacuated",
+    "crash_suspect", "instance_limited"
 };
 
 /** Returns whether a request was refused for lack of capacity. */
 constexpr bool isOverload (HopCause cause)
 {
     return cause == HopCause::queueFull || cause == HopCause::linkFull ||
-           cause == HopCause::instanceCold;
+           cause == HopCause::instanceCold || cause == HopCause::instanceLimited;
 }
 
 /** Sent with the answer by the node beside the chosen instance. */
@@ -95,6 +101,10 @@
     double waitedMs = 0;       /**< Time spent in the queue of the answering node. */
     double bodyTransferMs = 0; /**< Time until a large body sent now would arrive over its link. */
     std::uint64_t configurationVersion = 0;
+
+    /** Requests per second that the instance states to accept; nothing without a limit. */
+    std::optional<double> statedLimit;
+    double availableMs = 0; /**< For `instanceLimited`: time until a request is accepted. */
 };
 
 std::string encode (const HopRequest& request);
--- a/src/mesh/instance_chooser.cc
+++ b/src/mesh/instance_chooser.cc
@@ -19,6 +19,8 @@
 constexpr double initialRunShare = 0.3;
 // A sample draws up to this many further instances in place of those that can't be used.
 constexpr std::size_t extraDraws = 5;
+// An instance that states a limit is asked again after this time, since the limit may have ended.
+constexpr Milliseconds maxLimitedTime{ 500 };
 constexpr double lapsedPenaltyMs = 10'000, suspectedPenaltyMs = 5'000;
 
 } // namespace
@@ -106,6 +108,31 @@
            (found->second.avoidedUntil <= now && found->second.suspectedUntil <= now);
 }
 
+bool InstanceChooser::isLimited (Timestamp now, const std::string& id) const
+{
+    const auto found = views.find (id);
+    return found != views.end() && found->second.limitedUntil > now;
+}
+
+bool InstanceChooser::mayBeDrawn (Timestamp now, const ListedInstance& candidate,
+                                  const ChoiceRequest& request) const
+{
+    const auto& id = candidate.instance.id;
+    return ! request.excludes (id) && candidate.state == InstanceState::ready &&
+           mayPrefer (now, id) && isAllowed (candidate.instance, request);
+}
+
+std::optional<double> InstanceChooser::statedLimit (const std::string& id) const
+{
+    const auto found = views.find (id);
+    return found == views.end() ? std::nullopt : found->second.statedLimit;
+}
+
+void InstanceChooser::recordLimited (Timestamp now, const std::string& id, Duration availableIn)
+{
+    views[id].limitedUntil = now + std::min<Duration> (availableIn, maxLimitedTime);
+}
+
 std::vector<Instance> InstanceChooser::sample (Timestamp now, const DirectorySnapshot& directory,
                                                const ChoiceRequest& request, std::size_t count,
                                                Proximity proximity)
@@ -120,6 +147,7 @@
     const auto range = rangeOf (all, proximity);
     const auto most = std::min (range.size(), count + extraDraws);
     std::vector<std::size_t> tried;
+    std::vector<Instance> limited;
 
     while (drawn.size() < count && tried.size() < most)
     {
@@ -131,14 +159,16 @@
 
         tried.push_back (place);
         const auto& candidate = all[place];
-        const auto& id = candidate.instance.id;
 
-        if (! request.excludes (id) && candidate.state == InstanceState::ready &&
-            mayPrefer (now, id) && isAllowed (candidate.instance, request))
-            drawn.push_back (candidate.instance);
+        if (mayBeDrawn (now, candidate, request))
+            (isLimited (now, candidate.instance.id) ? limited : drawn)
+                .push_back (candidate.instance);
     }
 
-    return drawn;
+    if (drawn.empty() && limited.size() > count)
+        limited.resize (count);
+
+    return drawn.empty() ? limited : drawn;
 }
 
 bool InstanceChooser::choose (Timestamp now, const DirectorySnapshot& directory,
@@ -167,6 +197,9 @@
         if (candidate.state == InstanceState::lapsed)
             cost += lapsedPenaltyMs;
 
+        if (view.limitedUntil > now)
+            cost += toMilliseconds (view.limitedUntil - now);
+
         if (view.suspectedUntil > now)
             cost += suspectedPenaltyMs;
 
@@ -267,6 +300,7 @@
 
     std::erase_if (views, [&] (const auto& item)
                    { return item.second.inFlight == 0 && ! listed.contains (item.first); });
+
     std::erase_if (startTimes, [&] (const auto& item)
                    { return ! listed.contains (item.first) && ! views.contains (item.first); });
 }
--- a/src/mesh/instance_chooser.h
+++ b/src/mesh/instance_chooser.h
@@ -11,6 +11,7 @@
 */
 #pragma once
 
+#include <optional>
 #include <random>
 #include <string>
 #include <unordered_map>
@@ -98,6 +99,20 @@
     void recordAnswer (const std::string& id, const Route& route, double runMs, std::size_t bytes);
     void recordReport (Timestamp now, const std::string& id, const LoadReport& report);
 
+    /** Records the limit that an instance stated in an answer that this node has received.
+        @param requestsPerSecond  nothing if it stated none
+    */
+    void recordLimit (const std::string& id, std::optional<double> requestsPerSecond)
+    {
+        views[id].statedLimit = requestsPerSecond;
+    }
+
+    /** The limit that an instance stated in the latest answer that this node has received. */
+    std::optional<double> statedLimit (const std::string& id) const;
+
+    /** Ranks an instance behind others until its limit allows a request again. */
+    void recordLimited (Timestamp now, const std::string& id, Duration availableIn);
+
     /** Excludes an instance from the choice for the given time. */
     void avoidInstance (Timestamp now, const std::string& id, Milliseconds howLong);
 
@@ -125,9 +140,14 @@
         int inFlightAtReport = 0;
         double speed = 1; /**< Run time relative to the usual one; above 1 is slower. */
         Timestamp avoidedUntil{}, suspectedUntil{};
+        Timestamp limitedUntil{}; /**< Its limit allows no request before. */
+        std::optional<double> statedLimit;
     };
 
     void resetIfRestarted (const Instance& instance);
+    bool isLimited (Timestamp now, const std::string& id) const;
+    bool mayBeDrawn (Timestamp now, const ListedInstance& candidate,
+                     const ChoiceRequest& request) const;
 
     struct RouteHistory
     {
--- a/src/mesh/instance_poll.cc
+++ b/src/mesh/instance_poll.cc
@@ -18,6 +18,8 @@
 // An instance is taken at once up to this multiple of the usual run time. The differences between
 // instances are larger than that.
 constexpr double goodEnoughFactor = 1.25;
+// A limit says nothing about the load of the others, so more of them are asked.
+constexpr int maxWideningsPastLimits = 3;
 
 } // namespace
 
@@ -51,8 +53,8 @@
         found->answered = true;
         found->reply = reply;
 
-        if (reply.decision == AdmissionDecision::refuse && ! isOverload (refusalCause))
-            refusalCause = reply.cause;
+        if (reply.decision == AdmissionDecision::refuse)
+            recordRefusal (reply);
     }
 
     if (findBest() && isGoodEnough (best().reply, best().crossingMs))
@@ -61,6 +63,19 @@
     return pending() > 0 ? PollStep::wait : decide();
 }
 
+void InstancePoll::recordRefusal (const LoadReply& reply)
+{
+    if (! isOverload (refusalCause))
+        refusalCause = reply.cause;
+
+    if (reply.cause != HopCause::instanceLimited)
+        return;
+
+    soonestAvailableMs =
+        metLimit ? std::min (soonestAvailableMs, reply.expectedMs) : reply.expectedMs;
+    metLimit = true;
+}
+
 PollStep InstancePoll::waitExpired() { return decide(); }
 
 std::size_t InstancePoll::pending() const
@@ -112,6 +127,11 @@
     return candidate.reply.expectedMs <= targetLeft;
 }
 
+bool InstancePoll::mayWidenPastLimits (bool found)
+{
+    return ! found && metLimit && widenedPastLimits++ < maxWideningsPastLimits;
+}
+
 PollStep InstancePoll::decide()
 {
     const bool found = findBest();
@@ -120,7 +140,7 @@
         best().reply.failureShare <= tolerableFailureShare)
         return PollStep::take;
 
-    if (std::exchange (mayWiden, false))
+    if (std::exchange (mayWiden, false) || mayWidenPastLimits (found))
         return PollStep::widen;
 
     if (! (found && isInTime (best())) && std::exchange (mayWidenFar, false))
--- a/src/mesh/instance_poll.h
+++ b/src/mesh/instance_poll.h
@@ -72,6 +72,11 @@
 
     const PolledInstance& best() const { return asked[bestIndex]; }
     HopCause refusal() const { return refusalCause; }
+
+    /** The time after which the first of the instances that refuse as `instanceLimited` accepts a
+        request.
+    */
+    double availableMs() const { return soonestAvailableMs; }
     const std::vector<PolledInstance>& all() const { return asked; }
 
 private:
@@ -79,6 +84,8 @@
     double costOf (const PolledInstance& candidate) const;
     bool findBest();
     bool isGoodEnough (const LoadReply& reply, double crossingMs) const;
+    void recordRefusal (const LoadReply& reply);
+    bool mayWidenPastLimits (bool found);
     PollStep decide();
     std::size_t pending() const;
     bool isInTime (const PolledInstance& candidate) const;
@@ -90,6 +97,9 @@
     std::vector<PolledInstance> asked;
     std::size_t bestIndex = 0;
     HopCause refusalCause = HopCause::none;
+    bool metLimit = false; /**< Some instance refuses as `instanceLimited`. */
+    double soonestAvailableMs = 0;
+    int widenedPastLimits = 0;
 };
 
 } // namespace copperlead::mesh
--- a/src/mesh/load_query.h
+++ b/src/mesh/load_query.h
@@ -35,7 +35,10 @@
     std::string instanceId;   /**< The query's instance. */
     AdmissionDecision decision = AdmissionDecision::refuse;
     HopCause cause = HopCause::none; /**< Cause of a refusal. */
-    double expectedMs = 0;     /**< Expected time until the request ends there, with queueing. */
+    /** Expected time until the request ends there, with queueing. For a refusal as
+        `instanceLimited` the time until a request is accepted.
+    */
+    double expectedMs = 0;
     double load = 0;           /**< Number of requests that are running or queued there. */
     double runMs = 0;          /**< Usual run time there, over all routes. */
     double bodyTransferMs = 0; /**< Expected time to transfer a large body. */
--- a/src/mesh/retry_after.cc
+++ b/src/mesh/retry_after.cc
@@ -16,13 +16,21 @@
 
 } // namespace
 
-Milliseconds retryAfter (HopCause cause, Duration remainingWait, double jitter)
+Milliseconds retryAfter (HopCause cause, Duration remainingWait, double jitter,
+                         Duration availableIn)
 {
+    const auto remainingMs = std::max (toMilliseconds (remainingWait), 0.0);
+
+    // The limit says when there is room again; the requests that it refused return spread over the
+    // time after that.
+    if (cause == HopCause::instanceLimited)
+        return fromMillisecondCount (toMilliseconds (availableIn) +
+                                     jitter * maxShareInOverload * remainingMs + 1);
+
     const bool overloaded = isOverload (cause) || cause == HopCause::expired;
     const auto share = overloaded
                            ? minShareInOverload + jitter * (maxShareInOverload - minShareInOverload)
                            : defaultShare;
-    const auto remainingMs = std::max (toMilliseconds (remainingWait), 0.0);
     return Milliseconds (static_cast<std::int64_t> (remainingMs * share) + 1);
 }
 
--- a/src/mesh/retry_after.h
+++ b/src/mesh/retry_after.h
@@ -13,7 +13,9 @@
     @param cause          why the request was refused
     @param remainingWait  how much longer the client waits
     @param jitter         random number, uniformly distributed over [0, 1)
+    @param availableIn    for `instanceLimited`: the time until an instance accepts a request
 */
-Milliseconds retryAfter (HopCause cause, Duration remainingWait, double jitter);
+Milliseconds retryAfter (HopCause cause, Duration remainingWait, double jitter,
+                         Duration availableIn = {});
 
 } // namespace copperlead::mesh
--- a/src/mesh/token_bucket.h
+++ b/src/mesh/token_bucket.h
@@ -27,6 +27,9 @@
     */
     std::uint32_t take (std::uint32_t wanted);
 
+    /** Takes tokens that may not have accrued yet, so that the level may become negative. */
+    void spend (double count) { tokens -= count; }
+
     /** Returns unused tokens. Tokens above the capacity are discarded; the level never falls. */
     void giveBack (double count, double capacity);
 
--- a/src/sidecar/decision_log.cc
+++ b/src/sidecar/decision_log.cc
@@ -91,7 +91,7 @@
       "request instance hop outcome cause next load report_age_ms expected_ms took_ms version" },
     { EventKind::admissionRefused, "admission_refused", 20,
       "request instance cause running waiting waiting_late target_ms left_ms wait_ms "
-      "cold_ms" },
+      "cold_ms limit" },
     { EventKind::bodyRefused, "body_refused", 20,
       "request cause bytes waiting in_transfer expected_ms target_ms left_ms" },
     { EventKind::linesLeftOut, "lines_left_out", 1, "lines" },
--- a/src/sidecar/hop/active_request.cc
+++ b/src/sidecar/hop/active_request.cc
@@ -150,7 +150,10 @@
         return;
 
     if (result.step == mesh::PollStep::refuse)
+    {
         lastAnswer.report.cause = result.cause;
+        lastAnswer.report.availableMs = result.availableMs;
+    }
 
     finish (withoutRetry (facts(), lastOutcome), lastAnswer);
 }
@@ -203,6 +206,7 @@
     callFacts.mayRepeat = route.mayRepeat();
     callFacts.isRepeat = arrivals > 0 || mayHaveRun || hedged;
     callFacts.usualRunMs = hop->chooser.usualRunMs (route);
+    callFacts.statedLimit = hop->chooser.statedLimit (choice.instance.id);
     callFacts.tenant = tenant == nullptr ? std::string() : tenant->name;
     call.method = exchange->head.method;
     call.target = exchange->head.target;
@@ -253,6 +257,16 @@
                        { "for_ms", static_cast<std::int64_t> (duration.count()) } });
 }
 
+void ActiveRequest::recordStatement (const mesh::HopReport& report)
+{
+    const bool hasAnswered =
+        report.outcome == HopOutcome::ran || report.outcome == HopOutcome::rejected;
+
+    // A node that has just started and has no answer yet doesn't know whether there is a limit.
+    if (hasAnswered || report.statedLimit)
+        hop->chooser.recordLimit (report.instanceId, report.statedLimit);
+}
+
 AttemptOutcome ActiveRequest::recordOutcome (std::size_t index, const HopAnswer& answer)
 {
     auto& attempt = attempts[index];
@@ -264,6 +278,11 @@
     if (! report.instanceId.empty() || report.outcome != HopOutcome::unknown)
         hop->chooser.recordReport (now(), id, { report.load, report.runMs, report.bodyTransferMs });
 
+    recordStatement (report);
+
+    if (report.cause == mesh::HopCause::instanceLimited)
+        hop->chooser.recordLimited (now(), id, mesh::fromMilliseconds (report.availableMs));
+
     if (report.configurationVersion != 0 && hop->onPeerVersion)
         hop->onPeerVersion (report.configurationVersion, attempt.choice.instance.address.ip);
 
--- a/src/sidecar/hop/active_request.h
+++ b/src/sidecar/hop/active_request.h
@@ -58,6 +58,7 @@
     Milliseconds targetLeft() const;
     mesh::RetryFacts facts() const;
     mesh::RetryClaim retryClaim() const;
+    void recordStatement (const mesh::HopReport& report);
     void avoid (const Attempt& attempt, const HopAnswer& answer);
     void scheduleSlowCheck (std::size_t index);
     void onSlow (std::size_t index);
@@ -69,7 +70,7 @@
     int activeCount() const;
     void passOn (const HopAnswer& answer);
     void end (int status, std::string_view cause);
-    void refuse (mesh::HopCause cause);
+    void refuse (mesh::HopCause cause, Duration availableIn);
     void logEnd (EventKind kind, int status, std::string_view cause,
                  std::optional<Milliseconds> retryAfter = std::nullopt);
     void logSearch (const SearchResult& result);
--- a/src/sidecar/hop/active_request_end.cc
+++ b/src/sidecar/hop/active_request_end.cc
@@ -33,7 +33,7 @@
     case NextStep::giveUp:
         return end (502, nameOf (answer.report.cause, mesh::hopCauseNames));
     default:
-        return refuse (answer.report.cause);
+        return refuse (answer.report.cause, mesh::fromMilliseconds (answer.report.availableMs));
     }
 }
 
@@ -119,7 +119,7 @@
     release();
 }
 
-void ActiveRequest::refuse (HopCause why)
+void ActiveRequest::refuse (HopCause why, Duration availableIn)
 {
     if (done)
         return;
@@ -135,7 +135,8 @@
     const auto spread = std::uniform_real_distribution<double> (0, 1) (hop->random);
     const auto hold = hop->guard->holdOf (identityOf (*exchange, tenant));
     const auto retryDelay =
-        hold ? hold->remaining : mesh::retryAfter (why, clientGivesUpAt - now(), spread);
+        hold ? hold->remaining
+             : mesh::retryAfter (why, clientGivesUpAt - now(), spread, availableIn);
 
     if (why == HopCause::crashSuspect)
         hop->guard->countRefusal();
--- a/src/sidecar/hop/first_hop.cc
+++ b/src/sidecar/hop/first_hop.cc
@@ -6,6 +6,7 @@
 
 #include "mesh/avoidance.h"
 #include "mesh/enum_names.h"
+#include "mesh/milliseconds.h"
 #include "sidecar/hop/active_request.h"
 #include "sidecar/http/messages.h"
 
@@ -98,6 +99,9 @@
     if (duration > Milliseconds (0))
         return chooser.suspect (at, reply.instanceId, duration);
 
+    if (reply.cause == mesh::HopCause::instanceLimited)
+        chooser.recordLimited (at, reply.instanceId, mesh::fromMilliseconds (reply.expectedMs));
+
     chooser.recordReport (at, reply.instanceId, { reply.load, reply.runMs, reply.bodyTransferMs });
 }
 
--- a/src/sidecar/hop/instance_search.cc
+++ b/src/sidecar/hop/instance_search.cc
@@ -182,6 +182,7 @@
     SearchResult found;
     found.step = step;
     found.cause = poll.refusal();
+    found.availableMs = poll.availableMs();
     end (found);
 }
 
--- a/src/sidecar/hop/instance_search.h
+++ b/src/sidecar/hop/instance_search.h
@@ -22,6 +22,7 @@
     mesh::PollStep step = mesh::PollStep::noUsableReply; /**< The step that ended the search. */
     mesh::Choice choice;                                 /**< Set for `take`. */
     mesh::HopCause cause = mesh::HopCause::none;         /**< Set for `refuse`. */
+    double availableMs = 0; /**< For `instanceLimited`: time until an instance accepts a request. */
     std::size_t asked = 0, replies = 0;
     bool widened = false; /**< Instances of other zones were queried as well. */
     double tookMs = 0;
--- a/src/sidecar/http/client_connection_answers.cc
+++ b/src/sidecar/http/client_connection_answers.cc
@@ -130,6 +130,7 @@
         ListContains (result.head.fields, "Connection", "close") || result.head.minor_version == 0)
         reusable = false;
 
+    result.headAt = now();
     updateIdleDeadline();
     decoder.emplace (framing);
     state = State::body;
--- a/src/sidecar/instance/instance_statement.cc
+++ b/src/sidecar/instance/instance_statement.cc
@@ -42,7 +42,9 @@
     if (limits.size() == 1)
         statement.requestsPerSecond = parseDecimal (limits[0]);
 
-    if (! limits.empty() && ! statement.requestsPerSecond)
+    statement.hasUnusableLimit = ! limits.empty() && ! statement.requestsPerSecond;
+
+    if (statement.hasUnusableLimit)
         ignore (names.rateLimit, limits[0]);
 
     statement.leaving = leaving.size() == 1 && leaving[0] == leavingValue;
--- a/src/sidecar/instance/instance_statement.h
+++ b/src/sidecar/instance/instance_statement.h
@@ -27,8 +27,9 @@
         no limit.
     */
     std::optional<double> requestsPerSecond;
+    bool hasUnusableLimit = false; /**< It states a limit whose value can't be used. */
     bool leaving = false;
-    std::vector<UnusableField> unusable; /**< Fields that count as absent. */
+    std::vector<UnusableField> unusable; /**< Fields that are ignored. */
 };
 
 /** Reads the fields of an answer. A repeated field and one with a malformed value are unusable: a
--- a/src/sidecar/instance/last_hop.cc
+++ b/src/sidecar/instance/last_hop.cc
@@ -18,6 +18,7 @@
 using mesh::nameOf;
 using mesh::toMilliseconds;
 
+constexpr double noLimitInLog = -1;
 constexpr double repeatAveragingWeight = 0.03;
 // Leaves time for the instance's own answer at the deadline to arrive.
 constexpr Milliseconds deadlineGrace{ 20 };
@@ -59,6 +60,12 @@
     made.runMs = queue.usualRunMs();
     made.bodyTransferMs = bodyTransferMs ? bodyTransferMs() : 0;
     made.configurationVersion = configurationVersion;
+    made.statedLimit = queue.rateLimit().requestsPerSecond();
+
+    if (cause == HopCause::instanceLimited)
+        made.availableMs =
+            toMilliseconds (queue.rateLimit().retryDelay (SteadyClock().Now(), queue.waiting()));
+
     return made;
 }
 
@@ -112,6 +119,7 @@
         return id;
     }
 
+    adoptLimit (now, running.call.facts);
     const auto& facts = running.call.facts;
     const auto transfer = mesh::fromMilliseconds (transferMs (facts.route, running.call.overLink));
     const auto decision =
@@ -130,6 +138,9 @@
 
 HopCause LastHop::queueRefusalCause (Timestamp now) const
 {
+    if (queue.isRateLimited (now))
+        return HopCause::instanceLimited;
+
     return queue.startWindow().isEnforced (now) ? HopCause::instanceCold : HopCause::queueFull;
 }
 
@@ -146,7 +157,8 @@
                   { "target_ms", toMilliseconds (targetOf (running) - now) },
                   { "left_ms", toMilliseconds (running.deadline - now) },
                   { "wait_ms", queue.expectedWaitMs (now, running.call.facts.priority) },
-                  { "cold_ms", std::max (coldMs (now), 0.0) } });
+                  { "cold_ms", std::max (coldMs (now), 0.0) },
+                  { "limit", queue.rateLimit().requestsPerSecond().value_or (noLimitInLog) } });
 }
 
 Timestamp LastHop::targetOf (const PendingCall& running)
@@ -218,7 +230,7 @@
                   { "waited_ms", toMilliseconds (now - found->second.arrivedAt) },
                   { "running", static_cast<std::int64_t> (queue.running()) },
                   { "waiting", static_cast<std::int64_t> (queue.waiting()) } });
-    queue.cancel (id);
+    queue.cancelStart (id);
     calls.erase (found);
     return true;
 }
@@ -302,7 +314,9 @@
 
 void LastHop::pump()
 {
-    refuseAll (queue.expire (SteadyClock().Now()), HopCause::expired);
+    const auto at = SteadyClock().Now();
+    refuseAll (queue.expire (at),
+               queue.isRateLimited (at) ? HopCause::instanceLimited : HopCause::expired);
 
     for (;;)
     {
--- a/src/sidecar/instance/last_hop.h
+++ b/src/sidecar/instance/last_hop.h
@@ -72,7 +72,8 @@
 {
     mesh::LatencyHistogram queue, instance; /**< Time in the queue, and at the instance. */
     std::uint64_t coldProbes = 0;           /**< Probes of whether the instance is cold. */
-    std::uint64_t crashProbes = 0;          /**< Probes of whether the instance has crashed. */
+    std::uint64_t limitProbes = 0; /**< Probes of whether the instance's limit still holds. */
+    std::uint64_t crashProbes = 0; /**< Probes of whether the instance has crashed. */
     /** Crashes of the instance while requests ran there. */
     std::uint64_t crashes = 0;
     /** Fields of its answers that were ignored since their values can't be used. */
@@ -155,6 +156,9 @@
     /** Returns the share of failures among the recent runs. */
     double failureShare (Timestamp now) const { return failures.at (now); }
 
+    /** Returns whether the instance leaves, by its entry or by its own statement. */
+    bool instanceLeaving() const { return instance.leaving(); }
+
     /** Returns how long the instance stays cold, in ms; zero or negative if it is warm. */
     double coldMs (Timestamp now) const;
 
@@ -191,8 +195,12 @@
     void refuseAll (const std::vector<CallId>& ids, mesh::HopCause cause);
     void onResult (CallId id, CallResult result);
     void updateInstance (const CallResult& result, const std::string& addressedId);
-    void recordStatement (Timestamp now, const CallResult& result);
-    void recordLimit (Timestamp now, std::optional<double> perSecond);
+    void recordStatement (Timestamp now, const CallResult& result, bool isHealthAnswer);
+    void recordLimit (Timestamp now, const CallResult& result, std::optional<double> perSecond,
+                      bool isHealthAnswer);
+    void adoptLimit (Timestamp now, const mesh::HopRequest& facts);
+    void handleLimitChange (Timestamp now);
+    void probeIfLimitUnconfirmed (Timestamp now);
     void logLimit (Timestamp now);
     void recordUnanswered (const PendingCall& running);
     void recordAlive (Timestamp sentAt);
@@ -239,8 +247,6 @@
     bool stopping = false;
     /** Whether this node's zone is evacuated. */
     bool evacuated = false;
-    /** Requests per second that the instance accepts, as stated in its latest answer. */
-    std::optional<double> statedLimit;
     bool statedLeaving = false;
     std::uint64_t sentSinceLimitLine = 0;
     Timestamp limitLineAt{};
--- a/src/sidecar/instance/last_hop_crash.cc
+++ b/src/sidecar/instance/last_hop_crash.cc
@@ -52,7 +52,7 @@
         return false;
 
     // While the request waited in the queue, an equal one may have crashed another instance.
-    queue.cancel (id);
+    queue.cancelStart (id);
     refuse (id, mesh::HopCause::crashSuspect);
     return true;
 }
--- a/src/sidecar/instance/last_hop_forecast.cc
+++ b/src/sidecar/instance/last_hop_forecast.cc
@@ -74,6 +74,10 @@
     if (reply.decision == mesh::AdmissionDecision::refuse)
         reply.cause = queueRefusalCause (now);
 
+    if (reply.cause == HopCause::instanceLimited)
+        reply.expectedMs =
+            mesh::toMilliseconds (queue.rateLimit().retryDelay (now, queue.waiting()));
+
     return reply;
 }
 
--- a/src/sidecar/instance/last_hop_instance.cc
+++ b/src/sidecar/instance/last_hop_instance.cc
@@ -66,11 +66,11 @@
         recordAlive (now - result.took);
 
     // An answer to a request that was addressed to a predecessor says nothing about the instance.
-    if ((reportedId.empty() ? addressedId : reportedId) == instance.id())
-        recordStatement (now, result);
+    if (instance.known() && (reportedId.empty() ? addressedId : reportedId) == instance.id())
+        recordStatement (now, result, addressedId.empty());
 }
 
-void LastHop::recordStatement (Timestamp now, const CallResult& result)
+void LastHop::recordStatement (Timestamp now, const CallResult& result, bool isHealthAnswer)
 {
     const auto statement = statementOf (result.head.fields, settings.names);
 
@@ -82,24 +82,46 @@
             { { "key", instance.id() }, { "place", field.name }, { "cause", field.value } });
     }
 
-    recordLimit (now, statement.requestsPerSecond);
+    if (! statement.hasUnusableLimit)
+        recordLimit (now, result, statement.requestsPerSecond, isHealthAnswer);
 
-    if (statement.leaving && ! std::exchange (statedLeaving, true))
-        log->write (now, EventKind::instanceLeaving,
-                    { { "instance", instance.id() },
-                      { "by", "answer" },
-                      { "running", static_cast<std::int64_t> (queue.running()) },
-                      { "waiting", static_cast<std::int64_t> (queue.waiting()) } });
+    if (! statement.leaving || std::exchange (statedLeaving, true))
+        return;
+
+    log->write (now, EventKind::instanceLeaving,
+                { { "instance", instance.id() },
+                  { "by", "answer" },
+                  { "running", static_cast<std::int64_t> (queue.running()) },
+                  { "waiting", static_cast<std::int64_t> (queue.waiting()) } });
 }
 
-void LastHop::recordLimit (Timestamp now, std::optional<double> perSecond)
+void LastHop::recordLimit (Timestamp now, const CallResult& result, std::optional<double> perSecond,
+                           bool isHealthAnswer)
 {
-    if (statedLimit == perSecond)
-        return;
+    auto& limit = queue.rateLimit();
+    const bool changed = isHealthAnswer ? limit.recordHealthAnswer (result.headAt, perSecond)
+                                        : limit.recordAnswer (result.headAt, perSecond);
 
-    statedLimit = perSecond;
+    if (changed)
+        handleLimitChange (now);
+}
 
-    if (statedLimit)
+void LastHop::adoptLimit (Timestamp now, const mesh::HopRequest& facts)
+{
+    if (facts.statedLimit && facts.instanceId == instance.id() &&
+        queue.rateLimit().adopt (now, *facts.statedLimit))
+    {
+        handleLimitChange (now);
+        probeIfLimitUnconfirmed (now);
+    }
+}
+
+void LastHop::handleLimitChange (Timestamp now)
+{
+    queue.reassess (now);
+    armTimer();
+
+    if (queue.rateLimit().requestsPerSecond())
         return logLimit (now);
 
     log->write (now, EventKind::instanceUnlimited,
@@ -112,16 +134,27 @@
 
 void LastHop::logLimit (Timestamp now)
 {
+    const auto& limit = queue.rateLimit();
     limitLineAt = now;
     log->write (now, EventKind::instanceLimited,
                 { { "instance", instance.id() },
-                  { "per_second", statedLimit.value_or (0) },
-                  { "by", "answer" },
+                  { "per_second", limit.requestsPerSecond().value_or (0) },
+                  { "by", nameOf (limit.origin(), mesh::limitOriginNames) },
                   { "sent", static_cast<std::int64_t> (std::exchange (sentSinceLimitLine, 0)) },
                   { "running", static_cast<std::int64_t> (queue.running()) },
                   { "waiting", static_cast<std::int64_t> (queue.waiting()) } });
 }
 
+void LastHop::probeIfLimitUnconfirmed (Timestamp now)
+{
+    if (! health->canProbe() || ! queue.rateLimit().wantsProbe (now))
+        return;
+
+    ++counts.limitProbes;
+    queue.rateLimit().recordProbe (now);
+    probe();
+}
+
 void LastHop::adoptIdentity (Timestamp now, mesh::IdentitySource by, const std::string& before)
 {
     log->write (now, EventKind::identityLearned,
@@ -143,7 +176,7 @@
         queue.startWindow().clear();
 
     failures = {};
-    statedLimit.reset();
+    queue.rateLimit().reset();
     statedLeaving = false;
 
     presumeCold (now, "new_instance");
@@ -286,7 +319,9 @@
 
     probeIfColdUnknown (now);
 
-    if (statedLimit && now - limitLineAt >= limitLineInterval)
+    probeIfLimitUnconfirmed (now);
+
+    if (queue.rateLimit().requestsPerSecond() && now - limitLineAt >= limitLineInterval)
         logLimit (now);
 }
 
--- a/src/sidecar/sidecar_metrics.cc
+++ b/src/sidecar/sidecar_metrics.cc
@@ -147,6 +147,17 @@
                     "For how long it stays cold and gets few requests", figures.coldMs);
     families.counter ("copperlead_instance_cold_questions_total",
                       "Times that it was asked whether it is cold", figures.last.coldProbes);
+
+    if (figures.statedLimit)
+        families.gauge ("copperlead_instance_limit_per_second",
+                        "Requests a second that it states to take from all nodes together",
+                        *figures.statedLimit);
+
+    families.counter ("copperlead_instance_limit_questions_total",
+                      "Times that it was asked whether its limit still holds",
+                      figures.last.limitProbes);
+    families.gauge ("copperlead_instance_leaving", "1 while it leaves and gets nothing new",
+                    figures.instanceLeaving ? 1 : 0);
     families.counter ("copperlead_instance_unusable_fields_total",
                       "Fields of its answers that were ignored since their values can't be used",
                       figures.last.unusableFields);
--- a/src/sidecar/sidecar_metrics.h
+++ b/src/sidecar/sidecar_metrics.h
@@ -48,6 +48,9 @@
     bool ready = false, reading = false;
     double failureShare = 0; /**< Share of the latest runs that failed. */
     double coldMs = 0;       /**< Remaining cold time of the instance; 0 when it is warm. */
+    /** Requests per second that the instance states to accept; nothing without a limit. */
+    std::optional<double> statedLimit;
+    bool instanceLeaving = false;
     std::uint64_t zonesEvacuated = 0;
     /** Time since the source last answered this node; nothing before the first answer. */
     std::optional<double> msSinceSourceAnswer;
--- a/src/sidecar/sidecar_servers.cc
+++ b/src/sidecar/sidecar_servers.cc
@@ -96,6 +96,8 @@
     shown.running = lastHop->admission().running();
     shown.failureShare = lastHop->failureShare (at);
     shown.coldMs = std::max (lastHop->coldMs (at), 0.0);
+    shown.statedLimit = lastHop->admission().rateLimit().requestsPerSecond();
+    shown.instanceLeaving = lastHop->instanceLeaving();
     shown.zonesEvacuated = state.evacuatedZones().size();
     shown.waiting = lastHop->admission().waiting();
     shown.connections = outbound->connections();
--- a/tests/mesh/admission_queue_test.cc
+++ b/tests/mesh/admission_queue_test.cc
@@ -362,5 +362,56 @@
     EXPECT_EQ (queue.next (at (1010)), 4U);
 }
 
+TEST (AdmissionQueue, TheInstancesOwnLimitDelaysStarts)
+{
+    AdmissionQueue queue;
+    queue.setLimit (10);
+    queue.rateLimit().recordAnswer (at (0), 2);
+    EXPECT_TRUE (queue.isRateLimited (at (0)));
+    EXPECT_EQ (queue.offer (at (0), request (1, 0, 1000, 2000)), AdmissionDecision::wait);
+    EXPECT_EQ (queue.next (at (0)), 0U);
+    EXPECT_EQ (queue.nextRateLimitedStart (at (0)), at (500));
+    EXPECT_EQ (queue.next (at (500)), 1U);
+}
+
+TEST (AdmissionQueue, ARequestThatTheInstancesLimitDelaysTooLongIsRefusedAtOnce)
+{
+    AdmissionQueue queue;
+    queue.setLimit (10);
+    queue.rateLimit().recordAnswer (at (0), 2);
+    EXPECT_EQ (queue.offer (at (0), request (1, 0, 200, 400)), AdmissionDecision::refuse);
+    EXPECT_EQ (queue.forecast (at (0), request (1, 0, 200, 400)).decision,
+               AdmissionDecision::refuse);
+    queue.rateLimit().recordAnswer (at (0), 0);
+    EXPECT_EQ (queue.offer (at (0), request (1, 0, 60'000, 120'000)), AdmissionDecision::refuse);
+}
+
+/** Guards against requests that are held until their deadline by a limit that fell meanwhile. */
+TEST (AdmissionQueue, WaitingRequestsThatALowerLimitKeepsFromRunningAreRefusedAtOnce)
+{
+    AdmissionQueue queue;
+    queue.setLimit (1);
+    fill (queue, 1);
+    EXPECT_EQ (queue.offer (at (0), request (2, 0, 500, 600)), AdmissionDecision::wait);
+    EXPECT_EQ (queue.offer (at (0), request (3, 0, 900, 1000)), AdmissionDecision::wait);
+    queue.rateLimit().recordAnswer (at (10), 1.25);
+    queue.reassess (at (10));
+    EXPECT_EQ (queue.expire (at (10)), Ids{ 2 });
+    EXPECT_EQ (queue.waiting(), 1U);
+    finishRun (queue, 1);
+    EXPECT_EQ (queue.next (at (811)), 3U);
+}
+
+TEST (AdmissionQueue, ARequestThatWasSelectedButNotSentLeavesItsTokenToTheNext)
+{
+    AdmissionQueue queue;
+    queue.setLimit (10);
+    queue.rateLimit().recordAnswer (at (0), 1);
+    EXPECT_EQ (queue.offer (at (1000), request (1, 0, 2000, 3000)), AdmissionDecision::run);
+    queue.cancelStart (1);
+    EXPECT_EQ (queue.running(), 0U);
+    EXPECT_EQ (queue.offer (at (1000), request (2, 0, 2000, 3000)), AdmissionDecision::run);
+}
+
 } // namespace
 } // namespace copperlead::mesh::test
--- a/tests/mesh/choice_test.cc
+++ b/tests/mesh/choice_test.cc
@@ -310,5 +310,32 @@
     EXPECT_EQ (choices (chooser, *directory.snapshot(), route)["near"], 10);
 }
 
+TEST_F (Choosing, AnInstanceAtItsLimitIsDrawnOnlyIfThereIsNoOther)
+{
+    const ChoiceRequest wanted{ &route, "desk", 0, {} };
+    directory.setLocality ({ "z1", {} });
+    directory.put (at (0), makeInstance ("next", "z1", 3), revision (5));
+    chooser.recordLimited (at (0), "near", Milliseconds (200));
+    auto drawn = chooser.sample (at (100), *directory.snapshot(), wanted, 2, Proximity::sameZone);
+    ASSERT_EQ (drawn.size(), 1U);
+    EXPECT_EQ (drawn[0].id, "next");
+
+    chooser.recordLimited (at (0), "next", Milliseconds (10'000));
+    EXPECT_EQ (
+        chooser.sample (at (100), *directory.snapshot(), wanted, 2, Proximity::sameZone).size(),
+        2U);
+    drawn = chooser.sample (at (600), *directory.snapshot(), wanted, 2, Proximity::sameZone);
+    EXPECT_EQ (drawn.size(), 2U) << "a limit may have ended, so it is asked for again";
+}
+
+TEST_F (Choosing, TheLimitInTheLatestAnswerIsKept)
+{
+    EXPECT_FALSE (chooser.statedLimit ("near"));
+    chooser.recordLimit ("near", 2.5);
+    EXPECT_EQ (chooser.statedLimit ("near"), 2.5);
+    chooser.recordLimit ("near", std::nullopt);
+    EXPECT_FALSE (chooser.statedLimit ("near"));
+}
+
 } // namespace
 } // namespace copperlead::mesh::test
--- a/tests/mesh/hop_header_test.cc
+++ b/tests/mesh/hop_header_test.cc
@@ -87,5 +87,31 @@
     EXPECT_TRUE (decodeHopRequest ("service=desk;later=1"));
 }
 
+TEST (HopHeader, StatementsOfTheInstanceRoundTrip)
+{
+    HopRequest request;
+    request.service = "desk";
+    EXPECT_FALSE (decodeHopRequest (encode (request))->statedLimit);
+    HopReport report;
+    EXPECT_FALSE (decodeHopReport (encode (report))->statedLimit);
+
+    for (const double limit : { 0.0, 1.9, 25.5, 1e-9, 1e12 })
+    {
+        request.statedLimit = report.statedLimit = limit;
+        EXPECT_EQ (decodeHopRequest (encode (request))->statedLimit, limit);
+        EXPECT_EQ (decodeHopReport (encode (report))->statedLimit, limit);
+    }
+
+    report.cause = HopCause::instanceLimited;
+    report.availableMs = 40;
+    const auto read = decodeHopReport (encode (report));
+    ASSERT_TRUE (read);
+    EXPECT_EQ (read->cause, HopCause::instanceLimited);
+    EXPECT_EQ (read->availableMs, 40);
+
+    for (const auto* text : { "limit=-1", "limit=nan", "limit=inf", "limit=1x" })
+        EXPECT_FALSE (decodeHopRequest (std::string ("service=desk;") + text)) << text;
+}
+
 } // namespace
 } // namespace copperlead::mesh::test
--- a/tests/mesh/instance_poll_test.cc
+++ b/tests/mesh/instance_poll_test.cc
@@ -187,5 +187,39 @@
     EXPECT_EQ (poll.best().instance.id, "b");
 }
 
+/** Guards against a refusal while an instance without a limit has room. */
+TEST_F (Poll, MoreInstancesAreAskedIfSomeAreAtTheirLimits)
+{
+    for (const auto* id : { "a", "b" })
+        poll.replied (refusing (id, HopCause::instanceLimited));
+
+    EXPECT_EQ (poll.replied (refusing ("c")), PollStep::widen);
+    askOtherZone();
+    poll.replied (refusing ("x"));
+    EXPECT_EQ (poll.replied (refusing ("y")), PollStep::widen);
+    poll.ask (makeInstance ("z", "z2", 3), 30);
+    EXPECT_EQ (poll.replied (free ("z")), PollStep::take);
+}
+
+TEST_F (Poll, ASearchPastLimitsIsBoundedAndKnowsWhenThereIsRoomAgain)
+{
+    auto later = refusing ("a", HopCause::instanceLimited);
+    later.expectedMs = 900;
+    auto sooner = refusing ("b", HopCause::instanceLimited);
+    sooner.expectedMs = 300;
+    poll.replied (later);
+    poll.replied (sooner);
+    auto step = poll.replied (refusing ("c", HopCause::instanceLeaving));
+    int widenings = 0;
+
+    for (; step == PollStep::widen && widenings < 100; ++widenings)
+        step = poll.waitExpired();
+
+    EXPECT_EQ (step, PollStep::refuse);
+    EXPECT_LE (widenings, 4);
+    EXPECT_EQ (poll.refusal(), HopCause::instanceLimited);
+    EXPECT_EQ (poll.availableMs(), 300);
+}
+
 } // namespace
 } // namespace copperlead::mesh::test
