Send nothing new to an instance that states that it leaves

Cause: leaving was read from the store alone; health checks saw at most a 503. Same class as the limit: what an answer tells had no reader.

Why this mends it: the node beside the instance refuses what waits and what arrives from that answer on, and answers load queries so. A node that has received such an answer, or its report, never chooses that incarnation again, so it holds although the node beside has started anew, although the store is away or restored, and although the entry goes and is written again. Only another id, or a later start time under the same id, ends it.

--- a/src/mesh/hop_header.cc
+++ b/src/mesh/hop_header.cc
@@ -209,6 +209,9 @@
     if (report.statedLimit)
         writer.addDecimal ("limit", *report.statedLimit);
 
+    if (report.statedLeaving)
+        writer.add ("leaving", 1);
+
     if (report.availableMs > 0)
         writer.addMilliseconds ("available", report.availableMs);
 
@@ -253,6 +256,7 @@
     report.bodyTransferMs = static_cast<double> (reader.integer ("body"));
     report.configurationVersion = static_cast<std::uint64_t> (reader.integer ("version"));
     report.statedLimit = reader.decimal ("limit");
+    report.statedLeaving = reader.integer ("leaving") == 1;
     report.availableMs = static_cast<double> (reader.integer ("available"));
 
     if (! reader.isValid() || outcome < 0 || outcome >= std::ssize (hopOutcomeNames) || cause < 0 ||
--- a/src/mesh/hop_header.h
+++ b/src/mesh/hop_header.h
@@ -104,7 +104,8 @@
 
     /** Requests per second that the instance states to accept; nothing without a limit. */
     std::optional<double> statedLimit;
-    double availableMs = 0; /**< For `instanceLimited`: time until a request is accepted. */
+    bool statedLeaving = false; /**< The instance itself has stated that it leaves. */
+    double availableMs = 0;     /**< For `instanceLimited`: time until a request is accepted. */
 };
 
 std::string encode (const HopRequest& request);
--- a/src/mesh/instance_chooser.cc
+++ b/src/mesh/instance_chooser.cc
@@ -21,6 +21,8 @@
 constexpr std::size_t extraDraws = 5;
 // An instance that states a limit is asked again after this time, since the limit may have ended.
 constexpr Milliseconds maxLimitedTime{ 500 };
+// Above this number, those that aren't listed are dropped.
+constexpr std::size_t maxLeavingInstances = 4096;
 constexpr double lapsedPenaltyMs = 10'000, suspectedPenaltyMs = 5'000;
 
 } // namespace
@@ -104,8 +106,9 @@
 bool InstanceChooser::mayPrefer (Timestamp now, const std::string& id) const
 {
     const auto found = views.find (id);
-    return found == views.end() ||
-           (found->second.avoidedUntil <= now && found->second.suspectedUntil <= now);
+    return ! leaving.contains (id) &&
+           (found == views.end() ||
+            (found->second.avoidedUntil <= now && found->second.suspectedUntil <= now));
 }
 
 bool InstanceChooser::isLimited (Timestamp now, const std::string& id) const
@@ -122,6 +125,12 @@
            mayPrefer (now, id) && isAllowed (candidate.instance, request);
 }
 
+void InstanceChooser::recordLeaving (const std::string& id)
+{
+    const auto started = startTimes.find (id);
+    leaving.try_emplace (id, started == startTimes.end() ? 0 : started->second);
+}
+
 std::optional<double> InstanceChooser::statedLimit (const std::string& id) const
 {
     const auto found = views.find (id);
@@ -188,7 +197,7 @@
         const auto& id = candidate.instance.id;
         const auto& view = views[id];
 
-        if (view.avoidedUntil > now || request.excludes (id) ||
+        if (view.avoidedUntil > now || request.excludes (id) || leaving.contains (id) ||
             ! isAllowed (candidate.instance, request))
             continue;
 
@@ -273,6 +282,14 @@
     if (instance.startTimeMs == 0)
         return;
 
+    if (const auto left = leaving.find (instance.id); left != leaving.end())
+    {
+        if (left->second != 0 && instance.startTimeMs > left->second)
+            leaving.erase (left);
+        else
+            left->second = instance.startTimeMs;
+    }
+
     auto& known = startTimes[instance.id];
     const bool hasRestarted = known != 0 && instance.startTimeMs > known;
     known = std::max (known, instance.startTimeMs);
@@ -301,6 +318,9 @@
     std::erase_if (views, [&] (const auto& item)
                    { return item.second.inFlight == 0 && ! listed.contains (item.first); });
 
+    if (leaving.size() > maxLeavingInstances)
+        std::erase_if (leaving, [&] (const auto& item) { return ! listed.contains (item.first); });
+
     std::erase_if (startTimes, [&] (const auto& item)
                    { return ! listed.contains (item.first) && ! views.contains (item.first); });
 }
--- a/src/mesh/instance_chooser.h
+++ b/src/mesh/instance_chooser.h
@@ -82,7 +82,7 @@
     bool isAllowed (const Instance& instance, const ChoiceRequest& request) const;
     const Locality& locality() const { return settings.locality; }
 
-    /** @returns true while the instance is neither avoided nor suspected */
+    /** @returns true while the instance is neither avoided nor suspected, and doesn't leave */
     bool mayPrefer (Timestamp now, const std::string& id) const;
 
     /** The cost of reaching the instance from this node's zone, expressed as time. */
@@ -107,6 +107,9 @@
         views[id].statedLimit = requestsPerSecond;
     }
 
+    /** Records that an instance stated that it leaves. This incarnation is never chosen again. */
+    void recordLeaving (const std::string& id);
+
     /** The limit that an instance stated in the latest answer that this node has received. */
     std::optional<double> statedLimit (const std::string& id) const;
 
@@ -170,6 +173,11 @@
     std::unordered_map<std::string, std::uint64_t> startTimes;
 
     std::unordered_map<std::string, RouteHistory> routes;
+
+    /** The instances that have stated that they leave, with their start times in Unix ms; 0 if
+        unknown. They are kept although their entries go, since an entry may be written again.
+    */
+    std::unordered_map<std::string, std::uint64_t> leaving;
 };
 
 } // namespace copperlead::mesh
--- a/src/mesh/local_instance.cc
+++ b/src/mesh/local_instance.cc
@@ -41,7 +41,7 @@
     const bool changed = listed.id != currentId || restarted;
 
     if (changed)
-        isLost = false;
+        isLost = hasStatedLeaving = false;
 
     incarnationStart =
         changed ? listed.startTimeMs : std::max (incarnationStart, listed.startTimeMs);
@@ -64,7 +64,7 @@
     incarnationStart = 0;
     currentService = configured;
     source = IdentitySource::selfReported;
-    isLeaving = false;
+    isLeaving = hasStatedLeaving = false;
     return true;
 }
 
--- a/src/mesh/local_instance.h
+++ b/src/mesh/local_instance.h
@@ -43,6 +43,12 @@
     */
     bool recordReportedId (const std::string& reportedId);
 
+    /** Records that the instance stated that it leaves, which holds for this incarnation whatever
+        its entry says.
+    */
+    void recordStatedLeaving() { hasStatedLeaving = true; }
+    bool statedLeaving() const { return hasStatedLeaving; }
+
     /** Records a call that ended without an answer.
         @returns true if the instance now counts as lost
     */
@@ -62,7 +68,7 @@
     IdentitySource identitySource() const { return source; }
     int slots() const { return slotCount; }
     bool known() const { return ! currentId.empty(); }
-    bool leaving() const { return isLeaving; }
+    bool leaving() const { return isLeaving || hasStatedLeaving; }
     bool lost() const { return isLost; }
     Duration lostFor (Timestamp now) const { return now - lostAt; }
 
@@ -75,7 +81,7 @@
     SourcePosition createdAt;
     std::uint64_t incarnationStart = 0; /**< Unix ms; 0 if unknown. */
     int slotCount = 1;
-    bool isLeaving = false, isLost = false;
+    bool isLeaving = false, hasStatedLeaving = false, isLost = false;
     int unansweredCalls = 0;
     Timestamp lostAt{}, probedAt{};
 };
--- a/src/sidecar/hop/active_request.cc
+++ b/src/sidecar/hop/active_request.cc
@@ -265,6 +265,9 @@
     // A node that has just started and has no answer yet doesn't know whether there is a limit.
     if (hasAnswered || report.statedLimit)
         hop->chooser.recordLimit (report.instanceId, report.statedLimit);
+
+    if (report.statedLeaving)
+        hop->chooser.recordLeaving (report.instanceId);
 }
 
 AttemptOutcome ActiveRequest::recordOutcome (std::size_t index, const HopAnswer& answer)
--- a/src/sidecar/instance/last_hop.cc
+++ b/src/sidecar/instance/last_hop.cc
@@ -61,6 +61,7 @@
     made.bodyTransferMs = bodyTransferMs ? bodyTransferMs() : 0;
     made.configurationVersion = configurationVersion;
     made.statedLimit = queue.rateLimit().requestsPerSecond();
+    made.statedLeaving = instance.statedLeaving();
 
     if (cause == HopCause::instanceLimited)
         made.availableMs =
@@ -314,6 +315,10 @@
 
 void LastHop::pump()
 {
+    // An answer may have stated that the instance leaves.
+    if (instance.leaving())
+        refuseAll (queue.clear(), HopCause::instanceLeaving);
+
     const auto at = SteadyClock().Now();
     refuseAll (queue.expire (at),
                queue.isRateLimited (at) ? HopCause::instanceLimited : HopCause::expired);
--- a/src/sidecar/instance/last_hop.h
+++ b/src/sidecar/instance/last_hop.h
@@ -247,7 +247,6 @@
     bool stopping = false;
     /** Whether this node's zone is evacuated. */
     bool evacuated = false;
-    bool statedLeaving = false;
     std::uint64_t sentSinceLimitLine = 0;
     Timestamp limitLineAt{};
 };
--- a/src/sidecar/instance/last_hop_instance.cc
+++ b/src/sidecar/instance/last_hop_instance.cc
@@ -85,9 +85,10 @@
     if (! statement.hasUnusableLimit)
         recordLimit (now, result, statement.requestsPerSecond, isHealthAnswer);
 
-    if (! statement.leaving || std::exchange (statedLeaving, true))
+    if (! statement.leaving || instance.statedLeaving())
         return;
 
+    instance.recordStatedLeaving();
     log->write (now, EventKind::instanceLeaving,
                 { { "instance", instance.id() },
                   { "by", "answer" },
@@ -177,7 +178,6 @@
 
     failures = {};
     queue.rateLimit().reset();
-    statedLeaving = false;
 
     presumeCold (now, "new_instance");
 }
--- a/tests/mesh/choice_test.cc
+++ b/tests/mesh/choice_test.cc
@@ -310,6 +310,37 @@
     EXPECT_EQ (choices (chooser, *directory.snapshot(), route)["near"], 10);
 }
 
+/** Guards against an instance that has stated that it leaves and whose entry is written again. */
+TEST_F (Choosing, AnInstanceThatHasStatedThatItLeavesIsNeverChosenAgain)
+{
+    chooser.recordLeaving ("near");
+    EXPECT_FALSE (chooser.mayPrefer (at (0), "near"));
+    EXPECT_EQ (choices (chooser, *directory.snapshot(), route)["near"], 0);
+
+    directory.remove (at (1), "near", revision (8), true);
+    chooser.forgetUnlisted (*directory.snapshot());
+    directory.put (at (2), makeInstance ("near", "z1", 1), revision (9));
+    chooser.forgetUnlisted (*directory.snapshot());
+    EXPECT_FALSE (chooser.mayPrefer (at (2), "near"));
+    EXPECT_EQ (choices (chooser, *directory.snapshot(), route)["near"], 0);
+    Choice choice;
+    EXPECT_FALSE (
+        chooser.choose (at (2), *directory.snapshot(), { &route, "desk", 0, { "far" } }, choice));
+}
+
+TEST_F (Choosing, ANewIncarnationUnderTheSameIdDoesNotLeave)
+{
+    directory.put (at (0), withStartTime (makeInstance ("near", "z1", 1), 1000), revision (5));
+    chooser.forgetUnlisted (*directory.snapshot());
+    chooser.recordLeaving ("near");
+    directory.put (at (1), withStartTime (makeInstance ("near", "z1", 1), 1000), revision (6));
+    chooser.forgetUnlisted (*directory.snapshot());
+    EXPECT_FALSE (chooser.mayPrefer (at (1), "near"));
+    directory.put (at (2), withStartTime (makeInstance ("near", "z1", 1), 2000), revision (7));
+    chooser.forgetUnlisted (*directory.snapshot());
+    EXPECT_TRUE (chooser.mayPrefer (at (2), "near"));
+}
+
 TEST_F (Choosing, AnInstanceAtItsLimitIsDrawnOnlyIfThereIsNoOther)
 {
     const ChoiceRequest wanted{ &route, "desk", 0, {} };
--- a/tests/mesh/hop_header_test.cc
+++ b/tests/mesh/hop_header_test.cc
@@ -94,6 +94,7 @@
     EXPECT_FALSE (decodeHopRequest (encode (request))->statedLimit);
     HopReport report;
     EXPECT_FALSE (decodeHopReport (encode (report))->statedLimit);
+    EXPECT_FALSE (decodeHopReport (encode (report))->statedLeaving);
 
     for (const double limit : { 0.0, 1.9, 25.5, 1e-9, 1e12 })
     {
@@ -102,10 +103,12 @@
         EXPECT_EQ (decodeHopReport (encode (report))->statedLimit, limit);
     }
 
+    report.statedLeaving = true;
     report.cause = HopCause::instanceLimited;
     report.availableMs = 40;
     const auto read = decodeHopReport (encode (report));
     ASSERT_TRUE (read);
+    EXPECT_TRUE (read->statedLeaving);
     EXPECT_EQ (read->cause, HopCause::instanceLimited);
     EXPECT_EQ (read->availableMs, 40);
 
--- a/tests/sidecar/instance/last_hop_statement_test.cc
+++ b/tests/sidecar/instance/last_hop_statement_test.cc
@@ -256,5 +256,55 @@
     EXPECT_EQ (call (1, Milliseconds (1000)), 1) << "it doesn't leave";
 }
 
+TEST_F (StatingInstanceTest, AnInstanceThatStatesThatItLeavesGetsNothingMore)
+{
+    state ("X-Leaving: 1\r\n");
+    EXPECT_EQ (call (1), 1);
+    EXPECT_TRUE (lastServed.report.statedLeaving);
+    EXPECT_EQ (call (5), 0);
+    EXPECT_EQ (lastRefused.report.cause, mesh::HopCause::instanceLeaving);
+    EXPECT_EQ (runs, 1);
+}
+
+TEST_F (StatingInstanceTest, RequestsThatWaitAreRefusedOnceItStatesThatItLeaves)
+{
+    state ("X-Limit: 2\r\nX-Leaving: 1\r\n");
+    senderLimit = 2;
+    EXPECT_EQ (call (4, Milliseconds (3000)), 1);
+    EXPECT_EQ (lastRefused.report.cause, mesh::HopCause::instanceLeaving);
+}
+
+TEST_F (StatingInstanceTest, AHealthAnswerStatesItAsWell)
+{
+    state ("X-Limit: 0\r\n", "X-Leaving: 1\r\n");
+    call (1);
+    tickFor (Milliseconds (2500));
+    EXPECT_EQ (call (1), 0);
+    EXPECT_EQ (lastRefused.report.cause, mesh::HopCause::instanceLeaving);
+}
+
+/** Guards against an entry that is written again as ready, by a restored source or another writer.
+ */
+TEST_F (StatingInstanceTest, ItsEntryDoesNotTakeBackThatItLeaves)
+{
+    reactor->RunAndWait ([&] { list ("i-1", 1000); });
+    state ("X-Leaving: 1\r\n");
+    call (1);
+    reactor->RunAndWait ([&] { list ("i-1", 1000); });
+    EXPECT_EQ (call (1), 0);
+    state ("");
+    reactor->RunAndWait ([&] { list ("i-1", 2000); });
+    EXPECT_EQ (call (1), 1) << "a new incarnation under the same id";
+}
+
+TEST_F (StatingInstanceTest, ASuccessorAtTheAddressDoesNotLeave)
+{
+    state ("X-Leaving: 1\r\n");
+    call (1);
+    state ("");
+    reactor->RunAndWait ([&] { list ("i-2"); });
+    EXPECT_EQ (call (1), 1);
+}
+
 } // namespace
 } // namespace copperlead::sidecar
