Tests and soak of limits and leaving that instances state

InstanceStatements: limits that rise, fall and end (also without requests, and where health answers never state them), restarts and late wakes of the node beside, refusals when nothing has room, fields that reach clients as they were sent, leaving while the store is away, restored or says ready again, and a successor.

A refusal counts as unexplained while an instance that states nothing is well, so the soak also checks that what doesn't fit at one instance goes to the others.

--- a/src/standin/instance.cc
+++ b/src/standin/instance.cc
@@ -180,6 +180,11 @@
   return starts_;
 }
 
+bool Instance::states_leaving() const {
+  const std::lock_guard lock(mutex_);
+  return !leaving_.empty();
+}
+
 std::uint64_t Instance::health_checks() const {
   const std::lock_guard lock(mutex_);
   return health_checks_;
--- a/src/standin/instance.h
+++ b/src/standin/instance.h
@@ -121,6 +121,7 @@
   // The limits that it has stated, oldest first.
   std::vector<StatedLimit> stated_limits() const;
   std::uint64_t health_checks() const;
+  bool states_leaving() const;
   // How often a request was run.
   int RunsOf(const std::string& request_id) const;
   // Is cold again from now on, under the same id.
--- a/tests/mesh_integration/instance_statement_test.cc
+++ b/tests/mesh_integration/instance_statement_test.cc
@@ -1,5 +1,6 @@
 // Instances that state in their answers how many requests a second they take, or that they leave.
 #include <gtest/gtest.h>
+#include <signal.h>
 
 #include <atomic>
 #include <thread>
@@ -54,6 +55,13 @@
     return static_cast<double>(served) / all;
   }
 
+  void Restart(MeshMachine& machine, int signal) {
+    machine.sidecar->Signal(signal);
+    machine.sidecar->Wait(std::chrono::seconds(8));
+    fleet_.Start(machine);
+    checks_.Excuse(machine);
+  }
+
   void ExpectKept() const {
     for (const std::string& broken : checks_.BrokenLimits(fleet_)) ADD_FAILURE() << broken;
     for (const std::string& late : checks_.LateToLeaving(fleet_)) ADD_FAILURE() << late;
@@ -79,5 +87,126 @@
   ExpectKept();
 }
 
+TEST_F(InstanceStatements, ALimitThatRisesAndFallsHoldsAtEachValue) {
+  for (const char* limit : {"20", "2", "0", "40", "0.5"}) {
+    At(0).StateLimit(limit);
+    At(1).StateLimit(limit);
+    EXPECT_GE(Load(milliseconds(3500)), 0.98) << limit;
+  }
+  ExpectKept();
+}
+
+// Guards against a node that starts beside a limited instance and knows nothing of the limit.
+TEST_F(InstanceStatements, ALimitHoldsThroughRestartsOfTheNodeBesideTheInstance) {
+  for (std::size_t desk = 0; desk < 3; ++desk) At(desk).StateLimit("1.5");
+  Load(milliseconds(3500));
+  std::thread restarts([&] {
+    for (const int signal : {SIGKILL, SIGTERM, SIGKILL}) {
+      Restart(Desk(0), signal);
+      Restart(Desk(1), signal);
+      std::this_thread::sleep_for(milliseconds(700));
+    }
+  });
+  Load(milliseconds(8000));
+  restarts.join();
+  ExpectKept();
+}
+
+TEST_F(InstanceStatements, ALimitHoldsWhenTheNodeBesideTheInstanceWakesLate) {
+  for (std::size_t desk = 0; desk < 3; ++desk) At(desk).StateLimit("3");
+  Load(milliseconds(3500));
+  std::thread pauses([&] {
+    for (int pause = 0; pause < 3; ++pause) {
+      checks_.Excuse(Desk(0));
+      const Paused paused(*Desk(0).sidecar);
+      std::this_thread::sleep_for(milliseconds(1200));
+      checks_.Excuse(Desk(0));
+    }
+  });
+  Load(milliseconds(6000));
+  pauses.join();
+  ExpectKept();
+}
+
+TEST_F(InstanceStatements, TheEndOfALimitIsNoticedAlsoWithoutRequests) {
+  for (std::size_t desk = 0; desk < 3; ++desk) At(desk).StateLimit("0");
+  At(1).KeepLimitFromHealthAnswers();
+  Load(milliseconds(1000));
+  EXPECT_LE(Load(milliseconds(1500)), 0.1);
+  for (std::size_t desk = 0; desk < 3; ++desk) At(desk).StateLimit("");
+  std::this_thread::sleep_for(milliseconds(3000));
+  Load(milliseconds(500));
+  EXPECT_GE(Load(milliseconds(1000)), 0.99);
+}
+
+TEST_F(InstanceStatements, WhatNoInstanceHasRoomForIsRefusedAtOnceAndHasNotRun) {
+  for (std::size_t desk = 0; desk < 3; ++desk) At(desk).StateLimit("0.5");
+  Load(milliseconds(1000));
+  int refused = 0;
+  for (int sent = 0; sent < 20; ++sent) {
+    const auto began = std::chrono::steady_clock::now();
+    const HttpAnswer answer = Call(Desk(0));
+    if (answer.status == 200) continue;
+    ++refused;
+    EXPECT_EQ(answer.status, 503);
+    EXPECT_EQ(answer.body, "instance_limited\n");
+    EXPECT_GT(std::stod(answer.Header("retry-after")), 0);
+    EXPECT_LT(std::stod(answer.Header("retry-after")), 5);
+    EXPECT_LT(std::chrono::steady_clock::now() - began, milliseconds(300));
+    EXPECT_EQ(fleet_.RunsOf("q-" + std::to_string(sent_)), 0);
+  }
+  EXPECT_GE(refused, 10);
+}
+
+TEST_F(InstanceStatements, FieldsReachClientsAsTheInstanceSentThem) {
+  const std::string large(4'000, '7');
+  for (const std::string& text : {std::string("25.5"), std::string("nan"), std::string("-1"),
+                                  std::string("1,5"), std::string("20 MB"), large}) {
+    for (std::size_t desk = 0; desk < 3; ++desk) {
+      At(desk).StateLimit(text);
+      At(desk).StateLeaving("no");
+    }
+    for (const auto& machine : fleet_.machines()) {
+      const HttpAnswer answer = Call(*machine);
+      EXPECT_EQ(answer.status, 200) << text.substr(0, 20);
+      EXPECT_EQ(answer.Header("server-limit"), text) << text.substr(0, 20);
+      EXPECT_EQ(answer.Header("server-leaving"), "no");
+    }
+  }
+}
+
+// Guards against a request for an instance that leaves after its entry was written again as ready,
+// while the store is away, and from nodes whose peer beside the instance has forgotten it.
+TEST_F(InstanceStatements, LeavingHoldsWhateverTheStoreSaysAndWhoeverRestarts) {
+  At(0).StateLeaving();
+  Load(milliseconds(500));
+  fleet_.store().SetFault(0, {StoreTrouble::kReset, {}});
+  Load(milliseconds(2500));
+  Restart(Desk(0), SIGKILL);
+  Load(milliseconds(1500));
+  fleet_.store().SetFault(0, {});
+  fleet_.List(Desk(0));
+  Load(milliseconds(1500));
+  fleet_.store().Restore(milliseconds(3000));
+  fleet_.List(Desk(0));
+  EXPECT_GE(Load(milliseconds(2500)), 0.99);
+  ExpectKept();
+}
+
+TEST_F(InstanceStatements, AnIncarnationThatFollowsALeavingOneServes) {
+  At(0).StateLeaving();
+  Load(milliseconds(500));
+  At(0).SetId("i-1-next");
+  At(0).StateLeaving("");
+  fleet_.store().Remove("servers/i-1");
+  Desk(0).instance_id = "i-1-next";
+  fleet_.List(Desk(0));
+  const auto before = At(0).runs().size();
+  EXPECT_TRUE(Eventually([&] {
+    EXPECT_EQ(Call(Desk(0)).status, 200);
+    return At(0).runs().size() > before;
+  }));
+}
+
 }  // namespace
 }  // namespace copperlead::standin
--- a/tests/mesh_integration/soak_faults.cc
+++ b/tests/mesh_integration/soak_faults.cc
@@ -14,6 +14,8 @@
 
 constexpr auto kGraceTime = std::chrono::seconds(8);
 constexpr auto kPropagationTime = milliseconds(1000);  // Usually enough for nodes to see a change.
+constexpr auto kLimitEndTime =
+    milliseconds(2500);  // Enough for nodes to notice that a limit ended.
 constexpr auto kMaxDrainDelay = milliseconds(2000);  // Draining instances get no requests after it.
 
 // @param board  null: nothing stands in the way
@@ -116,8 +118,46 @@
   }
 }
 
+void Soak::ReplaceInstance(MeshMachine& machine) {
+  RecordFault("replaced", &machine, machine.instance_id);
+  const std::lock_guard lock(listing_);
+  fleet_.store().Remove("servers/" + machine.instance_id);
+  former_instance_ids_.insert(machine.instance_id);
+  machine.instance_id += "-r" + std::to_string(++replaced_instances_);
+  machine.instance->SetId(machine.instance_id);
+  machine.instance->StateLeaving("");
+  machine.instance->StateLimit("");
+  fleet_.List(machine);
+}
+
+void Soak::ChangeStatement(MeshMachine& machine) {
+  if (machine.instance->states_leaving()) return ReplaceInstance(machine);
+  if (Pick(0, 3) == 0) {
+    RecordFault("states that it leaves", &machine);
+    machine.instance->StateLeaving();
+    const std::lock_guard lock(listing_);
+    if (Pick(0, 1) == 0) fleet_.List(machine, "draining");
+    return;
+  }
+  static constexpr const char* kLimits[] = {"", "0", "0.5", "2", "5", "20", "nan"};
+  const std::string limit = kLimits[Pick(0, std::size(kLimits) - 1)];
+  RecordFault("states a limit", &machine, limit);
+  machine.instance->StateLimit(limit);
+}
+
+void Soak::ClearStatements() {
+  for (const auto& machine : fleet_.machines()) {
+    if (machine->instance->states_leaving()) ReplaceInstance(*machine);
+    machine->instance->StateLimit("");
+  }
+}
+
 void Soak::InjectRestore() {
   ClearFaults();
+  if (with_statements_) {
+    ClearStatements();
+    std::this_thread::sleep_for(kLimitEndTime);
+  }
   std::this_thread::sleep_for(kPropagationTime);
   health_.SetStoreFault(true);
 
@@ -161,6 +201,9 @@
 
 void Soak::InjectFault() {
   if (with_restores_ && Pick(0, 3) == 0) return InjectRestore();
+  if (with_statements_ && Pick(0, 2) == 0) {
+    return ChangeStatement(*fleet_.machines()[Pick(0, fleet_.machines().size() - 1)]);
+  }
   const std::size_t index = Pick(0, fleet_.machines().size() - 1);
   MeshMachine& machine = *fleet_.machines()[index];
   switch (Pick(0, wide_ ? 10 : 8)) {
@@ -236,10 +279,12 @@
   const auto how_long = milliseconds(Pick(100, 1500));
   RecordFault("pause", fleet_.machines()[index].get(), std::to_string(how_long.count()) + " ms");
   health_.BeginFault(index);
+  statements_.Excuse(*fleet_.machines()[index]);
   {
     const Paused paused(*fleet_.machines()[index]->sidecar);
     std::this_thread::sleep_for(how_long);
   }
+  statements_.Excuse(*fleet_.machines()[index]);
   health_.EndFault(index);
 }
 
@@ -247,18 +292,21 @@
   MeshMachine& machine = *fleet_.machines()[index];
   RecordFault("restart", &machine, std::to_string(signal));
   health_.BeginFault(index);
+  statements_.Excuse(machine);
   machine.sidecar->Signal(signal);
   const auto code = machine.sidecar->Wait(kGraceTime);
   if (signal == SIGTERM && code != 0) seen_.Violate("a stop ended with another code than 0");
   ++lives_[index];
   std::this_thread::sleep_for(milliseconds(Pick(0, 400)));
   fleet_.Start(machine);
+  statements_.Excuse(machine);
   health_.EndFault(index);
 }
 
 void Soak::Heal() {
   RecordFault("heal");
   ClearFaults();
+  if (with_statements_) ClearStatements();
   Change();
 }
 
--- a/tests/mesh_integration/soak_health.cc
+++ b/tests/mesh_integration/soak_health.cc
@@ -5,6 +5,8 @@
 
 // For which all has to be well before a refusal counts as unexplained.
 constexpr auto kSettleTime = std::chrono::seconds(1);
+// In which a node notices that a limit has ended.
+constexpr auto kLimitEndTime = std::chrono::milliseconds(2500);
 
 }  // namespace
 
@@ -40,8 +42,16 @@
   if (at_fault) machines_[machine].since.reset();
 }
 
+bool SoakHealth::IsLimited(const Instance& instance) {
+  const auto stated = instance.stated_limits();
+  return !stated.empty() &&
+         (!stated.back().text.empty() ||
+          std::chrono::steady_clock::now() - stated.back().since < kLimitEndTime);
+}
+
 bool SoakHealth::LooksWell(const MeshMachine& machine) const {
   return !machine.instance->down() && !machine.instance->troubled() &&
+         !machine.instance->states_leaving() && !IsLimited(*machine.instance) &&
          fleet_.Ready(machine).status == 200;
 }
 
--- a/tests/mesh_integration/soak_health.h
+++ b/tests/mesh_integration/soak_health.h
@@ -46,6 +46,8 @@
     std::optional<Time> since;  // Without a fault; nothing while one is in force.
   };
 
+  // Whether it states a limit, or did until a moment ago.
+  static bool IsLimited(const Instance& instance);
   bool LooksWell(const MeshMachine& machine) const;
   static bool IsSettled(const Health& health, Time sent);
 
--- a/tests/mesh_integration/statement_checks.h
+++ b/tests/mesh_integration/statement_checks.h
@@ -22,6 +22,9 @@
   void Sent(const std::string& id, const MeshMachine& machine);
   // A client has its answer.
   void Answered(const std::string& id, const HttpAnswer& answer);
+  // As above. @param instance  the one that answered; empty: a node did
+  void Answered(const std::string& id, const std::string& instance, const std::string& limit,
+                const std::string& leaving);
   // A machine's process ends, starts or freezes: what it has passed on until now binds it no more.
   void Excuse(const MeshMachine& machine);
 
@@ -50,6 +53,7 @@
   struct Spell {
     Time from;
     Time to;
+    Time binds_from;
     std::string text;
     double per_second = 0;
   };
