Tests of limits and leaving over restarts that fail without what senders remember

With a limit of 0 and slow answers, a node that starts anew lets as many requests through as the instance has slots before the first answer: six in 4 s (five are allowed) once senders no longer name the limit they know. Likewise an instance that leaves got requests through a node that had forgotten it, once senders no longer remembered.

--- a/tests/mesh_integration/instance_statement_test.cc
+++ b/tests/mesh_integration/instance_statement_test.cc
@@ -37,19 +37,22 @@
     return checks_.Call(fleet_, machine, request);
   }
 
-  // Sends requests to all machines from as many clients. @return the share that was served
-  double Load(milliseconds duration, milliseconds pause = milliseconds(8)) {
+  // Sends requests to the machines from `first` on, from so many clients each. @return the share
+  // that was served
+  double Load(milliseconds duration, std::size_t first = 0, int clients_each = 1) {
     const auto until = std::chrono::steady_clock::now() + duration;
     std::atomic<int> all{0}, served{0};
     std::vector<std::thread> clients;
-    for (const auto& machine : fleet_.machines()) {
-      clients.emplace_back([&, machine = machine.get()] {
-        while (std::chrono::steady_clock::now() < until) {
-          ++all;
-          if (Call(*machine).status == 200) ++served;
-          std::this_thread::sleep_for(pause);
-        }
-      });
+    for (std::size_t index = first; index < fleet_.machines().size(); ++index) {
+      for (int client = 0; client < clients_each; ++client) {
+        clients.emplace_back([&, index] {
+          while (std::chrono::steady_clock::now() < until) {
+            ++all;
+            if (Call(Desk(index)).status == 200) ++served;
+            std::this_thread::sleep_for(milliseconds(8));
+          }
+        });
+      }
     }
     for (auto& client : clients) client.join();
     return static_cast<double>(served) / all;
@@ -98,16 +101,20 @@
 
 // Guards against a node that starts beside a limited instance and knows nothing of the limit.
 TEST_F(InstanceStatements, ALimitHoldsThroughRestartsOfTheNodeBesideTheInstance) {
-  for (std::size_t desk = 0; desk < 3; ++desk) At(desk).StateLimit("1.5");
+  for (std::size_t desk = 0; desk < 3; ++desk) {
+    At(desk).StateLimit("0");
+    // So that much is sent before the first answer.
+    At(desk).SetWork(milliseconds(200));
+  }
   Load(milliseconds(3500));
   std::thread restarts([&] {
-    for (const int signal : {SIGKILL, SIGTERM, SIGKILL}) {
+    for (const int signal : {SIGKILL, SIGTERM, SIGKILL, SIGTERM, SIGKILL}) {
       Restart(Desk(0), signal);
-      Restart(Desk(1), signal);
-      std::this_thread::sleep_for(milliseconds(700));
+      fleet_.AwaitReady(Desk(0));
+      std::this_thread::sleep_for(milliseconds(500));
     }
   });
-  Load(milliseconds(8000));
+  Load(milliseconds(6000), 1, 4);
   restarts.join();
   ExpectKept();
 }
@@ -182,11 +189,15 @@
   Load(milliseconds(500));
   fleet_.store().SetFault(0, {StoreTrouble::kReset, {}});
   Load(milliseconds(2500));
+  // So that the node beside it takes long to learn again that it leaves.
+  At(0).SetWork(milliseconds(300));
   Restart(Desk(0), SIGKILL);
-  Load(milliseconds(1500));
+  Load(milliseconds(1500), 1);
   fleet_.store().SetFault(0, {});
   fleet_.List(Desk(0));
-  Load(milliseconds(1500));
+  Load(milliseconds(1500), 1);
+  Restart(Desk(0), SIGKILL);
+  Load(milliseconds(1500), 1);
   fleet_.store().Restore(milliseconds(3000));
   fleet_.List(Desk(0));
   EXPECT_GE(Load(milliseconds(2500)), 0.99);
