Begin with few tokens of a quota whenever this node's rank as its keeper changes

Cause: a keeper that another node replaced for less than 2.5 s kept its bucket, which filled while the other granted; and the other's filled in turn. Each change of keepers brought up to a full bucket (12 requests of a tenant with 20 a second).

Why this mends it: the bucket begins anew with a tenth of the slack (2 requests), as after a start, when a new list makes this node the first candidate or no longer the first. Weighed: counting only the time of a short gap between asks; that refuses tenants with small limits, which ask rarely.

--- a/src/mesh/quota_keeper.cc
+++ b/src/mesh/quota_keeper.cc
@@ -44,6 +44,32 @@
 {
     view = std::move (newView);
     digests.clear();
+
+    for (auto& [tenant, kept] : byTenant)
+    {
+        const bool wasFirst = std::exchange (kept.ranksFirst, ranksFirst (tenant));
+
+        // Another node has granted, or grants from now on, so the tokens that accrue meanwhile
+        // don't count.
+        if (kept.ranksFirst != wasFirst)
+            kept.bucket.reset();
+    }
+}
+
+bool QuotaKeeper::ranksFirst (const std::string& tenant) const
+{
+    const auto candidates = view.candidates (tenant);
+    return ! candidates.empty() && candidates.front().ip == view.own().ip;
+}
+
+QuotaKeeper::KeptQuota& QuotaKeeper::keptQuotaOf (const std::string& tenant)
+{
+    const auto [found, isNew] = byTenant.try_emplace (tenant);
+
+    if (isNew)
+        found->second.ranksFirst = ranksFirst (tenant);
+
+    return found->second;
 }
 
 void QuotaKeeper::recordContact (Timestamp now, const std::string& ip)
@@ -203,7 +229,7 @@
 QuotaGrant QuotaKeeper::handleRequest (Timestamp now, const Tenant& tenant, const QuotaRequest& ask,
                                        const std::string& ip)
 {
-    auto& kept = byTenant[tenant.name];
+    auto& kept = keptQuotaOf (tenant.name);
     QuotaGrant grant;
     grant.number = ask.number;
     ++counts.asked;
--- a/src/mesh/quota_keeper.h
+++ b/src/mesh/quota_keeper.h
@@ -11,9 +11,9 @@
     nodes add up to one quota, too.
 
     A node that doesn't rank first for a tenant grants only while all candidates that rank above
-    it are silent. A keeper that starts, or has not been asked for a while, starts with few
-    tokens, since another keeper may have granted in that time. For a keeper whose process was
-    paused, all that it heard before is out of date.
+    it are silent. A keeper that starts, that has not been asked for a while, or whose rank has
+    changed starts with few tokens, since another keeper may have granted in that time. For a keeper
+    whose process was paused, all that it heard before is out of date.
 */
 #pragma once
 
@@ -114,6 +114,7 @@
     struct KeptQuota
     {
         std::unordered_map<std::string, ZoneAgreement> agreements; /**< By zone. */
+        bool ranksFirst = false; /**< Whether this node is the first candidate in the view. */
         std::optional<TokenBucket> bucket;
         FlowShares flow; /**< Tokens granted, by IP. */
         /** Time and tokens of each grant. */
@@ -125,6 +126,8 @@
         QuotaKeeperActivity report;
     };
 
+    KeptQuota& keptQuotaOf (const std::string& tenant);
+    bool ranksFirst (const std::string& tenant) const;
     bool heardLately (Timestamp now, const std::string& ip) const;
     std::string liveKeeperAbove (Timestamp now, const Tenant& tenant, KeptQuota& kept);
     double fallbackRateOf (Timestamp now, const Tenant& tenant, const KeptQuota& kept,
