Count the empty listing of a restored source as a known position

Cause: whether a position is known was read from its revision alone. In an epoch after the first, revision 0 says that the source came back empty. In the first it may not have been written yet, so it stays unknown there; a stale listing at revision 0 is still listed again, in any epoch.

Evidence: RestoredSourceState.AnEmptyBackupLeavesItsPositionKnown, unchanged, fails before and passes now with all of mesh_test (383).

--- a/src/mesh/source_follower.cc
+++ b/src/mesh/source_follower.cc
@@ -323,7 +323,7 @@
         return std::nullopt;
 
     advanceTo (listingPosition);
-    listed = ! stale || listingPosition.isKnown();
+    listed = ! stale || listingPosition.revision > 0;
     stale = ! listed && paused;
     historyLost = refreshing = false;
 
--- a/src/mesh/source_position.h
+++ b/src/mesh/source_position.h
@@ -17,8 +17,13 @@
 
     auto operator<=> (const SourcePosition&) const = default;
 
-    /** False while no revision of the source is known. */
-    bool isKnown() const { return revision > 0; }
+    /** False while no revision of the source is known. Revision 0 of the first epoch counts as
+        unknown, since nothing may have been written yet. In a later one, the source was restored
+        from an empty backup.
+    */
+    bool isKnown() const { return revision > 0 || epoch > firstEpoch; }
+
+    static constexpr std::uint64_t firstEpoch = 1;
 };
 
 template <typename Archive>
