Send what must not be repeated on connections that have rested

It was sent on a kept connection in the millisecond in which the instance, which then closes it without having said so, had answered.

Cause: the last hop takes the most recently used connection. A request that crosses the close is lost, and whether it ran can't be known, so one that must not be repeated ends with 502.

Change: such a request takes a connection that has been idle for 20 ms or more and on which nothing has arrived since, also if the event of the close hasn't been handled yet; or a new one.

Calling.ARequestThatMustNotBeLostAvoids... fails without the change.

What remains: a close that comes more than 20 ms after the answer can still be crossed; no sender can tell. Requests that may be repeated take the latest connection as before, for fewer new ones.

--- a/src/sidecar/http/client_connection.cc
+++ b/src/sidecar/http/client_connection.cc
@@ -1,6 +1,7 @@
 #include "sidecar/http/client_connection.h"
 
 #include <sys/epoll.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -58,6 +59,13 @@
     return state == State::idle && at < idleDeadline;
 }
 
+bool ClientConnection::hasUnreadInput() const
+{
+    char byte = 0;
+    const auto count = ::recv (socket.descriptor(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return count >= 0 || (errno != EAGAIN && errno != EINTR);
+}
+
 void ClientConnection::startCall (CallPointer newCall, std::string message,
                                   const CallOptions& newOptions)
 {
--- a/src/sidecar/http/client_connection.h
+++ b/src/sidecar/http/client_connection.h
@@ -28,6 +28,12 @@
 
     /** @returns true if the connection is idle and may carry another call */
     bool usable (Timestamp now) const;
+
+    /** When the latest response was complete. */
+    Timestamp idleSince() const { return idleAt; }
+
+    /** @returns true if data, or the end of the connection, has arrived and was not read yet */
+    bool hasUnreadInput() const;
     bool isServing (const Call& other) const { return call.get() == &other; }
     const std::string& target() const { return name; }
 
@@ -76,7 +82,7 @@
     bool reusable = true;             /**< False if the connection must close after its call. */
     bool usedBefore = false;
     Timestamp connectDeadline = Timestamp::max(), idleDeadline{}, timerAt = Timestamp::max(),
-              sentAt{};
+              sentAt{}, idleAt{};
 };
 
 } // namespace copperlead::sidecar
--- a/src/sidecar/http/client_connection_answers.cc
+++ b/src/sidecar/http/client_connection_answers.cc
@@ -201,6 +201,7 @@
     if (keep)
     {
         state = State::idle;
+        idleAt = now();
         armTimer (idleDeadline);
         client->returnToIdle (self);
     }
--- a/src/sidecar/http/http_client.cc
+++ b/src/sidecar/http/http_client.cc
@@ -29,7 +29,7 @@
     auto call = std::make_shared<Call>();
     call->callback = std::move (callback);
     const auto name = ToString (target);
-    auto connection = options.freshConnection ? nullptr : takeIdle (name);
+    auto connection = options.freshConnection ? nullptr : takeIdle (name, options.minIdleTime);
     ++counts.calls;
 
     if (connection != nullptr)
@@ -55,29 +55,53 @@
     return call;
 }
 
-std::shared_ptr<ClientConnection> HttpClient::takeIdle (const std::string& target)
+std::shared_ptr<ClientConnection> HttpClient::takeIdle (const std::string& target,
+                                                        Duration minIdleTime)
 {
     const auto now = SteadyClock().Now();
+    const auto found = idle.find (target);
 
-    // A list is erased together with its last connection, so it is looked up in each iteration.
-    for (auto found = idle.find (target); found != idle.end(); found = idle.find (target))
+    if (found == idle.end())
+        return nullptr;
+
+    // Closing a connection removes it from the list.
+    const auto list = found->second;
+
+    // The server is least likely to have closed the most recently used connection.
+    for (auto it = list.rbegin(); it != list.rend(); ++it)
     {
-        // The server is least likely to have closed the most recently used connection.
-        auto connection = std::move (found->second.back());
-        found->second.pop_back();
+        const auto& connection = *it;
 
-        if (found->second.empty())
-            idle.erase (found);
+        if (! connection->usable (now) ||
+            (minIdleTime > Duration::zero() && connection->hasUnreadInput()))
+        {
+            connection->close();
+            continue;
+        }
 
-        if (connection->usable (now))
-            return connection;
+        if (now - connection->idleSince() < minIdleTime)
+            continue;
 
-        connection->close();
+        removeFromIdle (*connection);
+        return connection;
     }
 
     return nullptr;
 }
 
+void HttpClient::removeFromIdle (const ClientConnection& connection)
+{
+    const auto found = idle.find (connection.target());
+
+    if (found == idle.end())
+        return;
+
+    std::erase_if (found->second, [&] (const auto& c) { return c.get() == &connection; });
+
+    if (found->second.empty())
+        idle.erase (found);
+}
+
 void HttpClient::returnToIdle (const std::shared_ptr<ClientConnection>& connection)
 {
     busy.erase (connection.get());
@@ -92,14 +116,7 @@
 void HttpClient::forget (const ClientConnection& connection)
 {
     busy.erase (&connection);
-
-    if (const auto found = idle.find (connection.target()); found != idle.end())
-    {
-        std::erase_if (found->second, [&] (const auto& c) { return c.get() == &connection; });
-
-        if (found->second.empty())
-            idle.erase (found);
-    }
+    removeFromIdle (connection);
 }
 
 void HttpClient::closeIdleConnections (const SocketAddress& target)
--- a/src/sidecar/http/http_client.h
+++ b/src/sidecar/http/http_client.h
@@ -51,6 +51,12 @@
     Timestamp deadline = Timestamp::max();
     bool isHead = false;
     bool freshConnection = false;
+
+    /** Uses only connections that have been idle for this long and on which nothing has arrived
+        since. Some servers close a connection just after an answer without having announced it; a
+        request that crosses that is lost, and whether it ran is unknown.
+    */
+    Duration minIdleTime{};
     /** The name of the header field that carries the request id, and the id that it must have. If
         the id isn't empty, a response with another id belongs to another request and is skipped,
         and one without the field is treated as broken.
@@ -125,8 +131,9 @@
     friend class ClientConnection;
     using IdleList = std::vector<std::shared_ptr<ClientConnection>>;
 
-    std::shared_ptr<ClientConnection> takeIdle (const std::string& target);
+    std::shared_ptr<ClientConnection> takeIdle (const std::string& target, Duration minIdleTime);
     void returnToIdle (const std::shared_ptr<ClientConnection>& connection);
+    void removeFromIdle (const ClientConnection& connection);
     void forget (const ClientConnection& connection);
 
     std::shared_ptr<Reactor> reactor;
--- a/src/sidecar/instance/last_hop.cc
+++ b/src/sidecar/instance/last_hop.cc
@@ -22,6 +22,9 @@
 constexpr double repeatAveragingWeight = 0.03;
 // Leaves time for the instance's own answer at the deadline to arrive.
 constexpr Milliseconds deadlineGrace{ 20 };
+// For requests that must not be repeated. An instance that closes after an answer has done so by
+// then.
+constexpr Milliseconds minIdleTime{ 20 };
 
 ClientSettings clientSettings()
 {
@@ -251,6 +254,7 @@
     CallOptions options;
     options.deadline = running.deadline + deadlineGrace;
     options.isHead = running.call.method == "HEAD";
+    options.minIdleTime = running.call.facts.mayRepeat ? Duration::zero() : minIdleTime;
     options.idField = settings.names.requestId;
     options.id = running.call.facts.requestId;
 
--- a/tests/sidecar/http/http_test.cc
+++ b/tests/sidecar/http/http_test.cc
@@ -216,7 +216,7 @@
     ~Calling() override { reactor->Stop(); }
 
     CallResult call (const SocketAddress& target, const std::string& id = "q",
-                     Milliseconds time = Milliseconds (1000))
+                     Milliseconds time = Milliseconds (1000), Milliseconds minIdleTime = {})
     {
         std::promise<CallResult> promise;
         reactor->RunAndWait (
@@ -226,6 +226,7 @@
                 options.deadline = SteadyClock().Now() + time;
                 options.idField = "X-Request-Id";
                 options.id = id;
+                options.minIdleTime = minIdleTime;
                 client->send (target, "GET / HTTP/1.1\r\nHost: h\r\n\r\n", options,
                               [&] (CallResult result) { promise.set_value (std::move (result)); });
             });
@@ -322,6 +323,43 @@
     }
 }
 
+/** Guards against a lost request that must not be repeated: it was sent just after an answer on a
+    connection that the server then closed without having announced it.
+*/
+TEST_F (Calling, ARequestThatMustNotBeLostAvoidsAConnectionThatIsAboutToClose)
+{
+    RawServer peer (
+        [&] (RawSocket& socket, int)
+        {
+            socket.Read();
+            socket.Send (responseFor ("q"));
+            std::this_thread::sleep_for (std::chrono::milliseconds (5));
+        });
+
+    for (int calls = 0; calls < 5; ++calls)
+        EXPECT_EQ (call (peer.address(), "q", Milliseconds (1000), Milliseconds (20)).end,
+                   CallEnd::answered);
+}
+
+TEST_F (Calling, ARequestThatMustNotBeLostReusesAConnectionThatHasRested)
+{
+    RawServer peer (
+        [&] (RawSocket& socket, int)
+        {
+            while (! socket.Read().head.empty())
+                socket.Send (responseFor ("q"));
+        });
+
+    for (int calls = 0; calls < 3; ++calls)
+    {
+        EXPECT_EQ (call (peer.address(), "q", Milliseconds (1000), Milliseconds (20)).end,
+                   CallEnd::answered);
+        std::this_thread::sleep_for (std::chrono::milliseconds (40));
+    }
+
+    EXPECT_EQ (peer.connections(), 1);
+}
+
 TEST_F (Calling, AnExpiredConnectionIsReplacedEvenBeforeItsTimerRan)
 {
     RawServer peer (
