Keep a node ready when its source comes back empty in its first restore, too

A source that counts its epochs from 0 (the platform's says none, or 0, before a restore) is restored to epoch 1, where it may also be new. Readiness therefore asks whether the source's contents were ever known, which a restore doesn't change. EmptyBackup.LeavesTheSourceKnownAlsoInEpochOne; the position itself stays unknown there, so the source is listed again.

--- a/src/mesh/mesh_state.cc
+++ b/src/mesh/mesh_state.cc
@@ -39,6 +39,7 @@
         outcome.configuration = takeConfiguration (std::move (*update.configuration));
 
     reachedPosition = std::max (reachedPosition, update.position);
+    hasKnownSource = hasKnownSource || reachedPosition.isKnown();
     return outcome;
 }
 
--- a/src/mesh/mesh_state.h
+++ b/src/mesh/mesh_state.h
@@ -52,6 +52,11 @@
     std::set<std::string> evacuatedZones() const { return evacuations.zones(); }
     SourcePosition reached() const { return reachedPosition; }
 
+    /** Returns whether the source's contents were known at any time. A restore from an empty backup
+        doesn't change that, in whichever epoch.
+    */
+    bool sourceKnown() const { return hasKnownSource; }
+
 private:
     ConfigurationOutcome takeConfiguration (ConfigurationChange change);
     std::vector<std::string> takeInstances (Timestamp now, MeshUpdate& update, bool trusted);
@@ -61,6 +66,7 @@
     InstanceDirectory instances;
     ZoneEvacuations evacuations;
     SourcePosition reachedPosition;
+    bool hasKnownSource = false;
 };
 
 } // namespace copperlead::mesh
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -322,7 +322,7 @@
 
 bool Sidecar::ready() const
 {
-    return ! stopPlan && state.configurations().routes() != nullptr && state.reached().isKnown();
+    return ! stopPlan && state.configurations().routes() != nullptr && state.sourceKnown();
 }
 
 void Sidecar::logPause (Timestamp at)
--- a/tests/mesh/restored_source_state_test.cc
+++ b/tests/mesh/restored_source_state_test.cc
@@ -279,5 +279,22 @@
     EXPECT_TRUE (node.reached().isKnown());
 }
 
+// The same for a source that counts its epochs from 0.
+TEST (EmptyBackup, LeavesTheSourceKnownAlsoInEpochOne)
+{
+    MeshState node;
+    MeshUpdate update;
+    update.complete = true;
+    node.take (at (0), update);
+    EXPECT_FALSE (node.sourceKnown());
+    update.position = { 0, 20 };
+    node.take (at (1), update);
+    EXPECT_TRUE (node.sourceKnown());
+    update.position = { 1, 0 };
+    node.take (at (2), update);
+    EXPECT_EQ (node.reached(), (SourcePosition{ 1, 0 }));
+    EXPECT_TRUE (node.sourceKnown());
+}
+
 } // namespace
 } // namespace copperlead::mesh::test
