--- a/src/sidecar/instance/last_hop.h
+++ b/src/sidecar/instance/last_hop.h
@@ -200,6 +200,7 @@
                       bool isHealthAnswer);
     void adoptLimit (Timestamp now, const mesh::HopRequest& facts);
     void handleLimitChange (Timestamp now);
+    void followLimit (Timestamp now);
     void probeIfLimitUnconfirmed (Timestamp now);
     void logLimit (Timestamp now);
     void recordUnanswered (const PendingCall& running);
