--- a/src/standin/instance_command.cc
+++ b/src/standin/instance_command.cc
@@ -35,16 +35,13 @@
   const auto number = [](std::uint32_t value) {
     return program_options::value<std::uint32_t>()->default_value(value);
   };
-  description.add_options()                                                        //
-      ("listen", text()->default_value("127.0.0.1:0"), "IP:PORT of the instance")  //
-      ("id", text()->required(), "id of this incarnation")                         //
-      ("slots", number(6), "requests worked on at a time")                         //
-      ("work-ms", number(5), "work of a request")                                  //
-      (
-          "limit", text()->default_value(""),
-          "requests a second that its answers say it takes from all machines; empty: none is "
-          "stated")                                                                  //
-      ("leaving", program_options::bool_switch(), "its answers say that it leaves")  //
+  description.add_options()                                                              //
+      ("listen", text()->default_value("127.0.0.1:0"), "IP:PORT of the instance")        //
+      ("id", text()->required(), "id of this incarnation")                               //
+      ("slots", number(6), "requests worked on at a time")                               //
+      ("work-ms", number(5), "work of a request")                                        //
+      ("limit", text()->default_value(""), "limit that its answers state; empty: none")  //
+      ("leaving", program_options::bool_switch(), "its answers state that it leaves")    //
       ("fault", text()->default_value("none"),
        "none, lost, cut, extra, unframed, unsigned, error, shed, closing or silent");
   program_options::variables_map values;
