Derive from one record of start times that a leaving instance has restarted

Found on reading the change again. The chooser kept a second start time for each instance that has stated that it leaves, beside startTimes, with its own comparison, and took the latest entry's even if that was an earlier one: an older entry, then the known one again, looked like a new incarnation, and requests went to an instance that leaves.

Leaving instances are a set now; their start times stay in startTimes, which only rise, and a restart found there ends both the view and the mark. Choosing.AnEarlierStartTimeDoesNotHideThatAnInstanceLeaves fails on the code before and passes now; all other tests of the chooser are as they were (listNear replaces the same two lines in two of them).

--- a/src/mesh/instance_chooser.cc
+++ b/src/mesh/instance_chooser.cc
@@ -125,12 +125,6 @@
            mayPrefer (now, id) && isAllowed (candidate.instance, request);
 }
 
-void InstanceChooser::recordLeaving (const std::string& id)
-{
-    const auto started = startTimes.find (id);
-    leaving.try_emplace (id, started == startTimes.end() ? 0 : started->second);
-}
-
 std::optional<double> InstanceChooser::statedLimit (const std::string& id) const
 {
     const auto found = views.find (id);
@@ -282,20 +276,17 @@
     if (instance.startTimeMs == 0)
         return;
 
-    if (const auto left = leaving.find (instance.id); left != leaving.end())
-    {
-        if (left->second != 0 && instance.startTimeMs > left->second)
-            leaving.erase (left);
-        else
-            left->second = instance.startTimeMs;
-    }
-
     auto& known = startTimes[instance.id];
     const bool hasRestarted = known != 0 && instance.startTimeMs > known;
     known = std::max (known, instance.startTimeMs);
+
+    if (! hasRestarted)
+        return;
+
+    leaving.erase (instance.id);
     const auto found = views.find (instance.id);
 
-    if (! hasRestarted || found == views.end())
+    if (found == views.end())
         return;
 
     // Attempts in flight are kept, since ended() is still called for each of them.
@@ -319,10 +310,14 @@
                    { return item.second.inFlight == 0 && ! listed.contains (item.first); });
 
     if (leaving.size() > maxLeavingInstances)
-        std::erase_if (leaving, [&] (const auto& item) { return ! listed.contains (item.first); });
-
-    std::erase_if (startTimes, [&] (const auto& item)
-                   { return ! listed.contains (item.first) && ! views.contains (item.first); });
+        std::erase_if (leaving, [&] (const auto& id) { return ! listed.contains (id); });
+
+    std::erase_if (startTimes,
+                   [&] (const auto& item)
+                   {
+                       return ! listed.contains (item.first) && ! views.contains (item.first) &&
+                              ! leaving.contains (item.first);
+                   });
 }
 
 } // namespace copperlead::mesh
--- a/src/mesh/instance_chooser.h
+++ b/src/mesh/instance_chooser.h
@@ -15,6 +15,7 @@
 #include <random>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "mesh/instance_directory.h"
@@ -108,7 +109,7 @@
     }
 
     /** Records that an instance stated that it leaves. This incarnation is never chosen again. */
-    void recordLeaving (const std::string& id);
+    void recordLeaving (const std::string& id) { leaving.insert (id); }
 
     /** The limit that an instance stated in the latest answer that this node has received. */
     std::optional<double> statedLimit (const std::string& id) const;
@@ -174,10 +175,10 @@
 
     std::unordered_map<std::string, RouteHistory> routes;
 
-    /** The instances that have stated that they leave, with their start times in Unix ms; 0 if
-        unknown. They are kept although their entries go, since an entry may be written again.
+    /** The instances that have stated that they leave. They, and their start times, are kept
+        although their entries go, since an entry may be written again.
     */
-    std::unordered_map<std::string, std::uint64_t> leaving;
+    std::unordered_set<std::string> leaving;
 };
 
 } // namespace copperlead::mesh
--- a/tests/mesh/choice_test.cc
+++ b/tests/mesh/choice_test.cc
@@ -112,6 +112,14 @@
         }
     }
 
+    /** Lists "near" with a start time in Unix ms. */
+    void listNear (std::int64_t atMs, std::uint64_t startTimeMs, std::uint64_t number)
+    {
+        directory.put (at (atMs), withStartTime (makeInstance ("near", "z1", 1), startTimeMs),
+                       revision (number));
+        chooser.forgetUnlisted (*directory.snapshot());
+    }
+
     Route route = makeRoute ("lookup", "/look/");
     InstanceDirectory directory;
     InstanceChooser chooser{ { Locality ("z1", {}) }, 1 };
@@ -169,23 +177,19 @@
 
 TEST_F (Choosing, ARestartClearsTheRecordOfAnInstance)
 {
-    directory.put (at (0), withStartTime (makeInstance ("near", "z1", 1), 1000), revision (5));
-    chooser.forgetUnlisted (*directory.snapshot());
+    listNear (0, 1000, 5);
     chooser.avoidInstance (at (0), "near", Milliseconds (5000));
     chooser.forgetUnlisted (*directory.snapshot());
     EXPECT_FALSE (chooser.mayPrefer (at (1), "near"));
-    directory.put (at (1), withStartTime (makeInstance ("near", "z1", 1), 2000), revision (6));
-    chooser.forgetUnlisted (*directory.snapshot());
+    listNear (1, 2000, 6);
     EXPECT_TRUE (chooser.mayPrefer (at (1), "near"));
 }
 
 TEST_F (Choosing, RunsThatEndAfterARestartAreStillCounted)
 {
-    directory.put (at (0), withStartTime (makeInstance ("near", "z1", 1), 1000), revision (5));
-    chooser.forgetUnlisted (*directory.snapshot());
+    listNear (0, 1000, 5);
     chooser.started ("near");
-    directory.put (at (1), withStartTime (makeInstance ("near", "z1", 1), 2000), revision (6));
-    chooser.forgetUnlisted (*directory.snapshot());
+    listNear (1, 2000, 6);
     chooser.ended ("near");
     EXPECT_EQ (choices (chooser, *directory.snapshot(), route)["near"], 10);
 }
@@ -330,17 +334,26 @@
 
 TEST_F (Choosing, ANewIncarnationUnderTheSameIdDoesNotLeave)
 {
-    directory.put (at (0), withStartTime (makeInstance ("near", "z1", 1), 1000), revision (5));
-    chooser.forgetUnlisted (*directory.snapshot());
+    listNear (0, 1000, 5);
     chooser.recordLeaving ("near");
-    directory.put (at (1), withStartTime (makeInstance ("near", "z1", 1), 1000), revision (6));
-    chooser.forgetUnlisted (*directory.snapshot());
+    listNear (1, 1000, 6);
     EXPECT_FALSE (chooser.mayPrefer (at (1), "near"));
-    directory.put (at (2), withStartTime (makeInstance ("near", "z1", 1), 2000), revision (7));
-    chooser.forgetUnlisted (*directory.snapshot());
+    listNear (2, 2000, 7);
     EXPECT_TRUE (chooser.mayPrefer (at (2), "near"));
 }
 
+/** Guards against an older entry that makes the leaving incarnation look like a new one. */
+TEST_F (Choosing, AnEarlierStartTimeDoesNotHideThatAnInstanceLeaves)
+{
+    listNear (0, 2000, 5);
+    chooser.recordLeaving ("near");
+    InstanceDirectory older;
+    older.put (at (1), withStartTime (makeInstance ("near", "z1", 1), 1000), revision (3));
+    chooser.forgetUnlisted (*older.snapshot());
+    chooser.forgetUnlisted (*directory.snapshot());
+    EXPECT_FALSE (chooser.mayPrefer (at (2), "near"));
+}
+
 TEST_F (Choosing, AnInstanceAtItsLimitIsDrawnOnlyIfThereIsNoOther)
 {
     const ChoiceRequest wanted{ &route, "desk", 0, {} };
