Choose an idle connection without copying the list of them

Found on reading the change again: since connections that have rested are preferred for what must not be repeated, takeIdle copied the list of up to 64 shared pointers for every call to an instance or node, as closing a connection changes the list. Those that can't be used are now gathered, usually none, and closed after the search. Which connection is taken, and which are closed, is as before: Calling.* and all of sidecar_test (91) pass unchanged.

--- a/src/sidecar/http/http_client.cc
+++ b/src/sidecar/http/http_client.cc
@@ -64,29 +64,30 @@
     if (found == idle.end())
         return nullptr;
 
-    // Closing a connection removes it from the list.
-    const auto list = found->second;
+    std::shared_ptr<ClientConnection> taken;
+    IdleList unusable;
+    const auto& list = found->second;
 
     // The server is least likely to have closed the most recently used connection.
-    for (auto it = list.rbegin(); it != list.rend(); ++it)
+    for (auto it = list.rbegin(); it != list.rend() && taken == nullptr; ++it)
     {
         const auto& connection = *it;
 
         if (! connection->usable (now) ||
             (minIdleTime > Duration::zero() && connection->hasUnreadInput()))
-        {
-            connection->close();
-            continue;
-        }
+            unusable.push_back (connection);
+        else if (now - connection->idleSince() >= minIdleTime)
+            taken = connection;
+    }
 
-        if (now - connection->idleSince() < minIdleTime)
-            continue;
+    // Both change the list.
+    if (taken != nullptr)
+        removeFromIdle (*taken);
 
-        removeFromIdle (*connection);
-        return connection;
-    }
+    for (const auto& connection : unusable)
+        connection->close();
 
-    return nullptr;
+    return taken;
 }
 
 void HttpClient::removeFromIdle (const ClientConnection& connection)
