Say once that an instance leaves, refuse its queue in one place, drop derived state

Found on reading the change again, behaviour as before: - setDirectory had its own branch that refused what waits at a leaving instance, beside the same in pump(), and wrote instance_leaving beside the statement's twin: pump() and logLeaving() serve both. - The time until a limit has room was worked out from the queue by report() and forecast(); it is AdmissionQueue::rateLimitDelay() now. - InstancePoll kept a flag beside the value that it says is set; it is an optional.

--- a/src/mesh/admission_queue.h
+++ b/src/mesh/admission_queue.h
@@ -85,6 +85,9 @@
     /** @returns true if a further request would have to wait for the instance's own limit */
     bool isRateLimited (Timestamp now) const { return rate.earliestStart (now, waiting()) > now; }
 
+    /** The time until the instance's own limit lets a further request start. */
+    Duration rateLimitDelay (Timestamp now) const { return rate.retryDelay (now, waiting()); }
+
     /** Ranks all waiting requests again. expire() then returns those that can no longer be expected
         to run in time for their deadline.
     */
--- a/src/mesh/instance_poll.cc
+++ b/src/mesh/instance_poll.cc
@@ -68,12 +68,9 @@
     if (! isOverload (refusalCause))
         refusalCause = reply.cause;
 
-    if (reply.cause != HopCause::instanceLimited)
-        return;
-
-    soonestAvailableMs =
-        metLimit ? std::min (soonestAvailableMs, reply.expectedMs) : reply.expectedMs;
-    metLimit = true;
+    if (reply.cause == HopCause::instanceLimited)
+        soonestAvailableMs =
+            std::min (soonestAvailableMs.value_or (reply.expectedMs), reply.expectedMs);
 }
 
 PollStep InstancePoll::waitExpired() { return decide(); }
@@ -129,7 +126,7 @@
 
 bool InstancePoll::mayWidenPastLimits (bool found)
 {
-    return ! found && metLimit && widenedPastLimits++ < maxWideningsPastLimits;
+    return ! found && soonestAvailableMs && widenedPastLimits++ < maxWideningsPastLimits;
 }
 
 PollStep InstancePoll::decide()
--- a/src/mesh/instance_poll.h
+++ b/src/mesh/instance_poll.h
@@ -10,6 +10,7 @@
 */
 #pragma once
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -76,7 +77,7 @@
     /** The time after which the first of the instances that refuse as `instanceLimited` accepts a
         request.
     */
-    double availableMs() const { return soonestAvailableMs; }
+    double availableMs() const { return soonestAvailableMs.value_or (0); }
     const std::vector<PolledInstance>& all() const { return asked; }
 
 private:
@@ -97,8 +98,7 @@
     std::vector<PolledInstance> asked;
     std::size_t bestIndex = 0;
     HopCause refusalCause = HopCause::none;
-    bool metLimit = false; /**< Some instance refuses as `instanceLimited`. */
-    double soonestAvailableMs = 0;
+    std::optional<double> soonestAvailableMs; /**< Set once one refuses as `instanceLimited`. */
     int widenedPastLimits = 0;
 };
 
--- a/src/sidecar/instance/last_hop.cc
+++ b/src/sidecar/instance/last_hop.cc
@@ -67,8 +67,7 @@
     made.statedLeaving = instance.statedLeaving();
 
     if (cause == HopCause::instanceLimited)
-        made.availableMs =
-            toMilliseconds (queue.rateLimit().retryDelay (SteadyClock().Now(), queue.waiting()));
+        made.availableMs = toMilliseconds (queue.rateLimitDelay (SteadyClock().Now()));
 
     return made;
 }
@@ -319,7 +318,7 @@
 
 void LastHop::pump()
 {
-    // An answer may have stated that the instance leaves.
+    // What waits may have been queued before the instance's entry or an answer said that it leaves.
     if (instance.leaving())
         refuseAll (queue.clear(), HopCause::instanceLeaving);
 
--- a/src/sidecar/instance/last_hop.h
+++ b/src/sidecar/instance/last_hop.h
@@ -199,6 +199,7 @@
     void recordLimit (Timestamp now, const CallResult& result, std::optional<double> perSecond,
                       bool isHealthAnswer);
     void adoptLimit (Timestamp now, const mesh::HopRequest& facts);
+    void logLeaving (Timestamp now, std::string_view by);
     void handleLimitChange (Timestamp now);
     void followLimit (Timestamp now);
     void probeIfLimitUnconfirmed (Timestamp now);
--- a/src/sidecar/instance/last_hop_forecast.cc
+++ b/src/sidecar/instance/last_hop_forecast.cc
@@ -75,8 +75,7 @@
         reply.cause = queueRefusalCause (now);
 
     if (reply.cause == HopCause::instanceLimited)
-        reply.expectedMs =
-            mesh::toMilliseconds (queue.rateLimit().retryDelay (now, queue.waiting()));
+        reply.expectedMs = mesh::toMilliseconds (queue.rateLimitDelay (now));
 
     return reply;
 }
--- a/src/sidecar/instance/last_hop_instance.cc
+++ b/src/sidecar/instance/last_hop_instance.cc
@@ -209,16 +209,18 @@
     queue.setLimit (instance.slots() + settings.extraSlots);
 
     if (instance.leaving() && ! wasLeaving)
-        log->write (now, EventKind::instanceLeaving,
-                    { { "instance", instance.id() },
-                      { "by", "entry" },
-                      { "running", static_cast<std::int64_t> (queue.running()) },
-                      { "waiting", static_cast<std::int64_t> (queue.waiting()) } });
+        logLeaving (now, "entry");
 
-    if (instance.leaving())
-        refuseAll (queue.clear(), HopCause::instanceLeaving);
-    else
-        pump();
+    pump();
+}
+
+void LastHop::logLeaving (Timestamp now, std::string_view by)
+{
+    log->write (now, EventKind::instanceLeaving,
+                { { "instance", instance.id() },
+                  { "by", by },
+                  { "running", static_cast<std::int64_t> (queue.running()) },
+                  { "waiting", static_cast<std::int64_t> (queue.waiting()) } });
 }
 
 void LastHop::tick (Timestamp now)
--- a/src/sidecar/instance/last_hop_statement.cc
+++ b/src/sidecar/instance/last_hop_statement.cc
@@ -37,11 +37,7 @@
         return;
 
     instance.recordStatedLeaving();
-    log->write (now, EventKind::instanceLeaving,
-                { { "instance", instance.id() },
-                  { "by", "answer" },
-                  { "running", static_cast<std::int64_t> (queue.running()) },
-                  { "waiting", static_cast<std::int64_t> (queue.waiting()) } });
+    logLeaving (now, "answer");
 }
 
 void LastHop::recordLimit (Timestamp now, const CallResult& result, std::optional<double> perSecond,
