Share settings, entries and calls of the last hop's tests, and one constant of the soak

last_hop_statement_test.cc had written again what last_hop_test.cc sets up three times: settingsBeside, makeLastHop, deskAt and callToDesk serve all. The time in which nodes notice that a limit has ended stood in two files of the soak.

--- a/tests/mesh_integration/soak_faults.cc
+++ b/tests/mesh_integration/soak_faults.cc
@@ -14,8 +14,6 @@
 
 constexpr auto kGraceTime = std::chrono::seconds(8);
 constexpr auto kPropagationTime = milliseconds(1000);  // Usually enough for nodes to see a change.
-constexpr auto kLimitEndTime =
-    milliseconds(2500);  // Enough for nodes to notice that a limit ended.
 constexpr auto kMaxDrainDelay = milliseconds(2000);  // Draining instances get no requests after it.
 
 // @param board  null: nothing stands in the way
--- a/tests/mesh_integration/soak_health.cc
+++ b/tests/mesh_integration/soak_health.cc
@@ -5,8 +5,6 @@
 
 // For which all has to be well before a refusal counts as unexplained.
 constexpr auto kSettleTime = std::chrono::seconds(1);
-// In which a node notices that a limit has ended.
-constexpr auto kLimitEndTime = std::chrono::milliseconds(2500);
 
 }  // namespace
 
--- a/tests/mesh_integration/soak_health.h
+++ b/tests/mesh_integration/soak_health.h
@@ -13,6 +13,9 @@
 
 namespace copperlead::standin {
 
+// In which nodes notice that a limit has ended.
+inline constexpr std::chrono::milliseconds kLimitEndTime{2500};
+
 // Thread-safe.
 class SoakHealth {
  public:
--- a/tests/sidecar/instance/last_hop_statement_test.cc
+++ b/tests/sidecar/instance/last_hop_statement_test.cc
@@ -1,13 +1,12 @@
 /** Tests of a last hop beside an instance that states a limit, or that it leaves. */
 #include <gtest/gtest.h>
-#include <unistd.h>
 
 #include <atomic>
 #include <mutex>
 #include <thread>
 
-#include "sidecar/instance/last_hop.h"
 #include "tests/proxy/raw_socket.h"
+#include "tests/sidecar/instance/last_hop_fixtures.h"
 
 namespace copperlead::sidecar
 {
@@ -30,19 +29,13 @@
     /** Creates the hop, or replaces it as after a restart of its node. */
     void createHop()
     {
-        LastHopSettings settings;
-        settings.names.requestId = "X-Id";
-        settings.names.signature = "X-Signature";
-        settings.names.instanceId = "X-Instance";
+        auto settings = settingsBeside (instance.address());
         settings.names.rateLimit = "X-Limit";
         settings.names.leaving = "X-Leaving";
-        settings.instanceAddress = instance.address();
-        settings.service = "desk";
         reactor->RunAndWait (
             [&]
             {
-                hop = std::make_shared<LastHop> (
-                    reactor, settings, std::make_shared<DecisionLog> ("n", STDERR_FILENO));
+                hop = makeLastHop (reactor, settings);
                 hop->setServiceSettings ({ "/health", 100, {} });
                 list ("i-1");
             });
@@ -51,13 +44,9 @@
     /** Has to be called on the reactor's thread. */
     void list (const std::string& id, std::uint64_t startTimeMs = 0)
     {
-        mesh::Instance listed;
-        listed.id = id;
-        listed.service = "desk";
-        listed.address = instance.address();
+        auto listed = deskAt (instance.address(), id, ++revision);
         listed.slots = 50;
         listed.startTimeMs = startTimeMs;
-        listed.createdAt = { 0, ++revision };
         directory.put (SteadyClock().Now(), listed, { 0, revision });
         hop->setDirectory (SteadyClock().Now(), *directory.snapshot());
     }
@@ -84,15 +73,11 @@
 
     HopCall makeCall (Milliseconds wait) const
     {
-        HopCall call;
-        call.facts.requestId = "q";
-        call.facts.service = "desk";
+        auto call = callToDesk (wait);
         call.facts.instanceId = "i-1";
-        call.facts.timeLeft = call.facts.targetLeft = wait;
+        call.facts.targetLeft = wait;
         call.facts.usualRunMs = 10;
         call.facts.statedLimit = senderLimit;
-        call.method = "GET";
-        call.target = "/";
         return call;
     }
 
--- a/tests/sidecar/instance/last_hop_test.cc
+++ b/tests/sidecar/instance/last_hop_test.cc
@@ -1,13 +1,13 @@
 #include "sidecar/instance/last_hop.h"
 
 #include <gtest/gtest.h>
-#include <unistd.h>
 
 #include <atomic>
 #include <set>
 #include <thread>
 
 #include "tests/proxy/raw_socket.h"
+#include "tests/sidecar/instance/last_hop_fixtures.h"
 
 namespace copperlead::sidecar
 {
@@ -37,23 +37,12 @@
     /** Creates the hop, or replaces it, for the instance at an address. */
     void createHop (const SocketAddress& address)
     {
-        LastHopSettings settings;
-        settings.names.requestId = "X-Id";
-        settings.names.signature = "X-Signature";
-        settings.names.instanceId = "X-Instance";
-        settings.instanceAddress = address;
-        settings.service = "desk";
         reactor->RunAndWait (
             [&]
             {
-                hop = std::make_shared<LastHop> (
-                    reactor, settings, std::make_shared<DecisionLog> ("n", STDERR_FILENO));
+                hop = makeLastHop (reactor, settingsBeside (address));
                 mesh::InstanceDirectory directory;
-                mesh::Instance listed;
-                listed.id = "i-1";
-                listed.service = "desk";
-                listed.address = address;
-                directory.put (SteadyClock().Now(), listed, { 0, 1 });
+                directory.put (SteadyClock().Now(), deskAt (address, "i-1", 0), { 0, 1 });
                 hop->setDirectory (SteadyClock().Now(), *directory.snapshot());
             });
     }
@@ -63,12 +52,7 @@
         reactor->RunAndWait (
             [&]
             {
-                HopCall call;
-                call.facts.requestId = "q";
-                call.facts.service = "desk";
-                call.facts.timeLeft = Milliseconds (1000);
-                call.method = "GET";
-                call.target = "/";
+                auto call = callToDesk (Milliseconds (1000));
                 call.abandoned = [abandoned] { return abandoned; };
                 hop->start (std::move (call),
                             [this] (HopAnswer answer) { status = answer.status; });
@@ -165,20 +149,14 @@
         : reactor (Resolve ([] { return Reactor::Start(); }).value())
         , instance ([this] (RawSocket& socket, int) { serve (socket); })
     {
-        LastHopSettings settings;
-        settings.names.requestId = "X-Id";
-        settings.names.signature = "X-Signature";
-        settings.names.instanceId = "X-Instance";
+        auto settings = settingsBeside (instance.address());
         settings.names.coldTime = "X-Cold";
-        settings.instanceAddress = instance.address();
-        settings.service = "desk";
         settings.zone = "z1";
         settings.coldBounds = { 2, 0 };
         reactor->RunAndWait (
             [&]
             {
-                hop = std::make_shared<LastHop> (
-                    reactor, settings, std::make_shared<DecisionLog> ("n", STDERR_FILENO));
+                hop = makeLastHop (reactor, settings);
                 list ("i-1");
             });
     }
@@ -206,12 +184,8 @@
     /** Has to be called on the reactor's thread. */
     void list (const std::string& id, const std::set<std::string>& evacuated = {})
     {
-        mesh::Instance listed;
-        listed.id = id;
-        listed.service = "desk";
-        listed.address = instance.address();
+        auto listed = deskAt (instance.address(), id, ++revision);
         listed.slots = 50;
-        listed.createdAt = { 0, ++revision };
         directory.put (SteadyClock().Now(), listed, { 0, revision });
         directory.setEvacuatedZones (evacuated);
         hop->setDirectory (SteadyClock().Now(), *directory.snapshot());
@@ -249,13 +223,9 @@
             {
                 for (int i = 0; i < count; ++i)
                 {
-                    HopCall call;
-                    call.facts.requestId = "q";
-                    call.facts.service = "desk";
-                    call.facts.timeLeft = call.facts.targetLeft = wait;
+                    auto call = callToDesk (wait);
+                    call.facts.targetLeft = wait;
                     call.facts.usualRunMs = 10;
-                    call.method = "GET";
-                    call.target = "/";
                     hop->start (std::move (call),
                                 [this] (const HopAnswer& answer) { ended (answer.report); });
                 }
