Log each instance that loses its entry, with the state that this gives it

The logs couldn't tell three hypotheses apart: a removal that counted as a lapse, late news of it, and a removal that was known and not heeded. instance_unlisted says when a node learns that an entry is gone, whether that makes the instance lapsed or leaving, and when a lapse has ended.

--- a/src/mesh/instance_directory.cc
+++ b/src/mesh/instance_directory.cc
@@ -118,9 +118,17 @@
     entry.state = trusted ? InstanceState::leaving : InstanceState::lapsed;
     entry.position = position;
     entry.changedAt = now;
+    reportUnlisted (entry, UnlistedCause::removed);
     current.reset();
 }
 
+void InstanceDirectory::reportUnlisted (const ListedInstance& entry, UnlistedCause cause)
+{
+    const Duration lapse =
+        entry.state == InstanceState::lapsed ? Duration (lapsedGracePeriod) : Duration (0);
+    unlisted.push_back ({ entry.instance.id, entry.state, cause, entry.position, lapse });
+}
+
 void InstanceDirectory::removeUnlisted (Timestamp now, const std::vector<std::string>& ids,
                                         SourcePosition position, bool trusted)
 {
@@ -148,6 +156,7 @@
         {
             entry.state = InstanceState::leaving;
             entry.changedAt = now;
+            reportUnlisted (entry, UnlistedCause::notBack);
             current.reset();
         }
 
--- a/src/mesh/instance_directory.h
+++ b/src/mesh/instance_directory.h
@@ -19,6 +19,8 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 #include "base/address.h"
@@ -54,6 +56,8 @@
     leaving, /**< It is draining or its entry is gone; it gets no new requests. */
 };
 
+inline constexpr std::string_view instanceStateNames[] = { "ready", "lapsed", "leaving" };
+
 struct ListedInstance
 {
     Instance instance;
@@ -89,6 +93,25 @@
 
 ProximityRange rangeOf (const std::vector<ListedInstance>& instances, Proximity proximity);
 
+/** The reason for which an instance became lapsed or leaving without its entry saying so. */
+enum class UnlistedCause : std::uint8_t
+{
+    removed, /**< Its entry was removed. */
+    notBack  /**< It wasn't listed again before its lapse ended. */
+};
+
+inline constexpr std::string_view unlistedCauseNames[] = { "removed", "not_back" };
+
+/** Reports that an instance lost its entry. */
+struct UnlistedInstance
+{
+    std::string id;
+    InstanceState state = InstanceState::leaving;
+    UnlistedCause cause = UnlistedCause::removed;
+    SourcePosition position;
+    Duration lapse{}; /**< Time for which it stays usable. */
+};
+
 using DirectoryPointer = std::shared_ptr<const DirectorySnapshot>;
 
 /** Not thread-safe. */
@@ -137,6 +160,9 @@
 
     DirectoryPointer snapshot();
 
+    /** @returns the instances that lost their entry since the last call */
+    std::vector<UnlistedInstance> takeUnlisted() { return std::exchange (unlisted, {}); }
+
     /** Appends the entries that changed after a position, including removed ones.
         @returns false if some removals may have been forgotten; `changes` then gets all known
                  entries
@@ -147,7 +173,10 @@
     void keepAcrossRestore (Timestamp now, ListedInstance& entry, const Instance& listed,
                             SourcePosition position);
 
+    void reportUnlisted (const ListedInstance& entry, UnlistedCause cause);
+
     std::map<std::string, ListedInstance> byId;
+    std::vector<UnlistedInstance> unlisted;
     std::set<std::string> evacuatedZones;
     Locality locality;
     SourcePosition forgotten; /**< Removals up to this position may be unknown here. */
--- a/src/sidecar/decision_log.cc
+++ b/src/sidecar/decision_log.cc
@@ -57,6 +57,8 @@
     { EventKind::suspectCleared, "suspect_cleared", 10, "digest by age_ms suspects" },
     { EventKind::suspectRefused, "suspect_refused", 10,
       "request route digest crashes age_ms retry_after_ms" },
+    { EventKind::instanceUnlisted, "instance_unlisted", 20,
+      "instance state cause reading epoch revision lapse_ms" },
     { EventKind::instanceLeaving, "instance_leaving", 5, "instance by running waiting" },
     { EventKind::instanceLimited, "instance_limited", 5,
       "instance per_second by sent running waiting" },
--- a/src/sidecar/decision_log.h
+++ b/src/sidecar/decision_log.h
@@ -46,6 +46,7 @@
     suspectHeld,
     suspectCleared,
     suspectRefused,
+    instanceUnlisted,
     instanceLeaving,
     instanceLimited,
     instanceUnlimited,
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "mesh/enum_names.h"
 #include "mesh/milliseconds.h"
 #include "sidecar/http/messages.h"
 
@@ -242,8 +243,22 @@
                 { { "key", key }, { "place", error.place }, { "cause", error.cause } });
 }
 
+void Sidecar::logUnlisted (Timestamp at)
+{
+    for (const auto& instance : state.directory().takeUnlisted())
+        log->write (at, EventKind::instanceUnlisted,
+                    { { "instance", instance.id },
+                      { "state", mesh::nameOf (instance.state, mesh::instanceStateNames) },
+                      { "cause", mesh::nameOf (instance.cause, mesh::unlistedCauseNames) },
+                      { "reading", relay == nullptr || relay->reading() ? "yes" : "no" },
+                      { "epoch", static_cast<std::int64_t> (instance.position.epoch) },
+                      { "revision", static_cast<std::int64_t> (instance.position.revision) },
+                      { "lapse_ms", mesh::toMilliseconds (instance.lapse) } });
+}
+
 void Sidecar::handleDirectoryChange (Timestamp at)
 {
+    logUnlisted (at);
     const auto snapshot = state.directory().snapshot();
     lastHop->setDirectory (at, *snapshot);
 
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -89,6 +89,7 @@
     void handleDirectoryChange (Timestamp now);
     void logListingOutcome (Timestamp now, const mesh::UpdateOutcome& outcome,
                             mesh::SourcePosition updated, mesh::SourcePosition known);
+    void logUnlisted (Timestamp now);
     void logEvacuation (Timestamp now, const mesh::EvacuationChange& change);
     void setServiceSettings (Timestamp now, const mesh::MeshConfiguration& configuration);
     void connectFirstHop();
