Failing tests: requests reach an instance whose entry went after a failed call to the store

Callers' requests ran at an instance that was about to end. Three cases with eight real nodes, two zones, a client on each, bound 2,000 ms; the store's proxies and the store's stand-in can now silence open connections and strike a number of calls.

refused watch before the removal 66 requests too late, the last after 3,028 ms reset watch 65, 3,027 ms silent open connections 166, 4,602 ms

All through the node beside the instance, which is also the one that took them from its client: one sender, one instance, as the record has it. instance_unlisted shows the removal known in time and taken for a lapse, which ended 3,031 ms later (2,500 ms, on a timer of a second).

Nothing of the product changes.

--- a/src/standin/fault.h
+++ b/src/standin/fault.h
@@ -69,6 +69,16 @@
     const std::lock_guard lock(mutex_);
     return view_;
   }
+  // Lets no byte pass on connections that are open now, without ending them; later ones work.
+  void SilenceOpenConnections() {
+    const std::lock_guard lock(mutex_);
+    silenced_before_ = ++view_.number;
+  }
+  // @param opened  the number of the view at which the connection was opened
+  bool IsSilenced(std::uint64_t opened) const {
+    const std::lock_guard lock(mutex_);
+    return opened < silenced_before_;
+  }
   // Takes one of the fault's `times`. @return false when none is left.
   bool TakeTime() {
     const std::lock_guard lock(mutex_);
@@ -94,8 +104,9 @@
 
  private:
   mutable std::mutex mutex_;
-  View view_;                      // Guarded by mutex_.
-  std::uint32_t drop_credit_ = 0;  // Guarded by mutex_.
+  View view_;                          // Guarded by mutex_.
+  std::uint64_t silenced_before_ = 0;  // Guarded by mutex_.
+  std::uint32_t drop_credit_ = 0;      // Guarded by mutex_.
 };
 
 }  // namespace copperlead::standin
--- a/src/standin/store.cc
+++ b/src/standin/store.cc
@@ -188,6 +188,13 @@
   return found == faults_.end() ? StoreFault{} : found->second;
 }
 
+StoreFault Store::TakeFault(std::size_t listener) {
+  const auto found = faults_.find(listener);
+  if (found == faults_.end() || found->second.times == 0) return {};
+  if (found->second.times != UINT64_MAX) --found->second.times;
+  return found->second;
+}
+
 void Store::Compact() {
   const std::lock_guard lock(mutex_);
   history_.clear();
@@ -222,6 +229,11 @@
   changed_.notify_all();
 }
 
+std::uint64_t Store::fault_times(std::size_t listener) const {
+  const std::lock_guard lock(mutex_);
+  return FaultOf(listener).times;
+}
+
 std::uint64_t Store::calls(std::size_t listener) const {
   const std::lock_guard lock(mutex_);
   const auto found = calls_.find(listener);
@@ -232,7 +244,7 @@
                       httplib::Response& response) {
   std::unique_lock lock(mutex_);
   ++calls_[listener];
-  const StoreFault fault = FaultOf(listener);
+  const StoreFault fault = TakeFault(listener);
   const auto number = fault_numbers_[listener];
   const int socket = SocketOf(request);
   switch (fault.trouble) {
--- a/src/standin/store.h
+++ b/src/standin/store.h
@@ -33,6 +33,7 @@
 struct StoreFault {
   StoreTrouble trouble = StoreTrouble::kNone;
   std::chrono::milliseconds wait{0};
+  std::uint64_t times = UINT64_MAX;  // Calls that it applies to.
 };
 
 // Thread-safe.
@@ -62,6 +63,8 @@
   // Ends waits, for shutdown.
   void Stop();
 
+  // Calls that the listener's fault may still apply to.
+  std::uint64_t fault_times(std::size_t listener) const;
   // Calls that came, whatever their answer.
   std::uint64_t calls(std::size_t listener) const;
 
@@ -99,6 +102,8 @@
   // Requires mutex_ to be held.
   void AddEpochHeader(httplib::Response& response) const;
   StoreFault FaultOf(std::size_t listener) const;
+  // Takes one of the fault's `times`. @return the fault; none if no time is left
+  StoreFault TakeFault(std::size_t listener);
 
   mutable std::mutex mutex_;
   std::condition_variable changed_;
--- a/src/standin/tcp_forwarder.cc
+++ b/src/standin/tcp_forwarder.cc
@@ -34,7 +34,9 @@
 // One forwarded connection; its sockets close when both directions have ended.
 class Connection {
  public:
-  Connection(int caller, int target) : caller_(caller), target_(target) {}
+  // @param opened  the number of the fault board's view at that time
+  Connection(int caller, int target, std::uint64_t opened)
+      : caller_(caller), target_(target), opened_(opened) {}
   ~Connection() {
     close(caller_);
     close(target_);
@@ -45,6 +47,7 @@
   int From(FaultDirection way) const { return way == FaultDirection::kForward ? caller_ : target_; }
   int To(FaultDirection way) const { return way == FaultDirection::kForward ? target_ : caller_; }
   bool ended() const { return ended_; }
+  std::uint64_t opened() const { return opened_; }
 
   // Ends both directions; by RST unless `gentle`.
   void End(bool gentle) {
@@ -62,6 +65,7 @@
  private:
   const int caller_;
   const int target_;
+  const std::uint64_t opened_;
   std::atomic<bool> ended_{false};
 };
 
@@ -80,7 +84,7 @@
   // @return false when the direction has ended.
   bool Step() {
     if (board_.Get().fault.CutsBoth()) return End(false);
-    if (board_.Get().fault.Stops(way_)) {
+    if (board_.Get().fault.Stops(way_) || board_.IsSilenced(connection_->opened())) {
       std::this_thread::sleep_for(std::chrono::milliseconds(kPollMilliseconds));
       return true;
     }
@@ -99,7 +103,8 @@
   // Forwards a piece as the fault of the moment allows.
   bool Pass(const char* piece, std::size_t length) {
     auto view = board_.Get();
-    while (view.fault.Stops(way_) && !connection_->ended()) {
+    while ((view.fault.Stops(way_) || board_.IsSilenced(connection_->opened())) &&
+           !connection_->ended()) {
       std::this_thread::sleep_for(std::chrono::milliseconds(kPollMilliseconds));
       view = board_.Get();
     }
@@ -152,6 +157,7 @@
 }
 
 void Serve(int caller, const SocketAddress& target_address, FaultBoard& board) {
+  const auto opened = board.Get().number;
   const auto system = ToSystem(target_address);
   const int target = socket(system.storage.ss_family, SOCK_STREAM | SOCK_CLOEXEC, 0);
   if (connect(target, system.get(), system.length) != 0) {
@@ -162,7 +168,7 @@
   const int on = 1;
   setsockopt(caller, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
   setsockopt(target, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-  const auto connection = std::make_shared<Connection>(caller, target);
+  const auto connection = std::make_shared<Connection>(caller, target, opened);
   std::thread([connection, &board] {
     Pump(connection, FaultDirection::kBackward, board).Run();
   }).detach();
