Tell an instance that leaves from one whose entry expired by how long the source was silent

Cause: after any failed call a reader distrusted every removal for 2.5 s; the instance counted as lapsed, for 2.5 s from when each node learned of it, ended by a check once a second; the node beside it preferred it all the while. The lapse knew nothing of the bound.

An entry expires only after three missed renewals. A removal now counts as a lapse if nothing was heard of the source for as long as that takes (5/3 of the new setting entry-heartbeat-ms), or if most entries are missing at once after a failed call; otherwise it means leaving, at once. Lapses end together 2.5 s after the source's return, by a timer at that time; nodes pass on the time left. Beats carry the age of the reader's last answer, so that a successor knows how long the zone heard nothing. Heartbeats and updates of the release before are read as before, and it reads ours.

InstancesWhoseEntriesExpireInAnOutageServeOn is new. A failed try: to take lapses as not ending whenever no answer had come for a renewal interval kept them for ever beside watches that wait as long (AnInstanceThatIsNotListedAgainAfterAnOutageIsGone).

--- a/src/mesh/datagram_archive.h
+++ b/src/mesh/datagram_archive.h
@@ -7,11 +7,14 @@
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/string.hpp>
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <sstream>
 #include <string>
 #include <string_view>
 
+#include "base/time.h"
+
 namespace copperlead::mesh
 {
 
@@ -30,6 +33,16 @@
     return count;
 }
 
+/** Encodes a time in 32 bits, which is enough since waits are shorter than a month. */
+template <typename Archive>
+void archiveTime (Archive& archive, Milliseconds& value)
+{
+    constexpr std::int64_t most = std::numeric_limits<std::int32_t>::max();
+    auto count = static_cast<std::int32_t> (std::clamp<std::int64_t> (value.count(), -most, most));
+    archive (count);
+    value = Milliseconds (count);
+}
+
 template <typename Message>
 std::string encodeDatagram (std::uint32_t tag, const Message& message)
 {
--- a/src/mesh/instance_directory.cc
+++ b/src/mesh/instance_directory.cc
@@ -41,7 +41,10 @@
     entry.state = isSameIncarnation ? InstanceState::ready : InstanceState::lapsed;
 
     if (! isSameIncarnation)
+    {
         entry.changedAt = now;
+        entry.lapseEnd = now + lapsedGracePeriod;
+    }
 }
 
 bool InstanceDirectory::put (Timestamp now, Instance instance, SourcePosition position)
@@ -101,8 +104,9 @@
 }
 
 void InstanceDirectory::remove (Timestamp now, const std::string& id, SourcePosition position,
-                                bool trusted)
+                                Milliseconds grace)
 {
+    const bool trusted = grace <= Milliseconds (0);
     const auto found = byId.find (id);
 
     if (found == byId.end() || found->second.position > position)
@@ -118,25 +122,33 @@
     entry.state = trusted ? InstanceState::leaving : InstanceState::lapsed;
     entry.position = position;
     entry.changedAt = now;
-    reportUnlisted (entry, UnlistedCause::removed);
+    entry.lapseEnd = now + grace;
+    reportUnlisted (now, entry, UnlistedCause::removed);
     current.reset();
 }
 
-void InstanceDirectory::reportUnlisted (const ListedInstance& entry, UnlistedCause cause)
+void InstanceDirectory::reportUnlisted (Timestamp now, const ListedInstance& entry,
+                                        UnlistedCause cause)
 {
-    const Duration lapse =
-        entry.state == InstanceState::lapsed ? Duration (lapsedGracePeriod) : Duration (0);
+    const auto lapse = entry.state == InstanceState::lapsed ? entry.lapseEnd - now : Duration (0);
     unlisted.push_back ({ entry.instance.id, entry.state, cause, entry.position, lapse });
 }
 
 void InstanceDirectory::removeUnlisted (Timestamp now, const std::vector<std::string>& ids,
-                                        SourcePosition position, bool trusted)
+                                        SourcePosition position, Milliseconds grace)
 {
     const std::set<std::string> kept (ids.begin(), ids.end());
 
     for (const auto& [id, entry] : byId)
         if (! kept.contains (id))
-            remove (now, id, position, trusted);
+            remove (now, id, position, grace);
+}
+
+std::size_t InstanceDirectory::countUsable() const
+{
+    return static_cast<std::size_t> (std::count_if (
+        byId.begin(), byId.end(),
+        [] (const auto& item) { return item.second.state != InstanceState::leaving; }));
 }
 
 void InstanceDirectory::setEvacuatedZones (std::set<std::string> zones)
@@ -145,18 +157,32 @@
     current.reset();
 }
 
-void InstanceDirectory::advance (Timestamp now)
+Timestamp InstanceDirectory::nextLapseEnd() const
+{
+    auto earliest = Timestamp::max();
+
+    for (const auto& [id, entry] : byId)
+        if (entry.state == InstanceState::lapsed)
+            earliest = std::min (earliest, entry.lapseEnd);
+
+    return earliest;
+}
+
+void InstanceDirectory::advance (Timestamp now, bool sourceAnswers)
 {
     for (auto it = byId.begin(); it != byId.end();)
     {
         auto& entry = it->second;
         const auto age = now - entry.changedAt;
 
-        if (entry.state == InstanceState::lapsed && age > lapsedGracePeriod)
+        if (entry.state == InstanceState::lapsed && ! sourceAnswers)
+            entry.lapseEnd = now + lapsedGracePeriod;
+
+        if (entry.state == InstanceState::lapsed && now >= entry.lapseEnd)
         {
             entry.state = InstanceState::leaving;
             entry.changedAt = now;
-            reportUnlisted (entry, UnlistedCause::notBack);
+            reportUnlisted (now, entry, UnlistedCause::notBack);
             current.reset();
         }
 
--- a/src/mesh/instance_directory.h
+++ b/src/mesh/instance_directory.h
@@ -1,10 +1,10 @@
 /** A node's view of the instances of each service, built from the entries of the discovery source.
     This is decision logic without I/O: events and the time are passed in.
 
-    A removed entry means that the instance is leaving, but only while the source is healthy. When
-    the source is down, entries expire although their instances are still running. Such an instance
-    stays usable for a limited time, with lower preference than listed ones; its node rejects
-    requests that it can't run.
+    A removed entry means that the instance is leaving. Only after an outage of the source may the
+    entry have expired although its instance is still running. Such an instance stays usable for a
+    limited time, with lower preference than listed ones; its node rejects requests that it can't
+    run.
 
     A source that was restored from a backup lists older entries. Newer state that is known here
     takes precedence until the entries are written again: an instance that is leaving isn't used,
@@ -52,7 +52,7 @@
 enum class InstanceState : std::uint8_t
 {
     ready,
-    lapsed,  /**< Its entry was removed while the source was unhealthy. */
+    lapsed,  /**< Its entry may have expired in an outage of the source. */
     leaving, /**< It is draining or its entry is gone; it gets no new requests. */
 };
 
@@ -64,6 +64,7 @@
     InstanceState state = InstanceState::ready;
     SourcePosition position;                     /**< Source position of the entry's last change. */
     Timestamp changedAt{};                       /**< When this node learned of that change. */
+    Timestamp lapseEnd{};                        /**< For a lapsed instance: when it is gone. */
     Proximity proximity = Proximity::sameRegion; /**< To this node; set in snapshots. */
     std::uint64_t writtenRevision = 0;           /**< The revision that wrote `instance`. */
 
@@ -118,9 +119,9 @@
 class InstanceDirectory
 {
 public:
-    /** How long an instance stays usable after its entry lapsed. An instance that is running and
-        reaches the source is listed again about 2 s after the source recovers; one that isn't
-        listed by then is gone.
+    /** Time after the source's return in which lapsed instances stay usable. An instance that is
+        running and reaches the source is listed again about 2 s after the source recovers; one that
+        isn't listed by then is gone.
     */
     static constexpr Milliseconds lapsedGracePeriod{ 2500 };
     /** How long an instance that left is kept, so that its address isn't attributed to another. */
@@ -140,12 +141,17 @@
     /** Stores from another node that an instance is leaving, which a restored source has lost. */
     void retain (Timestamp now, Instance instance, SourcePosition position);
 
-    /** @param trusted  false while the source is unhealthy, so that absence proves little */
-    void remove (Timestamp now, const std::string& id, SourcePosition position, bool trusted);
+    /** @param grace  time for which the instance stays usable, because its entry may have expired
+       in an outage; 0 if it is leaving
+    */
+    void remove (Timestamp now, const std::string& id, SourcePosition position, Milliseconds grace);
 
     /** Removes every instance that isn't in a complete listing. */
     void removeUnlisted (Timestamp now, const std::vector<std::string>& ids,
-                         SourcePosition position, bool trusted);
+                         SourcePosition position, Milliseconds grace);
+
+    /** @returns the number of instances with a ready or lapsed state */
+    std::size_t countUsable() const;
 
     /** Notes that removals up to this position are at least partly unknown here. A reader at an
         earlier position then gets all entries from changesSince(), so that it can detect removals.
@@ -155,8 +161,13 @@
     /** Replaces the set of zones whose instances get no new requests. */
     void setEvacuatedZones (std::set<std::string> zones);
 
-    /** Ends expired grace periods and retentions, and drops entries whose retention has ended. */
-    void advance (Timestamp now);
+    /** Ends expired grace periods and retentions, and drops entries whose retention has ended.
+        @param sourceAnswers  false in an outage, in which lapsed instances can't be listed again
+    */
+    void advance (Timestamp now, bool sourceAnswers = true);
+
+    /** @returns when the next lapse ends; Timestamp::max() if no instance has lapsed */
+    Timestamp nextLapseEnd() const;
 
     DirectoryPointer snapshot();
 
@@ -173,7 +184,7 @@
     void keepAcrossRestore (Timestamp now, ListedInstance& entry, const Instance& listed,
                             SourcePosition position);
 
-    void reportUnlisted (const ListedInstance& entry, UnlistedCause cause);
+    void reportUnlisted (Timestamp now, const ListedInstance& entry, UnlistedCause cause);
 
     std::map<std::string, ListedInstance> byId;
     std::vector<UnlistedInstance> unlisted;
--- a/src/mesh/load_query.cc
+++ b/src/mesh/load_query.cc
@@ -34,16 +34,6 @@
 // expensive. The compact encodings below reduce a query and its reply from 193 to 139 bytes, with
 // names of ten letters.
 
-/** Encodes a time in 32 bits, which is enough since waits are shorter than a month. */
-template <typename Archive>
-void archiveTime (Archive& archive, Milliseconds& value)
-{
-    constexpr std::int64_t most = std::numeric_limits<std::int32_t>::max();
-    auto count = static_cast<std::int32_t> (std::clamp<std::int64_t> (value.count(), -most, most));
-    archive (count);
-    value = Milliseconds (count);
-}
-
 /** Encodes an estimate as a float, whose seven digits are precise enough. */
 template <typename Archive>
 void archiveEstimate (Archive& archive, double& value)
--- a/src/mesh/mesh_state.cc
+++ b/src/mesh/mesh_state.cc
@@ -30,8 +30,7 @@
     outcome.restored = reachedPosition.isKnown() && update.position.epoch > reachedPosition.epoch;
     outcome.instancesChanged = update.complete || ! update.instances.empty();
 
-    // A restored source may lack the entries of running instances.
-    outcome.staleIncarnations = takeInstances (now, update, update.trusted && ! outcome.restored);
+    outcome.staleIncarnations = takeInstances (now, update, graceOf (update, outcome.restored));
     outcome.evacuations = takeEvacuations (now, update);
     outcome.instancesChanged = outcome.instancesChanged || ! outcome.evacuations.empty();
 
@@ -43,7 +42,29 @@
     return outcome;
 }
 
-std::vector<std::string> MeshState::takeInstances (Timestamp now, MeshUpdate& update, bool trusted)
+Milliseconds MeshState::graceOf (const MeshUpdate& update, bool restored) const
+{
+    // A restored source may lack the entries of running instances.
+    if (restored)
+        return std::max (update.absence.grace, InstanceDirectory::lapsedGracePeriod);
+
+    if (update.absence.grace > Milliseconds (0) || ! update.absence.interrupted)
+        return update.absence.grace;
+
+    const auto removed = static_cast<std::size_t> (
+        std::count_if (update.instances.begin(), update.instances.end(),
+                       [] (const auto& change) { return change.removed; }));
+    const auto usable = instances.countUsable();
+    const auto listed = std::min (usable, update.instances.size() - removed);
+    const auto missing = update.complete ? usable - listed : removed;
+
+    // Instances leave one after the other, whereas entries expire together.
+    return missing > 1 && missing * 2 > usable ? InstanceDirectory::lapsedGracePeriod
+                                               : Milliseconds (0);
+}
+
+std::vector<std::string> MeshState::takeInstances (Timestamp now, MeshUpdate& update,
+                                                   Milliseconds grace)
 {
     std::vector<std::string> staleIncarnations, listed;
 
@@ -51,12 +72,14 @@
     {
         const auto id = change.instance.id;
 
+        const auto ownGrace = change.grace.value_or (grace);
+
         // A lapsed instance has no entry, but must not be removed below as if it had left.
-        if (! change.removed || ! change.trusted)
+        if (! change.removed || ownGrace > Milliseconds (0))
             listed.push_back (id);
 
         if (change.removed)
-            instances.remove (now, id, change.position, change.trusted);
+            instances.remove (now, id, change.position, ownGrace);
         else if (change.retained)
             instances.retain (now, std::move (change.instance), change.position);
         else if (! instances.put (now, std::move (change.instance), change.position))
@@ -65,7 +88,7 @@
 
     if (update.complete)
     {
-        instances.removeUnlisted (now, listed, update.position, trusted);
+        instances.removeUnlisted (now, listed, update.position, grace);
         instances.forgetRemovals (update.position);
     }
 
@@ -98,9 +121,9 @@
     return changed;
 }
 
-std::vector<EvacuationChange> MeshState::advance (Timestamp now)
+std::vector<EvacuationChange> MeshState::advance (Timestamp now, bool sourceAnswers)
 {
-    instances.advance (now);
+    instances.advance (now, sourceAnswers);
     auto changed = evacuations.advance (now);
 
     if (! changed.empty())
@@ -142,7 +165,8 @@
     return outcome;
 }
 
-MeshUpdate MeshState::changesSince (SourcePosition position, std::uint64_t version) const
+MeshUpdate MeshState::changesSince (Timestamp now, SourcePosition position,
+                                    std::uint64_t version) const
 {
     MeshUpdate update;
     std::vector<ListedInstance> changes;
@@ -156,9 +180,13 @@
         const bool gone =
             entry.state != InstanceState::ready && ! entry.instance.draining && ! retained;
 
-        if (! update.complete || ! gone || entry.state == InstanceState::lapsed)
+        const bool lapsed = entry.state == InstanceState::lapsed;
+        const auto grace =
+            lapsed ? std::chrono::ceil<Milliseconds> (entry.lapseEnd - now) : Milliseconds (0);
+
+        if (! update.complete || ! gone || lapsed)
             update.instances.push_back ({ entry.instance, entry.position, gone,
-                                          entry.state != InstanceState::lapsed, retained });
+                                          std::max (grace, Milliseconds (0)), retained });
     }
 
     update.evacuations = evacuations.changesSince (update.complete ? SourcePosition{} : position);
--- a/src/mesh/mesh_state.h
+++ b/src/mesh/mesh_state.h
@@ -41,11 +41,14 @@
 public:
     UpdateOutcome take (Timestamp now, MeshUpdate update);
 
-    /** Ends expired lapses and retentions. @returns the evacuations that changed */
-    std::vector<EvacuationChange> advance (Timestamp now);
+    /** Ends expired lapses and retentions.
+        @param sourceAnswers  false in an outage of the source
+        @returns the evacuations that changed
+    */
+    std::vector<EvacuationChange> advance (Timestamp now, bool sourceAnswers = true);
 
     /** @returns what a node lacks that has reached `position` and runs `version` (0: none) */
-    MeshUpdate changesSince (SourcePosition position, std::uint64_t version) const;
+    MeshUpdate changesSince (Timestamp now, SourcePosition position, std::uint64_t version) const;
 
     const ConfigurationHolder& configurations() const { return holder; }
     InstanceDirectory& directory() { return instances; }
@@ -59,7 +62,11 @@
 
 private:
     ConfigurationOutcome takeConfiguration (ConfigurationChange change);
-    std::vector<std::string> takeInstances (Timestamp now, MeshUpdate& update, bool trusted);
+    /** @returns the time for which instances stay usable that the update removes or lacks, unless a
+                 removal states it itself
+    */
+    Milliseconds graceOf (const MeshUpdate& update, bool restored) const;
+    std::vector<std::string> takeInstances (Timestamp now, MeshUpdate& update, Milliseconds grace);
     std::vector<EvacuationChange> takeEvacuations (Timestamp now, const MeshUpdate& update);
 
     ConfigurationHolder holder;
--- a/src/mesh/mesh_update.cc
+++ b/src/mesh/mesh_update.cc
@@ -75,6 +75,11 @@
                   std::make_move_iterator (kept.end()));
 }
 
+bool isLapsed (const InstanceChange& change)
+{
+    return change.grace.value_or (Milliseconds (0)) > Milliseconds (0);
+}
+
 } // namespace
 
 template <typename Archive>
@@ -133,7 +138,12 @@
 template <typename Archive>
 void serialize (Archive& archive, InstanceChange& change)
 {
-    archive (change.instance, change.position, change.removed, change.trusted, change.retained);
+    // False if the instance stays usable; archiveGracePeriods() tells for how long.
+    bool isFinal = ! isLapsed (change);
+    archive (change.instance, change.position, change.removed, isFinal, change.retained);
+
+    if constexpr (Archive::is_loading::value)
+        change.grace = isFinal ? Milliseconds (0) : InstanceDirectory::lapsedGracePeriod;
 }
 
 template <typename Archive>
@@ -152,10 +162,22 @@
 template <typename Archive>
 void serialize (Archive& archive, MeshUpdate& update)
 {
-    archive (update.complete, update.trusted, update.position, update.instances, update.evacuations,
+    bool isFinal = true; // Nodes pass on what missing entries mean with each instance.
+    archive (update.complete, isFinal, update.position, update.instances, update.evacuations,
              update.configuration);
 }
 
+/** Archives the grace periods of lapsed instances behind an update, in the order of its changes.
+    Nodes of an earlier release neither send nor read them.
+*/
+template <typename Archive>
+void archiveGracePeriods (Archive& archive, MeshUpdate& update)
+{
+    for (auto& change : update.instances)
+        if (isLapsed (change))
+            archive (*change.grace);
+}
+
 ConfigurationChange difference (const MeshConfiguration& base, const MeshConfiguration& next,
                                 SourcePosition position)
 {
@@ -191,6 +213,8 @@
     std::ostringstream stream;
     cereal::PortableBinaryOutputArchive archive (stream);
     archive (update);
+    auto lapsed = update;
+    archiveGracePeriods (archive, lapsed);
     auto plain = std::move (stream).str();
 
     if (plain.size() < compressionThreshold)
@@ -219,6 +243,9 @@
         std::istringstream stream (std::move (plain));
         cereal::PortableBinaryInputArchive archive (stream);
         archive (update);
+
+        if (stream.peek() != std::istringstream::traits_type::eof())
+            archiveGracePeriods (archive, update);
     }
     catch (const std::exception& error)
     {
--- a/src/mesh/mesh_update.h
+++ b/src/mesh/mesh_update.h
@@ -10,6 +10,7 @@
 #include "base/result.h"
 #include "mesh/instance_directory.h"
 #include "mesh/mesh_configuration.h"
+#include "mesh/source_follower.h"
 #include "mesh/zone_evacuations.h"
 
 namespace copperlead::mesh
@@ -22,8 +23,10 @@
     SourcePosition position;
     bool removed = false;
 
-    /** For a removal: true if the source was healthy when the entry disappeared. */
-    bool trusted = true;
+    /** For a removal: time for which the instance stays usable, because its entry may have expired
+        in an outage of the source; 0 if it is leaving. Empty if MeshUpdate::absence tells.
+    */
+    std::optional<Milliseconds> grace{};
     bool retained = false; /**< It is leaving although a restored source lists it as ready. */
 };
 
@@ -44,8 +47,8 @@
 {
     bool complete = false; /**< True if every instance is included; all others are gone. */
 
-    /** For a complete update: true if the absence of instances can be trusted. */
-    bool trusted = true;
+    /** For an update from the source: what it means that entries are missing. */
+    AbsenceEvidence absence{};
     SourcePosition position; /**< Position of the source up to which the update is complete. */
     std::vector<InstanceChange> instances;
     std::vector<EvacuationChange> evacuations;
--- a/src/mesh/reader_role.cc
+++ b/src/mesh/reader_role.cc
@@ -131,14 +131,22 @@
 
 void ReaderRole::updateLastUpToDate (Timestamp now)
 {
-    const bool fresh = std::any_of (readers.begin(), readers.end(),
-                                    [&] (const auto& item)
-                                    {
-                                        const auto& [heartbeat, receivedAt] = item.second;
-                                        return now - receivedAt <= settings.heartbeatInterval * 2 &&
-                                               heartbeat.position <= ownPosition &&
-                                               heartbeat.version <= ownVersion;
-                                    });
+    bool fresh = false;
+
+    for (const auto& [node, received] : readers)
+    {
+        const auto& [heartbeat, receivedAt] = received;
+
+        if (now - receivedAt > settings.heartbeatInterval * 2 || heartbeat.position > ownPosition ||
+            heartbeat.version > ownVersion)
+            continue;
+
+        fresh = true;
+        auto& [confirmedAt, distrustedUntil] = zoneConfirmation;
+        confirmedAt = std::max<Timestamp> (confirmedAt, receivedAt - heartbeat.confirmationAge);
+        distrustedUntil =
+            std::max<Timestamp> (distrustedUntil, receivedAt + heartbeat.absenceGrace);
+    }
 
     if (! fresh)
         return;
--- a/src/mesh/reader_role.h
+++ b/src/mesh/reader_role.h
@@ -25,6 +25,7 @@
 #include <utility>
 
 #include "base/time.h"
+#include "mesh/source_follower.h"
 #include "mesh/source_position.h"
 
 namespace copperlead::mesh
@@ -60,6 +61,9 @@
 
     /** False if the node only offers its state and doesn't report itself as a reader. */
     bool reads = true;
+
+    Milliseconds confirmationAge{}; /**< Time since the source last answered the node. */
+    Milliseconds absenceGrace{};    /**< Remaining time in which it doesn't trust absent entries. */
 };
 
 struct ReaderRoleSettings
@@ -161,6 +165,15 @@
     /** Time at which this node was last up to date with a healthy reader. */
     Timestamp lastUpToDate() const { return lastUpToDateAt; }
 
+    /** True if this node was recently up to date with a healthy reader. */
+    bool hearsReader (Timestamp now) const
+    {
+        return lastUpToDateAt != Timestamp{} && now - lastUpToDateAt <= settings.readerTimeout;
+    }
+
+    /** What healthy readers with which this node was up to date have reported. */
+    const ZoneConfirmation& confirmation() const { return zoneConfirmation; }
+
 private:
     struct ReceivedHeartbeat
     {
@@ -197,6 +210,7 @@
     std::uint64_t observedVersion = 0;
     Timestamp laterVersionSince = Timestamp::max();
     Timestamp lastUpToDateAt{}, weakerSince = Timestamp::max();
+    ZoneConfirmation zoneConfirmation;
     Timestamp readDelaySince{}; /**< Start of the current read delay. */
     Milliseconds minReadDelay{};
     std::optional<Milliseconds> readDelaySpread; /**< Empty: depends on the current peer count. */
--- a/src/mesh/source_follower.cc
+++ b/src/mesh/source_follower.cc
@@ -97,9 +97,11 @@
     return dropped;
 }
 
-bool SourceFollower::resume (Timestamp now, SourcePosition position)
+bool SourceFollower::resume (Timestamp now, SourcePosition position, ZoneConfirmation zone)
 {
     const bool dropped = skipListing (position);
+    zoneConfirmedAt = std::max (zoneConfirmedAt, zone.confirmedAt);
+    absenceDistrustedUntil = std::max (absenceDistrustedUntil, zone.absenceDistrustedUntil);
     paused = false;
     firstWatch = true;
     advanceTo (position);
@@ -184,7 +186,7 @@
 void SourceFollower::failed (Timestamp now)
 {
     ++failures;
-    absenceDistrustedUntil = now + settings.absenceDistrustTime;
+    interrupted = true;
     const auto longest = std::max (backoff (failures), minRetryInterval);
     std::uniform_int_distribution<std::int64_t> spread (longest.count() / 2, longest.count());
     due = now + Milliseconds (spread (random));
@@ -204,7 +206,28 @@
     epoch = newEpoch;
 
     if (reachedPosition.isKnown())
-        absenceDistrustedUntil = now + settings.absenceDistrustTime;
+        absenceDistrustedUntil = now + settings.renewalTime;
+}
+
+void SourceFollower::recordSuccess (Timestamp now)
+{
+    const auto confirmedAt = std::max (successAt, zoneConfirmedAt);
+    const auto silence = now - confirmedAt;
+
+    // Instances that had yet to renew expired entries have missed a renewal.
+    const bool renewalInterrupted =
+        interrupted && confirmedAt < absenceDistrustedUntil && silence >= settings.entryHeartbeat;
+
+    if (confirmedAt != Timestamp{} && (silence >= settings.lapseTime() || renewalInterrupted))
+        absenceDistrustedUntil = now + settings.renewalTime;
+
+    successAt = now;
+}
+
+AbsenceEvidence SourceFollower::takeAbsenceEvidence (Timestamp now)
+{
+    const auto grace = std::max (Duration (0), absenceDistrustedUntil - now);
+    return { std::chrono::ceil<Milliseconds> (grace), std::exchange (interrupted, false) };
 }
 
 bool SourceFollower::matchesCallEpoch (const SourceAnswer& answer) const
@@ -270,14 +293,14 @@
         return takeChanges (now, std::move (answer));
 
     if (! stale)
-        successAt = now;
+        recordSuccess (now);
 
-    return takePage (std::move (answer));
+    return takePage (now, std::move (answer));
 }
 
 std::optional<SourceUpdate> SourceFollower::takeChanges (Timestamp now, SourceAnswer answer)
 {
-    successAt = now;
+    recordSuccess (now);
     historyLosses = 0;
     advanceTo (answer.position);
     due = std::max<Timestamp> (now, sentAt + settings.watchInterval);
@@ -286,7 +309,8 @@
     if (answer.entries.empty() && ! std::exchange (immediateWatch, false))
         return std::nullopt;
 
-    return SourceUpdate{ false, std::move (answer.entries), reachedPosition };
+    return SourceUpdate{ false, std::move (answer.entries), reachedPosition,
+                         takeAbsenceEvidence (now) };
 }
 
 namespace
@@ -310,7 +334,7 @@
 
 } // namespace
 
-std::optional<SourceUpdate> SourceFollower::takePage (SourceAnswer answer)
+std::optional<SourceUpdate> SourceFollower::takePage (Timestamp now, SourceAnswer answer)
 {
     const auto pagePosition = completeUpTo (answer, stale);
     listingPosition = pages.empty() ? pagePosition : std::min (listingPosition, pagePosition);
@@ -331,7 +355,8 @@
     if (stale)
         due = sentAt + settings.emptyListInterval;
 
-    return SourceUpdate{ true, std::exchange (pages, {}), listingPosition };
+    return SourceUpdate{ true, std::exchange (pages, {}), listingPosition,
+                         takeAbsenceEvidence (now) };
 }
 
 } // namespace copperlead::mesh
--- a/src/mesh/source_follower.h
+++ b/src/mesh/source_follower.h
@@ -101,12 +101,34 @@
                             SourceReply::entries. */
 };
 
+/** What it means that an update removes an entry or lacks it. */
+struct AbsenceEvidence
+{
+    /** Time for which the instance may still be running without an entry, because the entry may
+       have expired while the source couldn't be reached; 0 if the instance is leaving.
+    */
+    Milliseconds grace{};
+
+    /** True if a call has failed since the previous update. Then most of the entries missing at
+       once shows that they expired, however short the failure was.
+    */
+    bool interrupted = false;
+};
+
 /** Changes that an answer of the source contains. */
 struct SourceUpdate
 {
     bool complete = false;            /**< True for a listing: entries that it lacks are removed. */
     std::vector<SourceEntry> entries; /**< Their revisions belong to the epoch of `position`. */
     SourcePosition position;
+    AbsenceEvidence absence{};
+};
+
+/** What the readers of a zone have reported about the source. */
+struct ZoneConfirmation
+{
+    Timestamp confirmedAt{}; /**< Time up to which no change is missing here. */
+    Timestamp absenceDistrustedUntil{};
 };
 
 struct FollowerSettings
@@ -125,8 +147,20 @@
     /** Minimum age of a watch that is replaced; the answer to a younger one may be in transit. */
     Milliseconds expediteAfter{ 200 };
 
-    /** Time for which absent entries aren't trusted after a failure or a restore. */
-    Milliseconds absenceDistrustTime{ 2500 };
+    /** Interval at which instances renew their entries. An entry expires after three intervals
+        without renewal.
+    */
+    Milliseconds entryHeartbeat{ 1500 };
+
+    /** Time after the source's return or restore within which running instances have renewed their
+        entries.
+    */
+    Milliseconds renewalTime{ 2500 };
+
+    /** Duration of an outage in which entries of running instances can expire. An entry renewed
+       just before its instance would renew it next outlasts two intervals; renewals may be late.
+    */
+    Milliseconds lapseTime() const { return entryHeartbeat * 5 / 3; }
 
     /** Upper bound of the random delay before a restored source is listed. */
     Milliseconds maxRestoreDelay{ 300 };
@@ -177,9 +211,10 @@
 
     /** Resumes, from `position` if it was reached by other means. The first watch is answered at
         once, which shows whether the source can be reached.
+        @param zone  what other readers have reported while this node didn't read
         @returns true if the pending request, if any, is to be dropped
     */
-    bool resume (Timestamp now, SourcePosition position);
+    bool resume (Timestamp now, SourcePosition position, ZoneConfirmation zone = {});
 
     /** Lists the source again while this node doesn't read. The answer may be stale. */
     void refreshListing (Timestamp now);
@@ -187,11 +222,14 @@
     /** Sets the minimum interval of calls to a failing source, which other nodes call as well. */
     void setMinRetryInterval (Milliseconds interval) { minRetryInterval = interval; }
 
-    /** True if no call has failed and no restore was seen recently, so that absent entries can be
-        considered removed.
+    /** True if the source answers and neither an outage in which entries can expire nor a restore
+        was seen recently, so that instances without an entry can be considered leaving.
     */
     bool canTrustAbsence (Timestamp now) const;
 
+    /** End of the time in which absent entries aren't trusted. */
+    Timestamp absenceDistrustEnd() const { return absenceDistrustedUntil; }
+
     /** True while the source answers: no call is failing, and the last answer is no older than a
         watch may take. Also true while a listing replaces a lost history: other nodes that start to
         read instead would each have to list the source as well.
@@ -220,7 +258,9 @@
     void handleHistoryLoss (Timestamp now);
     std::optional<SourceUpdate> takeChanges (Timestamp now, SourceAnswer answer);
     SourceCallCause causeOf (SourceCall call) const;
-    std::optional<SourceUpdate> takePage (SourceAnswer answer);
+    std::optional<SourceUpdate> takePage (Timestamp now, SourceAnswer answer);
+    void recordSuccess (Timestamp now);
+    AbsenceEvidence takeAbsenceEvidence (Timestamp now);
 
     FollowerSettings settings;
     std::minstd_rand random;
@@ -248,7 +288,9 @@
     int failures = 0;
     int historyLosses = 0; /**< Number since a watch was last answered. */
     Timestamp successAt{};
+    Timestamp zoneConfirmedAt{}; /**< As other readers reported before resume(). */
     Timestamp absenceDistrustedUntil{};
+    bool interrupted = false; /**< True if a call has failed since the last update. */
 };
 
 } // namespace copperlead::mesh
--- a/src/sidecar/instance/peer_endpoint.cc
+++ b/src/sidecar/instance/peer_endpoint.cc
@@ -85,8 +85,10 @@
                       cachedChanges.at == state.reached() && cachedChanges.ownVersion == ownVersion;
 
     if (! same || now - cachedChanges.madeAt > encodedChangesLifetime)
-        cachedChanges = { from,       version, state.reached(),
-                          ownVersion, now,     mesh::encode (state.changesSince (from, version)) };
+        cachedChanges = {
+            from,       version, state.reached(),
+            ownVersion, now,     mesh::encode (state.changesSince (now, from, version))
+        };
 
     return cachedChanges.bytes;
 }
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -49,6 +49,7 @@
     , reactor (std::move (reactorToUse))
     , log (std::move (logToUse))
     , settingsFile (settings.file)
+    , lapseTimer (reactor)
 {
     crashGuard =
         std::make_shared<CrashGuard> (reactor, settings.crashes, settings.instance.ip, log);
@@ -256,11 +257,27 @@
                       { "lapse_ms", mesh::toMilliseconds (instance.lapse) } });
 }
 
+void Sidecar::armLapseTimer()
+{
+    const auto end = state.directory().nextLapseEnd();
+
+    if (end == Timestamp::max())
+        return;
+
+    lapseTimer.arm (end,
+                    [weak = weak_from_this()]
+                    {
+                        if (const auto self = weak.lock())
+                            self->advanceState (now());
+                    });
+}
+
 void Sidecar::handleDirectoryChange (Timestamp at)
 {
     logUnlisted (at);
     const auto snapshot = state.directory().snapshot();
     lastHop->setDirectory (at, *snapshot);
+    armLapseTimer();
 
     // An unchanged snapshot needs no further work, whose cost grows with the number of instances.
     if (std::exchange (directory, snapshot) == snapshot)
@@ -292,12 +309,22 @@
         if (const auto self = weak.lock())
             self->takeUpdate (at, std::move (update));
     };
-    hooks.setReading = [weak] (bool reading)
+    hooks.setReading = [weak] (bool reading, const mesh::ZoneConfirmation& zone)
     {
         const auto self = weak.lock();
 
         if (self != nullptr && self->setReading)
-            self->setReading (reading, self->state.reached());
+            self->setReading (reading, self->state.reached(), zone);
+    };
+    hooks.ownConfirmation = [weak]
+    {
+        const auto self = weak.lock();
+
+        if (self == nullptr || ! self->sourceStatus)
+            return mesh::ZoneConfirmation{};
+
+        const auto status = self->sourceStatus();
+        return mesh::ZoneConfirmation{ status.lastSuccess, status.absenceDistrustedUntil };
     };
     hooks.refreshListing = [weak]
     {
@@ -331,7 +358,7 @@
 std::optional<double> Sidecar::msSinceConfirmation() const
 {
     const auto own = sourceStatus ? sourceStatus().lastSuccess : Timestamp{};
-    const auto zone = relay == nullptr ? Timestamp{} : relay->upToDateAt();
+    const auto zone = relay == nullptr ? Timestamp{} : relay->confirmedAt();
     return mesh::ageInMilliseconds (now(), std::max (own, zone));
 }
 
@@ -349,6 +376,20 @@
                       { "in_flight", static_cast<std::int64_t> (inFlight()) } });
 }
 
+bool Sidecar::sourceAnswers (Timestamp at) const
+{
+    const bool reachable = sourceStatus && sourceStatus().healthy;
+    return reachable || (relay != nullptr && relay->hearsReader (at));
+}
+
+void Sidecar::advanceState (Timestamp at)
+{
+    for (const auto& change : state.advance (at, sourceAnswers (at)))
+        logEvacuation (at, change);
+
+    handleDirectoryChange (at);
+}
+
 void Sidecar::tick()
 {
     const auto at = now();
@@ -363,10 +404,7 @@
 
     if (++ticks % ticksPerFileCheck == 0)
     {
-        for (const auto& change : state.advance (at))
-            logEvacuation (at, change);
-
-        handleDirectoryChange (at);
+        advanceState (at);
         checkSettingsFile();
     }
 
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -13,6 +13,7 @@
 #include "mesh/source_follower.h"
 #include "mesh/stop_plan.h"
 #include "sidecar/decision_log.h"
+#include "sidecar/earliest_timer.h"
 #include "sidecar/hop/first_hop.h"
 #include "sidecar/http/http_server.h"
 #include "sidecar/instance/last_hop.h"
@@ -30,6 +31,7 @@
 {
     Timestamp lastSuccess{};
     bool healthy = false; /**< Reached recently and not failing. */
+    Timestamp absenceDistrustedUntil{};
     mesh::SourceCallCounts calls{};
 };
 
@@ -63,7 +65,8 @@
     std::function<void()> onLaterVersion;
 
     /** Starts or stops reading the source. The position is the latest known, from any origin. */
-    std::function<void (bool reading, mesh::SourcePosition position)> setReading;
+    std::function<void (bool reading, mesh::SourcePosition position, mesh::ZoneConfirmation zone)>
+        setReading;
     std::function<SourceStatus()> sourceStatus;
 
     /** Called to list the source once, without reading it regularly, in order to find other nodes.
@@ -90,6 +93,9 @@
     void logListingOutcome (Timestamp now, const mesh::UpdateOutcome& outcome,
                             mesh::SourcePosition updated, mesh::SourcePosition known);
     void logUnlisted (Timestamp now);
+    void armLapseTimer();
+    bool sourceAnswers (Timestamp now) const;
+    void advanceState (Timestamp now);
     void logEvacuation (Timestamp now, const mesh::EvacuationChange& change);
     void setServiceSettings (Timestamp now, const mesh::MeshConfiguration& configuration);
     void connectFirstHop();
@@ -127,6 +133,7 @@
     std::optional<mesh::StopPlan> stopPlan; /**< Set once a stop has begun. */
     std::function<void()> onStopped;
     SettingsFile settingsFile;
+    EarliestTimer lapseTimer; /**< Ends the lapses of instances in time. */
     mesh::SleepWatch pauseWatch;
     std::uint64_t entriesRefused = 0;
     int ticks = 0;
--- a/src/sidecar/sidecar_settings.cc
+++ b/src/sidecar/sidecar_settings.cc
@@ -47,6 +47,7 @@
         ("extra-slots", text()->default_value ("0"), "requests at the instance beyond its slots, 0 to 64")
         ("changes-within-ms", text()->default_value (""), "in which a configuration is to be in force on every node, 100 to 600000; empty: 800")
         ("drain-within-ms", text()->default_value (""), "in which a leaving instance is to get nothing new, 100 to 600000; empty: 800")
+        ("entry-heartbeat-ms", text()->default_value (""), "at which instances renew their entries, which expire after three of them, 400 to 60000; empty: 1500")
         ("evacuate-within-ms", text()->default_value (""), "in which an evacuated zone's instances are to get nothing new, 100 to 600000; empty: 5000")
         ("cold-over", text()->default_value (""), "requests in a second that make a cold instance fall over, as a multiple of what it bears, 1 to 100; empty: 1")
         ("cold-slack", text()->default_value (""), "requests beyond that, 0 to 1000000; empty: 0")
@@ -233,6 +234,8 @@
     BOOST_LEAF_AUTO (changes, values.number ("changes-within-ms", 100, 600'000, 800));
     BOOST_LEAF_AUTO (drain, values.number ("drain-within-ms", 100, 600'000, 800));
     BOOST_LEAF_AUTO (evacuate, values.number ("evacuate-within-ms", 100, 600'000, 5000));
+    BOOST_LEAF_AUTO (heartbeat, values.number ("entry-heartbeat-ms", 400, 60'000, 1500));
+    settings.entryHeartbeat = mesh::fromMillisecondCount (heartbeat);
     BOOST_LEAF_ASSIGN (settings.coldBounds.overloadFactor, values.number ("cold-over", 1, 100, 1));
     BOOST_LEAF_ASSIGN (settings.coldBounds.slack, values.number ("cold-slack", 0, 1e6, 0));
     settings.watchInterval = watchIntervalFor (std::min ({ changes, drain, evacuate }));
--- a/src/sidecar/sidecar_settings.h
+++ b/src/sidecar/sidecar_settings.h
@@ -37,8 +37,9 @@
     std::string metricsPath;
     HeaderNames names;
     int extraSlots = 0;
-    Milliseconds grace{ 6000 };        /**< From the stop signal until the process is killed. */
-    Milliseconds watchInterval{ 200 }; /**< Minimum time between two watches of the source. */
+    Milliseconds grace{ 6000 };          /**< From the stop signal until the process is killed. */
+    Milliseconds entryHeartbeat{ 1500 }; /**< Interval at which instances renew their entries. */
+    Milliseconds watchInterval{ 200 };   /**< Minimum time between two watches of the source. */
     double retryRatio = 0.2, retrySlack = 64;
     Milliseconds retryWindow{ 10'000 };
     mesh::ColdBounds coldBounds;
--- a/src/sidecar/source/relay.cc
+++ b/src/sidecar/source/relay.cc
@@ -182,7 +182,7 @@
 
     // What a peer has sent doesn't need to be listed again.
     if (ownPosition.isKnown() && ! std::exchange (hadPosition, true) && ! role.reading())
-        hooks.setReading (false);
+        hooks.setReading (false, role.confirmation());
 }
 
 void Relay::setPeers (Timestamp now, mesh::PeerAddresses peersToUse, bool isListed)
@@ -297,8 +297,20 @@
 
 std::string Relay::encodeHeartbeat (bool healthy, bool reads) const
 {
-    return mesh::encode (mesh::ReaderHeartbeat{ settings.node, settings.zone, rankOf (settings),
-                                                ownPosition, ownVersion, healthy, reads });
+    mesh::ReaderHeartbeat heartbeat{ settings.node, settings.zone, rankOf (settings),
+                                     ownPosition,   ownVersion,    healthy,
+                                     reads };
+
+    if (healthy)
+    {
+        const auto now = SteadyClock().Now();
+        const auto [confirmedAt, distrustedUntil] = hooks.ownConfirmation();
+        heartbeat.confirmationAge = std::chrono::ceil<Milliseconds> (now - confirmedAt);
+        heartbeat.absenceGrace =
+            std::chrono::ceil<Milliseconds> (std::max (Duration (0), distrustedUntil - now));
+    }
+
+    return mesh::encode (heartbeat);
 }
 
 void Relay::sendHeartbeat (const std::string& ip, const std::string& bytes)
@@ -324,7 +336,7 @@
                       { "epoch", static_cast<std::int64_t> (ownPosition.epoch) },
                       { "revision", static_cast<std::int64_t> (ownPosition.revision) },
                       { "version", static_cast<std::int64_t> (ownVersion) } });
-        hooks.setReading (reading);
+        hooks.setReading (reading, role.confirmation());
     }
 }
 
--- a/src/sidecar/source/relay.h
+++ b/src/sidecar/source/relay.h
@@ -42,7 +42,10 @@
 struct RelayHooks
 {
     std::function<void (Timestamp, mesh::MeshUpdate)> applyUpdate;
-    std::function<void (bool reading)> setReading;
+    std::function<void (bool reading, const mesh::ZoneConfirmation& zone)> setReading;
+
+    /** Returns what this node's own calls have shown, to be reported to the zone. */
+    std::function<mesh::ZoneConfirmation()> ownConfirmation;
     /** Lists the source once more, to find peers. */
     std::function<void()> refreshListing;
 
@@ -101,6 +104,13 @@
 
     bool reading() const { return role.reading(); }
     Timestamp upToDateAt() const { return role.lastUpToDate(); }
+
+    /** True if the zone has a reader that reaches the source, and this node is up to date with it.
+     */
+    bool hearsReader (Timestamp now) const { return role.hearsReader (now); }
+
+    /** Time up to which no change of the source is missing here, by what readers have reported. */
+    Timestamp confirmedAt() const { return role.confirmation().confirmedAt; }
     const RelayCounters& counters() const { return counts; }
 
 private:
--- a/src/sidecar/source/source_reader.h
+++ b/src/sidecar/source/source_reader.h
@@ -34,8 +34,7 @@
 class SourceReader : public std::enable_shared_from_this<SourceReader<Dialect>>
 {
 public:
-    using UpdateHandler =
-        std::function<void (Timestamp, const mesh::SourceUpdate&, bool canTrustAbsence)>;
+    using UpdateHandler = std::function<void (Timestamp, const mesh::SourceUpdate&)>;
 
     SourceReader (std::shared_ptr<Reactor> reactorToUse, SocketAddress sourceAddress,
                   Dialect dialectToUse, const mesh::FollowerSettings& followerSettings,
@@ -55,11 +54,14 @@
 
     void start() { sendOrSchedule(); }
 
-    /** Starts or stops reading. @param position  position reached by other means, if any */
-    void setActive (bool active, mesh::SourcePosition position)
+    /** Starts or stops reading.
+        @param position  position reached by other means, if any
+        @param zone      what other readers have reported
+    */
+    void setActive (bool active, mesh::SourcePosition position, mesh::ZoneConfirmation zone = {})
     {
-        const bool drop =
-            active ? follower.resume (SteadyClock().Now(), position) : follower.pause (position);
+        const bool drop = active ? follower.resume (SteadyClock().Now(), position, zone)
+                                 : follower.pause (position);
 
         if (drop)
         {
@@ -175,7 +177,7 @@
         logChange (now, wasFailing, lastSuccess, result, reply);
 
         if (update)
-            handleUpdate (now, *update, follower.canTrustAbsence (now));
+            handleUpdate (now, *update);
 
         reactor->RunAt (now,
                         [weak = this->weak_from_this()]
--- a/tests/mesh/reader_role_test.cc
+++ b/tests/mesh/reader_role_test.cc
@@ -299,6 +299,33 @@
     EXPECT_EQ (role.laterVersionSeenFor (at (180)), Duration (0));
 }
 
+TEST (ReaderBeatCodec, ReadsHeartbeatsWithAndWithoutTheAgeOfTheSourcesAnswer)
+{
+    auto sent = heartbeat (better, 77);
+    sent.confirmationAge = Milliseconds (300);
+    sent.absenceGrace = Milliseconds (40);
+    const auto bytes = encode (sent);
+    EXPECT_EQ (decodeReaderHeartbeat (bytes)->confirmationAge, Milliseconds (300));
+    EXPECT_EQ (decodeReaderHeartbeat (bytes)->absenceGrace, Milliseconds (40));
+
+    const auto earlier = decodeReaderHeartbeat (bytes.substr (0, bytes.size() - 8));
+    ASSERT_TRUE (earlier);
+    EXPECT_EQ (earlier->position, revision (77));
+    EXPECT_EQ (earlier->confirmationAge, Milliseconds (0));
+}
+
+TEST_F (Role, KnowsWhenTheSourceLastAnsweredTheReaderThatItIsUpToDateWith)
+{
+    auto sent = heartbeat (better, 5);
+    sent.confirmationAge = Milliseconds (300);
+    sent.absenceGrace = Milliseconds (40);
+    role.heartbeatReceived (at (1000), sent);
+    EXPECT_EQ (role.confirmation().confirmedAt, at (700));
+    EXPECT_EQ (role.confirmation().absenceDistrustedUntil, at (1040));
+    role.heartbeatReceived (at (1200), heartbeat (better, 6));
+    EXPECT_EQ (role.confirmation().confirmedAt, at (700)) << "behind that reader";
+}
+
 TEST (ReaderBeatCodec, RoundTripsAndRejectsStrayDatagrams)
 {
     const auto bytes = encode (heartbeat (better, 77));
@@ -309,6 +336,7 @@
     EXPECT_EQ (read->rank.hash, better.hash);
     EXPECT_TRUE (read->healthy);
     EXPECT_TRUE (read->reads);
+    EXPECT_EQ (read->confirmationAge, Milliseconds (0));
 
     for (const auto& stray : { std::string(), std::string ("hello, who is there?"),
                                bytes.substr (0, bytes.size() - 1), "x" + bytes })
--- a/tests/mesh_integration/abrupt_leaving_test.cc
+++ b/tests/mesh_integration/abrupt_leaving_test.cc
@@ -96,6 +96,22 @@
               << "\n";
   }
 
+  void RemoveEntryOf(std::size_t index) {
+    fleet_.store().Remove("servers/" + fleet_.machines()[index]->instance_id);
+  }
+
+  // @return the longest time between two runs of the machine's instance, from `begin` until now
+  milliseconds LongestRest(std::size_t index, Clock::time_point begin) {
+    auto last = begin;
+    auto longest = Clock::duration::zero();
+    for (const auto& run : fleet_.machines()[index]->instance->runs()) {
+      if (run.ran_at < begin) continue;
+      longest = std::max(longest, run.ran_at - last);
+      last = run.ran_at;
+    }
+    return std::chrono::duration_cast<milliseconds>(std::max(longest, Clock::now() - last));
+  }
+
   MeshFleet fleet_;
   milliseconds bound_{0};
   std::vector<std::thread> clients_;
@@ -128,5 +144,25 @@
   ExpectNothingAfterTheBound();
 }
 
+// Guards against dropping running instances whose entries expired in an outage, or expire right
+// after it, before they could be renewed.
+TEST_F(AbruptLeaving, InstancesWhoseEntriesExpireInAnOutageServeOn) {
+  Begin(milliseconds(2000));
+  const auto begin = Clock::now();
+  fleet_.store().SetFault(0, {StoreTrouble::kBusy, {}});
+  std::this_thread::sleep_for(milliseconds(2900));
+  RemoveEntryOf(1);
+  std::this_thread::sleep_for(milliseconds(100));
+  fleet_.store().SetFault(0, {});
+  std::this_thread::sleep_for(milliseconds(700));
+  RemoveEntryOf(4);
+  std::this_thread::sleep_for(milliseconds(1300));
+  for (const std::size_t index : {1, 4}) fleet_.List(*fleet_.machines()[index]);
+  std::this_thread::sleep_for(milliseconds(2000));
+  EndClients();
+  EXPECT_LE(LongestRest(1, begin), milliseconds(700));
+  EXPECT_LE(LongestRest(4, begin), milliseconds(700));
+}
+
 }  // namespace
 }  // namespace copperlead::standin
