Derive every wait between a change at the source and its effect from the shortest bound

The waits were constants of their own; only the interval of watches looked at a bound.

SourceTiming derives watches, time-outs, retries, heartbeats, pulls and the reader's replacement from the shortest of changes-, drain-, evacuate- and revoke-within-ms. A reader repeats the heartbeat that reports a change. Bounds below 500 ms can't hold and are refused with an error that names that least.

The default bounds rise from 800 to 2,000 ms: at 800, readers of nodes without these settings would watch five times a second.

--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -12,8 +12,7 @@
 namespace
 {
 
-constexpr Milliseconds tickInterval{ 250 };
-constexpr int ticksPerFileCheck = 4;
+constexpr Milliseconds fileCheckInterval{ 1000 };
 
 Timestamp now() { return SteadyClock().Now(); }
 
@@ -301,6 +300,7 @@
     made.address = settings.relay;
     made.peerPort = settings.inbound.port;
     made.strength = readerStrength (settings);
+    made.timing = settings.timing;
 
     const auto weak = weak_from_this();
     RelayHooks hooks;
@@ -369,7 +369,8 @@
 
 void Sidecar::logPause (Timestamp at)
 {
-    if (const auto pause = pauseWatch.check (at, SuspendedTime(), tickInterval))
+    if (const auto pause =
+            pauseWatch.check (at, SuspendedTime(), settings.timing.heartbeatInterval))
         log->write (at, EventKind::woke,
                     { { "asleep_ms", mesh::toMilliseconds (pause->pauseDuration) },
                       { "suspended_ms", mesh::toMilliseconds (pause->suspended) },
@@ -402,13 +403,14 @@
 
     log->flush();
 
-    if (++ticks % ticksPerFileCheck == 0)
+    if (at - fileCheckedAt >= fileCheckInterval)
     {
+        fileCheckedAt = at;
         advanceState (at);
         checkSettingsFile();
     }
 
-    reactor->RunAt (at + tickInterval,
+    reactor->RunAt (at + settings.timing.heartbeatInterval,
                     [weak = weak_from_this()]
                     {
                         if (const auto self = weak.lock())
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -136,7 +136,7 @@
     EarliestTimer lapseTimer; /**< Ends the lapses of instances in time. */
     mesh::SleepWatch pauseWatch;
     std::uint64_t entriesRefused = 0;
-    int ticks = 0;
+    Timestamp fileCheckedAt{};
 };
 
 } // namespace copperlead::sidecar
--- a/src/sidecar/sidecar_settings.cc
+++ b/src/sidecar/sidecar_settings.cc
@@ -45,10 +45,10 @@
         ("link-mbps", text()->default_value (""), "bandwidth of this machine, 0.001 to 1000000; empty: 1000")
         ("metrics", text()->default_value (""), "PORT/PATH for metrics, on the outbound IP")
         ("extra-slots", text()->default_value ("0"), "requests at the instance beyond its slots, 0 to 64")
-        ("changes-within-ms", text()->default_value (""), "in which a configuration is to be in force on every node, 100 to 600000; empty: 800")
-        ("drain-within-ms", text()->default_value (""), "in which a leaving instance is to get nothing new, 100 to 600000; empty: 800")
+        ("changes-within-ms", text()->default_value (""), "in which a configuration is to be in force on every node, 500 to 600000; empty: 2000")
+        ("drain-within-ms", text()->default_value (""), "in which a leaving instance is to get nothing new, 500 to 600000; empty: 2000")
         ("entry-heartbeat-ms", text()->default_value (""), "at which instances renew their entries, which expire after three of them, 400 to 60000; empty: 1500")
-        ("evacuate-within-ms", text()->default_value (""), "in which an evacuated zone's instances are to get nothing new, 100 to 600000; empty: 5000")
+        ("evacuate-within-ms", text()->default_value (""), "in which an evacuated zone's instances are to get nothing new, 500 to 600000; empty: 5000")
         ("cold-over", text()->default_value (""), "requests in a second that make a cold instance fall over, as a multiple of what it bears, 1 to 100; empty: 1")
         ("cold-slack", text()->default_value (""), "requests beyond that, 0 to 1000000; empty: 0")
         ("grace-s", text()->default_value (""), "seconds from SIGTERM until the kill, 1 to 3600; empty: 6")
@@ -68,7 +68,7 @@
         ("header-credential", header (names.credential), "field with a client's key; goes to nobody")
         ("header-tenant", header (names.tenant), "field that tells instances whose key the client showed")
         ("zone-regions", text()->default_value (""), "the mesh's zones and their regions, as ZONE=REGION joined by commas; empty: one region")
-        ("revoke-within-ms", text()->default_value (""), "after which, without a word of the source, a key may have been taken away, 100 to 600000; empty: 5000")
+        ("revoke-within-ms", text()->default_value (""), "after which, without a word of the source, a key may have been taken away, 500 to 600000; empty: 5000")
         ("revoke-fail-closed", text()->default_value (""), "true: keys aren't accepted after that; false or empty: they still are")
         ("crash-limit", text()->default_value (""), "crashes of instances under a request from which no instance gets it for a while, 0 to 8; 0: it is always sent on; empty: 2")
         ("crash-hold-s", text()->default_value (""), "seconds for which no instance gets it at first, 1 to 86400; empty: 60")
@@ -188,8 +188,6 @@
         return bad (key, failClosed, "true or false");
 
     settings.credentials.failClosed = failClosed == "true";
-    BOOST_LEAF_AUTO (revokeMs, values.number ("revoke-within-ms", 100, 600'000, 5000));
-    settings.credentials.revokeTime = mesh::fromMillisecondCount (revokeMs);
     BOOST_LEAF_AUTO (window, values.number ("quota-window-s", 1, 3600, 5));
     settings.quotas.window = mesh::fromSeconds (window);
     BOOST_LEAF_ASSIGN (settings.quotas.excessShare, values.number ("quota-over", 0, 10, 0.25));
@@ -198,15 +196,32 @@
     return Done{};
 }
 
-/** The interval is a quarter of the bound, which leaves time for a lost call and a change of
-   reader. Shorter intervals would cost calls to the source without benefit; longer ones would delay
-   changes that are only noticed by watching.
-*/
-Milliseconds watchIntervalFor (double boundMs)
+/** Reads a bound for changes at the source to be in force on every node. */
+Result<double> changeBound (const Values& values, const std::string& key, double defaultMs)
 {
-    constexpr double share = 0.25, shortestMs = 200, longestMs = 1000;
-    return Milliseconds (
-        static_cast<std::int64_t> (std::clamp (share * boundMs, shortestMs, longestMs)));
+    constexpr double longestMs = 600'000;
+    const auto leastMs = static_cast<double> (mesh::SourceTiming::leastBound.count());
+    return values.number (key, leastMs, longestMs, defaultMs);
+}
+
+/** Reads the bounds of changes, of which the shortest determines how the source is read. */
+Result<Done> readChangeBounds (const Values& values, SidecarSettings& settings)
+{
+    constexpr double longestHeartbeatMs = 60'000, usualHeartbeatMs = 1500;
+    const auto leastHeartbeatMs =
+        static_cast<double> (mesh::SourceTiming::leastEntryHeartbeat.count());
+    BOOST_LEAF_AUTO (changes, changeBound (values, "changes-within-ms", 2000));
+    BOOST_LEAF_AUTO (drain, changeBound (values, "drain-within-ms", 2000));
+    BOOST_LEAF_AUTO (evacuate, changeBound (values, "evacuate-within-ms", 5000));
+    BOOST_LEAF_AUTO (revoke, changeBound (values, "revoke-within-ms", 5000));
+    BOOST_LEAF_AUTO (heartbeat, values.number ("entry-heartbeat-ms", leastHeartbeatMs,
+                                               longestHeartbeatMs, usualHeartbeatMs));
+    settings.entryHeartbeat = mesh::fromMillisecondCount (heartbeat);
+    settings.credentials.revokeTime = mesh::fromMillisecondCount (revoke);
+    const auto shortest = std::min ({ changes, drain, evacuate, revoke });
+    settings.timing =
+        mesh::SourceTiming::within (mesh::fromMillisecondCount (shortest), settings.entryHeartbeat);
+    return Done{};
 }
 
 Result<Done> readCrashLimits (const Values& values, mesh::CrashLimits& limits)
@@ -231,14 +246,8 @@
     BOOST_LEAF_ASSIGN (settings.retrySlack, values.number ("retry-slack", 0, 1e6, 64));
     BOOST_LEAF_ASSIGN (settings.cpuShare, values.number ("cpu-share", 0.001, 1024, 1));
     BOOST_LEAF_ASSIGN (settings.linkMbps, values.number ("link-mbps", 0.001, 1e6, 1000));
-    BOOST_LEAF_AUTO (changes, values.number ("changes-within-ms", 100, 600'000, 800));
-    BOOST_LEAF_AUTO (drain, values.number ("drain-within-ms", 100, 600'000, 800));
-    BOOST_LEAF_AUTO (evacuate, values.number ("evacuate-within-ms", 100, 600'000, 5000));
-    BOOST_LEAF_AUTO (heartbeat, values.number ("entry-heartbeat-ms", 400, 60'000, 1500));
-    settings.entryHeartbeat = mesh::fromMillisecondCount (heartbeat);
     BOOST_LEAF_ASSIGN (settings.coldBounds.overloadFactor, values.number ("cold-over", 1, 100, 1));
     BOOST_LEAF_ASSIGN (settings.coldBounds.slack, values.number ("cold-slack", 0, 1e6, 0));
-    settings.watchInterval = watchIntervalFor (std::min ({ changes, drain, evacuate }));
     settings.grace = mesh::fromSeconds (grace);
     settings.retryWindow = mesh::fromSeconds (window);
     return Done{};
@@ -295,6 +304,7 @@
     BOOST_LEAF_ASSIGN (settings.source, values.address ("source"));
     BOOST_LEAF_ASSIGN (settings.extraSlots, values.wholeNumber ("extra-slots", 0, maxExtraSlots));
     BOOST_LEAF_CHECK (readNumbers (values, settings));
+    BOOST_LEAF_CHECK (readChangeBounds (values, settings));
     BOOST_LEAF_CHECK (readTenancy (values, settings));
     BOOST_LEAF_CHECK (readCrashLimits (values, settings.crashes));
 
--- a/src/sidecar/sidecar_settings.h
+++ b/src/sidecar/sidecar_settings.h
@@ -14,6 +14,7 @@
 #include "mesh/crash_ledger.h"
 #include "mesh/credential_check.h"
 #include "mesh/quota_bounds.h"
+#include "mesh/source_timing.h"
 #include "sidecar/header_names.h"
 
 namespace copperlead::sidecar
@@ -39,7 +40,7 @@
     int extraSlots = 0;
     Milliseconds grace{ 6000 };          /**< From the stop signal until the process is killed. */
     Milliseconds entryHeartbeat{ 1500 }; /**< Interval at which instances renew their entries. */
-    Milliseconds watchInterval{ 200 };   /**< Minimum time between two watches of the source. */
+    mesh::SourceTiming timing;           /**< Of changes at the source. */
     double retryRatio = 0.2, retrySlack = 64;
     Milliseconds retryWindow{ 10'000 };
     mesh::ColdBounds coldBounds;
--- a/src/sidecar/source/relay.cc
+++ b/src/sidecar/source/relay.cc
@@ -13,8 +13,6 @@
 namespace
 {
 
-constexpr Milliseconds pullTimeout{ 500 };
-
 // Time for which a node may lag behind another one before it requests changes: heartbeats take 20
 // to 50 ms to reach a zone.
 constexpr Milliseconds catchUpTime{ 100 };
@@ -43,9 +41,12 @@
     return { settings.strength, XXH3_64bits (settings.node.data(), settings.node.size()) };
 }
 
-mesh::ReaderRoleSettings roleSettings()
+mesh::ReaderRoleSettings roleSettings (const mesh::SourceTiming& timing)
 {
     mesh::ReaderRoleSettings settings;
+    settings.heartbeatInterval = timing.heartbeatInterval;
+    settings.readerTimeout = timing.readerTimeout;
+    settings.readerTimeoutSpread = timing.readerTimeoutSpread;
     settings.canListPeers = true;
     return settings;
 }
@@ -58,7 +59,8 @@
     , settings (std::move (settingsToUse))
     , hooks (std::move (hooksToUse))
     , log (std::move (logToUse))
-    , role (settings.node, rankOf (settings), roleSettings(), rankOf (settings).hash)
+    , role (settings.node, rankOf (settings), roleSettings (settings.timing),
+            rankOf (settings).hash)
     , random (static_cast<std::minstd_rand::result_type> (rankOf (settings).hash))
     , client (std::make_shared<HttpClient> (reactor, pullClientSettings()))
     , subscriptions (rankOf (settings).hash)
@@ -132,7 +134,7 @@
     const auto target = std::string (changesPath) + std::to_string (ownPosition.epoch) + "/" +
                         std::to_string (ownPosition.revision) + "/" + std::to_string (version);
     CallOptions options;
-    options.deadline = SteadyClock().Now() + pullTimeout;
+    options.deadline = SteadyClock().Now() + settings.timing.pullTimeout;
     const HeaderFields fields{ { "Host", ip } };
     client->send ({ ip, settings.peerPort }, requestMessage ("GET", target, fields, {}), options,
                   [weak = weak_from_this(), otherZone] (const CallResult& result)
@@ -224,7 +226,7 @@
         return;
 
     if (now >= due)
-        return sendHeartbeats (true);
+        return announceNow();
 
     announcementPending = true;
     reactor->RunAt (due,
@@ -242,7 +244,22 @@
 
 Milliseconds Relay::minHeartbeatInterval() const
 {
-    return std::max (minInterval, intervalPerPeer * std::int64_t (peers.sameZone.size()));
+    const auto forPeers = intervalPerPeer * std::int64_t (peers.sameZone.size());
+    return std::min (std::max (minInterval, forPeers), settings.timing.announcementDelay);
+}
+
+void Relay::announceNow()
+{
+    sendHeartbeats (true);
+    reactor->RunAt (lastHeartbeatAt + settings.timing.repetitionDelay,
+                    [weak = weak_from_this(), sentAt = lastHeartbeatAt]
+                    {
+                        const auto self = weak.lock();
+
+                        if (self != nullptr && self->lastHeartbeatAt == sentAt &&
+                            self->role.reading() && self->reportedHealthy)
+                            self->sendHeartbeats (true);
+                    });
 }
 
 void Relay::sendHeartbeats (bool healthy)
@@ -350,7 +367,7 @@
 
     const bool healthy = hooks.isSourceReachable (now);
     // A loss of the source is reported at once; repetitions only help nodes that have just started.
-    const auto interval = healthy ? mesh::ReaderRoleSettings{}.heartbeatInterval
+    const auto interval = healthy ? settings.timing.heartbeatInterval
                           : reportedHealthy
                               ? Milliseconds (0)
                               : std::max (unhealthyInterval, role.minRetryInterval (now));
--- a/src/sidecar/source/relay.h
+++ b/src/sidecar/source/relay.h
@@ -15,6 +15,7 @@
 #include "mesh/mesh_update.h"
 #include "mesh/peer_addresses.h"
 #include "mesh/reader_role.h"
+#include "mesh/source_timing.h"
 #include "mesh/subscription.h"
 #include "sidecar/decision_log.h"
 #include "sidecar/http/http_client.h"
@@ -36,6 +37,7 @@
     /** Port on which nodes accept requests for changes. */
     std::uint16_t peerPort = 0;
     int strength = 0; /**< Strength of this machine, for the rank of readers. */
+    mesh::SourceTiming timing;
 };
 
 /** Functions of the node that the relay calls. */
@@ -124,6 +126,9 @@
     void send (const mesh::OutgoingSubscriptions& subscriptionsToSend);
     void sendHeartbeats (bool healthy);
 
+    /** Reports a change to the zone, and once more in case the first heartbeat is lost. */
+    void announceNow();
+
     /** Repeatedly reports to the zone what this node listed at its start. Otherwise a node that
         starts slightly later, or whose datagram is lost, would list the store itself, which takes
         long over a slow link.
--- a/tests/mesh_integration/abrupt_leaving_test.cc
+++ b/tests/mesh_integration/abrupt_leaving_test.cc
@@ -144,6 +144,14 @@
   ExpectNothingAfterTheBound();
 }
 
+// Guards against waits that keep the usual bound and exceed a shorter one.
+TEST_F(AbruptLeaving, AShorterBoundHoldsWhileTheWatchIsSilent) {
+  Begin(milliseconds(1000));
+  for (const auto& machine : fleet_.machines()) machine->store_faults->SilenceOpenConnections();
+  RemoveEntry();
+  ExpectNothingAfterTheBound();
+}
+
 // Guards against dropping running instances whose entries expired in an outage, or expire right
 // after it, before they could be renewed.
 TEST_F(AbruptLeaving, InstancesWhoseEntriesExpireInAnOutageServeOn) {
