Follow an evacuation that is ordered after a restore under a reused revision at once

An evacuation that had ended before a restore kept its old position when the restored source listed no order. A new order with a revision up to the old one's was taken for that one, and the zone stayed in use for 30 s, where evacuate-within-ms promises 5 s. A retained end that the source no longer listed turned into an evacuation after 30 s.

A listing without the order confirms the end, in the listing's epoch. Both tests failed before.

--- a/src/mesh/zone_evacuations.cc
+++ b/src/mesh/zone_evacuations.cc
@@ -57,7 +57,18 @@
     {
         auto& change = state.change;
 
-        if (change.ended || change.retained || change.position > position || listed.contains (zone))
+        if (change.position > position || listed.contains (zone))
+            continue;
+
+        // Without the order, the source agrees that the evacuation has ended.
+        if (change.ended)
+        {
+            change.position = position;
+            change.retained = false;
+            continue;
+        }
+
+        if (change.retained)
             continue;
 
         if (change.position.epoch < position.epoch)
--- a/tests/mesh/zone_evacuations_test.cc
+++ b/tests/mesh/zone_evacuations_test.cc
@@ -53,5 +53,28 @@
     EXPECT_EQ (changes[0], (EvacuationChange{ "a", revision (8), true }));
 }
 
+// Guards against taking an order given after a restore for the ended one of before, and ignoring it
+// for the whole retention time.
+TEST (ZoneEvacuations, AnOrderUnderAReusedRevisionIsInForceAtOnce)
+{
+    ZoneEvacuations evacuations;
+    evacuations.apply (at (0), { "a", { 1, 20 }, false });
+    evacuations.apply (at (0), { "a", { 1, 25 }, true });
+    evacuations.removeUnlisted (at (100), {}, { 2, 12 });
+    EXPECT_TRUE (evacuations.apply (at (200), { "a", { 2, 14 }, false }));
+    EXPECT_EQ (evacuations.zones(), Zones{ "a" });
+}
+
+TEST (ZoneEvacuations, ARetainedEndStaysWhenTheSourceNoLongerListsTheOrder)
+{
+    ZoneEvacuations evacuations;
+    evacuations.apply (at (0), { "a", { 1, 10 }, false });
+    evacuations.apply (at (0), { "a", { 1, 25 }, true });
+    evacuations.apply (at (100), { "a", { 2, 10 }, false });
+    evacuations.removeUnlisted (at (200), {}, { 2, 30 });
+    evacuations.advance (at (60'000));
+    EXPECT_TRUE (evacuations.zones().empty());
+}
+
 } // namespace
 } // namespace copperlead::mesh::test
