Use an instance again at once whose entry is written after a restore that lacks it

An instance counted as gone, the source returned from a copy without its entry, and the instance wrote it under a revision up to its old one: nodes took that for the old entry and left the running instance unused for 30 s. A listing without the entry now moves the removal into the listing's epoch.

--- a/src/mesh/instance_directory.cc
+++ b/src/mesh/instance_directory.cc
@@ -115,8 +115,16 @@
     auto& entry = found->second;
     entry.retainedAt.reset();
 
-    if (entry.state == InstanceState::leaving ||
-        (entry.state == InstanceState::lapsed && ! trusted))
+    if (entry.state == InstanceState::leaving)
+    {
+        // What is written from now on is no earlier entry that a restore has brought back.
+        if (entry.position.epoch < position.epoch)
+            entry.position = position;
+
+        return;
+    }
+
+    if (entry.state == InstanceState::lapsed && ! trusted)
         return;
 
     entry.state = trusted ? InstanceState::leaving : InstanceState::lapsed;
--- a/tests/mesh/restored_source_state_test.cc
+++ b/tests/mesh/restored_source_state_test.cc
@@ -197,6 +197,19 @@
     EXPECT_EQ (usable (rewritten), (Ids{ "a", "b" }));
 }
 
+// Guards against taking an entry that is written after a restore for the removed one of before, and
+// leaving its running instance unused for the whole retention time.
+TEST_F (RestoredSourceState, ARemovedInstanceThatTheCopyLacksIsUsedOnceItIsListed)
+{
+    auto written = entries["a"];
+    node.take (at (1), event (removal(), { 1, 21 }));
+    entries.erase ("a");
+    node.take (at (2), listing ({ 2, 3 }, 6));
+    EXPECT_EQ (usable (node), Ids{ "b" });
+    node.take (at (3), event (written, { 2, 4 }));
+    EXPECT_EQ (usable (node), (Ids{ "a", "b" }));
+}
+
 TEST_F (RestoredSourceState, AnEarlierIncarnationDoesNotReplaceTheLaterOne)
 {
     put ("a", 18, 2000);
