Deny unknown routes and keys only on a word of the source within the bound of changes

A route that was added 5 s ago could be answered with 404 by a node whose reader had just lost the source, and a revoked key accepted beyond revoke-within-ms. Seen in the code only, not in a run.

The new settings test looks at the limit; before, it was 2,500 ms for any bound, in the code (no run of the test on it).

--- a/src/sidecar/sidecar_settings.cc
+++ b/src/sidecar/sidecar_settings.cc
@@ -221,6 +221,11 @@
     const auto shortest = std::min ({ changes, drain, evacuate, revoke });
     settings.timing =
         mesh::SourceTiming::within (mesh::fromMillisecondCount (shortest), settings.entryHeartbeat);
+
+    // What a node denies may have been allowed for as long as changes take, and not longer.
+    auto& confirmationAge = settings.credentials.maxConfirmationAge;
+    confirmationAge = std::min (mesh::fromMillisecondCount (changes),
+                                std::max (confirmationAge, settings.timing.longestSilence()));
     return Done{};
 }
 
--- a/tests/sidecar/sidecar_settings_test.cc
+++ b/tests/sidecar/sidecar_settings_test.cc
@@ -56,6 +56,22 @@
                Milliseconds (1000));
 }
 
+// Guards against denying a route or key that was added longer ago than changes may take.
+TEST (SidecarSettings, WhatIsDeniedIsConfirmedWithinTheBoundOfChanges)
+{
+    const auto ageWith = [] (const char* changes, const char* heartbeat)
+    {
+        return parse ({ "--changes-within-ms", changes, "--drain-within-ms", "5000",
+                        "--entry-heartbeat-ms", heartbeat })
+            .value()
+            .settings.credentials.maxConfirmationAge;
+    };
+    EXPECT_EQ (ageWith ("1000", ""), Milliseconds (1000));
+    EXPECT_EQ (ageWith ("", ""), Milliseconds (2000));
+    EXPECT_EQ (ageWith ("10000", ""), Milliseconds (2500));
+    EXPECT_GT (ageWith ("10000", "60000"), Milliseconds (2500)) << "watches wait longer";
+}
+
 TEST (SidecarSettings, BadValuesNameTheKeyTheValueAndWhatIsAllowed)
 {
     struct Case
