Take back nothing of a former keeper's grants until they have expired

A keeper that begins while no instance can be reached is given back what its predecessor had granted, counts it as its own and grants it again beside what nodes still hold.

--- a/src/mesh/quota_keeper.cc
+++ b/src/mesh/quota_keeper.cc
@@ -186,6 +186,7 @@
     if (! kept.bucket || now - kept.askedAt > idleTimeout)
     {
         kept.bucket.emplace (now, std::min (initialSlackPart * bounds.slack, capacityOf (tenant)));
+        kept.begunAt = now;
         ++kept.report.begun;
         begun = true;
     }
@@ -211,7 +212,11 @@
                               std::chrono::duration<double> (quotaLeaseDuration).count();
     const auto capacity = capacityOf (tenant);
     const auto room = std::clamp (steadyTokens + capacity - kept.unexpiredSum, 0.0, capacity);
-    kept.bucket->giveBack (returned, room);
+
+    // Until the grants of a keeper before this one have expired, nodes may hold as much of those.
+    if (now - kept.begunAt >= quotaLeaseDuration)
+        kept.bucket->giveBack (returned, room);
+
     kept.report.returned += returned;
 }
 
--- a/src/mesh/quota_keeper.h
+++ b/src/mesh/quota_keeper.h
@@ -116,7 +116,8 @@
         std::unordered_map<std::string, ZoneAgreement> agreements; /**< By zone. */
         bool ranksFirst = false; /**< Whether this node is the first candidate in the view. */
         std::optional<TokenBucket> bucket;
-        FlowShares flow; /**< Tokens granted, by IP. */
+        Timestamp begunAt{}; /**< When the bucket was started. */
+        FlowShares flow;     /**< Tokens granted, by IP. */
         /** Time and tokens of each grant. */
         std::deque<std::pair<Timestamp, std::uint32_t>> unexpired;
         std::uint32_t unexpiredSum = 0;
--- a/tests/mesh/quota_faults_test.cc
+++ b/tests/mesh/quota_faults_test.cc
@@ -90,5 +90,33 @@
     }
 }
 
+// Guards against a keeper that begins while no instance can be reached, and grants again what its
+// predecessor had granted and nodes still hold: 163 requests in a window that allows 157.
+TEST (QuotaFaults, KeepersChangeWhileNoInstanceCanBeReached)
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed)
+    {
+        QuotaFleet fleet (seed, smallQuota, fewNodes, fewZones);
+        fleet.run (3000, overloadPerSecond);
+        const auto keeper = fleet.keeper();
+        std::uniform_int_distribution<std::int64_t> restMs (200, 1200);
+
+        for (int round = 0; round < 8; ++round)
+        {
+            fleet.instancesAreDown = round < 3;
+            const std::set<int> unlisted =
+                round % 2 == 0 ? std::set<int>{ keeper } : std::set<int>{};
+
+            for (int n = 0; n < fewNodes; ++n)
+                fleet.setDirectoryWithout (n, unlisted);
+
+            fleet.run (restMs (fleet.random), 2 * overloadPerSecond);
+        }
+
+        fleet.run (5000, 2 * overloadPerSecond);
+        EXPECT_LE (fleet.maxPassedInWindow(), fleet.limitInWindow()) << "seed " << seed;
+    }
+}
+
 } // namespace
 } // namespace copperlead::mesh::test
