--- a/tests/mesh_integration/mesh_soak_test.cc
+++ b/tests/mesh_integration/mesh_soak_test.cc
@@ -5,7 +5,8 @@
 // seed that ever failed joins the list with a line on its cause.
 // COPPERLEAD_SOAK_RESTORES adds store restores to the wide seeds of
 // PromisesHoldUnderFaultsFromOutside, COPPERLEAD_SOAK_STATEMENTS instances that state limits and
-// that they leave.
+// that they leave, COPPERLEAD_SOAK_LEAVINGS (alone) instances whose entries go after a short
+// trouble.
 #include <gtest/gtest.h>
 
 #include <cstdlib>
@@ -25,6 +26,7 @@
 SoakKind WideKind() {
   const bool restores = std::getenv("COPPERLEAD_SOAK_RESTORES") != nullptr;
   const bool statements = std::getenv("COPPERLEAD_SOAK_STATEMENTS") != nullptr;
+  if (std::getenv("COPPERLEAD_SOAK_LEAVINGS") != nullptr) return SoakKind::kWideWithLeavings;
   if (statements) {
     return restores ? SoakKind::kWideWithStatementsAndRestores : SoakKind::kWideWithStatements;
   }
@@ -73,6 +75,11 @@
   for (const std::uint64_t seed : {8001, 8002}) PlaySeed(seed, SoakKind::kWideWithStatements);
 }
 
+// Guards against requests to instances whose entries went right after a failed call to the store.
+TEST(MeshSoak, PromisesHoldWhileInstancesLeaveBesideShortTroubles) {
+  for (const std::uint64_t seed : {9001, 9002}) PlaySeed(seed, SoakKind::kWideWithLeavings);
+}
+
 // Guards against exceeding a tenant's limit (176 requests ran where 157 are allowed) when its quota
 // keeper changes and the next one grants from a bucket that has refilled.
 TEST(MeshSoak, ALimitHoldsWhileTheStoreIsRestored) { PlaySeed(7002, SoakKind::kWideWithRestores); }
--- a/tests/mesh_integration/soak.h
+++ b/tests/mesh_integration/soak.h
@@ -24,7 +24,8 @@
   kWideBehindProxies,   // As above, behind fault proxies, whose ports accept all the while.
   kWideWithRestores,    // As kWide, and the store is restored from backups.
   kWideWithStatements,  // As kWide, and instances state limits and that they leave.
-  kWideWithStatementsAndRestores
+  kWideWithStatementsAndRestores,
+  kWideWithLeavings  // As kWide, and entries of instances go after a short trouble with the store.
 };
 
 // One play of the soak.
@@ -38,7 +39,8 @@
         with_restores_(kind == SoakKind::kWideWithRestores ||
                        kind == SoakKind::kWideWithStatementsAndRestores),
         with_statements_(kind == SoakKind::kWideWithStatements ||
-                         kind == SoakKind::kWideWithStatementsAndRestores) {}
+                         kind == SoakKind::kWideWithStatementsAndRestores),
+        with_leavings_(kind == SoakKind::kWideWithLeavings) {}
 
   void Play(std::chrono::seconds duration);
 
@@ -80,6 +82,11 @@
   void InjectRestore();
   void RestoreStore();
 
+  // An instance's entry goes while it serves on, after or amid one short trouble with the store or
+  // a reader. Checks that the instance gets nothing after the bound.
+  void InjectLeaving();
+  void InjectShortTrouble(std::size_t leaving);
+
   // Rewrites the instance entries, with the one at `draining` marked as such, and the
   // configuration.
   void RewriteStore(std::size_t draining);
@@ -111,6 +118,7 @@
   bool behind_proxies_;
   bool with_restores_;
   bool with_statements_;
+  bool with_leavings_;
   std::mutex listing_;  // Guards the machines' instance ids, which crashes change, and former ids.
   std::set<std::string> former_instance_ids_;
   MeshFleet fleet_;
--- a/tests/mesh_integration/soak_faults.cc
+++ b/tests/mesh_integration/soak_faults.cc
@@ -16,6 +16,9 @@
 constexpr auto kPropagationTime = milliseconds(1000);  // Usually enough for nodes to see a change.
 constexpr auto kMaxDrainDelay = milliseconds(2000);  // Draining instances get no requests after it.
 
+// After which an outage of the store has no effect on how removed entries are understood.
+constexpr auto kOutageEffects = milliseconds(3000);
+
 // @param board  null: nothing stands in the way
 bool IsAtFault(const FaultBoard* board) {
   return board != nullptr && board->Get().fault.kind != FaultKind::kNone;
@@ -197,7 +200,56 @@
   health_.SetStoreFault(false);
 }
 
+void Soak::InjectShortTrouble(std::size_t leaving) {
+  static constexpr StoreTrouble kTroubles[] = {StoreTrouble::kBusy, StoreTrouble::kMany,
+                                               StoreTrouble::kReset, StoreTrouble::kGarbled};
+  const auto kind = Pick(0, 3);
+  RecordFault("short trouble", nullptr, std::to_string(kind));
+  if (kind <= 1) {
+    const StoreFault fault{kTroubles[Pick(0, std::size(kTroubles) - 1)], {}, Pick(1, 4)};
+    fleet_.store().SetFault(0, fault);
+  } else if (kind == 2) {
+    for (const auto& machine : fleet_.machines()) machine->store_faults->SilenceOpenConnections();
+  } else {
+    const std::size_t other = (leaving + Pick(1, fleet_.machines().size() - 1));
+    Restart(other % fleet_.machines().size(), SIGKILL);
+  }
+}
+
+void Soak::InjectLeaving() {
+  ClearFaults();
+  std::this_thread::sleep_for(kOutageEffects);
+
+  // The first two of every three machines serve `desk`.
+  const std::size_t leaving = Pick(0, fleet_.machines().size() / 3 - 1) * 3 + Pick(0, 1);
+  MeshMachine& machine = *fleet_.machines()[leaving];
+  health_.SetStoreFault(true);
+  health_.BeginFault(leaving);
+  const bool before = Pick(0, 1) == 0;
+  if (before) {
+    InjectShortTrouble(leaving);
+    std::this_thread::sleep_for(milliseconds(Pick(0, 1500)));
+  }
+  RecordFault("entry goes", &machine);
+  std::int64_t born = 0;
+  {
+    const std::lock_guard lock(listing_);
+    born = machine.instance->born();
+    fleet_.store().Remove("servers/" + machine.instance_id);
+  }
+  const auto acknowledged = std::chrono::steady_clock::now();
+  if (!before) InjectShortTrouble(leaving);
+  std::this_thread::sleep_until(acknowledged + kMaxDrainDelay + milliseconds(Pick(300, 1500)));
+  fleet_.store().SetFault(0, {});
+  const std::lock_guard lock(listing_);
+  seen_.CheckDrained(machine, born, acknowledged + kMaxDrainDelay);
+  fleet_.List(machine);
+  health_.EndFault(leaving);
+  health_.SetStoreFault(false);
+}
+
 void Soak::InjectFault() {
+  if (with_leavings_ && Pick(0, 3) == 0) return InjectLeaving();
   if (with_restores_ && Pick(0, 3) == 0) return InjectRestore();
   if (with_statements_ && Pick(0, 2) == 0) {
     return ChangeStatement(*fleet_.machines()[Pick(0, fleet_.machines().size() - 1)]);
