Soak: take an instance for up only if it is up when a request is refused

Traced: the request that crashes instances had ended all four of the service between 144.697 and 144.832 s (instance_lost), and they were back from 146.676 s on. The check looks at machines one after the other and asks each for its readiness; from 144.620 on it waited 1.5 s for a node that the soak had paused, so it took the four for up.

The check now asks the instance itself at the moment of the refusal: not down, and started at least the settle time before the request. It is no looser for instances that run.

--- a/tests/mesh_integration/soak_health.cc
+++ b/tests/mesh_integration/soak_health.cc
@@ -74,8 +74,11 @@
   const std::lock_guard lock(mutex_);
   if (!IsSettled(store_, sent) || !IsSettled(machines_[machine], sent)) return false;
   for (std::size_t index = 0; index < machines_.size(); ++index) {
-    const bool serves = fleet_.machines()[index]->service == service;
-    if (serves && IsSettled(machines_[index], sent)) return true;
+    const MeshMachine& other = *fleet_.machines()[index];
+    // Look() may be held up by a paused node for as long as its instance's neighbours crash.
+    const bool runs =
+        !other.instance->down() && other.instance->starts().back() <= sent - kSettleTime;
+    if (other.service == service && runs && IsSettled(machines_[index], sent)) return true;
   }
   return false;
 }
