Count an outage from a node's start, and hold a lapse in one for 30 s at most

Two gaps of the lapse's mend, found by reading it again. A node that started while the source was away had no earlier answer to measure the silence by, so it dropped instances whose entries had expired in that outage. A zone that the source turned away for long kept lapsed instances for as long.

--- a/src/mesh/instance_directory.cc
+++ b/src/mesh/instance_directory.cc
@@ -183,7 +183,7 @@
         auto& entry = it->second;
         const auto age = now - entry.changedAt;
 
-        if (entry.state == InstanceState::lapsed && ! sourceAnswers)
+        if (entry.state == InstanceState::lapsed && ! sourceAnswers && age <= departedRetention)
             entry.lapseEnd = now + lapsedGracePeriod;
 
         if (entry.state == InstanceState::lapsed && now >= entry.lapseEnd)
--- a/src/mesh/source_follower.cc
+++ b/src/mesh/source_follower.cc
@@ -27,8 +27,13 @@
 
 std::optional<SourceRequest> SourceFollower::poll (Timestamp now)
 {
-    if (! std::exchange (hasStarted, true) && settings.firstListDelay > Milliseconds (0))
-        due = std::max<Timestamp> (due, now + settings.firstListDelay);
+    if (startedAt == Timestamp{})
+    {
+        startedAt = now;
+
+        if (settings.firstListDelay > Milliseconds (0))
+            due = std::max<Timestamp> (due, now + settings.firstListDelay);
+    }
 
     if (requestPending || (paused && listed) || now < due)
         return std::nullopt;
@@ -211,7 +216,12 @@
 
 void SourceFollower::recordSuccess (Timestamp now)
 {
-    const auto confirmedAt = std::max (successAt, zoneConfirmedAt);
+    auto confirmedAt = std::max (successAt, zoneConfirmedAt);
+
+    // A node that has started in an outage has heard nothing since.
+    if (confirmedAt == Timestamp{} && interrupted)
+        confirmedAt = startedAt;
+
     const auto silence = now - confirmedAt;
 
     // Instances that had yet to renew expired entries have missed a renewal.
--- a/src/mesh/source_follower.h
+++ b/src/mesh/source_follower.h
@@ -264,7 +264,7 @@
 
     FollowerSettings settings;
     std::minstd_rand random;
-    bool hasStarted = false; /**< True after the first call of poll(). */
+    Timestamp startedAt{}; /**< Time of the first call of poll(). */
     bool requestPending = false;
     bool paused = false;
     bool firstWatch = false; /**< True if the next watch is the first after resume(). */
--- a/tests/mesh/mesh_state_test.cc
+++ b/tests/mesh/mesh_state_test.cc
@@ -216,6 +216,20 @@
     EXPECT_EQ (usable (node), 1U);
 }
 
+TEST (MeshState, ALapseEndsAlsoInAnOutageThatDoesNotEnd)
+{
+    MeshState node;
+    node.take (at (0), completeUpdate (4, 9));
+    node.take (at (1), removal ("b", 10, false));
+
+    for (std::int64_t now = 0; now <= 32'000; now += 1000)
+        node.advance (at (now), false);
+
+    EXPECT_EQ (usable (node), 2U);
+    node.advance (at (33'000), false);
+    EXPECT_EQ (usable (node), 1U);
+}
+
 TEST (MeshState, AnUpdateOfANewNodeRemovesInstancesThatLeftBeforeItsStart)
 {
     MeshState node, started;
--- a/tests/mesh/source_follower_test.cc
+++ b/tests/mesh/source_follower_test.cc
@@ -166,6 +166,21 @@
                Milliseconds (990));
 }
 
+TEST (SourceFollower, ANodeThatStartsInAnOutageDoesNotTrustAbsenceAfterIt)
+{
+    SourceFollower follower ({}, 1);
+    follower.poll (at (0));
+    follower.handleAnswer (at (5), failure (SourceReply::refused));
+    follower.poll (at (2600));
+    follower.handleAnswer (at (2610), page ({ entry ("a", 3) }, 7));
+    EXPECT_FALSE (follower.canTrustAbsence (at (2610)));
+
+    SourceFollower undisturbed ({}, 1);
+    undisturbed.poll (at (0));
+    undisturbed.handleAnswer (at (2610), page ({ entry ("a", 3) }, 7));
+    EXPECT_TRUE (undisturbed.canTrustAbsence (at (2610)));
+}
+
 TEST_F (Following, ExpeditesOnlyAWatchOfAMinimumAge)
 {
     EXPECT_FALSE (follower.expediteWatch (at (5))); // No watch is pending.
