--- a/src/mesh/instance_directory.h
+++ b/src/mesh/instance_directory.h
@@ -27,6 +27,7 @@
 #include "base/time.h"
 #include "mesh/cold_start.h"
 #include "mesh/locality.h"
+#include "mesh/source_follower.h"
 #include "mesh/source_position.h"
 
 namespace copperlead::mesh
@@ -123,7 +124,7 @@
         running and reaches the source is listed again about 2 s after the source recovers; one that
         isn't listed by then is gone.
     */
-    static constexpr Milliseconds lapsedGracePeriod{ 2500 };
+    static constexpr Milliseconds lapsedGracePeriod = entryRenewalTime;
     /** How long an instance that left is kept, so that its address isn't attributed to another. */
     static constexpr Milliseconds departedRetention{ 30'000 };
 
@@ -141,8 +142,8 @@
     /** Stores from another node that an instance is leaving, which a restored source has lost. */
     void retain (Timestamp now, Instance instance, SourcePosition position);
 
-    /** @param grace  time for which the instance stays usable, because its entry may have expired
-       in an outage; 0 if it is leaving
+    /** @param grace  time for which the instance stays usable since its entry may have expired in
+       an outage; 0 if it is leaving
     */
     void remove (Timestamp now, const std::string& id, SourcePosition position, Milliseconds grace);
 
--- a/src/mesh/mesh_update.cc
+++ b/src/mesh/mesh_update.cc
@@ -170,8 +170,8 @@
 /** Archives the grace periods of lapsed instances behind an update, in the order of its changes.
     Nodes of an earlier release neither send nor read them.
 */
-template <typename Archive>
-void archiveGracePeriods (Archive& archive, MeshUpdate& update)
+template <typename Archive, typename Update>
+void archiveGracePeriods (Archive& archive, Update& update)
 {
     for (auto& change : update.instances)
         if (isLapsed (change))
@@ -213,8 +213,7 @@
     std::ostringstream stream;
     cereal::PortableBinaryOutputArchive archive (stream);
     archive (update);
-    auto lapsed = update;
-    archiveGracePeriods (archive, lapsed);
+    archiveGracePeriods (archive, update);
     auto plain = std::move (stream).str();
 
     if (plain.size() < compressionThreshold)
--- a/src/mesh/source_follower.cc
+++ b/src/mesh/source_follower.cc
@@ -211,7 +211,7 @@
     epoch = newEpoch;
 
     if (reachedPosition.isKnown())
-        absenceDistrustedUntil = now + settings.renewalTime;
+        absenceDistrustedUntil = now + entryRenewalTime;
 }
 
 void SourceFollower::recordSuccess (Timestamp now)
@@ -229,7 +229,7 @@
         interrupted && confirmedAt < absenceDistrustedUntil && silence >= settings.entryHeartbeat;
 
     if (confirmedAt != Timestamp{} && (silence >= settings.lapseTime() || renewalInterrupted))
-        absenceDistrustedUntil = now + settings.renewalTime;
+        absenceDistrustedUntil = now + entryRenewalTime;
 
     successAt = now;
 }
--- a/src/mesh/source_follower.h
+++ b/src/mesh/source_follower.h
@@ -131,6 +131,11 @@
     Timestamp absenceDistrustedUntil{};
 };
 
+/** Time after the source's return or restore within which running instances have renewed their
+    entries.
+*/
+inline constexpr Milliseconds entryRenewalTime{ 2500 };
+
 struct FollowerSettings
 {
     Milliseconds watchWait{ 1500 };
@@ -152,11 +157,6 @@
     */
     Milliseconds entryHeartbeat{ 1500 };
 
-    /** Time after the source's return or restore within which running instances have renewed their
-        entries.
-    */
-    Milliseconds renewalTime{ 2500 };
-
     /** Duration of an outage in which entries of running instances can expire. An entry renewed
        just before its instance would renew it next outlasts two intervals; renewals may be late.
     */
