--- a/src/mesh/reader_heartbeat_codec.cc
+++ b/src/mesh/reader_heartbeat_codec.cc
@@ -45,7 +45,7 @@
 
 std::optional<ReaderHeartbeat> decodeReaderHeartbeat (std::string_view bytes)
 {
-    if (const auto heartbeat = decodeDatagram<ReaderHeartbeat> (heartbeatTag, bytes))
+    if (auto heartbeat = decodeDatagram<ReaderHeartbeat> (heartbeatTag, bytes))
         return heartbeat;
 
     // A truncated heartbeat of this release is longer than one of an earlier release.
