--- a/src/mesh/instance_directory.cc
+++ b/src/mesh/instance_directory.cc
@@ -106,7 +106,7 @@
 void InstanceDirectory::remove (Timestamp now, const std::string& id, SourcePosition position,
                                 Milliseconds grace)
 {
-    const bool trusted = grace <= Milliseconds (0);
+    const bool leaves = grace <= Milliseconds (0);
     const auto found = byId.find (id);
 
     if (found == byId.end() || found->second.position > position)
@@ -124,10 +124,10 @@
         return;
     }
 
-    if (entry.state == InstanceState::lapsed && ! trusted)
+    if (entry.state == InstanceState::lapsed && ! leaves)
         return;
 
-    entry.state = trusted ? InstanceState::leaving : InstanceState::lapsed;
+    entry.state = leaves ? InstanceState::leaving : InstanceState::lapsed;
     entry.position = position;
     entry.changedAt = now;
     entry.lapseEnd = now + grace;
--- a/src/mesh/mesh_state.cc
+++ b/src/mesh/mesh_state.cc
@@ -58,7 +58,7 @@
     const auto listed = std::min (usable, update.instances.size() - removed);
     const auto missing = update.complete ? usable - listed : removed;
 
-    // Instances leave one after the other, whereas entries expire together.
+    // Entries that expire are missing together, whereas instances leave one after the other.
     return missing > 1 && missing * 2 > usable ? InstanceDirectory::lapsedGracePeriod
                                                : Milliseconds (0);
 }
@@ -71,7 +71,6 @@
     for (auto& change : update.instances)
     {
         const auto id = change.instance.id;
-
         const auto ownGrace = change.grace.value_or (grace);
 
         // A lapsed instance has no entry, but must not be removed below as if it had left.
