--- a/review/standins/large_uploads.cc
+++ b/review/standins/large_uploads.cc
@@ -1,4 +1,4 @@
-// Review case 2. Some users more upload large bodies, all within the limits of the configuration. The platform
+// Review case 2. Some more users upload large bodies, all within the limits of the configuration. The platform
 // kills a process that uses more memory than `limits.memory_mb`, as the pages say, and starts it again.
 // usage: large_uploads RECORD SIDECAR TROUBLE; ends with 1 if LOST is broken, 0 if not, 2 if it couldn't run.
 #include "rig.h"
@@ -11,7 +11,7 @@
 constexpr long memoryMb = 260; // limits.memory_mb of the site's machines.
 constexpr int keptConnections = 10, ledgerWorkMs = 300;
 constexpr int usualUploaders = 2, burstUploaders = 3; // x = 1.5
-constexpr std::size_t uploadBytes = 18 << 20;         // max_body_bytes is 64 MiB.
+constexpr std::size_t uploadBytes = 19 << 20;         // max_body_bytes is 64 MiB.
 constexpr int bursts = 3, burstMs = 3000, restMs = 5000, connectedMs = 3000;
 constexpr int mostLost = 3;
 
--- a/review/standins/pipelined_deadlines.cc
+++ b/review/standins/pipelined_deadlines.cc
@@ -8,10 +8,10 @@
 namespace
 {
 
-constexpr int slots = 12, lookWorkMs = 5, exportWorkMs = 240, ledgerWorkMs = 300;
+constexpr int slots = 12, lookWorkMs = 5, exportWorkMs = 240, ledgerWorkMs = 600;
 constexpr int slowFactor = 5, slowForMs = 2000; // srv_slow: x = 5, at most 6.5 s.
 constexpr int lookDeadlineMs = 500, lookConnections = 12, lookSpreadMs = 60, requestsEach = 4, exports = slots;
-constexpr int keptConnections = 10, uploaders = 3;
+constexpr int keptConnections = 20, uploaders = 3;
 constexpr std::size_t uploadBytes = 10 << 20;
 constexpr int clumps = 42, clumpEveryMs = 2400, connectedMs = 3000;
 constexpr int mostLost = 3;
@@ -33,7 +33,7 @@
 
     if (! mesh.start (argv[2], route ("r-i9n73hh", "/lohu930/", "idempotent", "huvo11a", lookDeadlineMs, lookDeadlineMs, 2) + "," +
                                    route ("r-5c81kd0", "/expo114/", "idempotent", "huvo11a", 5000, 2500, 2) + "," +
-                                   route ("r-2b9wu3f", "/pufi791/", "idempotent", "wuno96b", 2500, 400, 1) + "," +
+                                   route ("r-2b9wu3f", "/pufi791/", "idempotent", "wuno96b", 2500, 1000, 1) + "," +
                                    route ("r-0t55mzw", "/pule252/", "upload", "wuno96b", 3000, 500, 1)))
     {
         mesh.end();
@@ -122,7 +122,7 @@
 
     pause (connectedMs + 500);
 
-    for (int number = 0; number < clumps && node.ownEnds == 0; ++number)
+    for (int number = 0; number < clumps && kept.lost <= mostLost; ++number)
     {
         const bool slow = trouble && number % 2 == 1;
         const auto begin = Clock::now();
@@ -138,9 +138,9 @@
             pause (lookSpreadMs / lookConnections);
         }
         for (auto& user : users) user.join();
-        while (Clock::now() < begin + Ms (slowForMs) && node.ownEnds == 0) pause (20);
+        while (Clock::now() < begin + Ms (slowForMs) && kept.lost <= mostLost) pause (20);
         factor = 1;
-        while (Clock::now() < begin + Ms (clumpEveryMs) && node.ownEnds == 0) pause (20);
+        while (Clock::now() < begin + Ms (clumpEveryMs) && kept.lost <= mostLost) pause (20);
     }
 
     pause (500);
