--- a/review/standins/large_uploads.cc
+++ b/review/standins/large_uploads.cc
@@ -9,10 +9,9 @@
 {
 
 constexpr long memoryMb = 260; // limits.memory_mb of the site's machines.
-constexpr int keptConnections = 10, ledgerWorkMs = 300;
-constexpr int usualUploaders = 2, burstUploaders = 3; // x = 1.5
-constexpr std::size_t uploadBytes = 19 << 20;         // max_body_bytes is 64 MiB.
-constexpr int bursts = 3, burstMs = 3000, restMs = 5000, connectedMs = 3000;
+constexpr int keptConnections = 20, ledgerWorkMs = 1000, apartMs = 50;
+constexpr std::size_t usualBytes = 60000, largeBytes = 60 << 20; // max_body_bytes is 64 MiB.
+constexpr int periods = 3, largeMs = 3000, usualMs = 5000, connectedMs = 3000;
 constexpr int mostLost = 3;
 
 long residentKb (pid_t pid)
@@ -38,7 +37,7 @@
     auto& ledger = mesh.add ("wuno96b", "i-02d9e6b4", 40);
     ledger.workMs = [] (const std::string& path) { return path.starts_with ("/pule252/") ? 140 : ledgerWorkMs; };
 
-    if (! mesh.start (argv[2], route ("r-2b9wu3f", "/pufi791/", "idempotent", "wuno96b", 2500, 400, 1) + "," + route ("r-0t55mzw", "/pule252/", "upload", "wuno96b", 3000, 500, 1)))
+    if (! mesh.start (argv[2], route ("r-2b9wu3f", "/pufi791/", "idempotent", "wuno96b", 2500, 2000, 1) + "," + route ("r-0t55mzw", "/pule252/", "upload", "wuno96b", 3000, 500, 1)))
     {
         mesh.end();
         std::fprintf (stderr, "the deployment didn't start\n");
@@ -46,9 +45,9 @@
     }
 
     auto& node = *mesh.machines[0];
-    KeptClients kept (node, ledger, keptConnections, "/pufi791/2f");
+    KeptClients kept (node, ledger, keptConnections, "/pufi791/2f", apartMs);
     std::atomic<bool> stop{ false };
-    std::atomic<int> uploads{ 0 }, allowed{ 0 }, kills{ 0 };
+    std::atomic<int> uploads{ 0 }, kills{ 0 };
     std::atomic<long> most{ 0 };
     std::vector<std::thread> threads;
 
@@ -73,44 +72,43 @@
             }
         });
 
-    const std::string manifest (uploadBytes, 'm');
-
-    for (int c = 0; c < burstUploaders; ++c)
-        threads.emplace_back (
-            [&, c]
+    const std::string manifest (largeBytes, 'm');
+    std::atomic<bool> large{ false };
+    threads.emplace_back (
+        [&]
+        {
+            for (int number = 0; ! stop;)
             {
-                for (int number = 0; ! stop;)
+                const int fd = connectTo (node.ip, node.outbound);
+                if (fd < 0) { pause (20); continue; }
+                Reader reader (fd);
+                Message answer;
+                for (bool good = true; good && ! stop;)
                 {
-                    const int fd = c < allowed ? connectTo (node.ip, node.outbound) : -1;
-                    if (fd < 0) { pause (20); continue; }
-                    Reader reader (fd);
-                    Message answer;
-                    for (bool good = true; good && c < allowed && ! stop;)
-                    {
-                        const auto id = "upload-" + std::to_string (c) + "-" + std::to_string (number++);
-                        good = sendAll (fd, postHead ("/pule252/2f", id, 3000, manifest.size())) && sendAll (fd, manifest) && reader.read (answer, Clock::now() + Ms (3000));
-                        if (good) RECORD ("client: %s got %d", id.c_str(), answer.status());
-                        else RECORD ("client: %s got no answer", id.c_str());
-                        uploads += good && answer.status() == 200;
-                        good = good && answer.field ("Connection") != "close";
-                        if (good && answer.status() != 200) pause (100);
-                    }
-                    close (fd);
+                    const auto id = "upload-" + std::to_string (number++);
+                    const auto bytes = large ? largeBytes : usualBytes;
+                    good = sendAll (fd, postHead ("/pule252/2f", id, 3000, bytes)) && sendAll (fd, manifest.data(), bytes) && reader.read (answer, Clock::now() + Ms (3000));
+                    if (good) RECORD ("client: %s of %zu bytes got %d", id.c_str(), bytes, answer.status());
+                    else RECORD ("client: %s of %zu bytes got no answer", id.c_str(), bytes);
+                    uploads += good && answer.status() == 200;
+                    good = good && answer.field ("Connection") != "close";
+                    pause (100);
                 }
-            });
+                close (fd);
+            }
+        });
 
     pause (connectedMs + 500);
 
-    for (int number = 0; number < bursts; ++number)
+    for (int period = 0; period < periods; ++period)
     {
-        RECORD ("usual: %d clients upload bodies of %zu bytes", usualUploaders, uploadBytes);
-        allowed = usualUploaders;
-        pause (restMs);
-        RECORD ("%s", trouble ? "burst: one more client uploads" : "as usual");
-        if (trouble) allowed = burstUploaders;
-        for (int i = 0; i < burstMs / 20 && kills <= number; ++i) pause (20);
-        allowed = usualUploaders;
-        if (kills > 0) allowed = 0;
+        RECORD ("period %d: bodies of %zu bytes", period, usualBytes);
+        pause (usualMs);
+        RECORD ("period %d: bodies of %zu bytes", period, trouble ? largeBytes : usualBytes);
+        large = trouble;
+        for (int i = 0; i < largeMs / 20 && kills <= period; ++i) pause (20);
+        large = false;
+        pause (500);
         node.awaitReady();
         pause (connectedMs);
     }
--- a/review/standins/rig.h
+++ b/review/standins/rig.h
@@ -718,7 +718,8 @@
 public:
     std::atomic<int> served{ 0 }, lost{ 0 };
 
-    KeptClients (Sidecar& machineToUse, Instance& instance, int count, std::string pathToUse)
+    /** @param apartMs  time between the starts of two clients */
+    KeptClients (Sidecar& machineToUse, Instance& instance, int count, std::string pathToUse, int apartMs = 0)
         : machine (machineToUse), path (std::move (pathToUse))
     {
         instance.onRun = [this] (const std::string& id, const Message&)
@@ -726,7 +727,13 @@
             const std::lock_guard lock (mutex);
             begun.insert (id);
         };
-        for (int c = 0; c < count; ++c) threads.emplace_back ([this, c] { run (c); });
+        for (int c = 0; c < count; ++c)
+            threads.emplace_back (
+                [this, c, apartMs]
+                {
+                    pause (c * apartMs);
+                    run (c);
+                });
     }
 
     void end()
