Show the bytes that messages take, and the process's memory, on the metrics page

Which buffers hold it could not be seen: the page had no figure of memory at all. Two explanations were open: several copies of one body, or a bound that doesn't depend on the machine.

copperlead_buffered_bytes tells by place what is held, copperlead_resident_bytes what the process takes.

--- a/src/sidecar/hop/first_hop.h
+++ b/src/sidecar/hop/first_hop.h
@@ -111,6 +111,7 @@
     const SearchCounters& searchCounters() const { return searches; }
     LoadQueryCounters queryCounters() const;
     const mesh::TenantQuotas& tenantQuotas() const { return quotas; }
+    const HttpClient& httpClient() const { return caller.httpClient(); }
 
 private:
     friend class ActiveRequest;
--- a/src/sidecar/hop/hop_caller.h
+++ b/src/sidecar/hop/hop_caller.h
@@ -56,6 +56,8 @@
     */
     HopCallHandle send (const std::string& ip, HopCall call, Timestamp deadline, Callback callback);
 
+    const HttpClient& httpClient() const { return *client; }
+
 private:
     HopCallHandle sendLocal (HopCall call, Callback callback);
     HopCallHandle sendRemote (const std::string& ip, HopCall call, Timestamp deadline,
--- a/src/sidecar/http/client_connection.h
+++ b/src/sidecar/http/client_connection.h
@@ -36,6 +36,8 @@
     bool hasUnreadInput() const;
     bool isServing (const Call& other) const { return call.get() == &other; }
     const std::string& target() const { return name; }
+    std::size_t bufferedRequestBytes() const { return output.size(); }
+    std::size_t bufferedResponseBytes() const { return input.size() + result.body.size(); }
 
 private:
     friend class HttpClient;
--- a/src/sidecar/http/http_client.cc
+++ b/src/sidecar/http/http_client.cc
@@ -120,6 +120,26 @@
     removeFromIdle (connection);
 }
 
+std::size_t HttpClient::bufferedRequestBytes() const
+{
+    std::size_t bytes = 0;
+
+    for (const auto& [key, connection] : busy)
+        bytes += connection->bufferedRequestBytes();
+
+    return bytes;
+}
+
+std::size_t HttpClient::bufferedResponseBytes() const
+{
+    std::size_t bytes = 0;
+
+    for (const auto& [key, connection] : busy)
+        bytes += connection->bufferedResponseBytes();
+
+    return bytes;
+}
+
 void HttpClient::closeIdleConnections (const SocketAddress& target)
 {
     const auto found = idle.find (ToString (target));
--- a/src/sidecar/http/http_client.h
+++ b/src/sidecar/http/http_client.h
@@ -127,6 +127,12 @@
 
     const ClientCounters& counters() const { return counts; }
 
+    /** Bytes of the messages that are held for calls in progress. */
+    std::size_t bufferedRequestBytes() const;
+
+    /** Bytes of responses that have been read so far for calls in progress. */
+    std::size_t bufferedResponseBytes() const;
+
 private:
     friend class ClientConnection;
     using IdleList = std::vector<std::shared_ptr<ClientConnection>>;
--- a/src/sidecar/http/http_server.cc
+++ b/src/sidecar/http/http_server.cc
@@ -100,6 +100,16 @@
     openConnections.erase (connection);
 }
 
+std::size_t HttpServer::bufferedResponseBytes() const
+{
+    std::size_t bytes = 0;
+
+    for (const auto& connection : openConnections)
+        bytes += connection->bufferedResponseBytes();
+
+    return bytes;
+}
+
 void HttpServer::closeIdle()
 {
     const std::vector<std::shared_ptr<ServerConnection>> all (openConnections.begin(),
--- a/src/sidecar/http/http_server.h
+++ b/src/sidecar/http/http_server.h
@@ -122,6 +122,12 @@
     std::size_t connections() const { return openConnections.size(); }
     const ServerCounters& counters() const { return counts; }
 
+    /** Bytes of request bodies that are held for all connections together. */
+    std::size_t bufferedRequestBytes() const { return bufferedBytes; }
+
+    /** Bytes of responses that wait to be written, of all connections together. */
+    std::size_t bufferedResponseBytes() const;
+
 private:
     friend class ServerConnection;
 
--- a/src/sidecar/http/server_connection.h
+++ b/src/sidecar/http/server_connection.h
@@ -43,6 +43,9 @@
     /** @returns true if no later request of the connection has been dispatched */
     bool isLatest (const Exchange& exchange) const;
 
+    /** @returns the bytes of responses that wait to be written */
+    std::size_t bufferedResponseBytes() const { return output.size() + pending.messageBytes(); }
+
 private:
     /** What the connection is reading. */
     enum class State : std::uint8_t
--- a/src/sidecar/instance/last_hop.h
+++ b/src/sidecar/instance/last_hop.h
@@ -165,7 +165,7 @@
     std::size_t inFlight() const { return calls.size(); }
     const LastHopCounters& counters() const { return counts; }
     const mesh::AdmissionQueue& admission() const { return queue; }
-    const ClientCounters& clientCounters() const { return client->counters(); }
+    const HttpClient& httpClient() const { return *client; }
 
 private:
     /** A call that waits in the queue or runs at the instance. */
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -105,6 +105,7 @@
     std::optional<double> msSinceConfirmation() const;
     void answerReadiness (const ExchangePointer& exchange);
     SidecarFigures figures() const;
+    std::array<std::uint64_t, std::size (bufferPlaceNames)> bufferedBytes() const;
     void answerMetrics (const ExchangePointer& exchange);
     mesh::ClientLimits clientLimits() const;
     bool ready() const;
--- a/src/sidecar/sidecar_metrics.cc
+++ b/src/sidecar/sidecar_metrics.cc
@@ -48,6 +48,25 @@
         all.push_back (std::move (family));
     }
 
+    /** Adds the bytes that messages take, by the place where they are held. */
+    void buffers (const std::array<std::uint64_t, std::size (bufferPlaceNames)>& bytes)
+    {
+        MetricFamily family{ "copperlead_buffered_bytes",
+                             "Bytes of messages that are held, by place",
+                             MetricType::Gauge,
+                             {} };
+
+        for (std::size_t i = 0; i < bytes.size(); ++i)
+        {
+            ClientMetric metric;
+            metric.label.push_back ({ "place", std::string (bufferPlaceNames[i]) });
+            metric.gauge.value = static_cast<double> (bytes[i]);
+            family.metric.push_back (std::move (metric));
+        }
+
+        all.push_back (std::move (family));
+    }
+
     void histogram (const char* name, const char* help, const mesh::LatencyHistogram& latencies)
     {
         auto& shown = add (name, help, MetricType::Histogram).histogram;
@@ -243,6 +262,13 @@
                         "From the call for a body until it was there", figures.bodies.transfer);
 }
 
+void addMemory (Families& families, const SidecarFigures& figures)
+{
+    families.buffers (figures.bufferedBytes);
+    families.gauge ("copperlead_resident_bytes", "Resident memory of the process",
+                    static_cast<double> (figures.residentBytes));
+}
+
 void addTenants (Families& families, const SidecarFigures& figures)
 {
     const auto& quotas = figures.quotas;
@@ -346,6 +372,7 @@
     addRequests (families, figures);
     addInstance (families, figures);
     addBodies (families, figures);
+    addMemory (families, figures);
     addCrashes (families, figures);
     addSearches (families, figures);
     addTenants (families, figures);
--- a/src/sidecar/sidecar_servers.cc
+++ b/src/sidecar/sidecar_servers.cc
@@ -3,7 +3,10 @@
 #include "sidecar/http/messages.h"
 #include "sidecar/sidecar.h"
 
+#include <unistd.h>
+
 #include <algorithm>
+#include <fstream>
 
 namespace copperlead::sidecar
 {
@@ -18,6 +21,15 @@
 
 Timestamp now() { return SteadyClock().Now(); }
 
+/** Returns the resident memory of this process in bytes; 0 if the system doesn't tell. */
+std::uint64_t residentBytes()
+{
+    std::ifstream file ("/proc/self/statm");
+    std::uint64_t virtualPages = 0, residentPages = 0;
+    file >> virtualPages >> residentPages;
+    return residentPages * static_cast<std::uint64_t> (sysconf (_SC_PAGESIZE));
+}
+
 } // namespace
 
 ServerSettings Sidecar::serverSettings (std::function<mesh::ClientLimits()> limits,
@@ -91,7 +103,7 @@
     SidecarFigures shown;
     shown.first = firstHop->counters();
     shown.last = lastHop->counters();
-    shown.toInstance = lastHop->clientCounters();
+    shown.toInstance = lastHop->httpClient().counters();
     shown.inFlight = inFlight();
     shown.running = lastHop->admission().running();
     shown.failureShare = lastHop->failureShare (at);
@@ -124,6 +136,9 @@
     shown.msSinceSourceAnswer = mesh::ageInMilliseconds (at, source.lastSuccess);
     shown.retryBudgetLeft = firstHop->retryBudgetLeft (at);
 
+    shown.bufferedBytes = bufferedBytes();
+    shown.residentBytes = residentBytes();
+
     if (relay != nullptr)
     {
         shown.relay = relay->counters();
@@ -133,6 +148,16 @@
     return shown;
 }
 
+std::array<std::uint64_t, std::size (bufferPlaceNames)> Sidecar::bufferedBytes() const
+{
+    const auto& toNodes = firstHop->httpClient();
+    const auto& toInstance = lastHop->httpClient();
+    return { outbound->bufferedRequestBytes(),  inbound->bufferedRequestBytes(),
+             toNodes.bufferedRequestBytes(),    toInstance.bufferedRequestBytes(),
+             toNodes.bufferedResponseBytes(),   toInstance.bufferedResponseBytes(),
+             outbound->bufferedResponseBytes(), inbound->bufferedResponseBytes() };
+}
+
 void Sidecar::answerMetrics (const ExchangePointer& exchange)
 {
     const bool known = exchange->head.target == settings.metricsPath;
