--- a/src/sidecar/decision_log.h
+++ b/src/sidecar/decision_log.h
@@ -69,6 +69,9 @@
     attemptEnded,
     admissionRefused,
     bodyRefused,
+    memoryPlanned,
+    memoryRefused,
+    bodyLimitTooLarge,
     linesLeftOut,
     count
 };
--- a/src/sidecar/hop/active_request_end.cc
+++ b/src/sidecar/hop/active_request_end.cc
@@ -91,8 +91,8 @@
     ++hop->counts.served;
     const bool close = hop->mustClose (*exchange);
     exchange->respond (
-        answerMessage ({ answer.status, answer.reason, answer.body, close, exchange->isHead() },
-                       answer.fields),
+        answerMessage ({ answer.status, answer.reason, {}, close, exchange->isHead() },
+                       answer.fields, answer.body),
         close);
     logEnd (EventKind::requestServed, answer.status, "");
     release();
@@ -101,7 +101,7 @@
 void ActiveRequest::release()
 {
     // The deadline's timer keeps this object alive; its body and header fields can be freed now.
-    std::string().swap (exchange->body);
+    exchange->body = {};
     fields = {};
     lastAnswer = {};
 }
--- a/src/sidecar/hop/first_hop.cc
+++ b/src/sidecar/hop/first_hop.cc
@@ -17,7 +17,7 @@
 {
     return { exchange.head.method, onlyValue (exchange.head.fields, "Host"), exchange.head.target,
              tenant == nullptr ? std::string_view() : std::string_view (tenant->name),
-             exchange.body };
+             exchange.body.bytes() };
 }
 
 FirstHop::FirstHop (std::shared_ptr<Reactor> reactorToUse, FirstHopSettings settingsToUse,
@@ -28,7 +28,7 @@
     , log (std::move (logToUse))
     , lastHop (std::move (lastHopToUse))
     , guard (std::move (guardToUse))
-    , caller (reactor, lastHop, settings.ownIp, settings.peerPort)
+    , caller (reactor, lastHop, settings.ownIp, settings.peerPort, settings.answerPools)
     , chooser ({ settings.locality }, seed)
     , quotas (settings.quotas, { settings.ownIp, settings.zone }, seed, quotaHooks())
     , quotaTimer (reactor)
--- a/src/sidecar/hop/first_hop.h
+++ b/src/sidecar/hop/first_hop.h
@@ -45,6 +45,7 @@
     std::uint16_t peerPort = 0; /**< Port for hop calls, the same on every node. */
     SocketAddress loadQueries;  /**< UDP; if empty, instances are chosen without queries. */
     mesh::RetryBudgetSettings budget;
+    BufferPools answerPools; /**< Memory for the responses of other nodes. */
 };
 
 /** Counters of outcomes since the process started. */
@@ -111,7 +112,6 @@
     const SearchCounters& searchCounters() const { return searches; }
     LoadQueryCounters queryCounters() const;
     const mesh::TenantQuotas& tenantQuotas() const { return quotas; }
-    const HttpClient& httpClient() const { return caller.httpClient(); }
 
 private:
     friend class ActiveRequest;
--- a/src/sidecar/hop/hop_caller.cc
+++ b/src/sidecar/hop/hop_caller.cc
@@ -10,9 +10,10 @@
 // Leaves time for an answer that the instance gives at the deadline.
 constexpr Milliseconds answerGrace{ 30 };
 
-ClientSettings peerClientSettings()
+ClientSettings peerClientSettings (const BufferPools& answerPools)
 {
     ClientSettings settings;
+    settings.answerPools = answerPools;
     settings.connectTimeout = Milliseconds (300);
     settings.unacknowledgedTimeout = Milliseconds (600);
     settings.idleTime = Milliseconds (10'000);
@@ -84,11 +85,11 @@
 
 HopCaller::HopCaller (const std::shared_ptr<Reactor>& reactor,
                       std::shared_ptr<LastHop> lastHopToUse, std::string ownIpToUse,
-                      std::uint16_t port)
+                      std::uint16_t port, const BufferPools& answerPools)
     : lastHop (std::move (lastHopToUse))
     , ownIp (std::move (ownIpToUse))
     , peerPort (port)
-    , client (std::make_shared<HttpClient> (reactor, peerClientSettings()))
+    , client (std::make_shared<HttpClient> (reactor, peerClientSettings (answerPools)))
 {
 }
 
@@ -125,13 +126,13 @@
     if (large)
         call.fields.push_back ({ "Expect", "100-continue" });
 
-    auto message = requestMessage (call.method, call.target, call.fields, call.body);
+    const auto message = requestMessage (call.method, call.target, call.fields, call.body);
 
     if (large)
-        options.headBytes = message.size() - call.body.size();
+        options.headBytes = message.head.size();
 
     HopCallHandle handle;
-    handle.remote = client->send ({ ip, peerPort }, std::move (message), options,
+    handle.remote = client->send ({ ip, peerPort }, message, options,
                                   [callback = std::move (callback)] (CallResult result)
                                   {
                                       const auto delivery = deliveryOf (result.end);
--- a/src/sidecar/hop/hop_caller.h
+++ b/src/sidecar/hop/hop_caller.h
@@ -43,9 +43,10 @@
 
     /** @param ownIpToUse  IP of this node, whose instance is called without a connection
         @param port        port for hop calls, the same on every node
+        @param answerPools  memory for the responses of other nodes
     */
     HopCaller (const std::shared_ptr<Reactor>& reactor, std::shared_ptr<LastHop> lastHopToUse,
-               std::string ownIpToUse, std::uint16_t port);
+               std::string ownIpToUse, std::uint16_t port, const BufferPools& answerPools);
     ~HopCaller();
 
     bool isLocal (const std::string& ip) const { return ip == ownIp; }
@@ -56,8 +57,6 @@
     */
     HopCallHandle send (const std::string& ip, HopCall call, Timestamp deadline, Callback callback);
 
-    const HttpClient& httpClient() const { return *client; }
-
 private:
     HopCallHandle sendLocal (HopCall call, Callback callback);
     HopCallHandle sendRemote (const std::string& ip, HopCall call, Timestamp deadline,
--- a/src/sidecar/http/answer_queue.cc
+++ b/src/sidecar/http/answer_queue.cc
@@ -12,7 +12,7 @@
     added.exchange = exchange;
 }
 
-void AnswerQueue::addConnectionError (Timestamp now, std::string message)
+void AnswerQueue::addConnectionError (Timestamp now, Message message)
 {
     auto& added = pending.emplace_back();
     added.message = std::move (message);
@@ -20,8 +20,7 @@
     added.readyAt = now;
 }
 
-bool AnswerQueue::answer (Timestamp now, const Exchange& exchange, const std::string& message,
-                          bool close)
+bool AnswerQueue::answer (Timestamp now, const Exchange& exchange, Message message, bool close)
 {
     const auto found =
         std::find_if (pending.begin(), pending.end(),
@@ -30,7 +29,7 @@
     if (found == pending.end() || ! found->message.empty())
         return false;
 
-    found->message = message;
+    found->message = std::move (message);
     found->close = close;
     found->outOfOrder = found != pending.begin();
     found->readyAt = now;
@@ -39,7 +38,7 @@
 
 bool AnswerQueue::takeReady (Timestamp now, ReadyAnswer& ready)
 {
-    if (pending.empty() || pending.front().message.empty())
+    if (! hasReady())
         return false;
 
     auto& first = pending.front();
@@ -74,14 +73,4 @@
     return bytes;
 }
 
-std::size_t AnswerQueue::bodyBytes() const
-{
-    std::size_t bytes = 0;
-
-    for (const auto& entry : pending)
-        bytes += entry.bodyBytes;
-
-    return bytes;
-}
-
 } // namespace copperlead::sidecar
--- a/src/sidecar/http/answer_queue.h
+++ b/src/sidecar/http/answer_queue.h
@@ -23,24 +23,21 @@
     /** Adds an error response that belongs to no dispatched request, such as one to a request that
         can't be parsed. The connection closes after it.
     */
-    void addConnectionError (Timestamp now, std::string message);
+    void addConnectionError (Timestamp now, Message message);
 
     /** Removes the request that was added last. */
     void removeLatest() { pending.pop_back(); }
 
-    /** Sets the body size of the request that was added last, for bodyBytes(). */
-    void setLatestBody (std::size_t bytes) { pending.back().bodyBytes = bytes; }
-
     /** Stores the response to a request.
         @param close  the connection closes after this response
         @returns false if the request isn't in the queue or already has a response
     */
-    bool answer (Timestamp now, const Exchange& exchange, const std::string& message, bool close);
+    bool answer (Timestamp now, const Exchange& exchange, Message message, bool close);
 
     /** A response that is next in order and can be written. */
     struct ReadyAnswer
     {
-        std::string message;
+        Message message;
         bool close = false;
         bool outOfOrder = false; /**< True if it had to wait for earlier responses. */
         Duration timeQueued{};   /**< Time since the response was stored. */
@@ -58,18 +55,17 @@
     std::size_t size() const { return pending.size(); }
     bool isLatest (const Exchange& exchange) const;
 
+    /** @returns true if takeReady() would return a response */
+    bool hasReady() const { return ! pending.empty() && ! pending.front().message.empty(); }
+
     /** @returns the total size of the queued responses */
     std::size_t messageBytes() const;
 
-    /** @returns the total body size of the queued requests */
-    std::size_t bodyBytes() const;
-
 private:
     struct PendingAnswer
     {
         ExchangePointer exchange; /**< Null for an error response of the connection. */
-        std::string message;      /**< The response; empty until there is one. */
-        std::size_t bodyBytes = 0;
+        Message message;          /**< The response; empty until there is one. */
         bool close = false, outOfOrder = false;
         Timestamp readyAt{};
     };
--- a/src/sidecar/http/body_decoder.cc
+++ b/src/sidecar/http/body_decoder.cc
@@ -74,7 +74,7 @@
         state = remaining == 0 ? State::trailer : State::data;
 }
 
-std::size_t BodyDecoder::feed (std::string_view bytes, std::string& body)
+std::size_t BodyDecoder::feed (std::string_view bytes, std::string& body, std::size_t maxBytes)
 {
     const auto size = bytes.size();
 
@@ -84,11 +84,17 @@
 
         if (state == State::data || state == State::untilClose)
         {
+            const auto available = std::min (bytes.size(), maxBytes);
             const auto wanted = state == State::untilClose
-                                    ? bytes.size()
-                                    : std::min<std::uint64_t> (remaining, bytes.size());
+                                    ? available
+                                    : std::min<std::uint64_t> (remaining, available);
+
+            if (wanted == 0)
+                break;
+
             body.append (bytes.substr (0, wanted));
             bytes.remove_prefix (wanted);
+            maxBytes -= wanted;
 
             if (state == State::data && (remaining -= wanted) == 0)
                 state = chunked ? State::chunkEnd : State::complete;
--- a/src/sidecar/http/body_decoder.h
+++ b/src/sidecar/http/body_decoder.h
@@ -17,10 +17,18 @@
     explicit BodyDecoder (BodyFraming framing);
 
     /** Decodes as much as possible from the front of `bytes` and appends it to `body`.
-        @returns the number of bytes consumed; fewer than all at the end of the body, or while an
-                 element of the chunked framing is incomplete
+        @param maxBytes  number of bytes that are appended, at most
+        @returns the number of bytes consumed; fewer than all at the end of the body, after
+                 `maxBytes`, or while an element of the chunked framing is incomplete
     */
-    std::size_t feed (std::string_view bytes, std::string& body);
+    std::size_t feed (std::string_view bytes, std::string& body, std::size_t maxBytes = SIZE_MAX);
+
+    /** Returns true if more bytes of the body are to come, or may come until the connection ends.
+     */
+    bool expectsData() const
+    {
+        return (state == State::data && remaining > 0) || state == State::untilClose;
+    }
 
     bool complete() const { return state == State::complete; }
     bool malformed() const { return state == State::malformed; }
--- a/src/sidecar/http/client_connection.cc
+++ b/src/sidecar/http/client_connection.cc
@@ -10,6 +10,7 @@
 #include <cstring>
 #include <utility>
 
+#include "mesh/memory_plan.h"
 #include "mesh/milliseconds.h"
 #include "sidecar/http/sockets.h"
 
@@ -43,6 +44,7 @@
         return false;
 
     setDeadPeerDetection (socket, client->settings.unacknowledgedTimeout);
+    setReceiveBuffer (socket, mesh::socketBufferBytes);
     interest = EPOLLOUT;
     connectDeadline = now() + client->settings.connectTimeout;
     watch = client->reactor->Watch (socket, interest,
@@ -66,14 +68,14 @@
     return count >= 0 || (errno != EAGAIN && errno != EINTR);
 }
 
-void ClientConnection::startCall (CallPointer newCall, std::string message,
+void ClientConnection::startCall (CallPointer newCall, const Message& message,
                                   const CallOptions& newOptions)
 {
     call = std::move (newCall);
     call->connection = weak_from_this();
     options = newOptions;
-    output = std::move (message);
-    written = 0;
+    output.clear();
+    output.append (message);
     sendLimit = options.headBytes == 0 ? output.size() : options.headBytes;
     result = {};
     result.reused = usedBefore;
@@ -97,6 +99,13 @@
     if ((events & EPOLLOUT) != 0)
         write();
 
+    // After a reset, nothing more can be read once there is memory.
+    if (isWaitingForMemory() && (events & (EPOLLHUP | EPOLLERR)) != 0)
+    {
+        errno = ECONNRESET;
+        return onEndOfStream (false);
+    }
+
     if (state != State::closed && (events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0)
         readAll();
 }
@@ -118,34 +127,33 @@
 
 void ClientConnection::write()
 {
-    while (written < sendLimit)
+    while (! writeFailed && output.written() < sendLimit)
     {
-        const auto count = ::send (socket.descriptor(), output.data() + written,
-                                   sendLimit - written, MSG_NOSIGNAL);
+        const auto count = output.write (socket.descriptor(), sendLimit - output.written());
 
         if (count < 0 && (errno == EAGAIN || errno == EINTR))
-            return setInterest (EPOLLIN | EPOLLOUT);
+            return updateInterest();
 
         // A response that the server sent before it closed may still be readable; EPOLLIN reports
         // it.
         if (count < 0)
         {
-            written = sendLimit = output.size();
+            writeFailed = true;
+            sendLimit = output.size();
             reusable = false;
             break;
         }
 
         result.sent = true;
-        written += static_cast<std::size_t> (count);
     }
 
-    if (sentAt == Timestamp{} || written == sendLimit)
+    if (sentAt == Timestamp{} || writeFailed || output.written() == sendLimit)
         sentAt = now();
 
     if (const auto callback = std::exchange (options.onSent, nullptr))
         callback();
 
-    setInterest (EPOLLIN);
+    updateInterest();
 }
 
 void ClientConnection::close()
@@ -156,13 +164,20 @@
     const auto self = shared_from_this();
     state = State::closed;
     call.reset();
+    dropBody();
     client->reactor->Unwatch (watch, socket);
     socket.Close();
     client->forget (*this);
 }
 
-void ClientConnection::setInterest (std::uint32_t wanted)
+void ClientConnection::updateInterest()
 {
+    if (state == State::closed)
+        return;
+
+    const std::uint32_t wanted = (isWaitingForMemory() ? 0U : EPOLLIN) |
+                                 (! writeFailed && output.written() < sendLimit ? EPOLLOUT : 0U);
+
     if (interest == wanted)
         return;
 
--- a/src/sidecar/http/client_connection.h
+++ b/src/sidecar/http/client_connection.h
@@ -7,6 +7,7 @@
 
 #include "sidecar/http/body_decoder.h"
 #include "sidecar/http/http_client.h"
+#include "sidecar/http/outgoing_bytes.h"
 
 namespace copperlead::sidecar
 {
@@ -21,7 +22,7 @@
     bool connect (const SocketAddress& address);
 
     /** Sends a request, once the connection is established if it isn't yet. */
-    void startCall (CallPointer newCall, std::string message, const CallOptions& newOptions);
+    void startCall (CallPointer newCall, const Message& message, const CallOptions& newOptions);
 
     /** Closes the connection and drops its call without a result. */
     void close();
@@ -36,8 +37,6 @@
     bool hasUnreadInput() const;
     bool isServing (const Call& other) const { return call.get() == &other; }
     const std::string& target() const { return name; }
-    std::size_t bufferedRequestBytes() const { return output.size(); }
-    std::size_t bufferedResponseBytes() const { return input.size() + result.body.size(); }
 
 private:
     friend class HttpClient;
@@ -57,6 +56,14 @@
     void readAll();
     void advance();
     bool readHead();
+    void readBody();
+    bool reserveMemory (std::size_t bytes);
+    void growBodyMemory();
+    void useGrantedMemory();
+    void onMemoryGranted();
+    bool isWaitingForMemory() const { return moreMemory.has_value(); }
+    std::size_t readSize() const;
+    void dropBody();
     void onResponseComplete();
     bool isBodyWithheld() const { return sendLimit < output.size(); }
     void onEndOfStream (bool orderly);
@@ -65,7 +72,7 @@
     void updateIdleDeadline();
     void armTimer (Timestamp when);
     void onTimer();
-    void setInterest (std::uint32_t wanted);
+    void updateInterest();
 
     std::shared_ptr<HttpClient> client;
     std::string name;
@@ -76,9 +83,13 @@
     CallPointer call;
     CallOptions options;
     CallResult result;
-    std::string input, output;
-    std::size_t written = 0;
-    std::size_t sendLimit = 0; /**< Bytes of `output` that may be written so far. */
+    std::string input;
+    OutgoingBytes output;
+    std::string bodyBytes;                 /**< The part of the body that has been read. */
+    Reservation memory;                    /**< For `bodyBytes`. */
+    std::optional<Reservation> moreMemory; /**< What the body waits for; it replaces `memory`. */
+    std::size_t sendLimit = 0;             /**< Bytes of `output` that may be written so far. */
+    bool writeFailed = false;              /**< The server may have answered before it closed. */
     std::optional<BodyDecoder> decoder;
     bool answersOtherRequest = false; /**< True while the response to another request is read. */
     bool reusable = true;             /**< False if the connection must close after its call. */
--- a/src/sidecar/http/client_connection_answers.cc
+++ b/src/sidecar/http/client_connection_answers.cc
@@ -6,6 +6,7 @@
 #include <cerrno>
 #include <utility>
 
+#include "mesh/memory_plan.h"
 #include "mesh/milliseconds.h"
 #include "sidecar/http/client_connection.h"
 
@@ -16,6 +17,8 @@
 {
 
 constexpr std::size_t readBufferSize = 65536;
+constexpr std::size_t headReadSize = 16384;   // Bounds what is read of a body before it has memory.
+constexpr std::size_t maxIdleCapacity = 4096; // Memory that a connection keeps between calls.
 constexpr std::size_t maxHeadBytes = 65536;
 /** An idle connection is closed this long before the keep-alive timeout that the server announced.
  */
@@ -32,9 +35,10 @@
 {
     static thread_local std::array<char, readBufferSize> buffer;
 
-    while (state != State::closed)
+    while (state != State::closed && ! isWaitingForMemory())
     {
-        const auto count = ::read (socket.descriptor(), buffer.data(), buffer.size());
+        const auto wanted = readSize();
+        const auto count = ::read (socket.descriptor(), buffer.data(), wanted);
 
         if (count < 0 && (errno == EAGAIN || errno == EINTR))
             return;
@@ -49,11 +53,16 @@
         input.append (buffer.data(), static_cast<std::size_t> (count));
         advance();
 
-        if (state != State::closed && static_cast<std::size_t> (count) < buffer.size())
+        if (static_cast<std::size_t> (count) < wanted)
             return;
     }
 }
 
+std::size_t ClientConnection::readSize() const
+{
+    return state == State::body ? readBufferSize : headReadSize;
+}
+
 void ClientConnection::advance()
 {
     while (state == State::waiting || state == State::body)
@@ -64,18 +73,93 @@
         if (state != State::body)
             continue;
 
-        input.erase (0, decoder->feed (input, result.body));
+        if (isWaitingForMemory())
+            return;
 
-        if (decoder->malformed() || result.body.size() > client->settings.maxAnswerBytes)
-            return finish (CallEnd::broken, "response body malformed or too large");
+        readBody();
 
-        if (! decoder->complete())
+        if (state != State::body || ! decoder->complete())
             return;
 
         onResponseComplete();
     }
 }
 
+void ClientConnection::readBody()
+{
+    input.erase (0, decoder->feed (input, bodyBytes, memory.bytes() - bodyBytes.size()));
+
+    // The body of a response to another request is read past.
+    if (answersOtherRequest)
+        bodyBytes.clear();
+
+    if (decoder->malformed() || bodyBytes.size() > client->settings.maxAnswerBytes)
+        return finish (CallEnd::broken, "response body malformed or too large");
+
+    if (bodyBytes.size() == memory.bytes() && decoder->expectsData())
+        growBodyMemory();
+}
+
+bool ClientConnection::reserveMemory (std::size_t bytes)
+{
+    const auto& pool = client->settings.answerPools.poolFor (bytes);
+
+    if (pool == nullptr || bytes == 0)
+        return true;
+
+    if (! pool->accepts (bytes))
+    {
+        finish (CallEnd::broken, "no memory for the response body");
+        return false;
+    }
+
+    moreMemory = pool->reserve (bytes,
+                                [weak = weak_from_this()]
+                                {
+                                    if (const auto self = weak.lock())
+                                        self->onMemoryGranted();
+                                });
+
+    if (moreMemory->isGranted())
+        useGrantedMemory();
+    else
+        updateInterest();
+
+    return true;
+}
+
+void ClientConnection::useGrantedMemory()
+{
+    // The memory so far is released only after its bytes have been moved.
+    bodyBytes.reserve (moreMemory->bytes());
+    memory = std::move (*moreMemory);
+    moreMemory.reset();
+}
+
+void ClientConnection::onMemoryGranted()
+{
+    if (! isWaitingForMemory())
+        return;
+
+    useGrantedMemory();
+    updateInterest();
+    advance();
+}
+
+void ClientConnection::growBodyMemory()
+{
+    const auto next = memory.bytes() < mesh::wholeBodyBytes ? mesh::wholeBodyBytes
+                                                            : client->settings.maxAnswerBytes + 1;
+    reserveMemory (next);
+}
+
+void ClientConnection::dropBody()
+{
+    std::string().swap (bodyBytes);
+    memory = {};
+    moreMemory.reset();
+}
+
 bool ClientConnection::readHead()
 {
     const auto end = FindHeadEnd (input);
@@ -91,7 +175,7 @@
     std::string fault;
     BodyFraming framing;
     result.head = {};
-    result.body.clear();
+    dropBody();
 
     if (! ParseResponseHead (std::string_view (input).substr (0, end), result.head, fault) ||
         ! FindResponseFraming (result.head, options.isHead, framing, fault))
@@ -134,7 +218,17 @@
     updateIdleDeadline();
     decoder.emplace (framing);
     state = State::body;
-    return true;
+
+    if (framing.kind == BodyKind::kLength && framing.length > client->settings.maxAnswerBytes)
+    {
+        finish (CallEnd::broken, "response body too large");
+        return false;
+    }
+
+    const bool hasLength = framing.kind == BodyKind::kLength || framing.kind == BodyKind::kNone;
+    const auto wanted =
+        hasLength && ! answersOtherRequest ? framing.length : mesh::BufferAccount::smallBytes;
+    return reserveMemory (wanted);
 }
 
 void ClientConnection::updateIdleDeadline()
@@ -161,6 +255,7 @@
     {
         // A late response to another request is skipped; the response to this one is still
         // expected.
+        dropBody();
         state = State::waiting;
         return;
     }
@@ -187,17 +282,22 @@
 void ClientConnection::finishAnswered()
 {
     result.end = CallEnd::answered;
+    result.body = Body (std::move (bodyBytes), std::move (memory));
+    dropBody();
     result.took = now() - sentAt;
     const auto done = std::exchange (call, nullptr);
     auto answer = std::exchange (result, {});
     const auto self = shared_from_this();
     // The connection can't be reused if unattributable bytes follow the response, or if the request
     // was not sent completely.
-    const bool keep = reusable && input.empty() && written == sendLimit;
+    const bool keep = reusable && input.empty() && output.written() == sendLimit;
     output.clear();
-    written = 0;
+    sendLimit = 0;
     sentAt = {};
 
+    if (input.capacity() > maxIdleCapacity)
+        input.shrink_to_fit();
+
     if (keep)
     {
         state = State::idle;
--- a/src/sidecar/http/http_client.cc
+++ b/src/sidecar/http/http_client.cc
@@ -1,6 +1,7 @@
 #include "sidecar/http/http_client.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "sidecar/http/client_connection.h"
 
@@ -17,13 +18,13 @@
 
 HttpClient::HttpClient (std::shared_ptr<Reactor> reactorToUse, ClientSettings settingsToUse)
     : reactor (std::move (reactorToUse))
-    , settings (settingsToUse)
+    , settings (std::move (settingsToUse))
 {
 }
 
 HttpClient::~HttpClient() = default;
 
-CallPointer HttpClient::send (const SocketAddress& target, std::string message,
+CallPointer HttpClient::send (const SocketAddress& target, const Message& message,
                               const CallOptions& options, std::function<void (CallResult)> callback)
 {
     auto call = std::make_shared<Call>();
@@ -51,7 +52,7 @@
     }
 
     busy.emplace (connection.get(), connection);
-    connection->startCall (call, std::move (message), options);
+    connection->startCall (call, message, options);
     return call;
 }
 
@@ -120,26 +121,6 @@
     removeFromIdle (connection);
 }
 
-std::size_t HttpClient::bufferedRequestBytes() const
-{
-    std::size_t bytes = 0;
-
-    for (const auto& [key, connection] : busy)
-        bytes += connection->bufferedRequestBytes();
-
-    return bytes;
-}
-
-std::size_t HttpClient::bufferedResponseBytes() const
-{
-    std::size_t bytes = 0;
-
-    for (const auto& [key, connection] : busy)
-        bytes += connection->bufferedResponseBytes();
-
-    return bytes;
-}
-
 void HttpClient::closeIdleConnections (const SocketAddress& target)
 {
     const auto found = idle.find (ToString (target));
--- a/src/sidecar/http/http_client.h
+++ b/src/sidecar/http/http_client.h
@@ -14,6 +14,8 @@
 #include "base/time.h"
 #include "mesh/latency_histogram.h"
 #include "proxy/http_message.h"
+#include "sidecar/buffer_pool.h"
+#include "sidecar/http/body.h"
 #include "transport/reactor.h"
 
 namespace copperlead::sidecar
@@ -36,7 +38,7 @@
 {
     CallEnd end = CallEnd::notConnected;
     ResponseHead head;
-    std::string body;
+    Body body;
     bool reused = false; /**< An existing connection was used. */
     bool sent = false;   /**< At least one byte was written. */
     bool connectionRefused =
@@ -80,6 +82,7 @@
     Milliseconds idleTime{ 4000 };     /**< Time for which an idle connection is kept. */
     std::size_t maxIdlePerTarget = 64; /**< Maximum number of idle connections per target. */
     std::size_t maxAnswerBytes = 16 << 20;
+    BufferPools answerPools; /**< Memory for response bodies. */
 };
 
 class ClientConnection;
@@ -114,8 +117,8 @@
     ~HttpClient();
 
     /** Sends a complete message. The callback may be called before this returns. */
-    CallPointer send (const SocketAddress& target, std::string message, const CallOptions& options,
-                      std::function<void (CallResult)> callback);
+    CallPointer send (const SocketAddress& target, const Message& message,
+                      const CallOptions& options, std::function<void (CallResult)> callback);
 
     /** Closes the idle connections to a target. */
     void closeIdleConnections (const SocketAddress& target);
@@ -127,12 +130,6 @@
 
     const ClientCounters& counters() const { return counts; }
 
-    /** Bytes of the messages that are held for calls in progress. */
-    std::size_t bufferedRequestBytes() const;
-
-    /** Bytes of responses that have been read so far for calls in progress. */
-    std::size_t bufferedResponseBytes() const;
-
 private:
     friend class ClientConnection;
     using IdleList = std::vector<std::shared_ptr<ClientConnection>>;
--- a/src/sidecar/http/http_server.cc
+++ b/src/sidecar/http/http_server.cc
@@ -8,18 +8,19 @@
 #include <cstring>
 #include <vector>
 
+#include "mesh/memory_plan.h"
 #include "sidecar/http/server_connection.h"
 #include "sidecar/http/sockets.h"
 
 namespace copperlead::sidecar
 {
 
-void Exchange::respond (const std::string& message, bool close)
+void Exchange::respond (Message message, bool close)
 {
     onDisconnect = nullptr;
 
     if (const auto open = connection.lock())
-        open->respond (*this, message, close || closeAfterResponse);
+        open->respond (*this, std::move (message), close || closeAfterResponse);
 
     connection.reset();
 }
@@ -88,6 +89,7 @@
             continue;
 
         setNoDelay (accepted);
+        setReceiveBuffer (accepted, mesh::socketBufferBytes);
         const auto connection = std::make_shared<ServerConnection> (
             shared_from_this(), std::move (accepted), FromNative (peer).ip == bound.ip);
         openConnections.insert (connection);
--- a/src/sidecar/http/http_server.h
+++ b/src/sidecar/http/http_server.h
@@ -16,6 +16,8 @@
 #include "mesh/latency_histogram.h"
 #include "mesh/mesh_configuration.h"
 #include "proxy/http_message.h"
+#include "sidecar/buffer_pool.h"
+#include "sidecar/http/body.h"
 #include "sidecar/instance/link_pacer.h"
 #include "transport/reactor.h"
 
@@ -29,7 +31,7 @@
 {
 public:
     RequestHead head;
-    std::string body;
+    Body body;
     Timestamp arrivedAt{};   /**< Time when its last byte was read. */
     bool fromSameIp = false; /**< True if the client's IP is the one that the server listens on. */
 
@@ -41,7 +43,7 @@
     /** Sends a complete response. May be called once; has no effect if the client has disconnected.
         @param close  the message announces that the connection closes
     */
-    void respond (const std::string& message, bool close);
+    void respond (Message message, bool close);
 
     /** Tells the client to send the body that it withholds; see ServerSettings::bodyGate. */
     void continueBody();
@@ -67,7 +69,12 @@
 using ExchangePointer = std::shared_ptr<Exchange>;
 
 /** Builds the complete response to input that the server rejects itself. */
-using ErrorMessage = std::function<std::string (int status, std::string_view cause)>;
+using ErrorMessage = std::function<Message (int status, std::string_view cause)>;
+
+/** Called when a request is rejected because the memory for its body is not available.
+    @param bytes  size of the body, or of what would have to be held of one of unknown size
+*/
+using MemoryRefusal = std::function<void (const RequestHead& head, std::size_t bytes)>;
 
 struct ServerSettings
 {
@@ -87,8 +94,9 @@
     */
     std::function<void (const ExchangePointer&)> bodyGate;
     std::shared_ptr<LinkPacer> link; /**< Paces large responses; may be null. */
+    BufferPools bodyPools;           /**< Memory for request bodies. */
+    MemoryRefusal onMemoryRefused;   /**< May be empty. */
     std::size_t maxConnections = 3000;
-    std::size_t maxBufferedRequestBytes = 96 << 20; /**< Body bytes of all connections together. */
 };
 
 /** Counters since the start of the server. */
@@ -122,9 +130,6 @@
     std::size_t connections() const { return openConnections.size(); }
     const ServerCounters& counters() const { return counts; }
 
-    /** Bytes of request bodies that are held for all connections together. */
-    std::size_t bufferedRequestBytes() const { return bufferedBytes; }
-
     /** Bytes of responses that wait to be written, of all connections together. */
     std::size_t bufferedResponseBytes() const;
 
@@ -140,7 +145,7 @@
     SocketAddress bound;
     Reactor::WatchId watch = 0;
     std::set<std::shared_ptr<ServerConnection>> openConnections;
-    std::size_t bufferedBytes = 0;
+    std::size_t unparsedBytes = 0; /**< Input of all connections that can't be parsed yet. */
     bool draining = false;
     ServerCounters counts;
 };
--- a/src/sidecar/http/messages.cc
+++ b/src/sidecar/http/messages.cc
@@ -1,6 +1,7 @@
 #include "sidecar/http/messages.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "proxy/forwarded_headers.h"
 
@@ -47,46 +48,49 @@
     return fields;
 }
 
-std::string requestMessage (std::string_view method, std::string_view target,
-                            const HeaderFields& fields, std::string_view body)
+Message requestMessage (std::string_view method, std::string_view target,
+                        const HeaderFields& fields, Body body)
 {
     std::string message;
-    message.reserve (estimatedHeadBytes + body.size());
+    message.reserve (estimatedHeadBytes);
     message.append (method).append (1, ' ').append (target).append (" HTTP/1.1\r\n");
     append (message, fields);
 
     if (! body.empty() || (method != "GET" && method != "HEAD"))
         append (message, "Content-Length", std::to_string (body.size()));
 
-    message.append ("\r\n").append (body);
-    return message;
+    message.append ("\r\n");
+    return Message (std::move (message), std::move (body));
+}
+
+Message answerMessage (const AnswerParts& parts, const HeaderFields& fields)
+{
+    auto withoutBody = parts;
+    withoutBody.body = {};
+    return answerMessage (withoutBody, fields, Body (std::string (parts.body)));
 }
 
-std::string answerMessage (const AnswerParts& parts, const HeaderFields& fields)
+Message answerMessage (const AnswerParts& parts, const HeaderFields& fields, Body body)
 {
     std::string message;
-    message.reserve (estimatedHeadBytes + parts.body.size());
+    message.reserve (estimatedHeadBytes);
     message.append ("HTTP/1.1 ").append (std::to_string (parts.status)).append (1, ' ');
     message.append (parts.reason.empty() ? reasonPhrase (parts.status) : parts.reason);
     message.append ("\r\n");
     append (message, fields);
 
     if (parts.status != 204 && parts.status != 304 && ! parts.isHead)
-        append (message, "Content-Length", std::to_string (parts.body.size()));
+        append (message, "Content-Length", std::to_string (body.size()));
 
     if (parts.close)
         append (message, "Connection", "close");
 
     message.append ("\r\n");
-
-    if (! parts.isHead)
-        message.append (parts.body);
-
-    return message;
+    return Message (std::move (message), parts.isHead ? Body() : std::move (body));
 }
 
-std::string localAnswer (int status, std::string_view cause, const HeaderFields& fields, bool close,
-                         bool isHead)
+Message localAnswer (int status, std::string_view cause, const HeaderFields& fields, bool close,
+                     bool isHead)
 {
     auto all = fields;
     all.push_back ({ "Content-Type", "text/plain" });
@@ -94,7 +98,7 @@
     return answerMessage ({ status, {}, text, close, isHead }, all);
 }
 
-std::string plainAnswer (int status, std::string_view cause)
+Message plainAnswer (int status, std::string_view cause)
 {
     return localAnswer (status, cause, {}, true, false);
 }
--- a/src/sidecar/http/messages.h
+++ b/src/sidecar/http/messages.h
@@ -7,6 +7,7 @@
 
 #include "proxy/http_message.h"
 #include "sidecar/header_names.h"
+#include "sidecar/http/body.h"
 
 namespace copperlead::sidecar
 {
@@ -22,8 +23,8 @@
 HeaderFields forwardedAnswerFields (const HeaderFields& received);
 
 /** Builds a request. Content-Length is added unless a GET or HEAD request has no body. */
-std::string requestMessage (std::string_view method, std::string_view target,
-                            const HeaderFields& fields, std::string_view body);
+Message requestMessage (std::string_view method, std::string_view target,
+                        const HeaderFields& fields, Body body);
 
 struct AnswerParts
 {
@@ -37,14 +38,17 @@
 /** Builds a response.
     @param fields  the end-to-end fields; the framing is added
 */
-std::string answerMessage (const AnswerParts& parts, const HeaderFields& fields);
+Message answerMessage (const AnswerParts& parts, const HeaderFields& fields);
+
+/** Builds a response that shares a body. @param parts  have no body themselves */
+Message answerMessage (const AnswerParts& parts, const HeaderFields& fields, Body body);
 
 /** Builds a plain-text response that this node generates itself. */
-std::string localAnswer (int status, std::string_view cause, const HeaderFields& fields, bool close,
-                         bool isHead);
+Message localAnswer (int status, std::string_view cause, const HeaderFields& fields, bool close,
+                     bool isHead);
 
 /** Builds such a response without further fields, after which the connection closes. */
-std::string plainAnswer (int status, std::string_view cause);
+Message plainAnswer (int status, std::string_view cause);
 
 std::string_view reasonPhrase (int status);
 
--- a/src/sidecar/http/server_connection.cc
+++ b/src/sidecar/http/server_connection.cc
@@ -4,6 +4,7 @@
 #include <sys/epoll.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 
@@ -13,7 +14,10 @@
 {
 
 constexpr std::size_t readBufferSize = 65536;
-constexpr std::size_t maxUnparsedBytes = 65536; // Input that can't be parsed yet.
+constexpr std::size_t headReadSize = 16384; // Bounds what is read of a body before it has memory.
+constexpr std::size_t maxUnparsedBytes = 65536;      // Input of a connection.
+constexpr std::size_t maxAllUnparsedBytes = 4 << 20; // Input of all connections of a server.
+constexpr std::size_t maxIdleCapacity = 4096; // Memory that a connection keeps between requests.
 constexpr std::size_t maxPendingRequests = 16;
 constexpr std::size_t maxUnsentBytes = 256 << 10; // Unsent output that pauses dispatching.
 constexpr Milliseconds bodyTimeout{ 30'000 };
@@ -64,14 +68,14 @@
 
 bool ServerConnection::idle() const
 {
-    return state == State::head && input.empty() && output.empty() && pending.empty();
+    return state == State::head && input.empty() && output.size() == 0 && pending.empty();
 }
 
 bool ServerConnection::isLatest (const Exchange& asked) const { return pending.isLatest (asked); }
 
 bool ServerConnection::canReadNext() const
 {
-    const auto unsent = output.size() - written + pending.messageBytes();
+    const auto unsent = output.remaining() + pending.messageBytes();
 
     if (noMoreRequests || unsent >= maxUnsentBytes)
         return false;
@@ -88,8 +92,26 @@
 
 bool ServerConnection::isReadingBlocked() const
 {
+    if (isWaitingForMemory())
+        return true;
+
     const bool cannotProceed = state == State::waiting || (state == State::head && ! canReadNext());
-    return cannotProceed && input.size() >= maxUnparsedBytes;
+    return cannotProceed &&
+           (input.size() >= maxUnparsedBytes || server->unparsedBytes >= maxAllUnparsedBytes);
+}
+
+std::size_t ServerConnection::readSize() const
+{
+    return state == State::head ? headReadSize : readBufferSize;
+}
+
+void ServerConnection::updateUnparsedBytes()
+{
+    server->unparsedBytes += input.size() - countedInputBytes;
+    countedInputBytes = input.size();
+
+    if (input.empty() && input.capacity() > maxIdleCapacity)
+        input.shrink_to_fit();
 }
 
 void ServerConnection::readAll()
@@ -98,7 +120,8 @@
 
     while (state != State::closed && ! isReadingBlocked())
     {
-        const auto count = ::read (socket.descriptor(), buffer.data(), buffer.size());
+        const auto wanted = readSize();
+        const auto count = ::read (socket.descriptor(), buffer.data(), wanted);
 
         if (count < 0 && (errno == EAGAIN || errno == EINTR))
             return;
@@ -115,7 +138,7 @@
         input.append (buffer.data(), static_cast<std::size_t> (count));
         advance();
 
-        if (static_cast<std::size_t> (count) < buffer.size())
+        if (static_cast<std::size_t> (count) < wanted)
             return;
     }
 }
@@ -148,8 +171,16 @@
 
     advancing = false;
 
-    if (state != State::closed)
-        armTimer (deadline());
+    if (state == State::closed)
+        return;
+
+    updateUnparsedBytes();
+
+    if (state == State::head && ! input.empty() && canReadNext() &&
+        server->unparsedBytes > maxAllUnparsedBytes)
+        return fail (503, "too many heads are being read");
+
+    armTimer (deadline());
 }
 
 void ServerConnection::readHead()
@@ -187,7 +218,10 @@
     exchange->closeAfterResponse = exchange->head.minor_version == 0 ||
                                    ListContains (exchange->head.fields, "Connection", "close");
     decoder.emplace (framing);
-
+    memoryWanted = framing.kind == BodyKind::kChunked
+                       ? std::min (mesh::BufferAccount::smallBytes, limits.bodyBytes)
+                       : framing.length;
+    continueAllowed = false;
     continuePending = ListContains (exchange->head.fields, "Expect", "100-continue") &&
                       input.empty() && ! decoder->complete();
     state = State::body;
@@ -195,6 +229,9 @@
     if (continuePending && server->settings.bodyGate && pending.empty())
         return callBodyGate();
 
+    if (! reserveBodyMemory())
+        return;
+
     sendContinue();
 
     if (decoder->complete())
@@ -226,16 +263,14 @@
     if (! alreadyQueued)
         pending.add (dispatched);
 
-    pending.setLatestBody (dispatched->body.size());
-    updateBufferedBytes();
     server->settings.handler (dispatched);
 }
 
 void ServerConnection::dropPending()
 {
     exchange.reset();
+    dropBody();
     const auto removed = pending.removeAll();
-    updateBufferedBytes();
 
     for (const auto& abandoned : removed)
         notifyDisconnect (*abandoned);
@@ -258,6 +293,8 @@
     server->reactor->Unwatch (watch, socket);
     socket.Close();
     server->remove (self);
+    input.clear();
+    updateUnparsedBytes();
     dropPending();
 }
 
@@ -267,7 +304,7 @@
         return;
 
     const std::uint32_t wanted = (isReadingBlocked() ? EPOLLRDHUP : EPOLLIN) |
-                                 (written < output.size() && ! isWaitingForLink() ? EPOLLOUT : 0U);
+                                 (output.remaining() > 0 && ! isWaitingForLink() ? EPOLLOUT : 0U);
 
     if (wanted == interest)
         return;
@@ -280,7 +317,7 @@
 {
     const auto limits = server->settings.limits();
 
-    if (written < output.size())
+    if (output.remaining() > 0)
         return isWaitingForLink() ? Timestamp::max() : lastWriteAt + writeTimeout;
 
     switch (state)
@@ -331,7 +368,7 @@
     if (now() < due)
         return armTimer (due);
 
-    if (state == State::head && ! input.empty() && output.empty())
+    if (state == State::head && ! input.empty() && output.size() == 0)
         return fail (408, "the head did not arrive in time");
 
     close();
--- a/src/sidecar/http/server_connection.h
+++ b/src/sidecar/http/server_connection.h
@@ -12,6 +12,7 @@
 #include "sidecar/http/answer_queue.h"
 #include "sidecar/http/body_decoder.h"
 #include "sidecar/http/http_server.h"
+#include "sidecar/http/outgoing_bytes.h"
 
 namespace copperlead::sidecar
 {
@@ -26,7 +27,7 @@
     void start();
 
     /** Sets the response to a pending request, which is written after all earlier responses. */
-    void respond (const Exchange& answered, const std::string& message, bool close);
+    void respond (const Exchange& answered, Message message, bool close);
 
     /** Sends 100 Continue, so that the client sends the body of the request that is being read. */
     void continueBody (const Exchange& asked);
@@ -44,7 +45,10 @@
     bool isLatest (const Exchange& exchange) const;
 
     /** @returns the bytes of responses that wait to be written */
-    std::size_t bufferedResponseBytes() const { return output.size() + pending.messageBytes(); }
+    std::size_t bufferedResponseBytes() const
+    {
+        return output.remaining() + pending.messageBytes();
+    }
 
 private:
     /** What the connection is reading. */
@@ -62,6 +66,13 @@
     void advance();
     void readHead();
     void readBody();
+    bool reserveBodyMemory();
+    bool reserveMemory (std::size_t bytes);
+    void growBodyMemory();
+    void useGrantedMemory();
+    void onMemoryGranted();
+    bool isWaitingForMemory() const { return moreMemory.has_value(); }
+    void dropBody();
     void onBodyComplete();
     void callBodyGate();
 
@@ -74,7 +85,9 @@
     bool canReadNext() const;
     bool canDispatch() const;
     bool isReadingBlocked() const;
+    std::size_t readSize() const;
     void sendContinue();
+    void sendAllowedContinue();
     void fail (int status, std::string_view cause);
     void writeAnswers();
     void write();
@@ -90,7 +103,7 @@
     void armTimer (Timestamp when);
     void onTimer();
     Timestamp deadline() const;
-    void updateBufferedBytes();
+    void updateUnparsedBytes();
 
     std::shared_ptr<HttpServer> server;
     Socket socket;
@@ -98,18 +111,23 @@
     std::uint32_t interest = 0;
     State state = State::head;
     bool fromSameIp;
-    std::string input, output;
-    std::size_t written = 0;
+    std::string input;
+    OutgoingBytes output;
     bool closeAfterWrite = false;
     LinkPacer::Id transfer = 0;   /**< The large response that is being written, or 0. */
     bool stalled = false;         /**< The client accepts no more bytes of the transfer for now. */
     bool noMoreRequests = false;  /**< Input after the requests read so far is ignored. */
     bool continuePending = false; /**< The client may wait for 100 Continue. */
+    bool continueAllowed = false; /**< It may be sent as soon as there is memory for the body. */
     bool advancing = false;       /**< Prevents recursive calls of advance(). */
     ExchangePointer exchange;     /**< The request that is being read, or is waiting. */
     std::optional<BodyDecoder> decoder;
-    AnswerQueue pending;              /**< Dispatched requests, and one at the body gate. */
-    std::size_t countedBodyBytes = 0; /**< This connection's share of HttpServer::bufferedBytes. */
+    std::string bodyBytes;                 /**< The part of the body that has been read. */
+    std::size_t memoryWanted = 0;          /**< For the body, and not reserved yet. */
+    Reservation memory;                    /**< For `bodyBytes`. */
+    std::optional<Reservation> moreMemory; /**< What the body waits for; it replaces `memory`. */
+    AnswerQueue pending;                   /**< Dispatched requests, and one at the body gate. */
+    std::size_t countedInputBytes = 0; /**< This connection's share of HttpServer::unparsedBytes. */
     Timestamp headStartedAt{}, idleSince{}, lastWriteAt{}, timerAt = Timestamp::max(), lingerEnd{};
 };
 
--- a/src/sidecar/http/server_connection_answers.cc
+++ b/src/sidecar/http/server_connection_answers.cc
@@ -30,20 +30,22 @@
     }
 
     exchange.reset();
+    dropBody();
     input.clear();
+    updateUnparsedBytes();
     noMoreRequests = true;
     state = State::head;
     pending.addConnectionError (now(), server->settings.errorMessage (status, cause));
     writeAnswers();
 }
 
-void ServerConnection::respond (const Exchange& answered, const std::string& message, bool close)
+void ServerConnection::respond (const Exchange& answered, Message message, bool close)
 {
     const bool isBeingRead = exchange.get() == &answered;
     // After this response, a body that still arrives would be parsed as a request.
     const bool closes = close || (isBeingRead && bodyMayFollow());
 
-    if (! pending.answer (now(), answered, message, closes))
+    if (! pending.answer (now(), answered, std::move (message), closes))
         return;
 
     // A response that closes the connection is the last one, so no request read after it may start.
@@ -59,7 +61,8 @@
 {
     const auto at = now();
 
-    for (AnswerQueue::ReadyAnswer ready; ! closeAfterWrite && pending.takeReady (at, ready);)
+    for (AnswerQueue::ReadyAnswer ready;
+         ! closeAfterWrite && ! output.endsWithBody() && pending.takeReady (at, ready);)
     {
         if (ready.outOfOrder)
             server->counts.headOfLineDelay.observe (mesh::toMilliseconds (ready.timeQueued));
@@ -68,7 +71,6 @@
         closeAfterWrite = ready.close;
     }
 
-    updateBufferedBytes();
     write();
 
     if (state == State::closed || state == State::lingering)
@@ -91,7 +93,7 @@
 
 std::size_t ServerConnection::writableBytes()
 {
-    const auto remaining = output.size() - written;
+    const auto remaining = output.remaining();
     const auto& link = server->settings.link;
 
     if (link == nullptr || (transfer == 0 && remaining < mesh::largeAnswerBytes))
@@ -113,7 +115,6 @@
 
 void ServerConnection::recordWritten (std::size_t bytes)
 {
-    written += bytes;
     lastWriteAt = now();
 
     if (server->settings.link != nullptr)
@@ -141,15 +142,14 @@
 
 void ServerConnection::write()
 {
-    while (written < output.size())
+    while (output.remaining() > 0)
     {
         const auto limit = writableBytes();
 
         if (limit == 0)
             return updateInterest();
 
-        const auto count =
-            ::send (socket.descriptor(), output.data() + written, limit, MSG_NOSIGNAL);
+        const auto count = output.write (socket.descriptor(), limit);
 
         if (count < 0 && (errno == EAGAIN || errno == EINTR))
         {
@@ -165,14 +165,19 @@
         recordWritten (static_cast<std::size_t> (count));
     }
 
-    const bool wrote = written > 0;
+    const bool wrote = output.written() > 0;
     endTransfer();
     output.clear();
-    written = 0;
 
     if (closeAfterWrite)
         return linger();
 
+    // Responses behind a large one are taken out only now.
+    if (pending.hasReady())
+        return writeAnswers();
+
+    sendAllowedContinue();
+
     // Continues with requests that were delayed because too much was unsent.
     if (wrote)
         advance();
--- a/src/sidecar/http/sockets.cc
+++ b/src/sidecar/http/sockets.cc
@@ -53,6 +53,11 @@
 
 void setNoDelay (const Socket& socket) { setOption (socket, IPPROTO_TCP, TCP_NODELAY, 1); }
 
+void setReceiveBuffer (const Socket& socket, std::size_t bytes)
+{
+    setOption (socket, SOL_SOCKET, SO_RCVBUF, static_cast<int> (bytes));
+}
+
 void setDeadPeerDetection (const Socket& socket, Milliseconds unacknowledged)
 {
     setOption (socket, SOL_SOCKET, SO_KEEPALIVE, 1);
--- a/src/sidecar/http/sockets.h
+++ b/src/sidecar/http/sockets.h
@@ -18,6 +18,9 @@
 /** Disables Nagle's algorithm (TCP_NODELAY). */
 void setNoDelay (const Socket& socket);
 
+/** Limits the bytes that may have arrived and not been read. */
+void setReceiveBuffer (const Socket& socket, std::size_t bytes);
+
 /** Makes the connection fail if sent data isn't acknowledged within the given time, or if the peer
     doesn't answer TCP keep-alive probes.
 */
--- a/src/sidecar/instance/last_hop.cc
+++ b/src/sidecar/instance/last_hop.cc
@@ -26,9 +26,10 @@
 // then.
 constexpr Milliseconds minIdleTime{ 20 };
 
-ClientSettings clientSettings()
+ClientSettings clientSettings (const BufferPools& answerPools)
 {
     ClientSettings settings;
+    settings.answerPools = answerPools;
     settings.connectTimeout = Milliseconds (250);
     settings.unacknowledgedTimeout = Milliseconds (800);
     settings.idleTime = Milliseconds (8000);
@@ -43,7 +44,7 @@
     , timer (reactor)
     , settings (std::move (settingsToUse))
     , log (std::move (logToUse))
-    , client (std::make_shared<HttpClient> (reactor, clientSettings()))
+    , client (std::make_shared<HttpClient> (reactor, clientSettings (settings.answerPools)))
     , health (std::make_shared<HealthProbe> (client, settings.names, settings.instanceAddress, log))
     , instance (settings.service)
     , crashes (std::random_device{}())
@@ -202,7 +203,7 @@
         callback (std::move (answer));
 }
 
-std::string LastHop::messageFor (const PendingCall& running, Timestamp now) const
+Message LastHop::messageFor (const PendingCall& running, Timestamp now) const
 {
     const auto left = std::chrono::floor<Milliseconds> (running.deadline - now).count();
     auto fields = running.call.fields;
@@ -264,8 +265,8 @@
                 self->queue.startWindow().postponeStart (startedAt, SteadyClock().Now());
         };
 
-    auto message = messageFor (running, now);
-    const auto http = client->send (settings.instanceAddress, std::move (message), options,
+    const auto message = messageFor (running, now);
+    const auto http = client->send (settings.instanceAddress, message, options,
                                     [weak = weak_from_this(), id] (CallResult result)
                                     {
                                         if (const auto self = weak.lock())
--- a/src/sidecar/instance/last_hop.h
+++ b/src/sidecar/instance/last_hop.h
@@ -37,7 +37,7 @@
     std::string method, target;
     /** End-to-end fields, including Host. */
     HeaderFields fields;
-    std::string body;
+    Body body;
     /** Returns true if the caller has disconnected, even if the event hasn't been handled yet. */
     std::function<bool()> abandoned;
     bool overLink = false; /**< The answer goes to another node. */
@@ -52,7 +52,7 @@
     int status = 0;
     std::string reason;
     HeaderFields fields;
-    std::string body;
+    Body body;
 };
 
 struct LastHopSettings
@@ -65,6 +65,7 @@
     /** Requests that may run at the instance beyond its slots. */
     int extraSlots = 0;
     mesh::ColdBounds coldBounds;
+    BufferPools answerPools; /**< Memory for the instance's responses. */
 };
 
 /** Counters since the process started. */
@@ -165,7 +166,7 @@
     std::size_t inFlight() const { return calls.size(); }
     const LastHopCounters& counters() const { return counts; }
     const mesh::AdmissionQueue& admission() const { return queue; }
-    const HttpClient& httpClient() const { return *client; }
+    const ClientCounters& clientCounters() const { return client->counters(); }
 
 private:
     /** A call that waits in the queue or runs at the instance. */
@@ -214,7 +215,7 @@
     void recordFailure (mesh::HopOutcome outcome, const CallResult& result);
     void complete (CallId id, HopAnswer answer);
     mesh::HopReport report (mesh::HopOutcome outcome, mesh::HopCause cause) const;
-    std::string messageFor (const PendingCall& running, Timestamp now) const;
+    Message messageFor (const PendingCall& running, Timestamp now) const;
     void probe();
     void onProbeAnswer (const HealthAnswer& answer);
     static Timestamp targetOf (const PendingCall& running);
--- a/src/sidecar/instance/last_hop_crash.cc
+++ b/src/sidecar/instance/last_hop_crash.cc
@@ -38,7 +38,7 @@
 mesh::RequestIdentity identityOf (const HopCall& call)
 {
     return { call.method, onlyValue (call.fields, "Host"), call.target, call.facts.tenant,
-             call.body };
+             call.body.bytes() };
 }
 
 bool LastHop::isHeld (const HopCall& call) const
--- a/src/sidecar/instance/peer_endpoint.cc
+++ b/src/sidecar/instance/peer_endpoint.cc
@@ -18,10 +18,10 @@
 {
     answer.fields.push_back ({ std::string (mesh::hopField), mesh::encode (answer.report) });
     const int status = answer.status == 0 ? 503 : answer.status;
-    exchange->respond (answerMessage ({ status, answer.reason, answer.body, exchange->mustClose(),
-                                        exchange->isHead() },
-                                      answer.fields),
-                       exchange->mustClose());
+    exchange->respond (
+        answerMessage ({ status, answer.reason, {}, exchange->mustClose(), exchange->isHead() },
+                       answer.fields, std::move (answer.body)),
+        exchange->mustClose());
 }
 
 std::size_t announcedBytes (const Exchange& exchange)
@@ -110,6 +110,14 @@
     answerHopCall (exchange, std::move (answer));
 }
 
+Message PeerEndpoint::memoryRefusal() const
+{
+    // Nodes of earlier releases know this cause.
+    const auto report = lastHop->refusal (mesh::HopCause::linkFull);
+    return answerMessage ({ 503, {}, {}, true, false },
+                          { { std::string (mesh::hopField), mesh::encode (report) } });
+}
+
 void PeerEndpoint::admitBody (const ExchangePointer& exchange)
 {
     const auto facts = mesh::decodeHopRequest (onlyValue (exchange->head.fields, mesh::hopField));
--- a/src/sidecar/instance/peer_endpoint.h
+++ b/src/sidecar/instance/peer_endpoint.h
@@ -30,6 +30,9 @@
     /** Decides from the head of a hop call whether its body may be sent, and when. */
     void admitBody (const ExchangePointer& exchange);
 
+    /** Returns the response to a hop call for whose body there is no memory. */
+    Message memoryRefusal() const;
+
 private:
     void refuseBody (const ExchangePointer& exchange, const mesh::HopRequest& facts,
                      std::size_t bytes, mesh::HopCause cause);
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -22,7 +22,7 @@
            static_cast<std::uint64_t> (now().time_since_epoch().count());
 }
 
-FirstHopSettings firstHopSettings (const SidecarSettings& settings)
+FirstHopSettings firstHopSettings (const SidecarSettings& settings, const MessagePools& pools)
 {
     FirstHopSettings made;
     made.names = settings.names;
@@ -37,6 +37,7 @@
     made.budget.ratio = settings.retryRatio;
     made.budget.slack = settings.retrySlack;
     made.budget.window = settings.retryWindow;
+    made.answerPools = pools.nodeAnswers;
     return made;
 }
 
@@ -47,6 +48,7 @@
     : settings (std::move (settingsToUse))
     , reactor (std::move (reactorToUse))
     , log (std::move (logToUse))
+    , pools (reactor, mesh::MemoryPlan::forMachine (settings.memoryBytes))
     , settingsFile (settings.file)
     , lapseTimer (reactor)
 {
@@ -55,7 +57,7 @@
     lastHop = std::make_shared<LastHop> (
         reactor,
         LastHopSettings{ settings.names, settings.instance, settings.service, settings.zone,
-                         settings.extraSlots, settings.coldBounds },
+                         settings.extraSlots, settings.coldBounds, pools.instanceAnswers },
         log);
     state.directory().setLocality ({ settings.zone, settings.zoneRegions });
     bodies = std::make_shared<BodyAdmission> (reactor, settings.linkMbps);
@@ -64,7 +66,7 @@
     lastHop->bodyTransferMs = [admission = bodies] { return admission->expectedMs(); };
     peerEndpoint = std::make_shared<PeerEndpoint> (settings.names, lastHop, bodies, log, state);
     lastHop->setCrashGuard (crashGuard);
-    firstHop = std::make_shared<FirstHop> (reactor, firstHopSettings (settings), lastHop,
+    firstHop = std::make_shared<FirstHop> (reactor, firstHopSettings (settings, pools), lastHop,
                                            crashGuard, log, seedFrom (settings.id));
 }
 
@@ -94,10 +96,49 @@
                   { "outbound", ToString (settings.outbound) },
                   { "inbound", ToString (settings.inbound) },
                   { "readiness", ToString (settings.readiness) } });
+    logMemoryPlan();
     tick();
     return Done{};
 }
 
+void Sidecar::logMemoryPlan()
+{
+    const auto inLog = [] (std::uint64_t bytes) { return static_cast<std::int64_t> (bytes); };
+    log->write (now(), EventKind::memoryPlanned,
+                { { "memory", inLog (settings.memoryBytes) },
+                  { "client_bodies", inLog (pools.clientBodies.whole->limit()) },
+                  { "large_client_bodies", inLog (pools.clientBodies.large->limit()) },
+                  { "node_bodies", inLog (pools.nodeBodies.whole->limit()) },
+                  { "large_node_bodies", inLog (pools.nodeBodies.large->limit()) },
+                  { "node_answers", inLog (pools.nodeAnswers.whole->limit()) },
+                  { "large_node_answers", inLog (pools.nodeAnswers.large->limit()) },
+                  { "instance_answers", inLog (pools.instanceAnswers.whole->limit()) },
+                  { "large_instance_answers", inLog (pools.instanceAnswers.large->limit()) } });
+}
+
+void Sidecar::checkBodyLimit (Timestamp at)
+{
+    const auto allowed = clientLimits().bodyBytes;
+    const auto held = std::min (pools.clientBodies.large->limit(), pools.nodeBodies.large->limit());
+
+    if (allowed > held)
+        log->write (at, EventKind::bodyLimitTooLarge,
+                    { { "max_body_bytes", static_cast<std::int64_t> (allowed) },
+                      { "served_up_to", static_cast<std::int64_t> (held) },
+                      { "memory", static_cast<std::int64_t> (settings.memoryBytes) } });
+}
+
+void Sidecar::refuseForMemory (const BufferPools& pool, const RequestHead& head, std::size_t bytes)
+{
+    const auto& asked = *pool.poolFor (bytes);
+    log->write (now(), EventKind::memoryRefused,
+                { { "request", onlyValue (head.fields, settings.names.requestId) },
+                  { "bytes", static_cast<std::int64_t> (bytes) },
+                  { "used", static_cast<std::int64_t> (asked.used()) },
+                  { "limit", static_cast<std::int64_t> (asked.limit()) },
+                  { "waiting", static_cast<std::int64_t> (asked.waiting()) } });
+}
+
 void Sidecar::connectFirstHop()
 {
     const auto weak = weak_from_this();
@@ -184,6 +225,7 @@
     firstHop->setRoutes (routes);
     lastHop->setConfigurationVersion (outcome.version);
     setServiceSettings (at, routes->configuration());
+    checkBodyLimit (at);
     log->write (
         at, EventKind::configurationTaken,
         { { "version", static_cast<std::int64_t> (outcome.version) },
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -18,6 +18,7 @@
 #include "sidecar/http/http_server.h"
 #include "sidecar/instance/last_hop.h"
 #include "sidecar/instance/peer_endpoint.h"
+#include "sidecar/message_pools.h"
 #include "sidecar/settings_file.h"
 #include "sidecar/sidecar_metrics.h"
 #include "sidecar/sidecar_settings.h"
@@ -105,9 +106,11 @@
     std::optional<double> msSinceConfirmation() const;
     void answerReadiness (const ExchangePointer& exchange);
     SidecarFigures figures() const;
-    std::array<std::uint64_t, std::size (bufferPlaceNames)> bufferedBytes() const;
     void answerMetrics (const ExchangePointer& exchange);
     mesh::ClientLimits clientLimits() const;
+    void refuseForMemory (const BufferPools& pools, const RequestHead& head, std::size_t bytes);
+    void checkBodyLimit (Timestamp now);
+    void logMemoryPlan();
     bool ready() const;
     void tick();
     void logPause (Timestamp at);
@@ -121,6 +124,7 @@
     SidecarSettings settings;
     std::shared_ptr<Reactor> reactor;
     std::shared_ptr<DecisionLog> log;
+    MessagePools pools;
     mesh::MeshState state;
     mesh::DirectoryPointer directory; /**< The snapshot last passed to the components. */
     std::shared_ptr<CrashGuard> crashGuard;
--- a/src/sidecar/sidecar_metrics.cc
+++ b/src/sidecar/sidecar_metrics.cc
@@ -48,19 +48,19 @@
         all.push_back (std::move (family));
     }
 
-    /** Adds the bytes that messages take, by the place where they are held. */
-    void buffers (const std::array<std::uint64_t, std::size (bufferPlaceNames)>& bytes)
+    /** Adds a family with one value for each pool of messages. */
+    void pools (const char* name, const char* help, MetricType type,
+                const std::array<PoolFigures, std::size (messagePoolNames)>& figures,
+                std::uint64_t PoolFigures::*member)
     {
-        MetricFamily family{ "copperlead_buffered_bytes",
-                             "Bytes of messages that are held, by place",
-                             MetricType::Gauge,
-                             {} };
+        MetricFamily family{ name, help, type, {} };
 
-        for (std::size_t i = 0; i < bytes.size(); ++i)
+        for (std::size_t i = 0; i < figures.size(); ++i)
         {
+            const auto value = static_cast<double> (figures[i].*member);
             ClientMetric metric;
-            metric.label.push_back ({ "place", std::string (bufferPlaceNames[i]) });
-            metric.gauge.value = static_cast<double> (bytes[i]);
+            metric.label.push_back ({ "pool", std::string (messagePoolNames[i]) });
+            (type == MetricType::Gauge ? metric.gauge.value : metric.counter.value) = value;
             family.metric.push_back (std::move (metric));
         }
 
@@ -264,7 +264,18 @@
 
 void addMemory (Families& families, const SidecarFigures& figures)
 {
-    families.buffers (figures.bufferedBytes);
+    families.pools ("copperlead_memory_reserved_bytes", "Reserved for messages that are read",
+                    MetricType::Gauge, figures.pools, &PoolFigures::used);
+    families.pools ("copperlead_memory_limit_bytes", "Of those, at most", MetricType::Gauge,
+                    figures.pools, &PoolFigures::limit);
+    families.pools ("copperlead_memory_waiting", "Messages that aren't read until there is memory",
+                    MetricType::Gauge, figures.pools, &PoolFigures::waiting);
+    families.pools ("copperlead_memory_waited_total", "Messages that waited for memory",
+                    MetricType::Counter, figures.pools, &PoolFigures::waited);
+    families.pools ("copperlead_memory_refused_total", "Messages refused for lack of memory",
+                    MetricType::Counter, figures.pools, &PoolFigures::refused);
+    families.gauge ("copperlead_unwritten_bytes", "Responses that wait to be written",
+                    static_cast<double> (figures.unwrittenBytes));
     families.gauge ("copperlead_resident_bytes", "Resident memory of the process",
                     static_cast<double> (figures.residentBytes));
 }
--- a/src/sidecar/sidecar_metrics.h
+++ b/src/sidecar/sidecar_metrics.h
@@ -15,30 +15,12 @@
 #include "sidecar/instance/body_admission.h"
 #include "sidecar/instance/last_hop.h"
 #include "sidecar/instance/link_pacer.h"
+#include "sidecar/message_pools.h"
 #include "sidecar/source/relay.h"
 
 namespace copperlead::sidecar
 {
 
-/** Where bytes of messages are held. */
-enum class BufferPlace : std::uint8_t
-{
-    clientRequests,    /**< Bodies that clients have sent. */
-    nodeRequests,      /**< Bodies that other nodes have sent. */
-    callsToNodes,      /**< Messages to other nodes. */
-    callsToInstance,   /**< Messages to the instance. */
-    nodeResponses,     /**< Read from other nodes. */
-    instanceResponses, /**< Read from the instance. */
-    responsesToClients,
-    responsesToNodes,
-    count
-};
-
-inline constexpr std::string_view bufferPlaceNames[] = {
-    "client_requests", "node_requests",      "calls_to_nodes",       "calls_to_instance",
-    "node_responses",  "instance_responses", "responses_to_clients", "responses_to_nodes"
-};
-
 /** A snapshot of the values that a sidecar exports. */
 struct SidecarFigures
 {
@@ -77,8 +59,9 @@
      */
     std::optional<double> msSinceZoneUpToDate;
     double retryBudgetLeft = 0; /**< The smallest over all services. */
-    std::array<std::uint64_t, std::size (bufferPlaceNames)> bufferedBytes{};
-    std::uint64_t residentBytes = 0; /**< Memory of the process. */
+    std::array<PoolFigures, std::size (messagePoolNames)> pools{};
+    std::uint64_t unwrittenBytes = 0; /**< Responses that wait to be written. */
+    std::uint64_t residentBytes = 0;  /**< Memory of the process. */
 };
 
 std::string metricsText (const SidecarFigures& figures);
--- a/src/sidecar/sidecar_servers.cc
+++ b/src/sidecar/sidecar_servers.cc
@@ -30,6 +30,15 @@
     return residentPages * static_cast<std::uint64_t> (sysconf (_SC_PAGESIZE));
 }
 
+/** Builds the response to a client's request that the server rejects itself. */
+Message clientError (int status, std::string_view cause)
+{
+    if (status != 503)
+        return plainAnswer (status, cause);
+
+    return localAnswer (status, cause, { { "Retry-After", "0.300" } }, true, false);
+}
+
 } // namespace
 
 ServerSettings Sidecar::serverSettings (std::function<mesh::ClientLimits()> limits,
@@ -52,6 +61,7 @@
     {
         mesh::ClientLimits limits;
         limits.headerBytes = hopHeadBytes;
+        limits.bodyBytes = SIZE_MAX; // The sending node has checked the body.
         limits.idleTimeout = hopIdleTime;
         return limits;
     };
@@ -63,6 +73,13 @@
     };
 
     auto forClients = serverSettings (clientLimitsNow, &Sidecar::handleRequest);
+    forClients.bodyPools = pools.clientBodies;
+    forClients.onMemoryRefused = [weak] (const RequestHead& head, std::size_t bytes)
+    {
+        if (const auto self = weak.lock())
+            self->refuseForMemory (self->pools.clientBodies, head, bytes);
+    };
+    forClients.errorMessage = clientError;
     forClients.canRunConcurrently = [weak] (const RequestHead& head)
     {
         const auto self = weak.lock();
@@ -74,6 +91,14 @@
         if (const auto self = weak.lock())
             self->peerEndpoint->admitBody (exchange);
     };
+    forNodes.bodyPools = pools.nodeBodies;
+    forNodes.onMemoryRefused = [weak] (const RequestHead& head, std::size_t bytes)
+    {
+        if (const auto self = weak.lock())
+            self->refuseForMemory (self->pools.nodeBodies, head, bytes);
+    };
+    forNodes.errorMessage = [endpoint = peerEndpoint] (int status, std::string_view cause)
+    { return status == 503 ? endpoint->memoryRefusal() : plainAnswer (status, cause); };
     forNodes.link = link;
     outbound = std::make_shared<HttpServer> (reactor, std::move (forClients));
     inbound = std::make_shared<HttpServer> (reactor, std::move (forNodes));
@@ -103,7 +128,7 @@
     SidecarFigures shown;
     shown.first = firstHop->counters();
     shown.last = lastHop->counters();
-    shown.toInstance = lastHop->httpClient().counters();
+    shown.toInstance = lastHop->clientCounters();
     shown.inFlight = inFlight();
     shown.running = lastHop->admission().running();
     shown.failureShare = lastHop->failureShare (at);
@@ -136,7 +161,8 @@
     shown.msSinceSourceAnswer = mesh::ageInMilliseconds (at, source.lastSuccess);
     shown.retryBudgetLeft = firstHop->retryBudgetLeft (at);
 
-    shown.bufferedBytes = bufferedBytes();
+    shown.pools = pools.figures();
+    shown.unwrittenBytes = outbound->bufferedResponseBytes() + inbound->bufferedResponseBytes();
     shown.residentBytes = residentBytes();
 
     if (relay != nullptr)
@@ -148,16 +174,6 @@
     return shown;
 }
 
-std::array<std::uint64_t, std::size (bufferPlaceNames)> Sidecar::bufferedBytes() const
-{
-    const auto& toNodes = firstHop->httpClient();
-    const auto& toInstance = lastHop->httpClient();
-    return { outbound->bufferedRequestBytes(),  inbound->bufferedRequestBytes(),
-             toNodes.bufferedRequestBytes(),    toInstance.bufferedRequestBytes(),
-             toNodes.bufferedResponseBytes(),   toInstance.bufferedResponseBytes(),
-             outbound->bufferedResponseBytes(), inbound->bufferedResponseBytes() };
-}
-
 void Sidecar::answerMetrics (const ExchangePointer& exchange)
 {
     const bool known = exchange->head.target == settings.metricsPath;
--- a/src/sidecar/sidecar_settings.cc
+++ b/src/sidecar/sidecar_settings.cc
@@ -43,6 +43,7 @@
         ("load-queries", text()->default_value (""), "IP:PORT, UDP, by which nodes ask each other for the load of instances; the port is the same on all; empty: none are asked")
         ("cpu-share", text()->default_value (""), "cores of this machine, 0.001 to 1024; empty: 1")
         ("link-mbps", text()->default_value (""), "bandwidth of this machine, 0.001 to 1000000; empty: 1000")
+        ("memory-mb", text()->default_value (""), "memory of this machine for this process, in millions of bytes, 128 to 1000000; empty: 160")
         ("metrics", text()->default_value (""), "PORT/PATH for metrics, on the outbound IP")
         ("extra-slots", text()->default_value ("0"), "requests at the instance beyond its slots, 0 to 64")
         ("changes-within-ms", text()->default_value (""), "in which a configuration is to be in force on every node, 500 to 600000; empty: 2000")
@@ -243,6 +244,16 @@
     return Done{};
 }
 
+Result<Done> readMemory (const Values& values, SidecarSettings& settings)
+{
+    constexpr double bytesPerMb = 1e6, mostMb = 1e6;
+    constexpr double leastMb = mesh::MemoryPlan::leastMachineBytes / bytesPerMb;
+    constexpr double defaultMb = mesh::MemoryPlan::defaultMachineBytes / bytesPerMb;
+    BOOST_LEAF_AUTO (memory, values.number ("memory-mb", leastMb, mostMb, defaultMb));
+    settings.memoryBytes = static_cast<std::size_t> (memory * bytesPerMb);
+    return Done{};
+}
+
 Result<Done> readNumbers (const Values& values, SidecarSettings& settings)
 {
     BOOST_LEAF_AUTO (grace, values.number ("grace-s", 1, 3600, 6));
@@ -309,6 +320,7 @@
     BOOST_LEAF_ASSIGN (settings.source, values.address ("source"));
     BOOST_LEAF_ASSIGN (settings.extraSlots, values.wholeNumber ("extra-slots", 0, maxExtraSlots));
     BOOST_LEAF_CHECK (readNumbers (values, settings));
+    BOOST_LEAF_CHECK (readMemory (values, settings));
     BOOST_LEAF_CHECK (readChangeBounds (values, settings));
     BOOST_LEAF_CHECK (readTenancy (values, settings));
     BOOST_LEAF_CHECK (readCrashLimits (values, settings.crashes));
--- a/src/sidecar/sidecar_settings.h
+++ b/src/sidecar/sidecar_settings.h
@@ -13,6 +13,7 @@
 #include "mesh/cold_start.h"
 #include "mesh/crash_ledger.h"
 #include "mesh/credential_check.h"
+#include "mesh/memory_plan.h"
 #include "mesh/quota_bounds.h"
 #include "mesh/source_timing.h"
 #include "sidecar/header_names.h"
@@ -35,6 +36,7 @@
     SocketAddress loadQueries; /**< UDP; if empty, instances are chosen without queries. */
     SocketAddress metrics;     /**< Empty if disabled. */
     double cpuShare = 1, linkMbps = 1000; /**< Of this machine; see readerStrength(). */
+    std::size_t memoryBytes = mesh::MemoryPlan::defaultMachineBytes; /**< Of this machine. */
     std::string metricsPath;
     HeaderNames names;
     int extraSlots = 0;
--- a/src/sidecar/source/relay.cc
+++ b/src/sidecar/source/relay.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "mesh/memory_plan.h"
 #include "mesh/reader_heartbeat_codec.h"
 #include "sidecar/http/messages.h"
 #include "sidecar/http/sockets.h"
@@ -33,6 +34,7 @@
     settings.connectTimeout = Milliseconds (300);
     settings.idleTime = Milliseconds (10'000);
     settings.maxIdlePerTarget = 1;
+    settings.maxAnswerBytes = mesh::maxSourceAnswerBytes;
     return settings;
 }
 
@@ -154,7 +156,7 @@
             if (result.end != CallEnd::answered || result.head.status != 200)
                 return Fail (ErrorKind::kUnreachable, "changes", result.cause);
 
-            BOOST_LEAF_ASSIGN (update, mesh::decodeMeshUpdate (result.body));
+            BOOST_LEAF_ASSIGN (update, mesh::decodeMeshUpdate (result.body.bytes()));
             return Done{};
         });
 
--- a/src/sidecar/source/source_reader.h
+++ b/src/sidecar/source/source_reader.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "mesh/enum_names.h"
+#include "mesh/memory_plan.h"
 #include "mesh/source_follower.h"
 #include "sidecar/decision_log.h"
 #include "sidecar/http/http_client.h"
@@ -109,6 +110,7 @@
         ClientSettings settings;
         settings.connectTimeout = Milliseconds (500);
         settings.idleTime = Milliseconds (10'000);
+        settings.maxAnswerBytes = mesh::maxSourceAnswerBytes;
         return settings;
     }
 
@@ -168,7 +170,7 @@
         mesh::SourceAnswer answer;
 
         if (result.end == CallEnd::answered)
-            answer = dialect.read (result.head, result.body);
+            answer = dialect.read (result.head, result.body.bytes());
 
         const auto reply = answer.reply;
         const bool wasFailing = follower.failing();
--- a/src/standin/instance.cc
+++ b/src/standin/instance.cc
@@ -4,6 +4,9 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cstdlib>
+#include <functional>
+#include <string_view>
 
 #include "proxy/http_message.h"
 #include "standin/http_service.h"
@@ -43,6 +46,14 @@
 
 }  // namespace
 
+std::string LargeAnswerBody(const std::string& request_id, std::size_t bytes) {
+  std::string body;
+  body.reserve(bytes + request_id.size());
+  while (body.size() < bytes) body += request_id + ",";
+  body.resize(bytes);
+  return body;
+}
+
 struct Instance::Message {
   RequestHead head;
   std::string body;
@@ -192,7 +203,9 @@
   run.tenant = FirstValue(fields, "X-Tenant");
   run.key = FirstValue(fields, "X-Credential");
   ParseWholeNumber(FirstValue(fields, "X-Deadline-Ms"), run.deadline_ms);
-  run.body = message.body;
+  run.body_bytes = message.body.size();
+  run.body_hash = std::hash<std::string>()(message.body);
+  if (run.body_bytes <= kKeptBodyBytes) run.body = message.body;
   run.came_at = std::chrono::steady_clock::now();
   const std::lock_guard lock(mutex_);
   run.instance = settings_.id;
@@ -283,7 +296,13 @@
     Crash();
     return false;
   }
-  const std::string body = "answer to " + id;
+  const auto sized = message.head.target.find(kAnswerBytes);
+  const std::string body =
+      sized == std::string::npos
+          ? "answer to " + id
+          : LargeAnswerBody(id, std::strtoul(message.head.target.c_str() + sized +
+                                                 std::string_view(kAnswerBytes).size(),
+                                             nullptr, 10));
   const std::string whole = Answer(200, id, body, true, true);
   switch (trouble) {
     case InstanceTrouble::kLost:
--- a/src/standin/instance.h
+++ b/src/standin/instance.h
@@ -56,6 +56,15 @@
   bool keeps_id = false;  // It starts again under the id that it had.
 };
 
+// Larger bodies are recorded by their size and hash only.
+inline constexpr std::size_t kKeptBodyBytes = 1 << 20;
+
+// The text in a request's target that is followed by the size of the answer's body in bytes.
+inline constexpr char kAnswerBytes[] = "answer-bytes=";
+
+// The body of an answer of `bytes` bytes.
+std::string LargeAnswerBody(const std::string& request_id, std::size_t bytes);
+
 // A request that came, and what was done with it.
 struct InstanceRun {
   std::string request_id;
@@ -67,7 +76,9 @@
   std::string tenant;    // Whose request it is, as the caller says.
   std::string key;       // A client's key, which should not come here.
   std::uint64_t deadline_ms = 0;
-  std::string body;
+  std::string body;  // Empty when it is larger than kKeptBodyBytes.
+  std::size_t body_bytes = 0;
+  std::size_t body_hash = 0;  // std::hash of the body.
   std::chrono::steady_clock::time_point came_at{};
   bool ran = false;
   std::chrono::steady_clock::time_point ran_at{};
--- a/tests/sidecar/http/answer_queue_test.cc
+++ b/tests/sidecar/http/answer_queue_test.cc
@@ -28,9 +28,9 @@
 
 TEST_F (AnswerQueueTest, AResponseWaitsForEarlierOnesAndReportsHowLong)
 {
-    EXPECT_TRUE (queue.answer (at (10), *exchanges[1], "second", false));
+    EXPECT_TRUE (queue.answer (at (10), *exchanges[1], Message ("second"), false));
     EXPECT_FALSE (queue.takeReady (at (10), ready));
-    EXPECT_TRUE (queue.answer (at (25), *exchanges[0], "first", false));
+    EXPECT_TRUE (queue.answer (at (25), *exchanges[0], Message ("first"), false));
     ASSERT_TRUE (queue.takeReady (at (25), ready));
     EXPECT_EQ (ready.message, "first");
     EXPECT_FALSE (ready.outOfOrder);
@@ -44,9 +44,9 @@
 
 TEST_F (AnswerQueueTest, OnlyTheFirstResponseToARequestCounts)
 {
-    EXPECT_TRUE (queue.answer (at (0), *exchanges[0], "one", true));
-    EXPECT_FALSE (queue.answer (at (1), *exchanges[0], "two", false));
-    EXPECT_FALSE (queue.answer (at (1), Exchange(), "whose", false));
+    EXPECT_TRUE (queue.answer (at (0), *exchanges[0], Message ("one"), true));
+    EXPECT_FALSE (queue.answer (at (1), *exchanges[0], Message ("two"), false));
+    EXPECT_FALSE (queue.answer (at (1), Exchange(), Message ("whose"), false));
     ASSERT_TRUE (queue.takeReady (at (1), ready));
     EXPECT_EQ (ready.message, "one");
     EXPECT_TRUE (ready.close);
@@ -54,11 +54,11 @@
 
 TEST_F (AnswerQueueTest, AConnectionErrorFollowsEarlierResponsesAndCloses)
 {
-    queue.addConnectionError (at (0), "refused");
+    queue.addConnectionError (at (0), Message ("refused"));
     EXPECT_FALSE (queue.isLatest (*exchanges[2]));
 
     for (const auto& exchange : exchanges)
-        EXPECT_TRUE (queue.answer (at (1), *exchange, "ok", false));
+        EXPECT_TRUE (queue.answer (at (1), *exchange, Message ("ok"), false));
 
     for (int n = 0; n < 3; ++n)
         ASSERT_TRUE (queue.takeReady (at (1), ready));
@@ -72,12 +72,9 @@
 TEST_F (AnswerQueueTest, CountsBytesAndReturnsTheRemainingRequests)
 {
     EXPECT_TRUE (queue.isLatest (*exchanges[2]));
-    queue.setLatestBody (70);
-    queue.answer (at (0), *exchanges[1], "12345", false);
-    EXPECT_EQ (queue.messageBytes(), 5U);
-    EXPECT_EQ (queue.bodyBytes(), 70U);
+    queue.answer (at (0), *exchanges[1], Message ("12345", Body ("body")), false);
+    EXPECT_EQ (queue.messageBytes(), 9U);
     queue.removeLatest();
-    EXPECT_EQ (queue.bodyBytes(), 0U);
     EXPECT_EQ (queue.removeAll().size(), 2U);
     EXPECT_TRUE (queue.empty());
 }
--- a/tests/sidecar/http/body_gate_test.cc
+++ b/tests/sidecar/http/body_gate_test.cc
@@ -167,7 +167,7 @@
                 CallOptions options;
                 options.deadline = SteadyClock().Now() + Milliseconds (500);
                 options.headBytes = uploadHead.size();
-                client->send (target, uploadHead + "body", options,
+                client->send (target, Message (uploadHead, Body ("body")), options,
                               [&] (CallResult result) { promise.set_value (std::move (result)); });
             });
         return promise.get_future().get();
--- a/tests/sidecar/http/http_test.cc
+++ b/tests/sidecar/http/http_test.cc
@@ -72,8 +72,8 @@
         }
 
         exchange->respond (
-            answerMessage ({ 200, {}, exchange->body, exchange->mustClose(), exchange->isHead() },
-                           {}),
+            answerMessage (
+                { 200, {}, exchange->body.bytes(), exchange->mustClose(), exchange->isHead() }, {}),
             exchange->mustClose());
     }
 
@@ -227,7 +227,7 @@
                 options.idField = "X-Request-Id";
                 options.id = id;
                 options.minIdleTime = minIdleTime;
-                client->send (target, "GET / HTTP/1.1\r\nHost: h\r\n\r\n", options,
+                client->send (target, Message ("GET / HTTP/1.1\r\nHost: h\r\n\r\n"), options,
                               [&] (CallResult result) { promise.set_value (std::move (result)); });
             });
         return promise.get_future().get();
@@ -385,7 +385,7 @@
             std::this_thread::sleep_for (std::chrono::milliseconds (60));
             CallOptions options;
             options.deadline = SteadyClock().Now() + Milliseconds (1000);
-            client->send (peer.address(), "GET / HTTP/1.1\r\nHost: h\r\n\r\n", options,
+            client->send (peer.address(), Message ("GET / HTTP/1.1\r\nHost: h\r\n\r\n"), options,
                           [&] (CallResult result) { promise.set_value (std::move (result)); });
         });
     EXPECT_EQ (promise.get_future().get().end, CallEnd::answered);
--- a/tests/sidecar/http/pipelining_test.cc
+++ b/tests/sidecar/http/pipelining_test.cc
@@ -356,7 +356,7 @@
             const auto index = open[pick];
             open.erase (open.begin() + static_cast<std::ptrdiff_t> (pick));
             const auto request = receivedRequest (index);
-            answer (index, false, request->head.target + " " + request->body);
+            answer (index, false, request->head.target + " " + request->body.bytes());
             ++answered;
         }
     }
