--- a/src/mesh/link_schedule.cc
+++ b/src/mesh/link_schedule.cc
@@ -24,10 +24,10 @@
 {
 }
 
-LinkSchedule::Id LinkSchedule::add (Timestamp now, std::size_t bytes)
+LinkSchedule::Id LinkSchedule::add (Timestamp now, std::size_t bytes, bool inParts)
 {
     const auto length = fromMilliseconds (dueFactor * msOf (static_cast<double> (bytes)));
-    transfers[++lastId] = { now + length, bytes, false };
+    transfers[++lastId] = { now + length, bytes, false, inParts };
     return lastId;
 }
 
@@ -57,6 +57,9 @@
 
 std::size_t LinkSchedule::allowance (Timestamp now, Id id) const
 {
+    if (id == unfinished && unfinishedBytes > 0)
+        return unfinishedBytes;
+
     return next (now) == id ? pieceBytes : 0;
 }
 
@@ -68,9 +71,19 @@
 void LinkSchedule::wrote (Timestamp now, Id id, std::size_t bytes)
 {
     wrote (now, bytes);
+    const auto found = transfers.find (id);
 
-    if (const auto found = transfers.find (id); found != transfers.end())
-        found->second.left -= std::min (found->second.left, bytes);
+    if (found == transfers.end())
+        return;
+
+    found->second.left -= std::min (found->second.left, bytes);
+
+    if (! found->second.inParts)
+        return;
+
+    const auto allowed = id == unfinished && unfinishedBytes > 0 ? unfinishedBytes : pieceBytes;
+    unfinished = id;
+    unfinishedBytes = allowed - std::min (allowed, bytes);
 }
 
 Timestamp LinkSchedule::nextDue() const { return first() ? freeAt : Timestamp::max(); }
--- a/src/mesh/link_schedule.h
+++ b/src/mesh/link_schedule.h
@@ -36,7 +36,10 @@
 
     explicit LinkSchedule (double linkBytesPerMs);
 
-    Id add (Timestamp now, std::size_t bytes);
+    /** @param inParts  the transfer's bytes become available in parts that may be smaller than a
+                        piece; it goes on with its piece as long as that isn't complete
+    */
+    Id add (Timestamp now, std::size_t bytes, bool inParts = false);
     void remove (Id id);
 
     /** Sets whether a transfer's receiver accepts no data at present; it is skipped meanwhile. */
@@ -68,6 +71,7 @@
         Timestamp due{}; /**< Determines the order; the earliest goes first. */
         std::size_t left = 0;
         bool stalled = false;
+        bool inParts = false;
     };
 
     double msOf (double bytes) const { return bytes / bytesPerMs; }
@@ -78,6 +82,8 @@
     Timestamp freeAt{}; /**< When everything written so far is transmitted. */
     std::map<Id, Transfer> transfers;
     Id lastId = 0;
+    Id unfinished = 0;               /**< The transfer in parts that wrote last. */
+    std::size_t unfinishedBytes = 0; /**< What it may still write of its piece. */
 };
 
 } // namespace copperlead::mesh
--- a/src/mesh/memory_plan.cc
+++ b/src/mesh/memory_plan.cc
@@ -7,42 +7,44 @@
 
 constexpr std::size_t processBytes = 40'000'000;
 
-// A response that isn't larger can be held completely.
-constexpr std::size_t largestAnswerBytes = 17'000'000;
+// What a connection reads together with a head, before its body has memory.
+constexpr std::size_t inputBytes = 16 << 10;
 
-constexpr std::size_t fewWaiting = 16, manyWaiting = 32;
+constexpr std::size_t maxWaitingBodies = 24, maxWaitingUnsized = 8, maxWaitingAnswers = 40;
 
-std::size_t percentOf (std::size_t bytes, std::size_t percent) { return bytes / 100 * percent; }
+// Shares of the memory for messages.
+constexpr double bodyShare = 0.06, answerShare = 0.035, streamShare = 0.035;
 
 } // namespace
 
 MemoryPlan MemoryPlan::forMachine (std::size_t machineBytes)
 {
+    // Other nodes send a large body only once there is memory for it.
+    constexpr auto waitingConnections =
+        2 * maxWaitingBodies + maxWaitingUnsized + 4 * maxWaitingAnswers;
+    constexpr auto waitingNodes = 2 * maxWaitingBodies;
     MemoryPlan plan;
     plan.process = processBytes;
-    plan.clientBodies.maxWaiting = manyWaiting;
-    plan.largeClientBodies.maxWaiting = fewWaiting;
-    plan.nodeBodies.maxWaiting = manyWaiting;
-    plan.largeNodeBodies.maxWaiting = fewWaiting;
-    plan.nodeAnswers.maxWaiting = manyWaiting;
-    plan.largeNodeAnswers.maxWaiting = manyWaiting;
-    plan.instanceAnswers.maxWaiting = manyWaiting;
-    plan.largeInstanceAnswers.maxWaiting = manyWaiting;
-    plan.unread = (3 * fewWaiting + 6 * manyWaiting) * socketBufferBytes;
-
-    const auto forMessages = machineBytes - plan.process - plan.unread;
-    plan.clientBodies.bytes = plan.nodeBodies.bytes = percentOf (forMessages, 10);
-    plan.nodeAnswers.bytes = plan.instanceAnswers.bytes = percentOf (forMessages, 6);
-    plan.largeNodeAnswers.bytes = plan.largeInstanceAnswers.bytes = largestAnswerBytes;
-    plan.largeClientBodies.bytes = plan.largeNodeBodies.bytes = (machineBytes - plan.total()) / 2;
+    plan.waiting =
+        waitingConnections * (inputBytes + socketBufferBytes) + waitingNodes * 2 * inputBytes;
+
+    const auto forMessages = static_cast<double> (machineBytes - plan.process - plan.waiting);
+    const auto shareOf = [&] (double share)
+    { return static_cast<std::size_t> (forMessages * share); };
+    plan.clientBodies = plan.nodeBodies = { shareOf (bodyShare), maxWaitingBodies };
+    plan.clientStreams = plan.nodeStreams = { shareOf (streamShare), maxWaitingBodies };
+    plan.nodeAnswers = plan.instanceAnswers = { shareOf (answerShare), maxWaitingAnswers };
+    plan.nodeAnswerStreams =
+        plan.instanceAnswerStreams = { shareOf (streamShare), maxWaitingAnswers };
+    plan.unsizedClientBodies = { machineBytes - plan.total(), maxWaitingUnsized };
     return plan;
 }
 
 std::size_t MemoryPlan::total() const
 {
-    return process + unread + clientBodies.bytes + largeClientBodies.bytes + nodeBodies.bytes +
-           largeNodeBodies.bytes + nodeAnswers.bytes + largeNodeAnswers.bytes +
-           instanceAnswers.bytes + largeInstanceAnswers.bytes;
+    return process + waiting + clientBodies.bytes + clientStreams.bytes +
+           unsizedClientBodies.bytes + nodeBodies.bytes + nodeStreams.bytes + nodeAnswers.bytes +
+           nodeAnswerStreams.bytes + instanceAnswers.bytes + instanceAnswerStreams.bytes;
 }
 
 } // namespace copperlead::mesh
--- a/src/mesh/request_digest.cc
+++ b/src/mesh/request_digest.cc
@@ -20,7 +20,8 @@
 
 RequestDigest digestOf (const RequestIdentity& request)
 {
-    return { headDigestOf (request), XXH3_64bits (request.body.data(), request.body.size()) };
+    return { headDigestOf (request), XXH3_64bits_withSeed (request.body.data(), request.body.size(),
+                                                           request.bytesLeftOut) };
 }
 
 std::string toText (const RequestDigest& digest)
--- a/src/mesh/request_digest.h
+++ b/src/mesh/request_digest.h
@@ -17,8 +17,9 @@
 struct RequestIdentity
 {
     std::string_view method, host, target;
-    std::string_view tenant; /**< Empty for a request without a tenant. */
-    std::string_view body;   /**< The complete body. */
+    std::string_view tenant;        /**< Empty for a request without a tenant. */
+    std::string_view body;          /**< The complete body, or the first part of a large one. */
+    std::uint64_t bytesLeftOut = 0; /**< Of a large body, behind its first part. */
 };
 
 struct RequestDigest
--- a/src/mesh/retry_decision.cc
+++ b/src/mesh/retry_decision.cc
@@ -28,7 +28,9 @@
 
 NextStep decideNextStep (const RetryFacts& facts, AttemptOutcome outcome)
 {
-    if (facts.isHeld && outcome != AttemptOutcome::answered && outcome != AttemptOutcome::timedOut)
+    const bool isLastAttempt = facts.isHeld || facts.bodyConsumed;
+
+    if (isLastAttempt && outcome != AttemptOutcome::answered && outcome != AttemptOutcome::timedOut)
         return withoutRetry (facts, outcome);
 
     const bool mayArriveAgain = facts.arrivals < facts.maxAttempts && hasTimeForRun (facts);
--- a/src/mesh/retry_decision.h
+++ b/src/mesh/retry_decision.h
@@ -30,14 +30,15 @@
 /** The state of a request when an attempt has ended. */
 struct RetryFacts
 {
-    bool mayRepeat = false;  /**< The route's requests are idempotent. */
-    int maxAttempts = 1;     /**< The route's limit on `arrivals`. */
-    int arrivals = 0;        /**< Attempts that have, or may have, reached an instance. */
-    int notOffered = 0;      /**< Attempts that reached no instance. */
-    Duration timeLeft{};     /**< Time until the deadline. */
-    Duration usualRun{};     /**< Typical run time of the route. */
-    bool isHeld = false;     /**< The request must not be sent to any further instance. */
-    bool mayHaveRun = false; /**< An earlier attempt's outcome is unknown, or it failed. */
+    bool mayRepeat = false;    /**< The route's requests are idempotent. */
+    int maxAttempts = 1;       /**< The route's limit on `arrivals`. */
+    int arrivals = 0;          /**< Attempts that have, or may have, reached an instance. */
+    int notOffered = 0;        /**< Attempts that reached no instance. */
+    Duration timeLeft{};       /**< Time until the deadline. */
+    Duration usualRun{};       /**< Typical run time of the route. */
+    bool isHeld = false;       /**< The request must not be sent to any further instance. */
+    bool bodyConsumed = false; /**< A part of its body was sent and is no longer there. */
+    bool mayHaveRun = false;   /**< An earlier attempt's outcome is unknown, or it failed. */
 };
 
 enum class NextStep : std::uint8_t
--- a/src/sidecar/buffer_pool.cc
+++ b/src/sidecar/buffer_pool.cc
@@ -2,8 +2,6 @@
 
 #include <utility>
 
-#include "mesh/memory_plan.h"
-
 namespace copperlead::sidecar
 {
 
@@ -97,9 +95,4 @@
             found.mapped()();
 }
 
-const std::shared_ptr<BufferPool>& BufferPools::poolFor (std::size_t bytes) const
-{
-    return bytes > mesh::wholeBodyBytes ? large : whole;
-}
-
 } // namespace copperlead::sidecar
--- a/src/sidecar/buffer_pool.h
+++ b/src/sidecar/buffer_pool.h
@@ -91,10 +91,9 @@
 /** The pools for the messages of one direction. Null pools set no limit. */
 struct BufferPools
 {
-    std::shared_ptr<BufferPool> whole; /**< For bodies up to mesh::wholeBodyBytes. */
-    std::shared_ptr<BufferPool> large; /**< For larger ones. */
-
-    const std::shared_ptr<BufferPool>& poolFor (std::size_t bytes) const;
+    std::shared_ptr<BufferPool> whole;   /**< For bodies up to mesh::wholeBodyBytes. */
+    std::shared_ptr<BufferPool> streams; /**< For larger ones, which are passed on. */
+    std::shared_ptr<BufferPool> unsized; /**< For larger ones that are held completely. */
 };
 
 } // namespace copperlead::sidecar
--- a/src/sidecar/decision_log.cc
+++ b/src/sidecar/decision_log.cc
@@ -97,11 +97,11 @@
     { EventKind::bodyRefused, "body_refused", 20,
       "request cause bytes waiting in_transfer expected_ms target_ms left_ms" },
     { EventKind::memoryPlanned, "memory_planned", 5,
-      "memory client_bodies large_client_bodies node_bodies large_node_bodies node_answers "
-      "large_node_answers instance_answers large_instance_answers" },
+      "memory client_bodies client_streams unsized_client_bodies node_bodies node_streams "
+      "node_answers node_answer_streams instance_answers instance_answer_streams" },
     { EventKind::memoryRefused, "memory_refused", 20, "request bytes used limit waiting" },
     { EventKind::bodyLimitTooLarge, "body_limit_too_large", 5,
-      "max_body_bytes served_up_to memory" },
+      "max_body_bytes unsized_up_to memory" },
     { EventKind::linesLeftOut, "lines_left_out", 1, "lines" },
 } };
 
--- a/src/sidecar/hop/active_request.h
+++ b/src/sidecar/hop/active_request.h
@@ -57,6 +57,7 @@
     void finish (mesh::NextStep step, const HopAnswer& answer);
     Milliseconds targetLeft() const;
     mesh::RetryFacts facts() const;
+    bool isBodyConsumed() const;
     mesh::RetryClaim retryClaim() const;
     void recordStatement (const mesh::HopReport& report);
     void avoid (const Attempt& attempt, const HopAnswer& answer);
--- a/src/sidecar/hop/active_request_end.cc
+++ b/src/sidecar/hop/active_request_end.cc
@@ -90,10 +90,14 @@
     cancelAttempts();
     ++hop->counts.served;
     const bool close = hop->mustClose (*exchange);
-    exchange->respond (
-        answerMessage ({ answer.status, answer.reason, {}, close, exchange->isHead() },
-                       answer.fields, answer.body),
-        close);
+    exchange->respond (answerMessage ({ answer.status,
+                                        answer.reason,
+                                        {},
+                                        close,
+                                        exchange->isHead(),
+                                        exchange->isOldClient() },
+                                      answer.fields, answer.body),
+                       close);
     logEnd (EventKind::requestServed, answer.status, "");
     release();
 }
--- a/src/sidecar/hop/active_request_retry.cc
+++ b/src/sidecar/hop/active_request_retry.cc
@@ -29,10 +29,17 @@
     known.timeLeft = deadline - now();
     known.usualRun = fromMilliseconds (hop->chooser.usualRunMs (route));
     known.mayHaveRun = mayHaveRun;
+    known.bodyConsumed = isBodyConsumed();
     known.isHeld = hop->guard->holdOf (identityOf (*exchange, tenant)).has_value();
     return known;
 }
 
+bool ActiveRequest::isBodyConsumed() const
+{
+    const auto& rest = exchange->body.stream();
+    return rest != nullptr && rest->wasTouched();
+}
+
 mesh::RetryClaim ActiveRequest::retryClaim() const
 {
     const bool expectsClientRetry =
@@ -117,7 +124,9 @@
 
 void ActiveRequest::hedge()
 {
-    if (hedged || search != nullptr || ! mesh::mayHedge (facts(), activeCount()))
+    // A body that is passed on as it arrives can't be sent to two instances.
+    if (hedged || search != nullptr || exchange->body.stream() != nullptr ||
+        ! mesh::mayHedge (facts(), activeCount()))
         return;
 
     if (! hop->budgetOf (service).trySpend (now(), hop->nodeCount(), mesh::hedgeClaim))
--- a/src/sidecar/hop/first_hop.cc
+++ b/src/sidecar/hop/first_hop.cc
@@ -15,9 +15,12 @@
 
 mesh::RequestIdentity identityOf (const Exchange& exchange, const mesh::Tenant* tenant)
 {
-    return { exchange.head.method, onlyValue (exchange.head.fields, "Host"), exchange.head.target,
+    return { exchange.head.method,
+             onlyValue (exchange.head.fields, "Host"),
+             exchange.head.target,
              tenant == nullptr ? std::string_view() : std::string_view (tenant->name),
-             exchange.body.bytes() };
+             exchange.body.identifyingBytes(),
+             exchange.body.size() - exchange.body.identifyingBytes().size() };
 }
 
 FirstHop::FirstHop (std::shared_ptr<Reactor> reactorToUse, FirstHopSettings settingsToUse,
--- a/src/sidecar/hop/hop_caller.cc
+++ b/src/sidecar/hop/hop_caller.cc
@@ -14,6 +14,7 @@
 {
     ClientSettings settings;
     settings.answerPools = answerPools;
+    settings.streamsAnswers = true;
     settings.connectTimeout = Milliseconds (300);
     settings.unacknowledgedTimeout = Milliseconds (600);
     settings.idleTime = Milliseconds (10'000);
--- a/src/sidecar/http/client_connection.cc
+++ b/src/sidecar/http/client_connection.cc
@@ -19,6 +19,8 @@
 namespace
 {
 
+constexpr Milliseconds streamTimeout{ 30'000 };
+
 Timestamp now() { return SteadyClock().Now(); }
 
 } // namespace
@@ -75,8 +77,9 @@
     call->connection = weak_from_this();
     options = newOptions;
     output.clear();
-    output.append (message);
-    sendLimit = options.headBytes == 0 ? output.size() : options.headBytes;
+    output.append (message, whenBytesArrive());
+    bodyWithheld = options.headBytes > 0;
+    writeFailed = false;
     result = {};
     result.reused = usedBefore;
     usedBefore = true;
@@ -99,8 +102,8 @@
     if ((events & EPOLLOUT) != 0)
         write();
 
-    // After a reset, nothing more can be read once there is memory.
-    if (isWaitingForMemory() && (events & (EPOLLHUP | EPOLLERR)) != 0)
+    // After a reset, nothing more can be read once there is room.
+    if (isReadingPaused() && (events & (EPOLLHUP | EPOLLERR)) != 0)
     {
         errno = ECONNRESET;
         return onEndOfStream (false);
@@ -125,11 +128,16 @@
     write();
 }
 
+std::size_t ClientConnection::writableBytes() const
+{
+    return bodyWithheld ? options.headBytes - output.written() : output.remaining();
+}
+
 void ClientConnection::write()
 {
-    while (! writeFailed && output.written() < sendLimit)
+    while (! writeFailed && (writableBytes() > 0 || (! bodyWithheld && output.refill())))
     {
-        const auto count = output.write (socket.descriptor(), sendLimit - output.written());
+        const auto count = output.write (socket.descriptor(), writableBytes());
 
         if (count < 0 && (errno == EAGAIN || errno == EINTR))
             return updateInterest();
@@ -139,7 +147,7 @@
         if (count < 0)
         {
             writeFailed = true;
-            sendLimit = output.size();
+            bodyWithheld = false;
             reusable = false;
             break;
         }
@@ -147,7 +155,10 @@
         result.sent = true;
     }
 
-    if (sentAt == Timestamp{} || writeFailed || output.written() == sendLimit)
+    if (output.hasFailed())
+        return finish (CallEnd::requestCut, "the request's body ended early");
+
+    if (sentAt == Timestamp{} || writeFailed || writableBytes() == 0)
         sentAt = now();
 
     if (const auto callback = std::exchange (options.onSent, nullptr))
@@ -156,6 +167,18 @@
     updateInterest();
 }
 
+std::function<void()> ClientConnection::whenBytesArrive()
+{
+    return [weak = weak_from_this()]
+    {
+        const auto self = weak.lock();
+
+        if (self != nullptr && self->state != State::connecting && self->state != State::idle &&
+            self->state != State::closed)
+            self->write();
+    };
+}
+
 void ClientConnection::close()
 {
     if (state == State::closed)
@@ -164,6 +187,7 @@
     const auto self = shared_from_this();
     state = State::closed;
     call.reset();
+    output.clear();
     dropBody();
     client->reactor->Unwatch (watch, socket);
     socket.Close();
@@ -175,8 +199,8 @@
     if (state == State::closed)
         return;
 
-    const std::uint32_t wanted = (isWaitingForMemory() ? 0U : EPOLLIN) |
-                                 (! writeFailed && output.written() < sendLimit ? EPOLLOUT : 0U);
+    const std::uint32_t wanted =
+        (isReadingPaused() ? 0U : EPOLLIN) | (! writeFailed && writableBytes() > 0 ? EPOLLOUT : 0U);
 
     if (interest == wanted)
         return;
@@ -219,6 +243,12 @@
             return armTimer (options.deadline);
         return finish (CallEnd::timedOut, "timed out before the response was complete");
 
+    case State::streaming:
+        // While the stream is full, its receiver's connection has a timeout.
+        if (isReadingPaused() || at < lastReadAt + streamTimeout)
+            return armTimer ((isReadingPaused() ? at : lastReadAt) + streamTimeout);
+        return abandonStream();
+
     case State::idle:
         if (at < idleDeadline)
             return armTimer (idleDeadline);
--- a/src/sidecar/http/client_connection.h
+++ b/src/sidecar/http/client_connection.h
@@ -47,6 +47,7 @@
         idle,
         waiting, /**< Waiting for the head of a response. */
         body,
+        streaming, /**< The call has ended, and the rest of its response is passed on. */
         closed
     };
 
@@ -57,18 +58,28 @@
     void advance();
     bool readHead();
     void readBody();
-    bool reserveMemory (std::size_t bytes);
+    bool reserveMemory (std::size_t bytes, const std::shared_ptr<BufferPool>& pool);
+    bool reserveBodyMemory (const BodyFraming& framing);
     void growBodyMemory();
     void useGrantedMemory();
     void onMemoryGranted();
     bool isWaitingForMemory() const { return moreMemory.has_value(); }
+    void awaitStream();
+    void beginStream();
+    void readStream();
+    void endStream();
+    void abandonStream();
+    void onStreamRoom();
+    bool isReadingPaused() const;
     std::size_t readSize() const;
     void dropBody();
+    std::function<void()> whenBytesArrive();
     void onResponseComplete();
-    bool isBodyWithheld() const { return sendLimit < output.size(); }
+    std::size_t writableBytes() const;
     void onEndOfStream (bool orderly);
     void finish (CallEnd end, std::string cause);
     void finishAnswered();
+    void endResponse();
     void updateIdleDeadline();
     void armTimer (Timestamp when);
     void onTimer();
@@ -88,9 +99,13 @@
     std::string bodyBytes;                 /**< The part of the body that has been read. */
     Reservation memory;                    /**< For `bodyBytes`. */
     std::optional<Reservation> moreMemory; /**< What the body waits for; it replaces `memory`. */
-    std::size_t sendLimit = 0;             /**< Bytes of `output` that may be written so far. */
+    bool bodyWithheld = false;             /**< Only the head of `output` may be written so far. */
     bool writeFailed = false;              /**< The server may have answered before it closed. */
     std::optional<BodyDecoder> decoder;
+    bool streamWanted = false; /**< The body is passed on as soon as there is memory for that. */
+    std::optional<std::size_t> bodyLength; /**< As the response announces it. */
+    std::weak_ptr<BodyStream> stream;      /**< Into which the rest of the body is read. */
+    Timestamp lastReadAt{};
     bool answersOtherRequest = false; /**< True while the response to another request is read. */
     bool reusable = true;             /**< False if the connection must close after its call. */
     bool usedBefore = false;
--- a/src/sidecar/http/client_connection_answers.cc
+++ b/src/sidecar/http/client_connection_answers.cc
@@ -35,7 +35,7 @@
 {
     static thread_local std::array<char, readBufferSize> buffer;
 
-    while (state != State::closed && ! isWaitingForMemory())
+    while (state != State::closed && ! isReadingPaused())
     {
         const auto wanted = readSize();
         const auto count = ::read (socket.descriptor(), buffer.data(), wanted);
@@ -50,6 +50,7 @@
         if (state == State::idle)
             return close();
 
+        lastReadAt = now();
         input.append (buffer.data(), static_cast<std::size_t> (count));
         advance();
 
@@ -60,11 +61,14 @@
 
 std::size_t ClientConnection::readSize() const
 {
-    return state == State::body ? readBufferSize : headReadSize;
+    return state == State::body && ! bodyBytes.empty() ? readBufferSize : headReadSize;
 }
 
 void ClientConnection::advance()
 {
+    if (state == State::streaming)
+        return readStream();
+
     while (state == State::waiting || state == State::body)
     {
         if (state == State::waiting && ! readHead())
@@ -93,17 +97,22 @@
     if (answersOtherRequest)
         bodyBytes.clear();
 
-    if (decoder->malformed() || bodyBytes.size() > client->settings.maxAnswerBytes)
+    const bool mayStream = client->settings.streamsAnswers && ! answersOtherRequest;
+
+    if (decoder->malformed() || (! mayStream && bodyBytes.size() > client->settings.maxAnswerBytes))
         return finish (CallEnd::broken, "response body malformed or too large");
 
-    if (bodyBytes.size() == memory.bytes() && decoder->expectsData())
+    if (! decoder->expectsData())
+        return;
+
+    if (mayStream && bodyBytes.size() >= mesh::wholeBodyBytes)
+        awaitStream();
+    else if (bodyBytes.size() == memory.bytes())
         growBodyMemory();
 }
 
-bool ClientConnection::reserveMemory (std::size_t bytes)
+bool ClientConnection::reserveMemory (std::size_t bytes, const std::shared_ptr<BufferPool>& pool)
 {
-    const auto& pool = client->settings.answerPools.poolFor (bytes);
-
     if (pool == nullptr || bytes == 0)
         return true;
 
@@ -130,6 +139,9 @@
 
 void ClientConnection::useGrantedMemory()
 {
+    if (streamWanted)
+        return;
+
     // The memory so far is released only after its bytes have been moved.
     bodyBytes.reserve (moreMemory->bytes());
     memory = std::move (*moreMemory);
@@ -141,16 +153,147 @@
     if (! isWaitingForMemory())
         return;
 
+    if (streamWanted)
+        return beginStream();
+
     useGrantedMemory();
     updateInterest();
     advance();
 }
 
+bool ClientConnection::reserveBodyMemory (const BodyFraming& framing)
+{
+    const bool hasLength = framing.kind == BodyKind::kLength || framing.kind == BodyKind::kNone;
+    bodyLength = hasLength ? std::optional<std::size_t> (framing.length) : std::nullopt;
+
+    if (! hasLength || answersOtherRequest)
+        return reserveMemory (mesh::BufferAccount::smallBytes, client->settings.answerPools.whole);
+
+    if (framing.length <= mesh::wholeBodyBytes)
+        return reserveMemory (framing.length, client->settings.answerPools.whole);
+
+    if (client->settings.streamsAnswers)
+    {
+        awaitStream();
+        return false;
+    }
+
+    if (framing.length <= client->settings.maxAnswerBytes)
+        return reserveMemory (framing.length, client->settings.answerPools.unsized);
+
+    finish (CallEnd::broken, "response body too large");
+    return false;
+}
+
 void ClientConnection::growBodyMemory()
 {
-    const auto next = memory.bytes() < mesh::wholeBodyBytes ? mesh::wholeBodyBytes
-                                                            : client->settings.maxAnswerBytes + 1;
-    reserveMemory (next);
+    const auto& pools = client->settings.answerPools;
+
+    if (memory.bytes() < mesh::wholeBodyBytes)
+        reserveMemory (mesh::wholeBodyBytes, pools.whole);
+    else
+        reserveMemory (client->settings.maxAnswerBytes + 1, pools.unsized);
+}
+
+void ClientConnection::awaitStream()
+{
+    const auto& pool = client->settings.answerPools.streams;
+    streamWanted = true;
+
+    if (! reserveMemory (BodyStream::reservedBytes, pool))
+        return;
+
+    if (pool == nullptr || moreMemory->isGranted())
+        beginStream();
+}
+
+void ClientConnection::beginStream()
+{
+    const auto self = shared_from_this();
+    const auto rest = std::make_shared<BodyStream> (
+        client->reactor, std::exchange (moreMemory, std::nullopt).value_or (Reservation()));
+    rest->onRoom = [weak = weak_from_this()]
+    {
+        if (const auto open = weak.lock())
+            open->onStreamRoom();
+    };
+    rest->onAbandoned = [weak = weak_from_this()]
+    {
+        if (const auto open = weak.lock())
+            open->abandonStream();
+    };
+    stream = rest;
+    streamWanted = false;
+    result.end = CallEnd::answered;
+    result.body = Body (Body (std::move (bodyBytes), std::move (memory)), rest, bodyLength);
+    std::string().swap (bodyBytes);
+    memory = {};
+    result.took = now() - sentAt;
+    state = State::streaming;
+    lastReadAt = now();
+    armTimer (lastReadAt);
+    const auto done = std::exchange (call, nullptr);
+    auto answer = std::exchange (result, {});
+
+    if (done->callback)
+        std::exchange (done->callback, nullptr) (std::move (answer));
+
+    readStream();
+    updateInterest();
+}
+
+void ClientConnection::readStream()
+{
+    const auto rest = stream.lock();
+
+    if (rest == nullptr)
+        return;
+
+    input.erase (0, decoder->feed (input, rest->buffer(), rest->room()));
+    rest->bytesAdded();
+
+    if (decoder->malformed())
+        abandonStream();
+    else if (decoder->complete())
+        endStream();
+}
+
+void ClientConnection::endStream()
+{
+    if (const auto rest = std::exchange (stream, {}).lock())
+        rest->finish();
+
+    endResponse();
+}
+
+void ClientConnection::abandonStream()
+{
+    if (state != State::streaming)
+        return;
+
+    if (const auto rest = std::exchange (stream, {}).lock())
+        rest->fail();
+
+    close();
+}
+
+void ClientConnection::onStreamRoom()
+{
+    if (state != State::streaming)
+        return;
+
+    lastReadAt = now();
+    readStream();
+    updateInterest();
+}
+
+bool ClientConnection::isReadingPaused() const
+{
+    if (isWaitingForMemory())
+        return true;
+
+    const auto rest = stream.lock();
+    return state == State::streaming && (rest == nullptr || rest->room() == 0);
 }
 
 void ClientConnection::dropBody()
@@ -158,6 +301,10 @@
     std::string().swap (bodyBytes);
     memory = {};
     moreMemory.reset();
+    streamWanted = false;
+
+    if (const auto rest = std::exchange (stream, {}).lock())
+        rest->fail();
 }
 
 bool ClientConnection::readHead()
@@ -186,10 +333,13 @@
 
     input.erase (0, end);
 
-    if (result.head.status == continueStatus && isBodyWithheld())
+    if (result.head.status == continueStatus && bodyWithheld)
     {
-        sendLimit = output.size();
+        bodyWithheld = false;
         write();
+
+        if (state == State::closed)
+            return false;
     }
 
     if (result.head.status < 200)
@@ -219,16 +369,7 @@
     decoder.emplace (framing);
     state = State::body;
 
-    if (framing.kind == BodyKind::kLength && framing.length > client->settings.maxAnswerBytes)
-    {
-        finish (CallEnd::broken, "response body too large");
-        return false;
-    }
-
-    const bool hasLength = framing.kind == BodyKind::kLength || framing.kind == BodyKind::kNone;
-    const auto wanted =
-        hasLength && ! answersOtherRequest ? framing.length : mesh::BufferAccount::smallBytes;
-    return reserveMemory (wanted);
+    return reserveBodyMemory (framing);
 }
 
 void ClientConnection::updateIdleDeadline()
@@ -265,6 +406,12 @@
 
 void ClientConnection::onEndOfStream (bool orderly)
 {
+    if (state == State::streaming)
+    {
+        reusable = false;
+        return orderly && decoder->endOfStream() ? endStream() : abandonStream();
+    }
+
     if (state == State::idle || call == nullptr)
         return close();
 
@@ -288,35 +435,38 @@
     const auto done = std::exchange (call, nullptr);
     auto answer = std::exchange (result, {});
     const auto self = shared_from_this();
+    endResponse();
+
+    if (done->callback)
+        std::exchange (done->callback, nullptr) (std::move (answer));
+}
+
+void ClientConnection::endResponse()
+{
     // The connection can't be reused if unattributable bytes follow the response, or if the request
     // was not sent completely.
-    const bool keep = reusable && input.empty() && output.written() == sendLimit;
+    const bool isSent = bodyWithheld ? writableBytes() == 0 : output.isFinished();
+    const bool keep = reusable && input.empty() && isSent;
     output.clear();
-    sendLimit = 0;
+    bodyWithheld = false;
     sentAt = {};
 
     if (input.capacity() > maxIdleCapacity)
         input.shrink_to_fit();
 
-    if (keep)
-    {
-        state = State::idle;
-        idleAt = now();
-        armTimer (idleDeadline);
-        client->returnToIdle (self);
-    }
-    else
-    {
-        close();
-    }
+    if (! keep)
+        return close();
 
-    if (done->callback)
-        std::exchange (done->callback, nullptr) (std::move (answer));
+    state = State::idle;
+    idleAt = now();
+    armTimer (idleDeadline);
+    updateInterest();
+    client->returnToIdle (shared_from_this());
 }
 
 void ClientConnection::finish (CallEnd end, std::string cause)
 {
-    result.end = isBodyWithheld() ? CallEnd::notConnected : end;
+    result.end = bodyWithheld ? CallEnd::notConnected : end;
     result.cause = std::move (cause);
     result.took = sentAt == Timestamp{} ? Duration{} : now() - sentAt;
     const auto done = std::exchange (call, nullptr);
--- a/src/sidecar/http/http_client.h
+++ b/src/sidecar/http/http_client.h
@@ -24,15 +24,16 @@
 /** How a call ended. */
 enum class CallEnd : std::uint8_t
 {
-    answered,       /**< A complete response was received. */
+    answered,       /**< A response was received; of a large one, the first part. */
     notConnected,   /**< Nothing was sent, or only a head whose body was withheld. */
     connectionLost, /**< The connection ended before a response began; the request may have run. */
     broken,         /**< The response is malformed or truncated. */
     timedOut,       /**< The deadline passed before the response was complete. */
+    requestCut,     /**< The rest of the request's body did not come; it can't have been read. */
 };
 
 inline constexpr std::string_view callEndNames[] = { "answered", "not_connected", "connection_lost",
-                                                     "broken", "timed_out" };
+                                                     "broken",   "timed_out",     "request_cut" };
 
 struct CallResult
 {
@@ -81,8 +82,14 @@
     Milliseconds unacknowledgedTimeout{ 600 };
     Milliseconds idleTime{ 4000 };     /**< Time for which an idle connection is kept. */
     std::size_t maxIdlePerTarget = 64; /**< Maximum number of idle connections per target. */
-    std::size_t maxAnswerBytes = 16 << 20;
-    BufferPools answerPools; /**< Memory for response bodies. */
+    std::size_t maxAnswerBytes = 16
+                                 << 20; /**< Of responses that aren't passed on as they arrive. */
+    BufferPools answerPools;            /**< Memory for response bodies. */
+
+    /** Reports a response with a large body once its first part has arrived. The rest follows in
+        Body::stream().
+    */
+    bool streamsAnswers = false;
 };
 
 class ClientConnection;
--- a/src/sidecar/http/http_server.cc
+++ b/src/sidecar/http/http_server.cc
@@ -37,6 +37,12 @@
     return open == nullptr || open->peerHasClosed();
 }
 
+bool Exchange::mustClose() const
+{
+    const auto open = connection.lock();
+    return closeAfterResponse || (open != nullptr && open->isBodyLeft (*this));
+}
+
 bool Exchange::isLatest() const
 {
     const auto open = connection.lock();
--- a/src/sidecar/http/http_server.h
+++ b/src/sidecar/http/http_server.h
@@ -51,14 +51,17 @@
     /** @returns true if the client has closed the connection, even if that isn't handled yet */
     bool clientDisconnected() const;
 
-    /** @returns true if the connection must close after the response, whatever the response says */
-    bool mustClose() const { return closeAfterResponse; }
+    /** @returns true if the connection closes after the response, as the response should announce:
+                 the client wants it, or sends more of a body that isn't read any more
+    */
+    bool mustClose() const;
 
     /** @returns true if no later request of the connection has been dispatched, so that the
         response may close the connection without aborting another request
     */
     bool isLatest() const;
     bool isHead() const { return head.method == "HEAD"; }
+    bool isOldClient() const { return head.minor_version == 0; }
 
 private:
     friend class ServerConnection;
@@ -74,7 +77,8 @@
 /** Called when a request is rejected because the memory for its body is not available.
     @param bytes  size of the body, or of what would have to be held of one of unknown size
 */
-using MemoryRefusal = std::function<void (const RequestHead& head, std::size_t bytes)>;
+using MemoryRefusal =
+    std::function<void (const RequestHead& head, std::size_t bytes, const BufferPool& pool)>;
 
 struct ServerSettings
 {
@@ -95,7 +99,12 @@
     std::function<void (const ExchangePointer&)> bodyGate;
     std::shared_ptr<LinkPacer> link; /**< Paces large responses; may be null. */
     BufferPools bodyPools;           /**< Memory for request bodies. */
-    MemoryRefusal onMemoryRefused;   /**< May be empty. */
+
+    /** Dispatches a request with a large body of known length once its first part has arrived. The
+        rest follows in Body::stream().
+    */
+    bool streamsBodies = false;
+    MemoryRefusal onMemoryRefused; /**< May be empty. */
     std::size_t maxConnections = 3000;
 };
 
--- a/src/sidecar/http/messages.cc
+++ b/src/sidecar/http/messages.cc
@@ -79,14 +79,23 @@
     message.append ("\r\n");
     append (message, fields);
 
+    const auto length = body.length();
+
     if (parts.status != 204 && parts.status != 304 && ! parts.isHead)
-        append (message, "Content-Length", std::to_string (body.size()));
+    {
+        if (length)
+            append (message, "Content-Length", std::to_string (*length));
+        else if (! parts.isOldClient)
+            append (message, "Transfer-Encoding", "chunked");
+    }
 
-    if (parts.close)
+    if (parts.close || (! length && parts.isOldClient))
         append (message, "Connection", "close");
 
     message.append ("\r\n");
-    return Message (std::move (message), parts.isHead ? Body() : std::move (body));
+    Message made (std::move (message), parts.isHead ? Body() : std::move (body));
+    made.isChunked = ! made.body.length() && ! parts.isOldClient;
+    return made;
 }
 
 Message localAnswer (int status, std::string_view cause, const HeaderFields& fields, bool close,
--- a/src/sidecar/http/messages.h
+++ b/src/sidecar/http/messages.h
@@ -33,6 +33,7 @@
     std::string_view body;
     bool close = false;
     bool isHead = false;
+    bool isOldClient = false; /**< The client speaks HTTP/1.0 and knows no chunks. */
 };
 
 /** Builds a response.
@@ -40,7 +41,9 @@
 */
 Message answerMessage (const AnswerParts& parts, const HeaderFields& fields);
 
-/** Builds a response that shares a body. @param parts  have no body themselves */
+/** Builds a response that shares a body, whose length may not be known yet.
+    @param parts  have no body themselves
+*/
 Message answerMessage (const AnswerParts& parts, const HeaderFields& fields, Body body);
 
 /** Builds a plain-text response that this node generates itself. */
--- a/src/sidecar/http/outgoing_bytes.cc
+++ b/src/sidecar/http/outgoing_bytes.cc
@@ -4,6 +4,9 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
+
+#include <fmt/format.h>
 
 namespace copperlead::sidecar
 {
@@ -15,14 +18,61 @@
 
 } // namespace
 
-void OutgoingBytes::append (const Message& message)
+void OutgoingBytes::append (const Message& message, std::function<void()> onBytes)
 {
     text.append (message.head);
+    stream = message.body.stream();
+    isChunked = message.isChunked;
+    bytesToCome = message.body.size() - message.body.bytes().size();
+
+    if (stream != nullptr)
+        stream->onBytes = std::move (onBytes);
 
-    if (message.body.size() <= maxCopiedBytes)
+    if (isChunked)
+        appendChunk (message.body.bytes());
+    else if (message.body.bytes().size() <= maxCopiedBytes)
         text.append (message.body.bytes());
     else
-        body = message.body;
+        body = message.body.withoutStream();
+}
+
+void OutgoingBytes::appendChunk (std::string_view bytes)
+{
+    // An empty chunk would end the body.
+    if (! bytes.empty())
+        text.append (fmt::format ("{:x}\r\n", bytes.size())).append (bytes).append ("\r\n");
+}
+
+bool OutgoingBytes::refill()
+{
+    if (remaining() > 0 || stream == nullptr || stream->hasFailed())
+        return remaining() > 0;
+
+    text.clear();
+    body = {};
+    writtenBytes = 0;
+    auto piece = stream->take();
+    bytesToCome -= std::min (bytesToCome, piece.size());
+
+    if (isChunked)
+        appendChunk (piece);
+    else
+        text = std::move (piece);
+
+    if (! stream->isAtEnd())
+        return ! text.empty();
+
+    if (isChunked)
+        text.append ("0\r\n\r\n");
+
+    dropStream();
+    return ! text.empty();
+}
+
+void OutgoingBytes::dropStream()
+{
+    if (const auto dropped = std::exchange (stream, nullptr))
+        dropped->onBytes = nullptr;
 }
 
 ssize_t OutgoingBytes::write (int descriptor, std::size_t limit)
@@ -48,7 +98,8 @@
 {
     text.clear();
     body = {};
-    writtenBytes = 0;
+    dropStream();
+    writtenBytes = bytesToCome = 0;
 
     if (text.capacity() > maxIdleCapacity)
         text.shrink_to_fit();
--- a/src/sidecar/http/server_connection.cc
+++ b/src/sidecar/http/server_connection.cc
@@ -68,7 +68,7 @@
 
 bool ServerConnection::idle() const
 {
-    return state == State::head && input.empty() && output.size() == 0 && pending.empty();
+    return state == State::head && input.empty() && output.isFinished() && pending.empty();
 }
 
 bool ServerConnection::isLatest (const Exchange& asked) const { return pending.isLatest (asked); }
@@ -92,7 +92,7 @@
 
 bool ServerConnection::isReadingBlocked() const
 {
-    if (isWaitingForMemory())
+    if (isWaitingForMemory() || isStreamPaused())
         return true;
 
     const bool cannotProceed = state == State::waiting || (state == State::head && ! canReadNext());
@@ -102,7 +102,7 @@
 
 std::size_t ServerConnection::readSize() const
 {
-    return state == State::head ? headReadSize : readBufferSize;
+    return state == State::head || streaming ? headReadSize : readBufferSize;
 }
 
 void ServerConnection::updateUnparsedBytes()
@@ -135,6 +135,7 @@
         if (state == State::head && input.empty())
             headStartedAt = now();
 
+        lastReadAt = now();
         input.append (buffer.data(), static_cast<std::size_t> (count));
         advance();
 
@@ -218,9 +219,7 @@
     exchange->closeAfterResponse = exchange->head.minor_version == 0 ||
                                    ListContains (exchange->head.fields, "Connection", "close");
     decoder.emplace (framing);
-    memoryWanted = framing.kind == BodyKind::kChunked
-                       ? std::min (mesh::BufferAccount::smallBytes, limits.bodyBytes)
-                       : framing.length;
+    setMemoryWanted (framing);
     continueAllowed = false;
     continuePending = ListContains (exchange->head.fields, "Expect", "100-continue") &&
                       input.empty() && ! decoder->complete();
@@ -252,8 +251,12 @@
         return close();
 
     const bool alreadyQueued = isCurrentQueued();
-    const auto dispatched = std::exchange (exchange, nullptr);
-    state = State::head;
+    const auto dispatched = exchange;
+    state = streaming ? State::body : State::head;
+
+    if (! streaming)
+        exchange.reset();
+
     noMoreRequests = dispatched->closeAfterResponse;
     headStartedAt = now();
     dispatched->connection = weak_from_this();
@@ -295,6 +298,7 @@
     server->remove (self);
     input.clear();
     updateUnparsedBytes();
+    output.clear();
     dropPending();
 }
 
@@ -320,6 +324,10 @@
     if (output.remaining() > 0)
         return isWaitingForLink() ? Timestamp::max() : lastWriteAt + writeTimeout;
 
+    // The connection that reads the body has a timeout of its own.
+    if (output.awaitsBody())
+        return Timestamp::max();
+
     switch (state)
     {
     case State::head:
@@ -327,7 +335,9 @@
             return headStartedAt + limits.headerTimeout;
         return pending.empty() ? idleSince + limits.idleTimeout : Timestamp::max();
     case State::body:
-        return headStartedAt + bodyTimeout;
+        if (isStreamPaused())
+            return Timestamp::max();
+        return (streaming ? lastReadAt : headStartedAt) + bodyTimeout;
     case State::lingering:
         return lingerEnd;
     case State::waiting:
@@ -368,7 +378,7 @@
     if (now() < due)
         return armTimer (due);
 
-    if (state == State::head && ! input.empty() && output.size() == 0)
+    if (state == State::head && ! input.empty() && output.isFinished())
         return fail (408, "the head did not arrive in time");
 
     close();
--- a/src/sidecar/http/server_connection.h
+++ b/src/sidecar/http/server_connection.h
@@ -44,6 +44,9 @@
     /** @returns true if no later request of the connection has been dispatched */
     bool isLatest (const Exchange& exchange) const;
 
+    /** @returns true if bytes of a request's body may still arrive */
+    bool isBodyLeft (const Exchange& exchange) const;
+
     /** @returns the bytes of responses that wait to be written */
     std::size_t bufferedResponseBytes() const
     {
@@ -66,14 +69,19 @@
     void advance();
     void readHead();
     void readBody();
+    void setMemoryWanted (const BodyFraming& framing);
     bool reserveBodyMemory();
-    bool reserveMemory (std::size_t bytes);
+    bool reserveMemory (std::size_t bytes, const std::shared_ptr<BufferPool>& pool);
     void growBodyMemory();
     void useGrantedMemory();
     void onMemoryGranted();
     bool isWaitingForMemory() const { return moreMemory.has_value(); }
+    void beginStream();
+    void readStream();
+    bool isStreamPaused() const;
     void dropBody();
     void onBodyComplete();
+    void dispatchIfPossible();
     void callBodyGate();
 
     /** @returns true if the request that is being read has been passed to the body gate */
@@ -104,6 +112,9 @@
     void onTimer();
     Timestamp deadline() const;
     void updateUnparsedBytes();
+    std::function<void()> whenBytesArrive();
+    void onStreamRoom();
+    void abortResponse();
 
     std::shared_ptr<HttpServer> server;
     Socket socket;
@@ -122,8 +133,12 @@
     bool advancing = false;       /**< Prevents recursive calls of advance(). */
     ExchangePointer exchange;     /**< The request that is being read, or is waiting. */
     std::optional<BodyDecoder> decoder;
-    std::string bodyBytes;                 /**< The part of the body that has been read. */
-    std::size_t memoryWanted = 0;          /**< For the body, and not reserved yet. */
+    std::string bodyBytes;        /**< The part of the body that has been read. */
+    std::size_t memoryWanted = 0; /**< For the body, and not reserved yet. */
+    std::size_t streamLength = 0; /**< Length of a body that is passed on as it arrives, or 0. */
+    std::weak_ptr<BodyStream> stream; /**< What its request is dispatched with. */
+    bool streaming = false;           /**< The rest of the body is read into the stream. */
+    Timestamp lastReadAt{};
     Reservation memory;                    /**< For `bodyBytes`. */
     std::optional<Reservation> moreMemory; /**< What the body waits for; it replaces `memory`. */
     AnswerQueue pending;                   /**< Dispatched requests, and one at the body gate. */
--- a/src/sidecar/http/server_connection_answers.cc
+++ b/src/sidecar/http/server_connection_answers.cc
@@ -9,6 +9,7 @@
 
 #include "mesh/milliseconds.h"
 #include "sidecar/http/server_connection.h"
+#include "sidecar/http/sockets.h"
 
 namespace copperlead::sidecar
 {
@@ -43,7 +44,7 @@
 {
     const bool isBeingRead = exchange.get() == &answered;
     // After this response, a body that still arrives would be parsed as a request.
-    const bool closes = close || (isBeingRead && bodyMayFollow());
+    const bool closes = close || isBodyLeft (answered);
 
     if (! pending.answer (now(), answered, std::move (message), closes))
         return;
@@ -67,7 +68,7 @@
         if (ready.outOfOrder)
             server->counts.headOfLineDelay.observe (mesh::toMilliseconds (ready.timeQueued));
 
-        output.append (ready.message);
+        output.append (ready.message, whenBytesArrive());
         closeAfterWrite = ready.close;
     }
 
@@ -100,7 +101,7 @@
         return remaining;
 
     if (transfer == 0)
-        transfer = link->begin (remaining,
+        transfer = link->begin (output.expectedBytes(), output.awaitsBody(),
                                 [weak = weak_from_this()]
                                 {
                                     if (const auto self = weak.lock())
@@ -142,7 +143,7 @@
 
 void ServerConnection::write()
 {
-    while (output.remaining() > 0)
+    while (output.remaining() > 0 || output.refill())
     {
         const auto limit = writableBytes();
 
@@ -165,6 +166,17 @@
         recordWritten (static_cast<std::size_t> (count));
     }
 
+    if (output.hasFailed())
+        return abortResponse();
+
+    if (output.awaitsBody())
+    {
+        if (transfer != 0 && ! std::exchange (stalled, true))
+            server->settings.link->setWaiting (transfer, true);
+
+        return updateInterest();
+    }
+
     const bool wrote = output.written() > 0;
     endTransfer();
     output.clear();
@@ -183,6 +195,30 @@
         advance();
 }
 
+std::function<void()> ServerConnection::whenBytesArrive()
+{
+    return [weak = weak_from_this()]
+    {
+        const auto self = weak.lock();
+
+        if (self == nullptr || self->state == State::closed)
+            return;
+
+        self->write();
+        self->updateInterest();
+
+        if (self->state != State::closed)
+            self->armTimer (self->deadline());
+    };
+}
+
+void ServerConnection::abortResponse()
+{
+    // A response that ends early must not look complete, even if it has no length.
+    resetOnClose (socket);
+    close();
+}
+
 void ServerConnection::linger()
 {
     if (state == State::lingering)
--- a/src/sidecar/http/server_connection_body.cc
+++ b/src/sidecar/http/server_connection_body.cc
@@ -58,6 +58,11 @@
     return ! continuePending || ! input.empty() || isWaitingForMemory();
 }
 
+bool ServerConnection::isBodyLeft (const Exchange& asked) const
+{
+    return exchange.get() == &asked && bodyMayFollow();
+}
+
 void ServerConnection::abandonBody()
 {
     continuePending = false;
@@ -72,6 +77,11 @@
     memory = {};
     moreMemory.reset();
     memoryWanted = 0;
+    streamLength = 0;
+    streaming = false;
+
+    if (const auto rest = std::exchange (stream, {}).lock())
+        rest->fail();
 }
 
 void ServerConnection::sendContinue()
@@ -81,23 +91,44 @@
         continueBody (*exchange);
 }
 
+void ServerConnection::setMemoryWanted (const BodyFraming& framing)
+{
+    dropBody();
+    const auto& settings = server->settings;
+
+    if (framing.kind == BodyKind::kChunked)
+    {
+        memoryWanted = std::min (mesh::BufferAccount::smallBytes, settings.limits().bodyBytes);
+        return;
+    }
+
+    const bool isLarge = framing.length > mesh::wholeBodyBytes;
+    streamLength = isLarge && settings.streamsBodies ? framing.length : 0;
+    memoryWanted =
+        streamLength > 0 ? mesh::identifyingBodyBytes + BodyStream::reservedBytes : framing.length;
+}
+
 bool ServerConnection::reserveBodyMemory()
 {
     const auto bytes = std::exchange (memoryWanted, 0);
-    return bytes == 0 || reserveMemory (bytes);
+    const auto& pools = server->settings.bodyPools;
+
+    if (streamLength > 0)
+        return bytes == 0 || reserveMemory (bytes, pools.streams);
+
+    return bytes == 0 ||
+           reserveMemory (bytes, bytes > mesh::wholeBodyBytes ? pools.unsized : pools.whole);
 }
 
-bool ServerConnection::reserveMemory (std::size_t bytes)
+bool ServerConnection::reserveMemory (std::size_t bytes, const std::shared_ptr<BufferPool>& pool)
 {
-    const auto& pool = server->settings.bodyPools.poolFor (bytes);
-
     if (pool == nullptr)
         return true;
 
     if (! pool->accepts (bytes))
     {
         if (server->settings.onMemoryRefused)
-            server->settings.onMemoryRefused (exchange->head, bytes);
+            server->settings.onMemoryRefused (exchange->head, bytes, *pool);
 
         fail (503, "no memory for the body");
         return false;
@@ -119,7 +150,7 @@
 void ServerConnection::useGrantedMemory()
 {
     // The memory so far is released only after its bytes have been moved.
-    bodyBytes.reserve (moreMemory->bytes());
+    bodyBytes.reserve (streamLength > 0 ? mesh::identifyingBodyBytes : moreMemory->bytes());
     memory = std::move (*moreMemory);
     moreMemory.reset();
 }
@@ -143,17 +174,27 @@
 
 void ServerConnection::growBodyMemory()
 {
-    const auto next = memory.bytes() < mesh::wholeBodyBytes ? mesh::wholeBodyBytes : SIZE_MAX;
-    reserveMemory (std::min (next, server->settings.limits().bodyBytes));
+    const auto& pools = server->settings.bodyPools;
+    const auto limit = server->settings.limits().bodyBytes;
+    const auto whole = std::min (mesh::wholeBodyBytes, limit);
+
+    if (memory.bytes() < whole)
+        reserveMemory (whole, pools.whole);
+    else
+        reserveMemory (limit, pools.unsized);
 }
 
 void ServerConnection::readBody()
 {
+    if (streaming)
+        return readStream();
+
     // A client may send the body without waiting for 100 Continue.
     if (! reserveBodyMemory() || isWaitingForMemory())
         return;
 
-    input.erase (0, decoder->feed (input, bodyBytes, memory.bytes() - bodyBytes.size()));
+    const auto available = streamLength > 0 ? mesh::identifyingBodyBytes : memory.bytes();
+    input.erase (0, decoder->feed (input, bodyBytes, available - bodyBytes.size()));
     const auto limit = server->settings.limits().bodyBytes;
 
     if (decoder->malformed())
@@ -165,14 +206,84 @@
     if (decoder->complete())
         return onBodyComplete();
 
-    if (bodyBytes.size() == memory.bytes() && decoder->expectsData())
+    if (bodyBytes.size() < available || ! decoder->expectsData())
+        return;
+
+    if (streamLength > 0)
+        beginStream();
+    else
         growBodyMemory();
 }
 
+void ServerConnection::beginStream()
+{
+    const auto rest = std::make_shared<BodyStream> (server->reactor, std::move (memory));
+    rest->onRoom = [weak = weak_from_this()]
+    {
+        if (const auto self = weak.lock())
+            self->onStreamRoom();
+    };
+    exchange->body = Body (Body (std::move (bodyBytes)), rest, streamLength);
+    stream = rest;
+    streaming = true;
+    std::string().swap (bodyBytes);
+    dispatchIfPossible();
+}
+
+void ServerConnection::readStream()
+{
+    const auto rest = stream.lock();
+
+    if (rest == nullptr)
+        return;
+
+    input.erase (0, decoder->feed (input, rest->buffer(), rest->room()));
+    rest->bytesAdded();
+
+    if (! decoder->complete())
+        return;
+
+    rest->finish();
+    stream.reset();
+    streaming = false;
+    streamLength = 0;
+    exchange.reset();
+    state = State::head;
+}
+
+bool ServerConnection::isStreamPaused() const
+{
+    if (! streaming)
+        return false;
+
+    const auto rest = stream.lock();
+    return rest == nullptr || rest->room() == 0;
+}
+
+void ServerConnection::onStreamRoom()
+{
+    if (state == State::closed)
+        return;
+
+    lastReadAt = now();
+    advance();
+
+    if (state == State::closed)
+        return;
+
+    updateInterest();
+    armTimer (deadline());
+}
+
 void ServerConnection::onBodyComplete()
 {
     exchange->body = Body (std::move (bodyBytes), std::move (memory));
     dropBody();
+    dispatchIfPossible();
+}
+
+void ServerConnection::dispatchIfPossible()
+{
     exchange->arrivedAt = now();
     continuePending = false;
     state = State::waiting;
--- a/src/sidecar/http/sockets.cc
+++ b/src/sidecar/http/sockets.cc
@@ -58,6 +58,12 @@
     setOption (socket, SOL_SOCKET, SO_RCVBUF, static_cast<int> (bytes));
 }
 
+void resetOnClose (const Socket& socket)
+{
+    const linger option{ 1, 0 };
+    setsockopt (socket.descriptor(), SOL_SOCKET, SO_LINGER, &option, sizeof (option));
+}
+
 void setDeadPeerDetection (const Socket& socket, Milliseconds unacknowledged)
 {
     setOption (socket, SOL_SOCKET, SO_KEEPALIVE, 1);
--- a/src/sidecar/http/sockets.h
+++ b/src/sidecar/http/sockets.h
@@ -21,6 +21,9 @@
 /** Limits the bytes that may have arrived and not been read. */
 void setReceiveBuffer (const Socket& socket, std::size_t bytes);
 
+/** Makes close() reset the connection and discard what was not sent yet. */
+void resetOnClose (const Socket& socket);
+
 /** Makes the connection fail if sent data isn't acknowledged within the given time, or if the peer
     doesn't answer TCP keep-alive probes.
 */
--- a/src/sidecar/instance/last_hop.cc
+++ b/src/sidecar/instance/last_hop.cc
@@ -30,6 +30,7 @@
 {
     ClientSettings settings;
     settings.answerPools = answerPools;
+    settings.streamsAnswers = true;
     settings.connectTimeout = Milliseconds (250);
     settings.unacknowledgedTimeout = Milliseconds (800);
     settings.idleTime = Milliseconds (8000);
@@ -291,10 +292,15 @@
     const auto took = toMilliseconds (SteadyClock().Now() - found->second.startedAt);
     queue.finished (id, measured ? took : 0);
     counts.instance.observe (took);
-    recordFailure (outcome, result);
 
-    if (outcome == HopOutcome::unknown)
-        recordUnanswered (found->second);
+    // A request whose body ended early says nothing about the instance.
+    if (result.end != CallEnd::requestCut)
+    {
+        recordFailure (outcome, result);
+
+        if (outcome == HopOutcome::unknown)
+            recordUnanswered (found->second);
+    }
 
     counts.queue.observe (toMilliseconds (found->second.startedAt - found->second.arrivedAt));
     updateInstance (result, found->second.addressedId);
@@ -313,10 +319,23 @@
         answer.body = std::move (result.body);
     }
 
+    if (const auto& rest = answer.body.stream())
+        trackTransfer (id, *rest);
+
     complete (id, std::move (answer));
     pump();
 }
 
+void LastHop::trackTransfer (CallId id, BodyStream& rest)
+{
+    transfers.insert (id);
+    rest.onEnded = [weak = weak_from_this(), id] (bool)
+    {
+        if (const auto self = weak.lock())
+            self->transfers.erase (id);
+    };
+}
+
 void LastHop::pump()
 {
     // What waits may have been queued before the instance's entry or an answer said that it leaves.
--- a/src/sidecar/instance/last_hop.h
+++ b/src/sidecar/instance/last_hop.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 
 #include "mesh/admission_queue.h"
 #include "mesh/cold_start.h"
@@ -163,7 +164,7 @@
     /** Returns how long the instance stays cold, in ms; zero or negative if it is warm. */
     double coldMs (Timestamp now) const;
 
-    std::size_t inFlight() const { return calls.size(); }
+    std::size_t inFlight() const { return calls.size() + transfers.size(); }
     const LastHopCounters& counters() const { return counts; }
     const mesh::AdmissionQueue& admission() const { return queue; }
     const ClientCounters& clientCounters() const { return client->counters(); }
@@ -214,6 +215,7 @@
     void reportCrash();
     void recordFailure (mesh::HopOutcome outcome, const CallResult& result);
     void complete (CallId id, HopAnswer answer);
+    void trackTransfer (CallId id, BodyStream& rest);
     mesh::HopReport report (mesh::HopOutcome outcome, mesh::HopCause cause) const;
     Message messageFor (const PendingCall& running, Timestamp now) const;
     void probe();
@@ -238,6 +240,8 @@
     std::shared_ptr<CrashGuard> guard;
     bool crashCheckArmed = false, crashReportArmed = false;
     std::unordered_map<CallId, PendingCall> calls;
+    /** Calls whose large answers are still being passed on. */
+    std::unordered_set<CallId> transfers;
     LastHopCounters counts;
     CallId lastId = 0;
     const Timestamp createdAt = SteadyClock().Now();
--- a/src/sidecar/instance/last_hop_crash.cc
+++ b/src/sidecar/instance/last_hop_crash.cc
@@ -37,8 +37,12 @@
 
 mesh::RequestIdentity identityOf (const HopCall& call)
 {
-    return { call.method, onlyValue (call.fields, "Host"), call.target, call.facts.tenant,
-             call.body.bytes() };
+    return { call.method,
+             onlyValue (call.fields, "Host"),
+             call.target,
+             call.facts.tenant,
+             call.body.identifyingBytes(),
+             call.body.size() - call.body.identifyingBytes().size() };
 }
 
 bool LastHop::isHeld (const HopCall& call) const
--- a/src/sidecar/instance/last_hop_instance.cc
+++ b/src/sidecar/instance/last_hop_instance.cc
@@ -27,6 +27,9 @@
 
 void LastHop::updateInstance (const CallResult& result, const std::string& addressedId)
 {
+    if (result.end == CallEnd::requestCut)
+        return;
+
     const auto now = SteadyClock().Now();
     const auto before = instance.id();
     const auto lostFor = instance.lostFor (now);
--- a/src/sidecar/instance/link_pacer.cc
+++ b/src/sidecar/instance/link_pacer.cc
@@ -17,9 +17,9 @@
 {
 }
 
-LinkPacer::Id LinkPacer::begin (std::size_t bytes, std::function<void()> onTurn)
+LinkPacer::Id LinkPacer::begin (std::size_t bytes, bool inParts, std::function<void()> onTurn)
 {
-    const auto id = schedule.add (now(), bytes);
+    const auto id = schedule.add (now(), bytes, inParts);
     turns.emplace (id, std::move (onTurn));
     ++counts.transfers;
     arm();
@@ -36,7 +36,12 @@
 void LinkPacer::setStalled (Id id, bool stalled)
 {
     counts.stalls += stalled ? 1 : 0;
-    schedule.setStalled (id, stalled);
+    setWaiting (id, stalled);
+}
+
+void LinkPacer::setWaiting (Id id, bool waiting)
+{
+    schedule.setStalled (id, waiting);
     arm();
 }
 
--- a/src/sidecar/instance/link_pacer.h
+++ b/src/sidecar/instance/link_pacer.h
@@ -28,11 +28,18 @@
     /** @param linkMbps  configured bandwidth of this machine's link */
     LinkPacer (std::shared_ptr<Reactor> reactor, double linkMbps);
 
-    /** @param onTurn  called when a piece may be written */
-    Id begin (std::size_t bytes, std::function<void()> onTurn);
+    /** @param inParts  see mesh::LinkSchedule::add()
+        @param onTurn   called when a piece may be written
+    */
+    Id begin (std::size_t bytes, bool inParts, std::function<void()> onTurn);
     void end (Id id);
+
+    /** @param stalled  whether the receiver accepts nothing at present */
     void setStalled (Id id, bool stalled);
 
+    /** @param waiting  whether there is nothing to write at present */
+    void setWaiting (Id id, bool waiting);
+
     /** Returns how many bytes may be written now; 0 if the transfer has to wait for its turn. */
     std::size_t allowance (Id id) const;
 
--- a/src/sidecar/instance/peer_endpoint.cc
+++ b/src/sidecar/instance/peer_endpoint.cc
@@ -166,10 +166,24 @@
         bodies->cancel (found.mapped());
 }
 
+void PeerEndpoint::reportArrival (BodyAdmission::Id id, const Body& body)
+{
+    if (body.stream() == nullptr)
+        return bodies->arrived (id, body.size());
+
+    body.stream()->onEnded = [admission = bodies, id, bytes = body.size()] (bool isComplete)
+    {
+        if (isComplete)
+            admission->arrived (id, bytes);
+        else
+            admission->cancel (id);
+    };
+}
+
 void PeerEndpoint::takeHopCall (const ExchangePointer& exchange)
 {
     if (const auto found = admitted.extract (exchange.get()))
-        bodies->arrived (found.mapped(), exchange->body.size());
+        reportArrival (found.mapped(), exchange->body);
 
     const auto facts = mesh::decodeHopRequest (onlyValue (exchange->head.fields, mesh::hopField));
 
--- a/src/sidecar/instance/peer_endpoint.h
+++ b/src/sidecar/instance/peer_endpoint.h
@@ -38,6 +38,7 @@
                      std::size_t bytes, mesh::HopCause cause);
     void bodyLeft (const Exchange* exchange);
     void takeHopCall (const ExchangePointer& exchange);
+    void reportArrival (BodyAdmission::Id id, const Body& body);
     void answerChanges (const ExchangePointer& exchange);
 
     /** The encoded answer to the latest request for changes. It is kept because after each
--- a/src/sidecar/message_pools.h
+++ b/src/sidecar/message_pools.h
@@ -1,8 +1,8 @@
 /** The pools of a sidecar for all messages that it reads, of the sizes that its memory plan names.
 
-    Each pool waits only for those that take its messages: large and small requests of clients for
-    other nodes, requests of nodes for the instance, responses of the instance for other nodes,
-    responses of nodes for clients. So messages in opposite directions never wait for each other.
+    Each pool waits only for those that take its messages: requests of clients for other nodes,
+   requests of nodes for the instance, responses of the instance for other nodes, responses of nodes
+   for clients. So messages in opposite directions never wait for each other.
 */
 #pragma once
 
@@ -19,8 +19,9 @@
 
 /** Names of the pools in logs and metrics. */
 inline constexpr std::string_view messagePoolNames[] = {
-    "client_bodies", "large_client_bodies", "node_bodies",      "large_node_bodies",
-    "node_answers",  "large_node_answers",  "instance_answers", "large_instance_answers"
+    "client_bodies",       "client_streams",   "unsized_client_bodies",
+    "node_bodies",         "node_streams",     "node_answers",
+    "node_answer_streams", "instance_answers", "instance_answer_streams"
 };
 
 /** The state of a pool. */
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 #include "mesh/enum_names.h"
 #include "mesh/milliseconds.h"
@@ -103,40 +104,35 @@
 
 void Sidecar::logMemoryPlan()
 {
-    const auto inLog = [] (std::uint64_t bytes) { return static_cast<std::int64_t> (bytes); };
-    log->write (now(), EventKind::memoryPlanned,
-                { { "memory", inLog (settings.memoryBytes) },
-                  { "client_bodies", inLog (pools.clientBodies.whole->limit()) },
-                  { "large_client_bodies", inLog (pools.clientBodies.large->limit()) },
-                  { "node_bodies", inLog (pools.nodeBodies.whole->limit()) },
-                  { "large_node_bodies", inLog (pools.nodeBodies.large->limit()) },
-                  { "node_answers", inLog (pools.nodeAnswers.whole->limit()) },
-                  { "large_node_answers", inLog (pools.nodeAnswers.large->limit()) },
-                  { "instance_answers", inLog (pools.instanceAnswers.whole->limit()) },
-                  { "large_instance_answers", inLog (pools.instanceAnswers.large->limit()) } });
+    const auto figures = pools.figures();
+    std::vector<Field> fields{ { "memory", static_cast<std::int64_t> (settings.memoryBytes) } };
+
+    for (std::size_t i = 0; i < figures.size(); ++i)
+        fields.push_back ({ messagePoolNames[i], static_cast<std::int64_t> (figures[i].limit) });
+
+    log->write (now(), EventKind::memoryPlanned, fields);
 }
 
 void Sidecar::checkBodyLimit (Timestamp at)
 {
     const auto allowed = clientLimits().bodyBytes;
-    const auto held = std::min (pools.clientBodies.large->limit(), pools.nodeBodies.large->limit());
+    const auto held = pools.clientBodies.unsized->limit();
 
     if (allowed > held)
         log->write (at, EventKind::bodyLimitTooLarge,
                     { { "max_body_bytes", static_cast<std::int64_t> (allowed) },
-                      { "served_up_to", static_cast<std::int64_t> (held) },
+                      { "unsized_up_to", static_cast<std::int64_t> (held) },
                       { "memory", static_cast<std::int64_t> (settings.memoryBytes) } });
 }
 
-void Sidecar::refuseForMemory (const BufferPools& pool, const RequestHead& head, std::size_t bytes)
+void Sidecar::refuseForMemory (const RequestHead& head, std::size_t bytes, const BufferPool& pool)
 {
-    const auto& asked = *pool.poolFor (bytes);
     log->write (now(), EventKind::memoryRefused,
                 { { "request", onlyValue (head.fields, settings.names.requestId) },
                   { "bytes", static_cast<std::int64_t> (bytes) },
-                  { "used", static_cast<std::int64_t> (asked.used()) },
-                  { "limit", static_cast<std::int64_t> (asked.limit()) },
-                  { "waiting", static_cast<std::int64_t> (asked.waiting()) } });
+                  { "used", static_cast<std::int64_t> (pool.used()) },
+                  { "limit", static_cast<std::int64_t> (pool.limit()) },
+                  { "waiting", static_cast<std::int64_t> (pool.waiting()) } });
 }
 
 void Sidecar::connectFirstHop()
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -108,7 +108,7 @@
     SidecarFigures figures() const;
     void answerMetrics (const ExchangePointer& exchange);
     mesh::ClientLimits clientLimits() const;
-    void refuseForMemory (const BufferPools& pools, const RequestHead& head, std::size_t bytes);
+    void refuseForMemory (const RequestHead& head, std::size_t bytes, const BufferPool& pool);
     void checkBodyLimit (Timestamp now);
     void logMemoryPlan();
     bool ready() const;
--- a/src/sidecar/sidecar_servers.cc
+++ b/src/sidecar/sidecar_servers.cc
@@ -72,13 +72,16 @@
         return self == nullptr ? mesh::ClientLimits{} : self->clientLimits();
     };
 
-    auto forClients = serverSettings (clientLimitsNow, &Sidecar::handleRequest);
-    forClients.bodyPools = pools.clientBodies;
-    forClients.onMemoryRefused = [weak] (const RequestHead& head, std::size_t bytes)
+    const MemoryRefusal onMemoryRefused =
+        [weak] (const RequestHead& head, std::size_t bytes, const BufferPool& pool)
     {
         if (const auto self = weak.lock())
-            self->refuseForMemory (self->pools.clientBodies, head, bytes);
+            self->refuseForMemory (head, bytes, pool);
     };
+    auto forClients = serverSettings (clientLimitsNow, &Sidecar::handleRequest);
+    forClients.bodyPools = pools.clientBodies;
+    forClients.streamsBodies = true;
+    forClients.onMemoryRefused = onMemoryRefused;
     forClients.errorMessage = clientError;
     forClients.canRunConcurrently = [weak] (const RequestHead& head)
     {
@@ -92,11 +95,8 @@
             self->peerEndpoint->admitBody (exchange);
     };
     forNodes.bodyPools = pools.nodeBodies;
-    forNodes.onMemoryRefused = [weak] (const RequestHead& head, std::size_t bytes)
-    {
-        if (const auto self = weak.lock())
-            self->refuseForMemory (self->pools.nodeBodies, head, bytes);
-    };
+    forNodes.streamsBodies = true;
+    forNodes.onMemoryRefused = onMemoryRefused;
     forNodes.errorMessage = [endpoint = peerEndpoint] (int status, std::string_view cause)
     { return status == 503 ? endpoint->memoryRefusal() : plainAnswer (status, cause); };
     forNodes.link = link;
--- a/tests/mesh/memory_plan_test.cc
+++ b/tests/mesh/memory_plan_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include "mesh/mesh_configuration.h"
+
 namespace copperlead::mesh
 {
 namespace
@@ -22,8 +24,19 @@
             ASSERT_GE (pool->bytes, 2 * wholeBodyBytes) << "of " << bytes;
             ASSERT_GT (pool->maxWaiting, 0U);
         }
+
+        for (const auto* pool : { &plan.clientStreams, &plan.nodeStreams, &plan.nodeAnswerStreams,
+                                  &plan.instanceAnswerStreams })
+            ASSERT_GE (pool->bytes, 1'000'000U) << "of " << bytes;
     }
 }
 
+// Guards against a chunked body of the usual limit that no machine of the usual size can hold.
+TEST (MemoryPlan, AMachineOfTheDefaultSizeHoldsTheLargestBodyOfUnknownLength)
+{
+    const auto plan = MemoryPlan::forMachine (MemoryPlan::defaultMachineBytes);
+    EXPECT_GE (plan.unsizedClientBodies.bytes, ClientLimits().bodyBytes);
+}
+
 } // namespace
 } // namespace copperlead::mesh
--- a/tests/mesh_integration/large_body_test.cc
+++ b/tests/mesh_integration/large_body_test.cc
@@ -18,6 +18,8 @@
 constexpr std::size_t kMaxBodyBytes = 64 << 20;
 constexpr std::size_t kLargeBytes = 60 << 20;
 constexpr std::size_t kPieceBytes = 256 << 10;
+// Ample for what the test's machine and the link of 1,000 Mbps carry.
+constexpr char kTimeoutMs[] = "15000";
 constexpr auto kSlowPause = std::chrono::milliseconds(5);
 
 enum class Framing { kLength, kChunked };
@@ -31,7 +33,9 @@
     fleet_.Add("desk");
     fleet_.Add("hub");
     const std::string limits = "\"max_body_bytes\":";
-    std::string text = Configuration(4, UploadRoute("desk") + "," + UploadRoute("hub"));
+    std::string text =
+        Configuration(4, LargeRoute("up", "upload", "desk") + LargeRoute("up", "upload", "hub") +
+                             LargeRoute("down", "download", "desk"));
     text.replace(text.find(limits + "100000"), limits.size() + 6,
                  limits + std::to_string(kMaxBodyBytes));
     fleet_.store().Put("op/config", text);
@@ -48,11 +52,12 @@
     });
   }
 
-  static std::string UploadRoute(const std::string& service) {
-    return std::string(service == "desk" ? "," : "") + "\"up-" + service +
-           R"(":{"host":"shop.example","path_prefix":"/up-)" + service +
-           R"(/","kind":"upload","timeout_ms":8000,"target_latency_ms":4000,"priority":1,)" +
-           R"("service":")" + service + R"(","max_attempts":2})";
+  static std::string LargeRoute(const std::string& name, const std::string& kind,
+                                const std::string& service) {
+    const std::string path = name + "-" + service;
+    return ",\"" + path + R"(":{"host":"shop.example","path_prefix":"/)" + path + R"(/","kind":")" +
+           kind + R"(","timeout_ms":)" + kTimeoutMs + R"(,"target_latency_ms":)" + kTimeoutMs +
+           R"(,"priority":1,"service":")" + service + R"(","max_attempts":2})";
   }
 
   MeshMachine& desk() { return *fleet_.machines()[0]; }
@@ -61,7 +66,7 @@
   static std::string Head(const std::string& method, const std::string& path, const std::string& id,
                           const std::string& framing) {
     return method + " " + path + " HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: " + id +
-           "\r\nX-Deadline-Ms: 8000\r\n" + framing + "\r\n";
+           "\r\nX-Deadline-Ms: " + kTimeoutMs + "\r\n" + framing + "\r\n";
   }
 
   // @param pause  before each piece
@@ -133,7 +138,7 @@
   bool Download(const MeshMachine& machine, const std::string& id, std::size_t bytes,
                 std::chrono::milliseconds pause) {
     RawSocket socket = RawSocket::Connect(fleet_.outbound(machine));
-    socket.Send(Head("GET", "/look/?" + std::string(kAnswerBytes) + std::to_string(bytes), id,
+    socket.Send(Head("GET", "/down-desk/?" + std::string(kAnswerBytes) + std::to_string(bytes), id,
                      "Connection: close\r\n"));
     std::string received = socket.ReadToEnd(kPieceBytes);
     const auto end = received.find("\r\n\r\n");
--- a/tests/sidecar/http/body_memory_test.cc
+++ b/tests/sidecar/http/body_memory_test.cc
@@ -32,8 +32,8 @@
     void configure (ServerSettings& settings)
     {
         pool = std::make_shared<BufferPool> (reactor, mesh::BufferAccount (poolBytes, 0, 1));
-        settings.bodyPools = { pool, pool };
-        settings.onMemoryRefused = [this] (const RequestHead&, std::size_t bytes)
+        settings.bodyPools = { pool, pool, pool };
+        settings.onMemoryRefused = [this] (const RequestHead&, std::size_t bytes, const BufferPool&)
         { refusedBytes = bytes; };
     }
 
