Run no callback inside the call that causes it

Cause: LastHop::refuseAll() walks the ids of expired requests; refuse() of the first calls its caller back at once, the write of the answer fails since the client has left, the connection closes and cancels its other requests, whose ids are still in the list.

Now a component decides, brings its state into order and queues its callback; the reactor runs the queue after the handler. The type DeferredCallback holds such callbacks and can withdraw them.

An exception that leaves a handler now costs its connection, one that leaves a callback that callback, and a line (handler_failed), not the process. That is a net and not what mends this.

--- a/src/sidecar/buffer_pool.cc
+++ b/src/sidecar/buffer_pool.cc
@@ -33,7 +33,7 @@
 
     size = newSize;
     pool->account.shrink (id, newSize);
-    pool->scheduleGrants();
+    pool->queueGrants();
 }
 
 void Reservation::release()
@@ -62,7 +62,8 @@
     if (! made.isGranted())
     {
         ++counts.waited;
-        waitingCallbacks.emplace (made.id, std::move (onGranted));
+        waitingCallbacks.emplace (made.id,
+                                  DeferredCallback<> (reactor->callbacks(), std::move (onGranted)));
     }
 
     return made;
@@ -70,29 +71,18 @@
 
 void BufferPool::release (mesh::BufferAccount::Id id)
 {
-    waitingCallbacks.erase (id);
-    account.release (id);
-    scheduleGrants();
-}
+    if (auto waiting = waitingCallbacks.extract (id))
+        waiting.mapped().Cancel();
 
-void BufferPool::scheduleGrants()
-{
-    // The callbacks are not called from here, since they may change what the caller still uses.
-    if (account.hasGranted())
-        reactor->Post (
-            [weak = weak_from_this()]
-            {
-                if (const auto self = weak.lock())
-                    self->deliverGrants();
-            });
+    account.release (id);
+    queueGrants();
 }
 
-void BufferPool::deliverGrants()
+void BufferPool::queueGrants()
 {
-    // A callback may end other reservations, so each one is looked up when its turn has come.
     for (const auto id : account.takeGranted())
-        if (const auto found = waitingCallbacks.extract (id))
-            found.mapped()();
+        if (const auto found = waitingCallbacks.find (id); found != waitingCallbacks.end())
+            found->second();
 }
 
 } // namespace copperlead::sidecar
--- a/src/sidecar/buffer_pool.h
+++ b/src/sidecar/buffer_pool.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <unordered_map>
 
+#include "base/callback_queue.h"
 #include "mesh/buffer_account.h"
 #include "transport/reactor.h"
 
@@ -79,12 +80,12 @@
     friend class Reservation;
 
     void release (mesh::BufferAccount::Id id);
-    void scheduleGrants();
-    void deliverGrants();
+    void queueGrants();
 
     std::shared_ptr<Reactor> reactor;
     mesh::BufferAccount account;
-    std::unordered_map<mesh::BufferAccount::Id, std::function<void()>> waitingCallbacks;
+    /** Of reservations that waited. */
+    std::unordered_map<mesh::BufferAccount::Id, DeferredCallback<>> waitingCallbacks;
     BufferCounters counts;
 };
 
--- a/src/sidecar/decision_log.cc
+++ b/src/sidecar/decision_log.cc
@@ -102,6 +102,7 @@
     { EventKind::memoryRefused, "memory_refused", 20, "request bytes used limit waiting" },
     { EventKind::bodyLimitTooLarge, "body_limit_too_large", 5,
       "max_body_bytes unsized_up_to memory" },
+    { EventKind::handlerFailed, "handler_failed", 10, "cause failures" },
     { EventKind::linesLeftOut, "lines_left_out", 1, "lines" },
 } };
 
--- a/src/sidecar/decision_log.h
+++ b/src/sidecar/decision_log.h
@@ -72,6 +72,7 @@
     memoryPlanned,
     memoryRefused,
     bodyLimitTooLarge,
+    handlerFailed,
     linesLeftOut,
     count
 };
--- a/src/sidecar/hop/active_request.cc
+++ b/src/sidecar/hop/active_request.cc
@@ -115,9 +115,7 @@
 {
     search = std::make_shared<InstanceSearch> (hop->searchContext, hop->directory, choiceRequest(),
                                                loadQuery());
-    // The callback resets `search` and may run before begin() returns.
-    const auto startedSearch = search;
-    startedSearch->begin (
+    search->begin (
         [weak = weak_from_this()] (const SearchResult& result)
         {
             if (const auto self = weak.lock())
@@ -218,16 +216,13 @@
 
 void ActiveRequest::send (std::size_t index, HopCall call)
 {
-    const auto handle = hop->caller.send (
+    attempts[index].call = hop->caller.send (
         attempts[index].choice.instance.address.ip, std::move (call), deadline,
         [weak = weak_from_this(), index] (HopDelivery delivery, const HopAnswer& answer)
         {
             if (const auto self = weak.lock())
                 self->onDelivery (index, delivery, answer);
         });
-    // The callback may have run already and started further attempts, so `attempts` is indexed
-    // anew.
-    attempts[index].call = handle;
 }
 
 void ActiveRequest::onDelivery (std::size_t index, HopDelivery delivery, const HopAnswer& answer)
@@ -287,7 +282,9 @@
         hop->chooser.recordLimited (now(), id, mesh::fromMilliseconds (report.availableMs));
 
     if (report.configurationVersion != 0 && hop->onPeerVersion)
-        hop->onPeerVersion (report.configurationVersion, attempt.choice.instance.address.ip);
+        hop->reactor->callbacks()->Add ([owner = hop, version = report.configurationVersion,
+                                         ip = attempt.choice.instance.address.ip]
+                                        { owner->onPeerVersion (version, ip); });
 
     avoid (attempt, answer);
 
--- a/src/sidecar/hop/first_hop_tenants.cc
+++ b/src/sidecar/hop/first_hop_tenants.cc
@@ -96,25 +96,27 @@
     if (tenant == nullptr)
         return begin ({});
 
-    quotas.acquire (SteadyClock().Now(), *tenant,
-                    [weak = weak_from_this(), exchange, held = routes, &route, tenant,
-                     begin] (const mesh::TenantQuotas::Verdict& verdict)
-                    {
-                        const auto self = weak.lock();
-
-                        if (self == nullptr)
-                            return;
-
-                        if (exchange->clientDisconnected())
-                            ++self->counts.clientsLeft;
-                        else if (verdict.passed)
-                            return begin (verdict.lapsesAt);
-                        else
-                            return self->refuseOverQuota (exchange, route, *tenant, verdict.keeper);
-
-                        if (verdict.passed)
-                            self->returnQuotaToken (*tenant, verdict.lapsesAt);
-                    });
+    const DeferredCallback<mesh::TenantQuotas::Verdict> decided (
+        reactor->callbacks(),
+        [weak = weak_from_this(), exchange, held = routes, &route, tenant,
+         begin] (const mesh::TenantQuotas::Verdict& verdict)
+        {
+            const auto self = weak.lock();
+
+            if (self == nullptr)
+                return;
+
+            if (exchange->clientDisconnected())
+                ++self->counts.clientsLeft;
+            else if (verdict.passed)
+                return begin (verdict.lapsesAt);
+            else
+                return self->refuseOverQuota (exchange, route, *tenant, verdict.keeper);
+
+            if (verdict.passed)
+                self->returnQuotaToken (*tenant, verdict.lapsesAt);
+        });
+    quotas.acquire (SteadyClock().Now(), *tenant, decided);
     armQuotaTimer();
 }
 
--- a/src/sidecar/hop/hop_caller.h
+++ b/src/sidecar/hop/hop_caller.h
@@ -53,7 +53,7 @@
 
     /** @param ip        IP of the node to call
         @param deadline  deadline of the request; the node has a short grace period after it
-        @param callback  may be called before this returns
+        @param callback  never called before this returns
     */
     HopCallHandle send (const std::string& ip, HopCall call, Timestamp deadline, Callback callback);
 
--- a/src/sidecar/hop/instance_search.cc
+++ b/src/sidecar/hop/instance_search.cc
@@ -40,13 +40,15 @@
 
 InstanceSearch::~InstanceSearch()
 {
+    callback.Cancel();
+
     if (number != 0)
         context.queries->forget (number);
 }
 
 void InstanceSearch::begin (Callback callbackToUse)
 {
-    callback = std::move (callbackToUse);
+    callback = { context.reactor->callbacks(), std::move (callbackToUse) };
     startedAt = now();
 
     if (context.chooser->locality().hasOtherRegions())
@@ -90,7 +92,7 @@
         applyStep (poll.waitExpired());
     }
 
-    if (callback != nullptr && ! widened)
+    if (callback && ! widened)
         armTimer (replyTimeout);
 }
 
@@ -167,7 +169,7 @@
 
 void InstanceSearch::applyStep (mesh::PollStep step)
 {
-    if (callback == nullptr || step == mesh::PollStep::wait)
+    if (! callback || step == mesh::PollStep::wait)
         return;
 
     if (step == mesh::PollStep::take)
@@ -228,8 +230,7 @@
         poll.all().begin(), poll.all().end(), [] (const auto& asked) { return asked.answered; }));
     found.widened = widened;
     found.tookMs = mesh::toMilliseconds (now() - startedAt);
-    const auto onEnd = std::exchange (callback, nullptr);
-    onEnd (found);
+    callback (found);
 }
 
 } // namespace copperlead::sidecar
--- a/src/sidecar/hop/instance_search.h
+++ b/src/sidecar/hop/instance_search.h
@@ -57,7 +57,7 @@
                     mesh::ChoiceRequest wantedToUse, mesh::LoadQuery queryToUse);
     ~InstanceSearch();
 
-    /** Starts the search. The callback may be called before this returns. */
+    /** Starts the search. The callback is never called before this returns. */
     void begin (Callback callbackToUse);
 
 private:
@@ -78,7 +78,7 @@
     mesh::ChoiceRequest wanted;
     mesh::LoadQuery query;
     mesh::InstancePoll poll;
-    Callback callback;
+    DeferredCallback<SearchResult> callback;
     Timestamp startedAt{};
     std::uint64_t number = 0;
     int round = 0;
--- a/src/sidecar/hop/load_queries.cc
+++ b/src/sidecar/hop/load_queries.cc
@@ -74,17 +74,25 @@
 {
     ++counts.replies;
     onReply (reply);
-    const auto found = waiting.find (reply.number);
 
-    if (found == waiting.end())
+    if (! waiting.contains (reply.number))
     {
         ++counts.lateReplies;
         return;
     }
 
-    // A copy is called, since the handler may call forget() or begin().
-    const auto handler = found->second;
-    handler (reply);
+    reactor->callbacks()->Add (
+        [weak = weak_from_this(), reply]
+        {
+            const auto self = weak.lock();
+
+            if (self == nullptr)
+                return;
+
+            // The search may have ended since.
+            if (const auto found = self->waiting.find (reply.number); found != self->waiting.end())
+                ReplyHandler (found->second) (reply);
+        });
 }
 
 } // namespace copperlead::sidecar
--- a/src/sidecar/http/answer_queue.cc
+++ b/src/sidecar/http/answer_queue.cc
@@ -58,6 +58,12 @@
     return removed;
 }
 
+bool AnswerQueue::contains (const Exchange& exchange) const
+{
+    return std::any_of (pending.begin(), pending.end(),
+                        [&] (const auto& entry) { return entry.exchange.get() == &exchange; });
+}
+
 bool AnswerQueue::isLatest (const Exchange& exchange) const
 {
     return ! pending.empty() && pending.back().exchange.get() == &exchange;
--- a/src/sidecar/http/answer_queue.h
+++ b/src/sidecar/http/answer_queue.h
@@ -55,6 +55,9 @@
     std::size_t size() const { return pending.size(); }
     bool isLatest (const Exchange& exchange) const;
 
+    /** @returns true if the request is in the queue */
+    bool contains (const Exchange& exchange) const;
+
     /** @returns true if takeReady() would return a response */
     bool hasReady() const { return ! pending.empty() && ! pending.front().message.empty(); }
 
--- a/src/sidecar/http/body_stream.cc
+++ b/src/sidecar/http/body_stream.cc
@@ -18,7 +18,7 @@
         return;
 
     if (onAbandoned)
-        reactor->Post (std::move (onAbandoned));
+        reactor->callbacks()->Add (std::move (onAbandoned));
 
     reportEnd (false);
 }
@@ -26,14 +26,14 @@
 void BodyStream::reportEnd (bool isComplete)
 {
     if (onEnded)
-        reactor->Post ([report = std::exchange (onEnded, nullptr), isComplete]
-                       { report (isComplete); });
+        reactor->callbacks()->Add ([report = std::exchange (onEnded, nullptr), isComplete]
+                                   { report (isComplete); });
 }
 
 void BodyStream::notify (std::function<void()> BodyStream::*callback)
 {
     if (this->*callback)
-        reactor->Post (
+        reactor->callbacks()->Add (
             [weak = weak_from_this(), callback]
             {
                 const auto self = weak.lock();
--- a/src/sidecar/http/client_connection.cc
+++ b/src/sidecar/http/client_connection.cc
@@ -49,12 +49,13 @@
     setReceiveBuffer (socket, mesh::socketBufferBytes);
     interest = EPOLLOUT;
     connectDeadline = now() + client->settings.connectTimeout;
-    watch = client->reactor->Watch (socket, interest,
-                                    [weak = weak_from_this()] (std::uint32_t events)
-                                    {
-                                        if (const auto self = weak.lock())
-                                            self->onEvents (events);
-                                    });
+    watch =
+        client->reactor->Watch (socket, interest,
+                                [weak = weak_from_this()] (std::uint32_t events)
+                                {
+                                    if (const auto self = weak.lock())
+                                        self->finishOnException ([&] { self->onEvents (events); });
+                                });
     return true;
 }
 
@@ -92,6 +93,19 @@
     write();
 }
 
+void ClientConnection::finishOnException (const std::function<void()>& handler)
+{
+    try
+    {
+        handler();
+    }
+    catch (const std::exception& error)
+    {
+        finish (CallEnd::broken, error.what());
+        throw;
+    }
+}
+
 void ClientConnection::onEvents (std::uint32_t events)
 {
     const auto self = shared_from_this();
@@ -161,8 +175,8 @@
     if (sentAt == Timestamp{} || writeFailed || writableBytes() == 0)
         sentAt = now();
 
-    if (const auto callback = std::exchange (options.onSent, nullptr))
-        callback();
+    if (options.onSent)
+        client->reactor->callbacks()->Add (std::exchange (options.onSent, nullptr));
 
     updateInterest();
 }
@@ -221,7 +235,7 @@
                                 const auto self = weak.lock();
 
                                 if (self != nullptr && self->timerAt == when)
-                                    self->onTimer();
+                                    self->finishOnException ([&] { self->onTimer(); });
                             });
 }
 
--- a/src/sidecar/http/client_connection.h
+++ b/src/sidecar/http/client_connection.h
@@ -51,6 +51,10 @@
         closed
     };
 
+    /** Runs a handler. An exception ends the call and closes the connection, before it goes on to
+        the reactor.
+    */
+    void finishOnException (const std::function<void()>& handler);
     void onEvents (std::uint32_t events);
     void onConnected();
     void write();
--- a/src/sidecar/http/client_connection_answers.cc
+++ b/src/sidecar/http/client_connection_answers.cc
@@ -235,8 +235,7 @@
     const auto done = std::exchange (call, nullptr);
     auto answer = std::exchange (result, {});
 
-    if (done->callback)
-        std::exchange (done->callback, nullptr) (std::move (answer));
+    done->callback (std::move (answer));
 
     readStream();
     updateInterest();
@@ -437,8 +436,7 @@
     const auto self = shared_from_this();
     endResponse();
 
-    if (done->callback)
-        std::exchange (done->callback, nullptr) (std::move (answer));
+    done->callback (std::move (answer));
 }
 
 void ClientConnection::endResponse()
@@ -473,8 +471,8 @@
     auto answer = std::exchange (result, {});
     close();
 
-    if (done != nullptr && done->callback)
-        std::exchange (done->callback, nullptr) (std::move (answer));
+    if (done != nullptr)
+        done->callback (std::move (answer));
 }
 
 } // namespace copperlead::sidecar
--- a/src/sidecar/http/http_client.cc
+++ b/src/sidecar/http/http_client.cc
@@ -10,7 +10,7 @@
 
 void Call::cancel()
 {
-    callback = nullptr;
+    callback.Cancel();
 
     if (const auto open = connection.lock(); open != nullptr && open->isServing (*this))
         open->close();
@@ -28,7 +28,7 @@
                               const CallOptions& options, std::function<void (CallResult)> callback)
 {
     auto call = std::make_shared<Call>();
-    call->callback = std::move (callback);
+    call->callback = { reactor->callbacks(), std::move (callback) };
     const auto name = ToString (target);
     auto connection = options.freshConnection ? nullptr : takeIdle (name, options.minIdleTime);
     ++counts.calls;
@@ -46,7 +46,7 @@
         {
             CallResult result;
             result.cause = "could not start to connect";
-            std::exchange (call->callback, nullptr) (std::move (result));
+            call->callback (std::move (result));
             return call;
         }
     }
--- a/src/sidecar/http/http_client.h
+++ b/src/sidecar/http/http_client.h
@@ -66,7 +66,9 @@
     */
     std::string idField, id;
 
-    /** Called when the message, or its head if the body is withheld, has been written. */
+    /** Called when the message, or its head if the body is withheld, has been written. Like all
+        callbacks, it runs after the call that caused it.
+    */
     std::function<void()> onSent;
 
     /** Size of the head if the body is withheld until the server sends 100 Continue; 0 sends the
@@ -105,7 +107,7 @@
     friend class HttpClient;
     friend class ClientConnection;
     std::weak_ptr<ClientConnection> connection;
-    std::function<void (CallResult)> callback;
+    DeferredCallback<CallResult> callback;
 };
 
 using CallPointer = std::shared_ptr<Call>;
@@ -123,7 +125,7 @@
     HttpClient (std::shared_ptr<Reactor> reactorToUse, ClientSettings settingsToUse);
     ~HttpClient();
 
-    /** Sends a complete message. The callback may be called before this returns. */
+    /** Sends a message. The callback is never called before this returns. */
     CallPointer send (const SocketAddress& target, const Message& message,
                       const CallOptions& options, std::function<void (CallResult)> callback);
 
--- a/src/sidecar/http/http_server.h
+++ b/src/sidecar/http/http_server.h
@@ -96,7 +96,7 @@
         It either calls continueBody(), at any time, or respond(), after which the body is not sent
         and the connection remains usable. If empty, each client is told to continue immediately.
     */
-    std::function<void (const ExchangePointer&)> bodyGate;
+    std::function<void (ExchangePointer)> bodyGate;
     std::shared_ptr<LinkPacer> link; /**< Paces large responses; may be null. */
     BufferPools bodyPools;           /**< Memory for request bodies. */
 
@@ -116,6 +116,9 @@
     mesh::LatencyHistogram headOfLineDelay; /**< Time that responses waited for earlier ones. */
 };
 
+/** The handlers in the settings are called like all callbacks of the sidecar, after the call that
+    caused them.
+*/
 class HttpServer : public std::enable_shared_from_this<HttpServer>
 {
 public:
--- a/src/sidecar/http/server_connection.cc
+++ b/src/sidecar/http/server_connection.cc
@@ -41,15 +41,29 @@
 void ServerConnection::start()
 {
     interest = EPOLLIN;
-    watch = server->reactor->Watch (socket, interest,
-                                    [weak = weak_from_this()] (std::uint32_t events)
-                                    {
-                                        if (const auto self = weak.lock())
-                                            self->onEvents (events);
-                                    });
+    watch =
+        server->reactor->Watch (socket, interest,
+                                [weak = weak_from_this()] (std::uint32_t events)
+                                {
+                                    if (const auto self = weak.lock())
+                                        self->closeOnException ([&] { self->onEvents (events); });
+                                });
     armTimer (deadline());
 }
 
+void ServerConnection::closeOnException (const std::function<void()>& handler)
+{
+    try
+    {
+        handler();
+    }
+    catch (...)
+    {
+        close();
+        throw;
+    }
+}
+
 void ServerConnection::onEvents (std::uint32_t events)
 {
     if ((events & EPOLLOUT) != 0)
@@ -266,7 +280,21 @@
     if (! alreadyQueued)
         pending.add (dispatched);
 
-    server->settings.handler (dispatched);
+    queueHandler (server->settings.handler, dispatched);
+}
+
+void ServerConnection::queueHandler (const std::function<void (ExchangePointer)>& handler,
+                                     const ExchangePointer& passed)
+{
+    server->reactor->callbacks()->Add (
+        [weak = weak_from_this(), handler, passed]
+        {
+            // The client may have left since.
+            const auto self = weak.lock();
+
+            if (self != nullptr && self->pending.contains (*passed))
+                self->closeOnException ([&] { handler (passed); });
+        });
 }
 
 void ServerConnection::dropPending()
@@ -282,7 +310,7 @@
 void ServerConnection::notifyDisconnect (Exchange& abandoned)
 {
     if (abandoned.onDisconnect)
-        std::exchange (abandoned.onDisconnect, nullptr)();
+        server->reactor->callbacks()->Add (std::exchange (abandoned.onDisconnect, nullptr));
 }
 
 void ServerConnection::close()
@@ -362,7 +390,7 @@
                                 const auto self = weak.lock();
 
                                 if (self != nullptr && self->timerAt == when)
-                                    self->onTimer();
+                                    self->closeOnException ([&] { self->onTimer(); });
                             });
 }
 
--- a/src/sidecar/http/server_connection.h
+++ b/src/sidecar/http/server_connection.h
@@ -64,6 +64,10 @@
         closed
     };
 
+    /** Runs a handler. An exception closes the connection, whose state is unknown then, before it
+        goes on to the reactor.
+    */
+    void closeOnException (const std::function<void()>& handler);
     void onEvents (std::uint32_t events);
     void readAll();
     void advance();
@@ -106,7 +110,11 @@
     bool isWaitingForLink() const { return transfer != 0 && ! stalled; }
     void linger();
     void dropPending();
-    static void notifyDisconnect (Exchange& abandoned);
+    void notifyDisconnect (Exchange& abandoned);
+
+    /** Queues a call with a request of this connection, unless that has ended by then. */
+    void queueHandler (const std::function<void (ExchangePointer)>& handler,
+                       const ExchangePointer& passed);
     void updateInterest();
     void armTimer (Timestamp when);
     void onTimer();
--- a/src/sidecar/http/server_connection_body.cc
+++ b/src/sidecar/http/server_connection_body.cc
@@ -20,8 +20,7 @@
 {
     exchange->connection = weak_from_this();
     pending.add (exchange);
-    const auto asked = exchange;
-    server->settings.bodyGate (asked);
+    queueHandler (server->settings.bodyGate, exchange);
 }
 
 bool ServerConnection::isCurrentQueued() const
--- a/src/sidecar/instance/body_admission.cc
+++ b/src/sidecar/instance/body_admission.cc
@@ -54,7 +54,14 @@
     const auto at = now();
     const auto id = ++lastId;
     const auto run = mesh::fromMilliseconds (facts.usualRunMs);
-    pending.emplace (id, PendingBody{ std::move (decision),
+    DeferredCallback<bool> deferred (
+        reactor->callbacks(),
+        [weak = weak_from_this(), id, decision = std::move (decision)] (bool granted)
+        {
+            if (const auto self = weak.lock())
+                self->report (id, decision, granted);
+        });
+    pending.emplace (id, PendingBody{ std::move (deferred),
                                       at + facts.timeLeft,
                                       {},
                                       transferMs (static_cast<double> (bytes)) });
@@ -97,7 +104,7 @@
                         if (const auto self = weak.lock())
                             self->markOverdue (id);
                     });
-    std::exchange (body.decision, nullptr) (true);
+    body.decision (true);
 }
 
 Duration BodyAdmission::overdueTimeout (const PendingBody& body) const
@@ -130,9 +137,16 @@
         return;
 
     ++counts.refused;
-    const auto decision = std::move (found->second.decision);
-    pending.erase (found);
-    decision (false);
+    found->second.isRefused = true;
+    found->second.decision (false);
+}
+
+void BodyAdmission::report (Id id, const Decision& decision, bool granted)
+{
+    if (! granted)
+        pending.erase (id);
+
+    decision (granted);
 }
 
 void BodyAdmission::arrived (Id id, std::size_t bytes)
@@ -153,9 +167,12 @@
 
 void BodyAdmission::cancel (Id id)
 {
-    if (! pending.contains (id))
+    const auto found = pending.find (id);
+
+    if (found == pending.end())
         return;
 
+    found->second.decision.Cancel();
     remove (id);
     queue.cancel (id);
     pump();
--- a/src/sidecar/instance/body_admission.h
+++ b/src/sidecar/instance/body_admission.h
@@ -43,8 +43,8 @@
     /** @param linkMbps  configured bandwidth of this machine's link */
     BodyAdmission (std::shared_ptr<Reactor> reactorToUse, double linkMbps);
 
-    /** Requests admission of a body. The decision is reported once, possibly before this function
-        returns, and never after cancel().
+    /** Requests admission of a body. The decision is reported once, never before this function
+        returns nor after cancel().
         @param bytes  size of the body
     */
     Id requestAdmission (const mesh::HopRequest& facts, std::size_t bytes, Decision decision);
@@ -65,15 +65,17 @@
 private:
     struct PendingBody
     {
-        Decision decision;
+        DeferredCallback<bool> decision;
         Timestamp deadline{}, grantedAt{};
         /** Transfer time expected for its size. */
         double expectedTransferMs = 0;
         bool isOverdue = false;
+        bool isRefused = false; /**< Until this has been reported. */
     };
 
     void grant (Id id);
     void refuse (Id id);
+    void report (Id id, const Decision& decision, bool granted);
     void pump();
     void armExpiry();
     Duration overdueTimeout (const PendingBody& body) const;
--- a/src/sidecar/instance/last_hop.cc
+++ b/src/sidecar/instance/last_hop.cc
@@ -108,7 +108,14 @@
     const auto id = ++lastId;
     auto& running = calls[id];
     running.call = std::move (call);
-    running.callback = std::move (callback);
+    running.callback = { reactor->callbacks(), [weak = weak_from_this(), id,
+                                                callback = std::move (callback)] (HopAnswer answer)
+                         {
+                             if (const auto self = weak.lock())
+                                 self->ended.erase (id);
+
+                             callback (std::move (answer));
+                         } };
     running.arrivedAt = now;
     running.deadline = std::min<Timestamp> (now + running.call.facts.timeLeft, runDeadline);
 
@@ -197,11 +204,15 @@
     if (running.startedAt != Timestamp{})
         answer.report.waitedMs = toMilliseconds (running.startedAt - running.arrivedAt);
 
-    const auto callback = std::move (found->second.callback);
+    auto callback = std::move (found->second.callback);
     calls.erase (found);
 
-    if (callback)
-        callback (std::move (answer));
+    if (! callback)
+        return;
+
+    // Until it is called, cancel() can withdraw it.
+    ended.emplace (id, callback);
+    callback (std::move (answer));
 }
 
 Message LastHop::messageFor (const PendingCall& running, Timestamp now) const
@@ -374,13 +385,16 @@
 
 void LastHop::cancel (CallId id)
 {
+    if (auto completed = ended.extract (id))
+        completed.mapped().Cancel();
+
     const auto found = calls.find (id);
 
     if (found == calls.end())
         return;
 
     auto& running = found->second;
-    running.callback = nullptr;
+    running.callback.Cancel();
     const bool started = running.startedAt != Timestamp{};
 
     // A request that must not be repeated is left to finish, since after an abort it would be
--- a/src/sidecar/instance/last_hop.h
+++ b/src/sidecar/instance/last_hop.h
@@ -121,8 +121,8 @@
     */
     std::function<double (double bytes)> answerMs;
 
-    /** Starts a call. The callback may be called before this function returns; it isn't called
-        after cancel().
+    /** Starts a call. The callback is never called before this function returns, nor after
+        cancel().
     */
     CallId start (HopCall call, Callback callback);
 
@@ -174,7 +174,7 @@
     struct PendingCall
     {
         HopCall call;
-        Callback callback;
+        DeferredCallback<HopAnswer> callback;
         Timestamp arrivedAt{}, deadline{}, startedAt{};
         std::string addressedId; /**< The instance that the request was sent to. */
         CallPointer http;
@@ -240,6 +240,8 @@
     std::shared_ptr<CrashGuard> guard;
     bool crashCheckArmed = false, crashReportArmed = false;
     std::unordered_map<CallId, PendingCall> calls;
+    /** The callbacks of calls that have ended, until they are called. */
+    std::unordered_map<CallId, DeferredCallback<HopAnswer>> ended;
     /** Calls whose large answers are still being passed on. */
     std::unordered_set<CallId> transfers;
     LastHopCounters counts;
--- a/src/sidecar/instance/link_pacer.cc
+++ b/src/sidecar/instance/link_pacer.cc
@@ -11,9 +11,10 @@
 
 } // namespace
 
-LinkPacer::LinkPacer (std::shared_ptr<Reactor> reactor, double linkMbps)
-    : schedule (linkMbps * mesh::bytesPerMsOfMbps)
-    , timer (std::move (reactor))
+LinkPacer::LinkPacer (std::shared_ptr<Reactor> reactorToUse, double linkMbps)
+    : reactor (std::move (reactorToUse))
+    , schedule (linkMbps * mesh::bytesPerMsOfMbps)
+    , timer (reactor)
 {
 }
 
@@ -76,14 +77,25 @@
 
 void LinkPacer::runNextTurn()
 {
-    if (const auto id = schedule.next (now()))
-    {
-        // The callback is copied, since the transfer may end during its turn.
-        const auto turn = turns.at (*id);
-        turn();
-    }
+    const auto id = schedule.next (now());
 
-    arm();
+    if (! id)
+        return arm();
+
+    reactor->callbacks()->Add (
+        [weak = weak_from_this(), id = *id]
+        {
+            const auto self = weak.lock();
+
+            if (self == nullptr)
+                return;
+
+            // The transfer may have ended since, and may end during its turn.
+            if (const auto found = self->turns.find (id); found != self->turns.end())
+                std::function<void()> (found->second)();
+
+            self->arm();
+        });
 }
 
 } // namespace copperlead::sidecar
--- a/src/sidecar/instance/link_pacer.h
+++ b/src/sidecar/instance/link_pacer.h
@@ -26,7 +26,7 @@
     using Id = mesh::LinkSchedule::Id;
 
     /** @param linkMbps  configured bandwidth of this machine's link */
-    LinkPacer (std::shared_ptr<Reactor> reactor, double linkMbps);
+    LinkPacer (std::shared_ptr<Reactor> reactorToUse, double linkMbps);
 
     /** @param inParts  see mesh::LinkSchedule::add()
         @param onTurn   called when a piece may be written
@@ -56,6 +56,7 @@
     void arm();
     void runNextTurn();
 
+    std::shared_ptr<Reactor> reactor;
     mesh::LinkSchedule schedule;
     EarliestTimer timer;
     std::unordered_map<Id, std::function<void()>> turns;
--- a/src/sidecar/instance/peer_endpoint.cc
+++ b/src/sidecar/instance/peer_endpoint.cc
@@ -155,9 +155,7 @@
             self->refuseBody (held, *facts, bytes, mesh::HopCause::linkFull);
         });
 
-    // The exchange has no handler any more if the body was refused immediately.
-    if (exchange->onDisconnect)
-        admitted.emplace (key, id);
+    admitted.emplace (key, id);
 }
 
 void PeerEndpoint::bodyLeft (const Exchange* exchange)
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -75,6 +75,12 @@
 
 Result<Done> Sidecar::start()
 {
+    reactor->OnException (
+        [weak = weak_from_this()] (const std::string& cause)
+        {
+            if (const auto self = weak.lock())
+                self->reportFailure (cause);
+        });
     makeServers();
     connectFirstHop();
     BOOST_LEAF_CHECK (firstHop->start());
@@ -102,6 +108,14 @@
     return Done{};
 }
 
+void Sidecar::reportFailure (std::string_view cause)
+{
+    ++handlerFailures;
+    log->write (
+        now(), EventKind::handlerFailed,
+        { { "cause", cause }, { "failures", static_cast<std::int64_t> (handlerFailures) } });
+}
+
 void Sidecar::logMemoryPlan()
 {
     const auto figures = pools.figures();
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -111,6 +111,11 @@
     void refuseForMemory (const RequestHead& head, std::size_t bytes, const BufferPool& pool);
     void checkBodyLimit (Timestamp now);
     void logMemoryPlan();
+
+    /** Records an exception that a handler didn't catch. It has ended what the handler was for: a
+        connection, or one callback of a request, which then ends at its deadline.
+    */
+    void reportFailure (std::string_view cause);
     bool ready() const;
     void tick();
     void logPause (Timestamp at);
@@ -140,7 +145,7 @@
     SettingsFile settingsFile;
     EarliestTimer lapseTimer; /**< Ends the lapses of instances in time. */
     mesh::SleepWatch pauseWatch;
-    std::uint64_t entriesRefused = 0;
+    std::uint64_t entriesRefused = 0, handlerFailures = 0;
     Timestamp fileCheckedAt{};
 };
 
--- a/src/sidecar/sidecar_metrics.cc
+++ b/src/sidecar/sidecar_metrics.cc
@@ -371,6 +371,8 @@
                       figures.relay.subscriptionsSent);
     families.counter ("copperlead_subscriptions_taken_total", "Subscriptions of other nodes",
                       figures.relay.subscriptionsReceived);
+    families.counter ("copperlead_handler_failures_total",
+                      "Exceptions that cost a connection or a request", figures.handlerFailures);
     families.counter ("copperlead_log_lines_left_out_total", "Lines beyond their budget",
                       figures.omittedLogLines);
 }
--- a/src/sidecar/sidecar_metrics.h
+++ b/src/sidecar/sidecar_metrics.h
@@ -45,7 +45,7 @@
     mesh::SourcePosition sourcePosition;
     std::uint64_t configurationVersion = 0, omittedLogLines = 0;
     mesh::SourceCallCounts sourceCalls{};
-    std::uint64_t entriesRefused = 0;
+    std::uint64_t entriesRefused = 0, handlerFailures = 0;
     bool ready = false, reading = false;
     double failureShare = 0; /**< Share of the latest runs that failed. */
     double coldMs = 0;       /**< Remaining cold time of the instance; 0 when it is warm. */
--- a/src/sidecar/sidecar_servers.cc
+++ b/src/sidecar/sidecar_servers.cc
@@ -155,6 +155,7 @@
     shown.sourcePosition = state.reached();
     shown.sourceCalls = source.calls;
     shown.entriesRefused = entriesRefused;
+    shown.handlerFailures = handlerFailures;
     shown.omittedLogLines = log->omittedLines();
     shown.ready = ready();
     shown.reading = relay == nullptr || relay->reading();
--- a/src/transport/reactor.cc
+++ b/src/transport/reactor.cc
@@ -8,6 +8,7 @@
 #include <array>
 #include <cerrno>
 #include <cstring>
+#include <exception>
 #include <future>
 
 namespace copperlead {
@@ -64,7 +65,7 @@
     queued = !stopping_;
     if (queued) {
       posted_.emplace_back([&] {
-        task();
+        Call(task);
         done.set_value();
       });
     }
@@ -150,7 +151,21 @@
     const std::lock_guard lock(mutex_);
     tasks.swap(posted_);
   }
-  for (const Task& task : tasks) task();
+  for (const Task& task : tasks) Call(task);
+}
+
+void Reactor::Call(const Task& handler) {
+  CallGuarded(handler);
+  while (!callbacks_->empty()) CallGuarded([this] { callbacks_->RunNext(); });
+}
+
+void Reactor::CallGuarded(const Task& task) {
+  if (!report_exception_) return task();
+  try {
+    task();
+  } catch (const std::exception& error) {
+    report_exception_(error.what());
+  }
 }
 
 void Reactor::RunDueTimers() {
@@ -160,7 +175,7 @@
   std::vector<Task> due;
   for (auto timer = timers_.begin(); timer != end; ++timer) due.push_back(std::move(timer->second));
   timers_.erase(timers_.begin(), end);
-  for (const Task& task : due) task();
+  for (const Task& task : due) Call(task);
 }
 
 void Reactor::Dispatch(WatchId id, std::uint32_t events) {
@@ -174,7 +189,7 @@
   if (found == handlers_.end()) return;
   // The copy keeps the handler alive when it calls Unwatch() for its own watch.
   const std::shared_ptr<const Handler> handler = found->second;
-  (*handler)(events);
+  Call([&] { (*handler)(events); });
 }
 
 void Reactor::Wake() {
--- a/src/transport/reactor.h
+++ b/src/transport/reactor.h
@@ -1,5 +1,6 @@
 // An event loop on one thread that serves many sockets and timers with epoll. All transports of a
-// process may share one.
+// process may share one. After each handler, task and timer it runs the callbacks that this one
+// queued.
 #pragma once
 
 #include <atomic>
@@ -8,10 +9,12 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <string>
 #include <thread>
 #include <unordered_map>
 #include <vector>
 
+#include "base/callback_queue.h"
 #include "base/result.h"
 #include "base/time.h"
 #include "transport/socket.h"
@@ -42,6 +45,17 @@
   // @return true when called on the reactor's thread.
   bool IsCurrentThread() const;
 
+  // The queue of the callbacks that run after the current handler. To be used on the reactor's
+  // thread.
+  const std::shared_ptr<CallbackQueue>& callbacks() const { return callbacks_; }
+
+  // Sets what is called with the text of an exception that leaves a handler, a task, a timer or a
+  // callback; the reactor then goes on with the next one. Without it, such an exception ends the
+  // process. Must be called on the reactor's thread.
+  void OnException(std::function<void(const std::string&)> report) {
+    report_exception_ = std::move(report);
+  }
+
   // Watch(), ModifyWatch(), Unwatch() and RunAt() must be called on the reactor's thread.
   WatchId Watch(const Socket& socket, std::uint32_t events, Handler handler);
   void ModifyWatch(WatchId id, const Socket& socket, std::uint32_t events);
@@ -57,6 +71,9 @@
   Reactor(Socket epoll, Socket wakeup);
 
   void Run();
+  // Runs a handler, and then the callbacks that it has queued.
+  void Call(const Task& handler);
+  void CallGuarded(const Task& task);
   int WaitMilliseconds();
   void RunPosted();
   void RunDueTimers();
@@ -71,6 +88,8 @@
   std::unordered_map<WatchId, std::shared_ptr<const Handler>> handlers_;
   std::multimap<Timestamp, Task> timers_;
   WatchId last_id_ = 0;
+  const std::shared_ptr<CallbackQueue> callbacks_ = std::make_shared<CallbackQueue>();
+  std::function<void(const std::string&)> report_exception_;
 
   std::mutex mutex_;  // Guards posted_ and stopping_.
   std::vector<Task> posted_;
--- a/tests/sidecar/http/holding_server.h
+++ b/tests/sidecar/http/holding_server.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <mutex>
+#include <stdexcept>
 #include <string>
 #include <thread>
 #include <vector>
@@ -56,6 +57,9 @@
 
     void onRequest (const ExchangePointer& exchange)
     {
+        if (exchange->head.target == "/throw")
+            throw std::runtime_error ("thrown by the handler");
+
         const std::lock_guard lock (mutex);
         exchange->onDisconnect = [this, target = exchange->head.target]
         {
--- a/tests/sidecar/http/pipelining_test.cc
+++ b/tests/sidecar/http/pipelining_test.cc
@@ -394,5 +394,19 @@
     }
 }
 
+/** Guards against a handler's exception that costs more than the request. */
+TEST_F (Pipelining, AnExceptionInAHandlerLeavesOtherConnectionsAlone)
+{
+    reactor->RunAndWait ([&] { reactor->OnException ([] (const std::string&) {}); });
+    auto other = RawSocket::Connect (address);
+    other.Send (request ("/other"));
+    ASSERT_TRUE (awaitReceived (1));
+    auto failing = RawSocket::Connect (address);
+    failing.Send (request ("/throw"));
+    EXPECT_TRUE (failing.AwaitClosed());
+    answer (0);
+    EXPECT_EQ (other.Read().body, "/other");
+}
+
 } // namespace
 } // namespace copperlead::sidecar
--- a/tests/transport/reactor_test.cc
+++ b/tests/transport/reactor_test.cc
@@ -4,8 +4,12 @@
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
 
+#include <algorithm>
 #include <atomic>
+#include <stdexcept>
+#include <string>
 #include <thread>
+#include <vector>
 
 namespace copperlead {
 namespace {
@@ -45,5 +49,53 @@
   EXPECT_EQ(owned.use_count(), 1);
 }
 
+TEST(ReactorTest, CallbacksRunBetweenTwoHandlersAndBeforeTheNextWait) {
+  const auto started = Resolve([] { return Reactor::Start(); });
+  ASSERT_TRUE(started);
+  Reactor& reactor = *started.value();
+  std::vector<int> order;
+  reactor.RunAndWait([&] {
+    reactor.callbacks()->Add([&] {
+      order.push_back(2);
+      reactor.callbacks()->Add([&] { order.push_back(3); });
+    });
+    reactor.Post([&] { order.push_back(4); });
+    order.push_back(1);
+  });
+  reactor.RunAndWait([] {});
+  EXPECT_EQ(order, (std::vector<int>{1, 2, 3, 4}));
+  reactor.Stop();
+}
+
+// Guards against a process that ends since one handler, task, timer or callback has thrown.
+TEST(ReactorTest, AnExceptionIsReportedAndEndsNothingElse) {
+  const auto started = Resolve([] { return Reactor::Start(); });
+  ASSERT_TRUE(started);
+  Reactor& reactor = *started.value();
+  std::vector<std::string> reported;
+  std::atomic<int> ran{0};
+  const auto fail = [](const char* where) { throw std::runtime_error(where); };
+  const Socket socket(eventfd(1, EFD_CLOEXEC | EFD_NONBLOCK));
+  reactor.RunAndWait([&] {
+    reactor.OnException([&](const std::string& cause) { reported.push_back(cause); });
+    reactor.callbacks()->Add([&] { fail("callback"); });
+    reactor.callbacks()->Add([&] { ++ran; });
+    reactor.RunAt(SteadyClock().Now(), [&] { fail("timer"); });
+    reactor.RunAt(SteadyClock().Now(), [&] { ++ran; });
+    reactor.Watch(socket, EPOLLIN | EPOLLONESHOT, [&](std::uint32_t) { fail("handler"); });
+  });
+  reactor.Post([&] { fail("task"); });
+  while (true) {
+    std::size_t count = 0;
+    reactor.RunAndWait([&] { count = reported.size(); });
+    if (count >= 4) break;
+    std::this_thread::sleep_for(Milliseconds(1));
+  }
+  EXPECT_EQ(ran, 2);
+  std::sort(reported.begin(), reported.end());
+  EXPECT_EQ(reported, (std::vector<std::string>{"callback", "handler", "task", "timer"}));
+  reactor.Stop();
+}
+
 }  // namespace
 }  // namespace copperlead
