Pass texts of any bytes on between two nodes

Cause: the header between nodes replaced what would end a value; only the tenant's name was escaped. Evidence: requests that stay on their machine kept their ids. The same held for the names of services, instances and routes: a service with a blank would have been refused as another one.

Now such a text follows once more, escaped, in a pair of its own, which is read first. Nodes of earlier releases read what they read before; ids with '%' stay unchanged there.

--- a/src/mesh/hop_header.cc
+++ b/src/mesh/hop_header.cc
@@ -1,5 +1,6 @@
 #include "mesh/hop_header.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <cmath>
@@ -10,10 +11,29 @@
 namespace
 {
 
-/** Appends pairs. Characters that would end a value are replaced by '_'. */
+/** Returns whether a character can stand in a value: it ends neither this nor the header field. */
+bool isPlain (char c) { return c > ' ' && c < '\x7f' && c != ';'; }
+
+/** Name of the pair that holds a value with escaped characters. */
+std::string escapedNameOf (std::string_view name) { return std::string (name) + "*"; }
+
+/** Appends pairs. */
 class Writer
 {
 public:
+    /** Adds a value that may hold any text. If it has characters that can't stand in a value, they
+        are replaced by '_', and the exact value follows in a pair of its own; nodes of earlier
+        releases read the first one only.
+    */
+    void addText (std::string_view name, std::string_view value)
+    {
+        add (name, value);
+
+        if (! std::all_of (value.begin(), value.end(), isPlain))
+            addEscaped (escapedNameOf (name), value);
+    }
+
+    /** Characters that can't stand in a value are replaced by '_'. */
     void add (std::string_view name, std::string_view value)
     {
         if (! text.empty())
@@ -22,7 +42,7 @@
         text.append (name).append (1, '=');
 
         for (const char c : value)
-            text += c > ' ' && c < '\x7f' && c != ';' ? c : '_';
+            text += isPlain (c) ? c : '_';
     }
 
     /** Adds a value that may hold any text. Characters that would end the value or the header field
@@ -37,7 +57,7 @@
         {
             const auto byte = static_cast<unsigned char> (c);
 
-            if (c > ' ' && c < '\x7f' && c != ';' && c != '%')
+            if (isPlain (c) && c != '%')
                 escaped += c;
             else
                 escaped.append (1, '%').append (1, digits[byte >> 4]).append (1, digits[byte & 15]);
@@ -102,6 +122,13 @@
 public:
     explicit Reader (std::string_view text) { valid = splitPairs (text, pairs); }
 
+    /** Returns a text that was written by Writer::addText. */
+    std::string exactText (std::string_view name)
+    {
+        const auto escaped = unescaped (escapedNameOf (name));
+        return escaped.empty() ? text (name) : escaped;
+    }
+
     std::string text (std::string_view name) const
     {
         for (const auto& pair : pairs)
@@ -172,11 +199,11 @@
 std::string encode (const HopRequest& request)
 {
     Writer writer;
-    writer.add ("id", request.requestId);
-    writer.add ("service", request.service);
-    writer.add ("caller", request.callerService);
-    writer.add ("instance", request.instanceId);
-    writer.add ("route", request.route);
+    writer.addText ("id", request.requestId);
+    writer.addText ("service", request.service);
+    writer.addText ("caller", request.callerService);
+    writer.addText ("instance", request.instanceId);
+    writer.addText ("route", request.route);
     writer.add ("left", request.timeLeft.count());
     writer.add ("target", request.targetLeft.count());
     writer.add ("priority", request.priority);
@@ -198,7 +225,7 @@
     Writer writer;
     writer.add ("outcome", static_cast<std::int64_t> (report.outcome));
     writer.add ("cause", static_cast<std::int64_t> (report.cause));
-    writer.add ("instance", report.instanceId);
+    writer.addText ("instance", report.instanceId);
     writer.addMilliseconds ("load", report.load);
     writer.addMilliseconds ("run", report.runMs);
     writer.addMilliseconds ("took", report.tookMs);
@@ -222,11 +249,11 @@
 {
     Reader reader (text);
     HopRequest request;
-    request.requestId = reader.text ("id");
-    request.service = reader.text ("service");
-    request.callerService = reader.text ("caller");
-    request.instanceId = reader.text ("instance");
-    request.route = reader.text ("route");
+    request.requestId = reader.exactText ("id");
+    request.service = reader.exactText ("service");
+    request.callerService = reader.exactText ("caller");
+    request.instanceId = reader.exactText ("instance");
+    request.route = reader.exactText ("route");
     request.timeLeft = Milliseconds (reader.integer ("left"));
     request.targetLeft = Milliseconds (reader.integer ("target"));
     request.priority = static_cast<int> (reader.integer ("priority"));
@@ -248,7 +275,7 @@
     HopReport report;
     const auto outcome = reader.integer ("outcome");
     const auto cause = reader.integer ("cause");
-    report.instanceId = reader.text ("instance");
+    report.instanceId = reader.exactText ("instance");
     report.load = static_cast<double> (reader.integer ("load"));
     report.runMs = static_cast<double> (reader.integer ("run"));
     report.tookMs = static_cast<double> (reader.integer ("took"));
--- a/src/mesh/hop_header.h
+++ b/src/mesh/hop_header.h
@@ -1,5 +1,6 @@
 /** The header field in which two nodes exchange data about a request: one in the request, one in
-    the answer. It holds `name=value` pairs joined by ';'. The reader ignores unknown names.
+    the answer. It holds `name=value` pairs joined by ';'. The reader ignores unknown names. Texts
+   of any bytes come out as they went in.
 */
 #pragma once
 
--- a/src/sidecar/sidecar_servers.cc
+++ b/src/sidecar/sidecar_servers.cc
@@ -13,7 +13,7 @@
 namespace
 {
 
-constexpr std::size_t hopHeadBytes = 65536;
+constexpr std::size_t hopHeadBytes = 98304; // A client's head, and its id once more, escaped.
 constexpr Milliseconds hopIdleTime{ 60'000 };
 
 // The metrics page lists this many tenants and sums up the others.
--- a/tests/mesh/hop_header_test.cc
+++ b/tests/mesh/hop_header_test.cc
@@ -2,6 +2,10 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <string>
+#include <vector>
+
 namespace copperlead::mesh::test
 {
 namespace
@@ -54,6 +58,58 @@
     EXPECT_EQ (decodeHopRequest (text)->priority, 5);
 }
 
+// Guards against ids and names that another node gets with other signs than were sent.
+TEST (HopHeader, TextsOfAnyBytesComeOutAsTheyWentIn)
+{
+    std::vector<std::string> texts{ "Root=1-67891233-abcdef012345678912345678;Sampled=1",
+                                    "order 4711 try 7",
+                                    "50%",
+                                    "%41",
+                                    "a%3Bb",
+                                    "*",
+                                    "id*=x" };
+
+    for (int byte = 1; byte < 256; ++byte)
+        texts.push_back ("a" + std::string (1, static_cast<char> (byte)) + "z");
+
+    for (const auto& text : texts)
+    {
+        HopRequest request;
+        HopReport report;
+
+        for (auto* field :
+             { &request.requestId, &request.service, &request.callerService, &request.instanceId,
+               &request.route, &request.tenant, &report.instanceId })
+            *field = text;
+
+        const auto encoded = encode (request) + encode (report);
+        EXPECT_TRUE (std::all_of (encoded.begin(), encoded.end(),
+                                  [] (char c) { return c > ' ' && c < '\x7f'; }));
+        const auto read = decodeHopRequest (encode (request));
+        const auto readReport = decodeHopReport (encode (report));
+        ASSERT_TRUE (read && readReport) << text;
+        EXPECT_EQ (read->requestId, text);
+        EXPECT_EQ (read->service, text);
+        EXPECT_EQ (read->callerService, text);
+        EXPECT_EQ (read->instanceId, text);
+        EXPECT_EQ (read->route, text);
+        EXPECT_EQ (read->tenant, text);
+        EXPECT_EQ (readReport->instanceId, text);
+    }
+}
+
+// Guards against a release during which nodes of the earlier one get ids that they read before.
+TEST (HopHeader, NodesOfEarlierReleasesReadWhatTheyReadBefore)
+{
+    HopRequest request;
+    request.service = "desk";
+    request.requestId = "50%=a*b_c";
+    EXPECT_TRUE (encode (request).starts_with ("id=50%=a*b_c;service=desk;"));
+    request.requestId = "a;b c";
+    EXPECT_TRUE (encode (request).starts_with ("id=a_b_c;id*=a%3Bb%20c;service=desk;"));
+    EXPECT_EQ (decodeHopRequest ("id=a_b;service=desk")->requestId, "a_b");
+}
+
 TEST (HopHeader, TenantsOfAnyNameRoundTrip)
 {
     HopRequest request;
--- a/tests/mesh_integration/two_hops_test.cc
+++ b/tests/mesh_integration/two_hops_test.cc
@@ -69,6 +69,25 @@
   }
 }
 
+// Guards against ids that reach another machine's instance with other signs than the client sent.
+TEST_F(TwoHops, IdsOfAllLegalSignsReachInstancesUnchanged) {
+  std::vector<std::string> ids = {"Root=1-67891233;Sampled=1", "order 4711 try 7", "a\tb", "50%25"};
+  for (int byte = 0x21; byte < 256; ++byte) {
+    if (byte != 0x7f) ids.push_back("a" + std::string(1, static_cast<char>(byte)) + "z");
+  }
+  for (const std::string& id : ids) {
+    for (const MeshMachine* machine : {&hub(), &desk(0)}) {
+      RawSocket socket = RawSocket::Connect(fleet_.outbound(*machine));
+      socket.Send("GET /look/1 HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: " + id +
+                  "\r\nX-Deadline-Ms: 2000\r\n\r\n");
+      const RawMessage answer = socket.Read();
+      EXPECT_EQ(answer.status(), 200) << id;
+      EXPECT_EQ(answer.Header("x-request-id"), id);
+    }
+    EXPECT_EQ(fleet_.RunsOf(id), 2) << id;
+  }
+}
+
 TEST_F(TwoHops, BodiesArriveWhole) {
   MeshRequest request;
   request.method = "POST";
