Soak: large bodies, pipelining clients that leave, slow instances, ids of all signs, a watch over memory

A new kind of play draws them: bodies and answers of 100 bytes to 12 MB with a length and in chunks, some sent slowly or broken off; clients that send six requests at once and leave at their deadline beside instances that slow down; ids of all signs that a header field may hold. In every kind of play a stand-in of the platform's watch ends a sidecar above 160 MB. Checked besides: each upload arrives whole, runs once at most and never after a refusal; each answer is the instance's whole body or doesn't look complete.

--- a/tests/mesh_integration/evidence.cc
+++ b/tests/mesh_integration/evidence.cc
@@ -56,7 +56,9 @@
 }
 
 void EvidenceFolder::Record(const std::string& name, const nlohmann::json& line) {
-  const std::string text = line.dump() + "\n";
+  // An id may hold bytes that are no UTF-8.
+  const std::string text =
+      line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
   const std::lock_guard lock(mutex_);
   auto& file = files_[name];
   if (!file.is_open()) file.open(PathOf(name + ".jsonl"), std::ios::app);
--- a/tests/mesh_integration/large_body_test.cc
+++ b/tests/mesh_integration/large_body_test.cc
@@ -19,7 +19,7 @@
 constexpr std::size_t kLargeBytes = 60 << 20;
 constexpr std::size_t kPieceBytes = 256 << 10;
 // Ample for what the test's machine and the link of 1,000 Mbps carry.
-constexpr char kTimeoutMs[] = "15000";
+constexpr int kTimeoutMs = 15'000;
 constexpr auto kSlowPause = std::chrono::milliseconds(5);
 
 enum class Framing { kLength, kChunked };
@@ -32,13 +32,10 @@
     limit_ = static_cast<std::size_t>(memory_mb == 0 ? 160 : memory_mb) * kMegabyte;
     fleet_.Add("desk");
     fleet_.Add("hub");
-    const std::string limits = "\"max_body_bytes\":";
-    std::string text =
-        Configuration(4, LargeRoute("up", "upload", "desk") + LargeRoute("up", "upload", "hub") +
-                             LargeRoute("down", "download", "desk"));
-    text.replace(text.find(limits + "100000"), limits.size() + 6,
-                 limits + std::to_string(kMaxBodyBytes));
-    fleet_.store().Put("op/config", text);
+    fleet_.AllowBodies(kMaxBodyBytes);
+    fleet_.Configure(4, RouteOfKind("up", "/up-desk/", "upload", kTimeoutMs, "desk") +
+                            RouteOfKind("back", "/up-hub/", "upload", kTimeoutMs, "hub") +
+                            RouteOfKind("down", "/down-desk/", "download", kTimeoutMs, "desk"));
     std::vector<std::string> flags;
     if (memory_mb != 0) flags = {"--memory-mb", std::to_string(memory_mb)};
     for (auto& machine : fleet_.machines()) fleet_.Start(*machine, flags);
@@ -52,21 +49,13 @@
     });
   }
 
-  static std::string LargeRoute(const std::string& name, const std::string& kind,
-                                const std::string& service) {
-    const std::string path = name + "-" + service;
-    return ",\"" + path + R"(":{"host":"shop.example","path_prefix":"/)" + path + R"(/","kind":")" +
-           kind + R"(","timeout_ms":)" + kTimeoutMs + R"(,"target_latency_ms":)" + kTimeoutMs +
-           R"(,"priority":1,"service":")" + service + R"(","max_attempts":2})";
-  }
-
   MeshMachine& desk() { return *fleet_.machines()[0]; }
   MeshMachine& hub() { return *fleet_.machines()[1]; }
 
   static std::string Head(const std::string& method, const std::string& path, const std::string& id,
                           const std::string& framing) {
     return method + " " + path + " HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: " + id +
-           "\r\nX-Deadline-Ms: " + kTimeoutMs + "\r\n" + framing + "\r\n";
+           "\r\nX-Deadline-Ms: " + std::to_string(kTimeoutMs) + "\r\n" + framing + "\r\n";
   }
 
   // @param pause  before each piece
--- a/tests/mesh_integration/memory_watch.cc
+++ b/tests/mesh_integration/memory_watch.cc
@@ -25,6 +25,14 @@
   return resident_pages * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
 }
 
+// Whether a child has begun its own program. Until then it has its parent's memory.
+bool RunsOwnProgram(pid_t pid) {
+  std::error_code ignored;
+  const auto program =
+      std::filesystem::read_symlink("/proc/" + std::to_string(pid) + "/exe", ignored);
+  return !program.empty() && program != std::filesystem::read_symlink("/proc/self/exe", ignored);
+}
+
 // The inodes of a process's sockets.
 std::set<std::string> SocketInodes(pid_t pid) {
   std::set<std::string> inodes;
@@ -91,6 +99,7 @@
   const auto processes = processes_();
   if (looks_++ % kLooksBetweenCounts == 0) CountUnread(processes);
   for (const WatchedProcess& process : processes) {
+    if (!RunsOwnProgram(process.pid)) continue;
     const auto counted = unread_.find(process.pid);
     const std::size_t used =
         ResidentBytes(process.pid) + (counted == unread_.end() ? 0 : counted->second);
--- a/tests/mesh_integration/mesh_fleet.cc
+++ b/tests/mesh_integration/mesh_fleet.cc
@@ -73,6 +73,11 @@
   return text;
 }
 
+std::string RouteOfKind(const std::string& name, const std::string& prefix, const std::string& kind,
+                        int timeout_ms, const std::string& service) {
+  return "," + RouteText(name, prefix, kind, timeout_ms, service);
+}
+
 std::string TenantText(const std::string& name, const std::string& key, int per_second, int burst) {
   return "\"" + name + R"(":{"api_keys":[")" + key + R"("],"rate_per_s":)" +
          std::to_string(per_second) + R"(,"burst":)" + std::to_string(burst) + "}";
@@ -100,7 +105,7 @@
 }
 
 std::string Configuration(std::uint64_t version, const std::string& extra_routes,
-                          const std::string& tenants) {
+                          const std::string& tenants, std::size_t max_body_bytes) {
   return R"({"version":"r)" + std::to_string(version) + R"(","routes":{)" +
          RouteText("look", "/look/", "idempotent", 2000, "desk") + "," +
          RouteText("buy", "/buy/", "non_idempotent", 2000, "desk") + "," +
@@ -109,8 +114,8 @@
          (tenants.empty() ? "" : R"("tenants":{)" + tenants + "},") +
          R"("services":{"desk":{"health_path":"/health","max_connections":130},)"
          R"("hub":{"health_path":"/health","max_connections":130}},)"
-         R"("limits":{"max_header_bytes":4096,"max_body_bytes":100000,"header_timeout_ms":500,)"
-         R"("idle_timeout_ms":5000}})";
+         R"("limits":{"max_header_bytes":4096,"max_body_bytes":)" +
+         std::to_string(max_body_bytes) + R"(,"header_timeout_ms":500,"idle_timeout_ms":5000}})";
 }
 
 MeshFleet::MeshFleet()
@@ -189,7 +194,7 @@
 
 void MeshFleet::Configure(std::uint64_t version, const std::string& extra_routes,
                           const std::string& tenants) {
-  store_.Put("op/config", Configuration(version, extra_routes, tenants));
+  store_.Put("op/config", Configuration(version, extra_routes, tenants, max_body_bytes_));
 }
 
 void MeshFleet::Start(MeshMachine& machine, const std::vector<std::string>& flags) {
--- a/tests/mesh_integration/mesh_fleet.h
+++ b/tests/mesh_integration/mesh_fleet.h
@@ -45,6 +45,9 @@
   HttpHeaders more;
 };
 
+// The limit on bodies in the configurations of tests.
+inline constexpr std::size_t kUsualBodyBytes = 100'000;
+
 class MeshFleet {
  public:
   MeshFleet();
@@ -77,6 +80,9 @@
   void Configure(std::uint64_t version, const std::string& extra_routes = "",
                  const std::string& tenants = "");
 
+  // Bodies of clients may have so many bytes in configurations that are written from now on.
+  void AllowBodies(std::size_t bytes) { max_body_bytes_ = bytes; }
+
   HttpAnswer Call(const MeshMachine& machine, const MeshRequest& request) const;
   HttpAnswer Ready(const MeshMachine& machine) const;
   SocketAddress outbound(const MeshMachine& machine) const { return {machine.ip, outbound_port_}; }
@@ -102,6 +108,7 @@
   std::uint16_t relay_port_ = 0;
   std::uint16_t metrics_port_ = 0;
   std::uint16_t query_port_ = 0;
+  std::size_t max_body_bytes_ = kUsualBodyBytes;
   bool relay_ = false;
   bool store_proxies_ = false;
   bool instance_proxies_ = false;
@@ -116,7 +123,12 @@
 // (idempotent, hub), then `extra_routes` (members of the table, each with a comma before it), and
 // the `tenants` (members of their table; none when empty).
 std::string Configuration(std::uint64_t version, const std::string& extra_routes = "",
-                          const std::string& tenants = "");
+                          const std::string& tenants = "",
+                          std::size_t max_body_bytes = kUsualBodyBytes);
+
+// One route to `service`, for `extra_routes`.
+std::string RouteOfKind(const std::string& name, const std::string& prefix, const std::string& kind,
+                        int timeout_ms, const std::string& service);
 
 // One idempotent route to `service`, for `extra_routes`.
 std::string ExtraRoute(const std::string& name, const std::string& prefix,
--- a/tests/mesh_integration/mesh_soak_test.cc
+++ b/tests/mesh_integration/mesh_soak_test.cc
@@ -6,7 +6,8 @@
 // COPPERLEAD_SOAK_RESTORES adds store restores to the wide seeds of
 // PromisesHoldUnderFaultsFromOutside, COPPERLEAD_SOAK_STATEMENTS instances that state limits and
 // that they leave, COPPERLEAD_SOAK_LEAVINGS (alone) instances whose entries go after a short
-// trouble.
+// trouble, COPPERLEAD_SOAK_MESSAGES (alone) large bodies both ways, clients that pipeline and leave
+// at their deadline, slow instances and ids of all legal signs.
 #include <gtest/gtest.h>
 
 #include <cstdlib>
@@ -26,6 +27,7 @@
 SoakKind WideKind() {
   const bool restores = std::getenv("COPPERLEAD_SOAK_RESTORES") != nullptr;
   const bool statements = std::getenv("COPPERLEAD_SOAK_STATEMENTS") != nullptr;
+  if (std::getenv("COPPERLEAD_SOAK_MESSAGES") != nullptr) return SoakKind::kWideWithMessages;
   if (std::getenv("COPPERLEAD_SOAK_LEAVINGS") != nullptr) return SoakKind::kWideWithLeavings;
   if (statements) {
     return restores ? SoakKind::kWideWithStatementsAndRestores : SoakKind::kWideWithStatements;
@@ -80,6 +82,12 @@
   for (const std::uint64_t seed : {9001, 9002}) PlaySeed(seed, SoakKind::kWideWithLeavings);
 }
 
+// Guards against processes that end by their memory or by an exception while large bodies pass and
+// pipelining clients leave.
+TEST(MeshSoak, PromisesHoldWhileLargeBodiesPassAndClientsLeave) {
+  for (const std::uint64_t seed : {9501, 9502}) PlaySeed(seed, SoakKind::kWideWithMessages);
+}
+
 // Guards against exceeding a tenant's limit (176 requests ran where 157 are allowed) when its quota
 // keeper changes and the next one grants from a bucket that has refilled.
 TEST(MeshSoak, ALimitHoldsWhileTheStoreIsRestored) { PlaySeed(7002, SoakKind::kWideWithRestores); }
--- a/tests/mesh_integration/soak.cc
+++ b/tests/mesh_integration/soak.cc
@@ -16,7 +16,10 @@
 
 constexpr int kClients = 6;
 constexpr int kHotClients = 2;
+constexpr int kMessageClients = 2;  // Of each kind.
 constexpr auto kHealTime = std::chrono::seconds(6);
+constexpr std::size_t kMemoryBytes = 160'000'000;  // Of each machine, as sidecars take it.
+constexpr std::size_t kMaxBodyBytes = 64 << 20;
 
 }  // namespace
 
@@ -27,6 +30,7 @@
   } else {
     fleet_.UseStoreProxies();
   }
+  if (with_messages_) fleet_.AllowBodies(kMaxBodyBytes);
   Configure();
   for (std::size_t added = 0; added < machines_; added += 6) {
     for (const char* zone : {"ank-a", "ank-b"}) {
@@ -37,6 +41,7 @@
   lives_ = std::vector<std::atomic<int>>(fleet_.machines().size());
   ASSERT_TRUE(fleet_.StartAll());
   health_.Begin();
+  MemoryWatch watch([this] { return RunningSidecars(); });
 
   std::vector<std::thread> clients;
   clients.emplace_back([this] { WatchHealth(); });
@@ -51,6 +56,14 @@
     clients.emplace_back([this] { RunKeptClient(); });
     clients.emplace_back([this] { KeepListed(); });
   }
+  if (with_messages_) {
+    for (int client = 0; client < kMessageClients; ++client) {
+      clients.emplace_back([this, client] { RunUploader(client); });
+      clients.emplace_back([this, client] { RunDownloader(client); });
+      clients.emplace_back([this, client] { RunPipeliner(client); });
+    }
+    clients.emplace_back([this] { SlowInstancesDown(); });
+  }
   const auto until = std::chrono::steady_clock::now() + duration;
   while (std::chrono::steady_clock::now() < until) {
     InjectFault();
@@ -64,9 +77,22 @@
   seen_.CheckRuns(fleet_);
   seen_.CheckTenants(fleet_);
   seen_.CheckCrashes(fleet_);
+  seen_.CheckUploads(fleet_);
+  seen_.CheckMemory(watch.Peak(), watch.kills());
   CheckStatements();
 }
 
+std::vector<WatchedProcess> Soak::RunningSidecars() {
+  const std::lock_guard lock(processes_);
+  std::vector<WatchedProcess> running;
+  for (const auto& machine : fleet_.machines()) {
+    if (machine->sidecar != nullptr && machine->sidecar->pid() > 0) {
+      running.push_back({machine->ip, machine->sidecar->pid(), kMemoryBytes});
+    }
+  }
+  return running;
+}
+
 void Soak::CheckStatements() {
   for (const std::string& broken : statements_.BrokenLimits(fleet_)) seen_.Violate(broken);
   for (const std::string& late : statements_.LateToLeaving(fleet_)) {
@@ -75,7 +101,7 @@
 }
 
 std::string Soak::NewRoutes() const {
-  std::string routes;
+  std::string routes = with_messages_ ? LargeMessageRoutes() : "";
   for (std::uint64_t version = 5; version <= version_; ++version) {
     const std::string name = "v" + std::to_string(version);
     routes += ExtraRoute(name, "/" + name + "/", "hub");
--- a/tests/mesh_integration/soak.h
+++ b/tests/mesh_integration/soak.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "tests/mesh_integration/memory_watch.h"
 #include "tests/mesh_integration/mesh_fleet.h"
 #include "tests/mesh_integration/soak_health.h"
 #include "tests/mesh_integration/soak_observations.h"
@@ -25,9 +26,17 @@
   kWideWithRestores,    // As kWide, and the store is restored from backups.
   kWideWithStatements,  // As kWide, and instances state limits and that they leave.
   kWideWithStatementsAndRestores,
-  kWideWithLeavings  // As kWide, and entries of instances go after a short trouble with the store.
+  kWideWithMessages,  // As kWide, and large bodies both ways, clients that pipeline and leave at
+                      // their deadline, slow instances, and ids of all legal signs.
+  kWideWithLeavings   // As kWide, and entries of instances go after a short trouble with the store.
 };
 
+// An id with any signs that a header field may hold.
+std::string IdOfAllSigns(const std::string& name, std::mt19937_64& random);
+
+// Routes for large bodies in both directions.
+std::string LargeMessageRoutes();
+
 // One play of the soak.
 class Soak {
  public:
@@ -40,6 +49,7 @@
                        kind == SoakKind::kWideWithStatementsAndRestores),
         with_statements_(kind == SoakKind::kWideWithStatements ||
                          kind == SoakKind::kWideWithStatementsAndRestores),
+        with_messages_(kind == SoakKind::kWideWithMessages),
         with_leavings_(kind == SoakKind::kWideWithLeavings) {}
 
   void Play(std::chrono::seconds duration);
@@ -67,6 +77,16 @@
   // Uses its connection until that ends, through every stop of the node, then opens the next.
   void RunKeptClient();
 
+  void RunUploader(int client);
+  void RunDownloader(int client);
+
+  // Sends several requests at once and leaves at their deadline.
+  void RunPipeliner(int client);
+  void SlowInstancesDown();
+
+  // The sidecars that run, for the watch over their memory.
+  std::vector<WatchedProcess> RunningSidecars();
+
   // Lists instances that have started again after a crash, under their id or another.
   void KeepListed();
 
@@ -118,7 +138,9 @@
   bool behind_proxies_;
   bool with_restores_;
   bool with_statements_;
+  bool with_messages_;
   bool with_leavings_;
+  std::mutex processes_;  // Guards the machines' sidecar processes.
   std::mutex listing_;  // Guards the machines' instance ids, which crashes change, and former ids.
   std::set<std::string> former_instance_ids_;
   MeshFleet fleet_;
--- a/tests/mesh_integration/soak_faults.cc
+++ b/tests/mesh_integration/soak_faults.cc
@@ -348,6 +348,7 @@
   if (signal == SIGTERM && code != 0) seen_.Violate("a stop ended with another code than 0");
   ++lives_[index];
   std::this_thread::sleep_for(milliseconds(Pick(0, 400)));
+  const std::lock_guard lock(processes_);
   fleet_.Start(machine);
   statements_.Excuse(machine);
   health_.EndFault(index);
--- a/tests/mesh_integration/soak_observations.h
+++ b/tests/mesh_integration/soak_observations.h
@@ -102,6 +102,60 @@
   }
 
   void Violate(const std::string& what) { violations_.insert(what); }
+  void ViolateLocked(const std::string& what) {
+    const std::lock_guard lock(mutex_);
+    Violate(what);
+  }
+
+  // @param status  0 when the client broke off or got no answer
+  void Uploaded(const std::string& id, std::size_t bytes, std::size_t hash, int status,
+                const RawMessage& answer) {
+    const std::lock_guard lock(mutex_);
+    Count(status, answer.body);
+    uploads_[id] = {bytes, hash, answer.complete ? status : 0};
+    if (status == 200 && answer.body != "answer to " + id) {
+      Violate(id + " got \"" + answer.body.substr(0, 100) + "\"");
+    }
+  }
+
+  void Downloaded(const std::string& id, std::size_t bytes, const RawMessage& answer) {
+    const std::lock_guard lock(mutex_);
+    Count(answer.status(), answer.status() == 200 ? "" : answer.body);
+    ++downloads_[answer.status()];
+    if (answer.status() == 200 && answer.body != LargeAnswerBody(id, bytes)) {
+      Violate(id + " got another body of " + std::to_string(answer.body.size()) + " bytes");
+    }
+  }
+
+  // What instances saw of uploads: each whole, once at most, and never one that was refused.
+  void CheckUploads(const MeshFleet& fleet) {
+    const std::lock_guard lock(mutex_);
+    std::map<std::string, int> ran;
+    for (const auto& machine : fleet.machines()) {
+      for (const auto& run : machine->instance->runs()) {
+        const auto sent = uploads_.find(run.request_id);
+        if (run.target != "/up/1") continue;
+        if (sent == uploads_.end()) {
+          Violate(run.request_id + " was sent by no client");
+        } else if (run.body_bytes != sent->second.bytes || run.body_hash != sent->second.hash) {
+          Violate(run.request_id + " came with another body");
+        }
+        if (run.ran) ++ran[run.request_id];
+      }
+    }
+    for (const auto& [id, sent] : uploads_) {
+      if (ran[id] > 1) Violate(id + " ran " + std::to_string(ran[id]) + " times");
+      if (ran[id] > 0 && sent.status == 503) Violate(id + " ran and was refused");
+      if (ran[id] == 0 && sent.status == 200) Violate(id + " was served and never ran");
+      if (sent.status == 200) ++uploads_served_;
+    }
+  }
+
+  void CheckMemory(std::size_t peak, int kills) {
+    const std::lock_guard lock(mutex_);
+    peak_memory_ = peak;
+    if (kills > 0) Violate(std::to_string(kills) + " processes were killed for their memory");
+  }
 
   // A request was answered while nothing was at fault that could keep it from an instance: a
   // refusal is a violation.
@@ -139,6 +193,14 @@
             std::to_string(ToUnixMilliseconds(busiest_.begin)) +
             " on  refused though all was well: " + std::to_string(unexplained_refusals_) + " of " +
             std::to_string(answers_in_health_);
+    text += "  peak memory: " + std::to_string(peak_memory_ / 1'000'000) + " MB";
+    if (!uploads_.empty()) {
+      text += "  uploads served: " + std::to_string(uploads_served_) + " of " +
+              std::to_string(uploads_.size()) + "  downloads:";
+      for (const auto& [status, count] : downloads_) {
+        text += " " + std::to_string(status) + "x" + std::to_string(count);
+      }
+    }
     if (drains_checked_ > 0) text += "  drains checked: " + std::to_string(drains_checked_);
     for (const std::string& violation : violations_) text += "\n" + violation;
     return text;
@@ -167,8 +229,17 @@
   }
 
   std::mutex mutex_;
-  std::map<int, int> by_status_;          // Guarded by mutex_, as all below.
-  std::map<std::string, int> refusals_;   // Answers 503, by cause.
+  std::map<int, int> by_status_;         // Guarded by mutex_, as all below.
+  std::map<std::string, int> refusals_;  // Answers 503, by cause.
+  struct Upload {
+    std::size_t bytes = 0;
+    std::size_t hash = 0;
+    int status = 0;  // 0 for no whole answer.
+  };
+  std::map<std::string, Upload> uploads_;
+  std::map<int, int> downloads_;  // Whole answers by status.
+  int uploads_served_ = 0;
+  std::size_t peak_memory_ = 0;
   std::map<std::string, int> purchases_;  // Status of each; 0 for no whole answer.
   std::map<std::pair<std::size_t, int>, std::uint64_t> served_version_;
   std::set<std::string> violations_;
--- a/tests/proxy/raw_socket.cc
+++ b/tests/proxy/raw_socket.cc
@@ -90,6 +90,14 @@
   return true;
 }
 
+bool RawSocket::AwaitReadable(std::chrono::steady_clock::time_point until) const {
+  if (!buffer_.empty()) return true;
+  const auto left =
+      std::chrono::ceil<std::chrono::milliseconds>(until - std::chrono::steady_clock::now());
+  pollfd descriptor{fd_, POLLIN, 0};
+  return fd_ >= 0 && left.count() > 0 && poll(&descriptor, 1, static_cast<int>(left.count())) > 0;
+}
+
 RawMessage RawSocket::Read(bool answers_head) {
   RawMessage message;
   std::size_t end = 0;
--- a/tests/proxy/raw_socket.h
+++ b/tests/proxy/raw_socket.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <list>
@@ -45,6 +46,8 @@
   bool Send(std::string_view bytes) const;
   // Reads one message. Expects no body in a response to HEAD or with a status that allows none.
   RawMessage Read(bool answers_head = false);
+  // @return true when there are bytes to read, or the end, before `until`.
+  bool AwaitReadable(std::chrono::steady_clock::time_point until) const;
   // Reads until the peer closes or at least `limit` bytes have been received.
   std::string ReadToEnd(std::size_t limit = SIZE_MAX);
   // @return true when the peer closes the connection, orderly or by a reset, within the waiting
