Send the first part of a chunked response without copying it

A response of unknown length above 640 KiB had its first part copied into the text of its chunk, beyond what is reserved for it. The chunk's head, the part and its line break are now written one after the other. Accepted connections inherit the size of the receive buffer, which saves a call for each; the Retry-After for lack of memory has a name.

--- a/src/sidecar/http/http_server.cc
+++ b/src/sidecar/http/http_server.cc
@@ -60,6 +60,7 @@
 Result<Done> HttpServer::listen (const SocketAddress& address)
 {
     BOOST_LEAF_ASSIGN (listener, listenOn (address));
+    setReceiveBuffer (listener, mesh::socketBufferBytes); // Accepted connections inherit it.
     bound = LocalAddress (listener);
     watch = reactor->Watch (listener, EPOLLIN,
                             [weak = weak_from_this()] (std::uint32_t)
@@ -95,7 +96,6 @@
             continue;
 
         setNoDelay (accepted);
-        setReceiveBuffer (accepted, mesh::socketBufferBytes);
         const auto connection = std::make_shared<ServerConnection> (
             shared_from_this(), std::move (accepted), FromNative (peer).ip == bound.ip);
         openConnections.insert (connection);
--- a/src/sidecar/http/outgoing_bytes.cc
+++ b/src/sidecar/http/outgoing_bytes.cc
@@ -13,6 +13,7 @@
 namespace
 {
 
+constexpr std::string_view lineBreak = "\r\n", lastChunk = "0\r\n\r\n";
 constexpr std::size_t maxCopiedBytes = 4096;  // Copying a smaller body is cheaper than sharing it.
 constexpr std::size_t maxIdleCapacity = 4096; // Memory that a connection keeps between messages.
 
@@ -28,19 +29,28 @@
     if (stream != nullptr)
         stream->onBytes = std::move (onBytes);
 
+    const auto& bytes = message.body.bytes();
+
     if (isChunked)
-        appendChunk (message.body.bytes());
-    else if (message.body.bytes().size() <= maxCopiedBytes)
-        text.append (message.body.bytes());
+        beginChunk (bytes.size());
+
+    if (bytes.size() <= maxCopiedBytes)
+        text.append (bytes);
     else
         body = message.body.withoutStream();
 }
 
-void OutgoingBytes::appendChunk (std::string_view bytes)
+void OutgoingBytes::beginChunk (std::size_t bytes)
 {
+    if (std::exchange (chunkOpen, false))
+        text.append (lineBreak);
+
     // An empty chunk would end the body.
-    if (! bytes.empty())
-        text.append (fmt::format ("{:x}\r\n", bytes.size())).append (bytes).append ("\r\n");
+    if (bytes == 0)
+        return;
+
+    text.append (fmt::format ("{:x}", bytes)).append (lineBreak);
+    chunkOpen = true;
 }
 
 bool OutgoingBytes::refill()
@@ -55,15 +65,23 @@
     bytesToCome -= std::min (bytesToCome, piece.size());
 
     if (isChunked)
-        appendChunk (piece);
+    {
+        beginChunk (piece.size());
+        text.append (piece);
+    }
     else
+    {
         text = std::move (piece);
+    }
 
     if (! stream->isAtEnd())
         return ! text.empty();
 
     if (isChunked)
-        text.append ("0\r\n\r\n");
+    {
+        beginChunk (0);
+        text.append (lastChunk);
+    }
 
     dropStream();
     return ! text.empty();
@@ -100,6 +118,7 @@
     body = {};
     dropStream();
     writtenBytes = bytesToCome = 0;
+    chunkOpen = false;
 
     if (text.capacity() > maxIdleCapacity)
         text.shrink_to_fit();
--- a/src/sidecar/http/outgoing_bytes.h
+++ b/src/sidecar/http/outgoing_bytes.h
@@ -60,13 +60,16 @@
 
 private:
     std::size_t size() const { return text.size() + body.size(); }
-    void appendChunk (std::string_view bytes);
+
+    /** Ends the chunk before, if there is one, and announces the next one, unless it is empty. */
+    void beginChunk (std::size_t bytes);
     void dropStream();
 
     std::string text;
     Body body; /**< Has no stream. */
     std::shared_ptr<BodyStream> stream;
     bool isChunked = false;
+    bool chunkOpen = false;      /**< The line break behind a chunk is still to be written. */
     std::size_t bytesToCome = 0; /**< As far as it is known. */
     std::size_t writtenBytes = 0;
 };
--- a/src/sidecar/sidecar_servers.cc
+++ b/src/sidecar/sidecar_servers.cc
@@ -16,6 +16,9 @@
 constexpr std::size_t hopHeadBytes = 98304; // A client's head, and its id once more, escaped.
 constexpr Milliseconds hopIdleTime{ 60'000 };
 
+// In which some of the messages that take the memory will have been passed on.
+constexpr std::string_view retryAfterSeconds = "0.300";
+
 // The metrics page lists this many tenants and sums up the others.
 constexpr std::size_t maxTenantsShown = 50;
 
@@ -36,7 +39,8 @@
     if (status != 503)
         return plainAnswer (status, cause);
 
-    return localAnswer (status, cause, { { "Retry-After", "0.300" } }, true, false);
+    return localAnswer (status, cause, { { "Retry-After", std::string (retryAfterSeconds) } }, true,
+                        false);
 }
 
 } // namespace
