Read on when memory is granted for more of a response

Found by reading, not seen in a run: a response of unknown length above 16 KiB whose end had been read together with its middle stayed unfinished until its deadline, since nothing decoded the rest once the next piece of memory was there; one that ends with its connection could have been passed on without its last bytes. The reader now goes on as long as there is memory.

--- a/src/sidecar/http/client_connection.h
+++ b/src/sidecar/http/client_connection.h
@@ -62,6 +62,12 @@
     void advance();
     bool readHead();
     void readBody();
+
+    /** Decodes what has been read into the memory there is. @returns false if it needs more */
+    bool readIntoMemory();
+
+    /** Returns true if so much of the body has been read that the rest is passed on. */
+    bool isLargeAnswer() const;
     bool reserveMemory (std::size_t bytes, const std::shared_ptr<BufferPool>& pool);
     bool reserveBodyMemory (const BodyFraming& framing);
     void growBodyMemory();
--- a/src/sidecar/http/client_connection_answers.cc
+++ b/src/sidecar/http/client_connection_answers.cc
@@ -90,6 +90,15 @@
 }
 
 void ClientConnection::readBody()
+{
+    while (state == State::body && ! isWaitingForMemory() && ! readIntoMemory())
+        if (isLargeAnswer())
+            awaitStream();
+        else
+            growBodyMemory();
+}
+
+bool ClientConnection::readIntoMemory()
 {
     input.erase (0, decoder->feed (input, bodyBytes, memory.bytes() - bodyBytes.size()));
 
@@ -97,18 +106,20 @@
     if (answersOtherRequest)
         bodyBytes.clear();
 
-    const bool mayStream = client->settings.streamsAnswers && ! answersOtherRequest;
-
-    if (decoder->malformed() || (! mayStream && bodyBytes.size() > client->settings.maxAnswerBytes))
-        return finish (CallEnd::broken, "response body malformed or too large");
+    if (decoder->malformed() ||
+        (! client->settings.streamsAnswers && bodyBytes.size() > client->settings.maxAnswerBytes))
+    {
+        finish (CallEnd::broken, "response body malformed or too large");
+        return true;
+    }
 
-    if (! decoder->expectsData())
-        return;
+    return ! decoder->expectsData() || (bodyBytes.size() < memory.bytes() && ! isLargeAnswer());
+}
 
-    if (mayStream && bodyBytes.size() >= mesh::wholeBodyBytes)
-        awaitStream();
-    else if (bodyBytes.size() == memory.bytes())
-        growBodyMemory();
+bool ClientConnection::isLargeAnswer() const
+{
+    return client->settings.streamsAnswers && ! answersOtherRequest &&
+           bodyBytes.size() >= mesh::wholeBodyBytes;
 }
 
 bool ClientConnection::reserveMemory (std::size_t bytes, const std::shared_ptr<BufferPool>& pool)
--- a/tests/sidecar/http/body_stream_test.cc
+++ b/tests/sidecar/http/body_stream_test.cc
@@ -2,7 +2,8 @@
  */
 #include <gtest/gtest.h>
 
-#include <future>
+#include <array>
+#include <cstdio>
 
 #include "sidecar/http/http_client.h"
 #include "sidecar/http/http_server.h"
@@ -54,10 +55,17 @@
         clientSettings.streamsAnswers = true;
         client = std::make_shared<HttpClient> (reactor, clientSettings);
         ServerSettings settings;
-        settings.limits = [] { return mesh::ClientLimits{}; };
+        settings.limits = []
+        {
+            mesh::ClientLimits limits;
+            limits.bodyBytes = 2 * largeBytes;
+            return limits;
+        };
         settings.errorMessage = [] (int status, std::string_view cause)
         { return localAnswer (status, cause, {}, true, false); };
-        settings.bodyPools = { pool, pool, pool };
+        settings.bodyPools = { pool, pool,
+                               std::make_shared<BufferPool> (
+                                   reactor, mesh::BufferAccount (2 * largeBytes, 0, 1)) };
         settings.streamsBodies = true;
         settings.handler = [this] (const ExchangePointer& exchange) { handle (exchange); };
         server = std::make_shared<HttpServer> (reactor, settings);
@@ -157,6 +165,25 @@
     EXPECT_EQ (backEnd.connections(), 1) << "it stays usable after a large body";
 }
 
+TEST_F (StreamingProxy, UploadsOfAllSizesArriveWhole)
+{
+    for (const std::size_t bytes : { 0, 1, 16'000, 16'383, 16'384, 16'385, 17'000, 40'000, 70'000,
+                                     655'359, 655'360, 655'361, 700'000, 800'000 })
+        for (const bool chunked : { false, true })
+        {
+            auto socket = RawSocket::Connect (address);
+            std::array<char, 20> chunkHead{};
+            std::snprintf (chunkHead.data(), chunkHead.size(), "%zx\r\n", bytes);
+            const std::string body (bytes, 'u'), end = "0\r\n\r\n";
+            socket.Send ("POST /up HTTP/1.1\r\nHost: h\r\n" +
+                         (chunked
+                              ? "Transfer-Encoding: chunked\r\n\r\n" +
+                                    (bytes > 0 ? chunkHead.data() + body + "\r\n" : "") + end
+                              : "Content-Length: " + std::to_string (bytes) + "\r\n\r\n" + body));
+            EXPECT_EQ (socket.Read().body, std::to_string (bytes)) << bytes << chunked;
+        }
+}
+
 TEST_F (StreamingProxy, AnswersWaitForMemoryUntilOthersHaveBeenRead)
 {
     std::vector<std::thread> threads;
@@ -247,7 +274,13 @@
     static void answer (RawSocket& socket)
     {
         const auto head = socket.Read().head;
-        const std::string start = "HTTP/1.1 200 OK\r\n", body (largeBytes, 'd');
+        const auto target = head.substr (0, head.find (" HTTP"));
+        const bool isSized = target.find ("/size") != std::string::npos;
+        const auto bytes =
+            isSized ? std::stoul (target.substr (target.rfind ('/') + 1)) : largeBytes;
+        const std::string start = "HTTP/1.1 200 OK\r\n", body (bytes, 'd');
+        std::array<char, 20> chunkHead{};
+        std::snprintf (chunkHead.data(), chunkHead.size(), "%zx\r\n", bytes);
 
         if (head.find ("/cut") != std::string::npos)
             socket.Send (start + "Content-Length: " + std::to_string (largeBytes + 1) + "\r\n\r\n" +
@@ -259,8 +292,10 @@
             socket.Reset();
         }
         else if (head.find ("/chunked") != std::string::npos)
-            socket.Send (start + "Transfer-Encoding: chunked\r\n\r\n400000\r\n" + body +
-                         "\r\n0\r\n\r\n");
+            socket.Send (start + "Transfer-Encoding: chunked\r\n\r\n" +
+                         (bytes > 0 ? chunkHead.data() + body + "\r\n" : "") + "0\r\n\r\n");
+        else if (head.find ("-framed") != std::string::npos)
+            socket.Send (start + "Content-Length: " + std::to_string (bytes) + "\r\n\r\n" + body);
         else
             socket.Send (start + "\r\n" + body);
     }
@@ -285,6 +320,21 @@
     }
 }
 
+/** Guards against the end of a body that has been read and stays behind when memory is reserved. */
+TEST_F (UnusualAnswers, ThoseOfAllSizesArriveWhole)
+{
+    for (const std::size_t bytes : { 0, 1, 16'000, 16'383, 16'384, 16'385, 17'000, 40'000, 70'000,
+                                     655'359, 655'360, 655'361, 700'000, 800'000 })
+        for (const auto* kind : { "/size-chunked/", "/size-unframed/", "/size-framed/" })
+        {
+            auto socket = RawSocket::Connect (address);
+            const auto answer = get (socket, kind + std::to_string (bytes));
+            EXPECT_TRUE (answer.complete) << kind << bytes;
+            EXPECT_EQ (answer.body.size(), bytes) << kind << bytes;
+            EXPECT_EQ (answer.body, std::string (bytes, 'd')) << kind << bytes;
+        }
+}
+
 TEST_F (UnusualAnswers, AClientThatKnowsNoChunksGetsThemUntilTheConnectionEnds)
 {
     auto socket = RawSocket::Connect (address);
