--- a/tests/sidecar/sidecar_settings_test.cc
+++ b/tests/sidecar/sidecar_settings_test.cc
@@ -36,6 +36,21 @@
     EXPECT_TRUE (settings.metrics.empty());
 }
 
+// Guards against a machine without room for all buffers whose process is ended later.
+TEST (SidecarSettings, AMachineThatCannotHoldAllBuffersIsRefusedAtTheStart)
+{
+    EXPECT_EQ (parse ({ "--memory-mb", "" }).value().settings.memoryBytes, 160'000'000U);
+    EXPECT_EQ (parse ({ "--memory-mb", "260" }).value().settings.memoryBytes, 260'000'000U);
+
+    for (const auto* memory : { "111", "0", "-1", "many", "nan", "1e9" })
+    {
+        const auto parsed = parse ({ "--memory-mb", memory });
+        ASSERT_FALSE (parsed) << memory;
+        EXPECT_EQ (parsed.error().place, "memory-mb");
+        EXPECT_NE (parsed.error().cause.find ("a number from 112"), std::string::npos);
+    }
+}
+
 TEST (SidecarSettings, TheWatchIntervalIsAQuarterOfTheTighterBound)
 {
     const auto intervalOf = [] (const char* changes, const char* drain)
