Tests: look at the server's state from its own thread

Cause: the test's thread reads a flag as soon as the response arrives. Since callbacks run after the call that causes them, the notification runs behind the write, in the same turn of the event loop. Between the two the server's thread can be preempted, and then the test looks too early.

Ruled out: a notification that is lost. It ran in the same turn each time; no other request can be read in between, so callers see no difference.

Now: the test asks on the server's thread, which runs the question behind the turn that wrote the response. That is as strict as before: a notification that is missing, or that comes in a later turn, fails.

The same cause elsewhere: BodyMemory ended exchanges, and with them reservations, on the test's thread, against BufferPool's rule.

--- a/tests/sidecar/http/body_gate_test.cc
+++ b/tests/sidecar/http/body_gate_test.cc
@@ -137,7 +137,8 @@
     EXPECT_EQ (socket.Read().status(), 100);
     socket.Send ("zz\r\n");
     EXPECT_EQ (socket.Read().status(), 400);
-    EXPECT_TRUE (gateNotified);
+    // The response may arrive while its handler still runs.
+    reactor->RunAndWait ([&] { EXPECT_TRUE (gateNotified); });
     EXPECT_TRUE (receivedCountStaysAt (0));
 }
 
--- a/tests/sidecar/http/body_memory_test.cc
+++ b/tests/sidecar/http/body_memory_test.cc
@@ -49,12 +49,27 @@
         return bytes;
     }
 
+    bool awaitWaiting (std::size_t count)
+    {
+        return Eventually (
+            [&]
+            {
+                std::size_t waiting = 0;
+                reactor->RunAndWait ([&] { waiting = pool->waiting(); });
+                return waiting == count;
+            });
+    }
+
     /** Responds to the request that was dispatched as number `index`, and forgets it. */
     void finish (std::size_t index)
     {
         answer (index);
-        const std::lock_guard lock (mutex);
-        received[index] = nullptr;
+        reactor->RunAndWait (
+            [&]
+            {
+                const std::lock_guard lock (mutex);
+                received[index] = nullptr;
+            });
     }
 };
 
@@ -104,10 +119,10 @@
     {
         auto leaving = RawSocket::Connect (address);
         leaving.Send (post ("/leaving", 50'000));
-        EXPECT_TRUE (Eventually ([&] { return pool->waiting() == 1; }));
+        EXPECT_TRUE (awaitWaiting (1));
     }
 
-    EXPECT_TRUE (Eventually ([&] { return pool->waiting() == 0; }));
+    EXPECT_TRUE (awaitWaiting (0));
     next.Send (post ("/next", 20'000));
     EXPECT_TRUE (receivedCountStaysAt (1));
     finish (0);
@@ -156,7 +171,7 @@
     ASSERT_TRUE (awaitReceived (1));
     const auto smuggled = request ("/smuggled");
     waiting.Send ("POST /waiting HTTP/1.1\r\nHost: h\r\nContent-Length: 50000\r\n\r\n");
-    EXPECT_TRUE (Eventually ([&] { return pool->waiting() == 1; }));
+    EXPECT_TRUE (awaitWaiting (1));
     waiting.Send (smuggled + smuggled);
     EXPECT_TRUE (receivedCountStaysAt (1));
     finish (0);
