One class for the bytes of a body and the memory reserved for them

ServerConnection and ClientConnection each held the bytes that were read, the memory for them and the memory they waited for, and each had the same three functions to ask for memory, to move into it and to notice a grant. BodyBuffer holds the three and does what was written twice; a connection only says which pool, and what happens when that refuses or grants.

Two pieces of work that each request paid for, also without a large body: - a response made a callback for the rest of its body before it was known whether there is one: OutgoingBytes now has the callback of its connection, and passes it on when there is a rest; - a request that waits for its handler copied the handler: it names it now.

BufferAccount::hasGranted() had no caller.

The effect on processor time was not measured in this commit.

--- a/src/mesh/buffer_account.h
+++ b/src/mesh/buffer_account.h
@@ -49,7 +49,6 @@
 
     /** Returns the reservations that have been granted after a wait since the last call. */
     std::vector<Id> takeGranted();
-    bool hasGranted() const { return ! newlyGranted.empty(); }
 
     std::size_t limit() const { return limitBytes; }
     std::size_t used() const { return usedBytes; }
--- a/src/sidecar/http/client_connection.cc
+++ b/src/sidecar/http/client_connection.cc
@@ -49,6 +49,11 @@
     setReceiveBuffer (socket, mesh::socketBufferBytes);
     interest = EPOLLOUT;
     connectDeadline = now() + client->settings.connectTimeout;
+    output.onBytes = [weak = weak_from_this()]
+    {
+        if (const auto self = weak.lock())
+            self->onBytesOfRequest();
+    };
     watch =
         client->reactor->Watch (socket, interest,
                                 [weak = weak_from_this()] (std::uint32_t events)
@@ -78,7 +83,7 @@
     call->connection = weak_from_this();
     options = newOptions;
     output.clear();
-    output.append (message, whenBytesArrive());
+    output.append (message);
     bodyWithheld = options.headBytes > 0;
     writeFailed = false;
     result = {};
@@ -181,16 +186,10 @@
     updateInterest();
 }
 
-std::function<void()> ClientConnection::whenBytesArrive()
+void ClientConnection::onBytesOfRequest()
 {
-    return [weak = weak_from_this()]
-    {
-        const auto self = weak.lock();
-
-        if (self != nullptr && self->state != State::connecting && self->state != State::idle &&
-            self->state != State::closed)
-            self->write();
-    };
+    if (state != State::connecting && state != State::idle && state != State::closed)
+        write();
 }
 
 void ClientConnection::close()
--- a/src/sidecar/http/client_connection.h
+++ b/src/sidecar/http/client_connection.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 
+#include "sidecar/http/body_buffer.h"
 #include "sidecar/http/body_decoder.h"
 #include "sidecar/http/http_client.h"
 #include "sidecar/http/outgoing_bytes.h"
@@ -71,9 +72,7 @@
     bool reserveMemory (std::size_t bytes, const std::shared_ptr<BufferPool>& pool);
     bool reserveBodyMemory (const BodyFraming& framing);
     void growBodyMemory();
-    void useGrantedMemory();
     void onMemoryGranted();
-    bool isWaitingForMemory() const { return moreMemory.has_value(); }
     void awaitStream();
     void beginStream();
     void readStream();
@@ -83,7 +82,7 @@
     bool isReadingPaused() const;
     std::size_t readSize() const;
     void dropBody();
-    std::function<void()> whenBytesArrive();
+    void onBytesOfRequest();
     void onResponseComplete();
     std::size_t writableBytes() const;
     void onEndOfStream (bool orderly);
@@ -106,11 +105,9 @@
     CallResult result;
     std::string input;
     OutgoingBytes output;
-    std::string bodyBytes;                 /**< The part of the body that has been read. */
-    Reservation memory;                    /**< For `bodyBytes`. */
-    std::optional<Reservation> moreMemory; /**< What the body waits for; it replaces `memory`. */
-    bool bodyWithheld = false;             /**< Only the head of `output` may be written so far. */
-    bool writeFailed = false;              /**< The server may have answered before it closed. */
+    BodyBuffer body;           /**< The part of the response's body that has been read. */
+    bool bodyWithheld = false; /**< Only the head of `output` may be written so far. */
+    bool writeFailed = false;  /**< The server may have answered before it closed. */
     std::optional<BodyDecoder> decoder;
     bool streamWanted = false; /**< The body is passed on as soon as there is memory for that. */
     std::optional<std::size_t> bodyLength; /**< As the response announces it. */
--- a/src/sidecar/http/client_connection_answers.cc
+++ b/src/sidecar/http/client_connection_answers.cc
@@ -61,7 +61,7 @@
 
 std::size_t ClientConnection::readSize() const
 {
-    return state == State::body && ! bodyBytes.empty() ? readBufferSize : headReadSize;
+    return state == State::body && body.size() > 0 ? readBufferSize : headReadSize;
 }
 
 void ClientConnection::advance()
@@ -77,7 +77,7 @@
         if (state != State::body)
             continue;
 
-        if (isWaitingForMemory())
+        if (body.isWaiting())
             return;
 
         readBody();
@@ -91,7 +91,7 @@
 
 void ClientConnection::readBody()
 {
-    while (state == State::body && ! isWaitingForMemory() && ! readIntoMemory())
+    while (state == State::body && ! body.isWaiting() && ! readIntoMemory())
         if (isLargeAnswer())
             awaitStream();
         else
@@ -100,74 +100,59 @@
 
 bool ClientConnection::readIntoMemory()
 {
-    input.erase (0, decoder->feed (input, bodyBytes, memory.bytes() - bodyBytes.size()));
+    input.erase (0, decoder->feed (input, body.bytes(), body.room()));
 
     // The body of a response to another request is read past.
     if (answersOtherRequest)
-        bodyBytes.clear();
+        body.bytes().clear();
 
     if (decoder->malformed() ||
-        (! client->settings.streamsAnswers && bodyBytes.size() > client->settings.maxAnswerBytes))
+        (! client->settings.streamsAnswers && body.size() > client->settings.maxAnswerBytes))
     {
         finish (CallEnd::broken, "response body malformed or too large");
         return true;
     }
 
-    return ! decoder->expectsData() || (bodyBytes.size() < memory.bytes() && ! isLargeAnswer());
+    return ! decoder->expectsData() || ! (body.isFull() || isLargeAnswer());
 }
 
 bool ClientConnection::isLargeAnswer() const
 {
     return client->settings.streamsAnswers && ! answersOtherRequest &&
-           bodyBytes.size() >= mesh::wholeBodyBytes;
+           body.size() >= mesh::wholeBodyBytes;
 }
 
 bool ClientConnection::reserveMemory (std::size_t bytes, const std::shared_ptr<BufferPool>& pool)
 {
-    if (pool == nullptr || bytes == 0)
-        return true;
-
-    if (! pool->accepts (bytes))
+    const bool accepted = bytes == 0 || body.request (bytes, pool,
+                                                      [weak = weak_from_this()]
+                                                      {
+                                                          if (const auto self = weak.lock())
+                                                              self->onMemoryGranted();
+                                                      });
+
+    if (! accepted)
     {
         finish (CallEnd::broken, "no memory for the response body");
         return false;
     }
 
-    moreMemory = pool->reserve (bytes,
-                                [weak = weak_from_this()]
-                                {
-                                    if (const auto self = weak.lock())
-                                        self->onMemoryGranted();
-                                });
-
-    if (moreMemory->isGranted())
-        useGrantedMemory();
-    else
-        updateInterest();
+    if (body.isGranted() && ! streamWanted)
+        body.grow();
 
+    updateInterest();
     return true;
 }
 
-void ClientConnection::useGrantedMemory()
-{
-    if (streamWanted)
-        return;
-
-    // The memory so far is released only after its bytes have been moved.
-    bodyBytes.reserve (moreMemory->bytes());
-    memory = std::move (*moreMemory);
-    moreMemory.reset();
-}
-
 void ClientConnection::onMemoryGranted()
 {
-    if (! isWaitingForMemory())
+    if (! body.isWaiting())
         return;
 
     if (streamWanted)
         return beginStream();
 
-    useGrantedMemory();
+    body.grow();
     updateInterest();
     advance();
 }
@@ -200,7 +185,7 @@
 {
     const auto& pools = client->settings.answerPools;
 
-    if (memory.bytes() < mesh::wholeBodyBytes)
+    if (body.capacity() < mesh::wholeBodyBytes)
         reserveMemory (mesh::wholeBodyBytes, pools.whole);
     else
         reserveMemory (client->settings.maxAnswerBytes + 1, pools.unsized);
@@ -214,15 +199,14 @@
     if (! reserveMemory (BodyStream::reservedBytes, pool))
         return;
 
-    if (pool == nullptr || moreMemory->isGranted())
+    if (pool == nullptr || body.isGranted())
         beginStream();
 }
 
 void ClientConnection::beginStream()
 {
     const auto self = shared_from_this();
-    const auto rest = std::make_shared<BodyStream> (
-        client->reactor, std::exchange (moreMemory, std::nullopt).value_or (Reservation()));
+    const auto rest = std::make_shared<BodyStream> (client->reactor, body.takeRequested());
     rest->onRoom = [weak = weak_from_this()]
     {
         if (const auto open = weak.lock())
@@ -236,9 +220,7 @@
     stream = rest;
     streamWanted = false;
     result.end = CallEnd::answered;
-    result.body = Body (Body (std::move (bodyBytes), std::move (memory)), rest, bodyLength);
-    std::string().swap (bodyBytes);
-    memory = {};
+    result.body = Body (body.takeBody(), rest, bodyLength);
     result.took = now() - sentAt;
     state = State::streaming;
     lastReadAt = now();
@@ -299,7 +281,7 @@
 
 bool ClientConnection::isReadingPaused() const
 {
-    if (isWaitingForMemory())
+    if (body.isWaiting())
         return true;
 
     const auto rest = stream.lock();
@@ -308,9 +290,7 @@
 
 void ClientConnection::dropBody()
 {
-    std::string().swap (bodyBytes);
-    memory = {};
-    moreMemory.reset();
+    body.clear();
     streamWanted = false;
 
     if (const auto rest = std::exchange (stream, {}).lock())
@@ -439,7 +419,7 @@
 void ClientConnection::finishAnswered()
 {
     result.end = CallEnd::answered;
-    result.body = Body (std::move (bodyBytes), std::move (memory));
+    result.body = body.takeBody();
     dropBody();
     result.took = now() - sentAt;
     const auto done = std::exchange (call, nullptr);
--- a/src/sidecar/http/outgoing_bytes.cc
+++ b/src/sidecar/http/outgoing_bytes.cc
@@ -19,7 +19,7 @@
 
 } // namespace
 
-void OutgoingBytes::append (const Message& message, std::function<void()> onBytes)
+void OutgoingBytes::append (const Message& message)
 {
     text.append (message.head);
     stream = message.body.stream();
@@ -27,7 +27,7 @@
     bytesToCome = message.body.size() - message.body.bytes().size();
 
     if (stream != nullptr)
-        stream->onBytes = std::move (onBytes);
+        stream->onBytes = onBytes;
 
     const auto& bytes = message.body.bytes();
 
--- a/src/sidecar/http/outgoing_bytes.h
+++ b/src/sidecar/http/outgoing_bytes.h
@@ -24,8 +24,11 @@
     /** Appends bytes. Not allowed while endsWithBody(). */
     void append (std::string_view bytes) { text.append (bytes); }
 
-    /** @param onBytes  called when the rest of the body has bytes, or its end, after it had none */
-    void append (const Message& message, std::function<void()> onBytes);
+    /** Appends a message, whose body may still have to arrive. Not allowed while endsWithBody(). */
+    void append (const Message& message);
+
+    /** Called when the rest of a body has bytes, or its end, after it had none. */
+    std::function<void()> onBytes;
 
     /** Returns true if nothing may be appended until everything is written. */
     bool endsWithBody() const { return ! body.empty() || stream != nullptr; }
--- a/src/sidecar/http/server_connection.cc
+++ b/src/sidecar/http/server_connection.cc
@@ -41,6 +41,11 @@
 void ServerConnection::start()
 {
     interest = EPOLLIN;
+    output.onBytes = [weak = weak_from_this()]
+    {
+        if (const auto self = weak.lock())
+            self->onBytesOfAnswer();
+    };
     watch =
         server->reactor->Watch (socket, interest,
                                 [weak = weak_from_this()] (std::uint32_t events)
@@ -106,7 +111,7 @@
 
 bool ServerConnection::isReadingBlocked() const
 {
-    if (isWaitingForMemory() || isStreamPaused())
+    if (body.isWaiting() || isStreamPaused())
         return true;
 
     const bool cannotProceed = state == State::waiting || (state == State::head && ! canReadNext());
@@ -280,10 +285,10 @@
     if (! alreadyQueued)
         pending.add (dispatched);
 
-    queueHandler (server->settings.handler, dispatched);
+    queueHandler (&ServerSettings::handler, dispatched);
 }
 
-void ServerConnection::queueHandler (const std::function<void (ExchangePointer)>& handler,
+void ServerConnection::queueHandler (std::function<void (ExchangePointer)> ServerSettings::*handler,
                                      const ExchangePointer& passed)
 {
     server->reactor->callbacks()->Add (
@@ -293,7 +298,7 @@
             const auto self = weak.lock();
 
             if (self != nullptr && self->pending.contains (*passed))
-                self->closeOnException ([&] { handler (passed); });
+                self->closeOnException ([&] { (self->server->settings.*handler) (passed); });
         });
 }
 
--- a/src/sidecar/http/server_connection.h
+++ b/src/sidecar/http/server_connection.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "sidecar/http/answer_queue.h"
+#include "sidecar/http/body_buffer.h"
 #include "sidecar/http/body_decoder.h"
 #include "sidecar/http/http_server.h"
 #include "sidecar/http/outgoing_bytes.h"
@@ -77,9 +78,7 @@
     bool reserveBodyMemory();
     bool reserveMemory (std::size_t bytes, const std::shared_ptr<BufferPool>& pool);
     void growBodyMemory();
-    void useGrantedMemory();
     void onMemoryGranted();
-    bool isWaitingForMemory() const { return moreMemory.has_value(); }
     void beginStream();
     void readStream();
     bool isStreamPaused() const;
@@ -113,14 +112,14 @@
     void notifyDisconnect (Exchange& abandoned);
 
     /** Queues a call with a request of this connection, unless that has ended by then. */
-    void queueHandler (const std::function<void (ExchangePointer)>& handler,
+    void queueHandler (std::function<void (ExchangePointer)> ServerSettings::*handler,
                        const ExchangePointer& passed);
     void updateInterest();
     void armTimer (Timestamp when);
     void onTimer();
     Timestamp deadline() const;
     void updateUnparsedBytes();
-    std::function<void()> whenBytesArrive();
+    void onBytesOfAnswer();
     void onStreamRoom();
     void abortResponse();
 
@@ -141,15 +140,13 @@
     bool advancing = false;       /**< Prevents recursive calls of advance(). */
     ExchangePointer exchange;     /**< The request that is being read, or is waiting. */
     std::optional<BodyDecoder> decoder;
-    std::string bodyBytes;        /**< The part of the body that has been read. */
+    BodyBuffer body;              /**< The part of the body that has been read. */
     std::size_t memoryWanted = 0; /**< For the body, and not reserved yet. */
     std::size_t streamLength = 0; /**< Length of a body that is passed on as it arrives, or 0. */
     std::weak_ptr<BodyStream> stream; /**< What its request is dispatched with. */
     bool streaming = false;           /**< The rest of the body is read into the stream. */
     Timestamp lastReadAt{};
-    Reservation memory;                    /**< For `bodyBytes`. */
-    std::optional<Reservation> moreMemory; /**< What the body waits for; it replaces `memory`. */
-    AnswerQueue pending;                   /**< Dispatched requests, and one at the body gate. */
+    AnswerQueue pending;               /**< Dispatched requests, and one at the body gate. */
     std::size_t countedInputBytes = 0; /**< This connection's share of HttpServer::unparsedBytes. */
     Timestamp headStartedAt{}, idleSince{}, lastWriteAt{}, timerAt = Timestamp::max(), lingerEnd{};
 };
--- a/src/sidecar/http/server_connection_answers.cc
+++ b/src/sidecar/http/server_connection_answers.cc
@@ -68,7 +68,7 @@
         if (ready.outOfOrder)
             server->counts.headOfLineDelay.observe (mesh::toMilliseconds (ready.timeQueued));
 
-        output.append (ready.message, whenBytesArrive());
+        output.append (ready.message);
         closeAfterWrite = ready.close;
     }
 
@@ -195,21 +195,16 @@
         advance();
 }
 
-std::function<void()> ServerConnection::whenBytesArrive()
+void ServerConnection::onBytesOfAnswer()
 {
-    return [weak = weak_from_this()]
-    {
-        const auto self = weak.lock();
-
-        if (self == nullptr || self->state == State::closed)
-            return;
+    if (state == State::closed)
+        return;
 
-        self->write();
-        self->updateInterest();
+    write();
+    updateInterest();
 
-        if (self->state != State::closed)
-            self->armTimer (self->deadline());
-    };
+    if (state != State::closed)
+        armTimer (deadline());
 }
 
 void ServerConnection::abortResponse()
--- a/src/sidecar/http/server_connection_body.cc
+++ b/src/sidecar/http/server_connection_body.cc
@@ -20,7 +20,7 @@
 {
     exchange->connection = weak_from_this();
     pending.add (exchange);
-    queueHandler (server->settings.bodyGate, exchange);
+    queueHandler (&ServerSettings::bodyGate, exchange);
 }
 
 bool ServerConnection::isCurrentQueued() const
@@ -42,7 +42,7 @@
 
 void ServerConnection::sendAllowedContinue()
 {
-    if (! continueAllowed || ! continuePending || isWaitingForMemory() || output.endsWithBody())
+    if (! continueAllowed || ! continuePending || body.isWaiting() || output.endsWithBody())
         return;
 
     continuePending = false;
@@ -54,7 +54,7 @@
 {
     // The client has been told to continue, or has sent data without being told. Such data may be
     // unread while the body waits for memory.
-    return ! continuePending || ! input.empty() || isWaitingForMemory();
+    return ! continuePending || ! input.empty() || body.isWaiting();
 }
 
 bool ServerConnection::isBodyLeft (const Exchange& asked) const
@@ -72,9 +72,7 @@
 
 void ServerConnection::dropBody()
 {
-    std::string().swap (bodyBytes);
-    memory = {};
-    moreMemory.reset();
+    body.clear();
     memoryWanted = 0;
     streamLength = 0;
     streaming = false;
@@ -101,10 +99,14 @@
         return;
     }
 
-    const bool isLarge = framing.length > mesh::wholeBodyBytes;
-    streamLength = isLarge && settings.streamsBodies ? framing.length : 0;
-    memoryWanted =
-        streamLength > 0 ? mesh::identifyingBodyBytes + BodyStream::reservedBytes : framing.length;
+    memoryWanted = framing.length;
+
+    if (framing.length <= mesh::wholeBodyBytes || ! settings.streamsBodies)
+        return;
+
+    streamLength = framing.length;
+    memoryWanted = mesh::identifyingBodyBytes + BodyStream::reservedBytes;
+    body.setMaxBytes (mesh::identifyingBodyBytes);
 }
 
 bool ServerConnection::reserveBodyMemory()
@@ -121,10 +123,14 @@
 
 bool ServerConnection::reserveMemory (std::size_t bytes, const std::shared_ptr<BufferPool>& pool)
 {
-    if (pool == nullptr)
-        return true;
-
-    if (! pool->accepts (bytes))
+    const bool accepted = body.request (bytes, pool,
+                                        [weak = weak_from_this()]
+                                        {
+                                            if (const auto self = weak.lock())
+                                                self->onMemoryGranted();
+                                        });
+
+    if (! accepted)
     {
         if (server->settings.onMemoryRefused)
             server->settings.onMemoryRefused (exchange->head, bytes, *pool);
@@ -133,33 +139,18 @@
         return false;
     }
 
-    moreMemory = pool->reserve (bytes,
-                                [weak = weak_from_this()]
-                                {
-                                    if (const auto self = weak.lock())
-                                        self->onMemoryGranted();
-                                });
-
-    if (moreMemory->isGranted())
-        useGrantedMemory();
+    if (body.isGranted())
+        body.grow();
 
     return true;
 }
 
-void ServerConnection::useGrantedMemory()
-{
-    // The memory so far is released only after its bytes have been moved.
-    bodyBytes.reserve (streamLength > 0 ? mesh::identifyingBodyBytes : moreMemory->bytes());
-    memory = std::move (*moreMemory);
-    moreMemory.reset();
-}
-
 void ServerConnection::onMemoryGranted()
 {
-    if (! isWaitingForMemory())
+    if (! body.isWaiting())
         return;
 
-    useGrantedMemory();
+    body.grow();
     headStartedAt = now();
     sendAllowedContinue();
     advance();
@@ -177,7 +168,7 @@
     const auto limit = server->settings.limits().bodyBytes;
     const auto whole = std::min (mesh::wholeBodyBytes, limit);
 
-    if (memory.bytes() < whole)
+    if (body.capacity() < whole)
         reserveMemory (whole, pools.whole);
     else
         reserveMemory (limit, pools.unsized);
@@ -189,23 +180,22 @@
         return readStream();
 
     // A client may send the body without waiting for 100 Continue.
-    if (! reserveBodyMemory() || isWaitingForMemory())
+    if (! reserveBodyMemory() || body.isWaiting())
         return;
 
-    const auto available = streamLength > 0 ? mesh::identifyingBodyBytes : memory.bytes();
-    input.erase (0, decoder->feed (input, bodyBytes, available - bodyBytes.size()));
+    input.erase (0, decoder->feed (input, body.bytes(), body.room()));
     const auto limit = server->settings.limits().bodyBytes;
 
     if (decoder->malformed())
         return fail (400, "malformed chunked framing");
 
-    if (bodyBytes.size() > limit || (bodyBytes.size() == limit && decoder->expectsData()))
+    if (body.size() > limit || (body.size() == limit && decoder->expectsData()))
         return fail (413, "the body is too large");
 
     if (decoder->complete())
         return onBodyComplete();
 
-    if (bodyBytes.size() < available || ! decoder->expectsData())
+    if (! body.isFull() || ! decoder->expectsData())
         return;
 
     if (streamLength > 0)
@@ -216,16 +206,15 @@
 
 void ServerConnection::beginStream()
 {
-    const auto rest = std::make_shared<BodyStream> (server->reactor, std::move (memory));
+    const auto rest = std::make_shared<BodyStream> (server->reactor, body.takeMemory());
     rest->onRoom = [weak = weak_from_this()]
     {
         if (const auto self = weak.lock())
             self->onStreamRoom();
     };
-    exchange->body = Body (Body (std::move (bodyBytes)), rest, streamLength);
+    exchange->body = Body (body.takeBody(), rest, streamLength);
     stream = rest;
     streaming = true;
-    std::string().swap (bodyBytes);
     dispatchIfPossible();
 }
 
@@ -276,7 +265,7 @@
 
 void ServerConnection::onBodyComplete()
 {
-    exchange->body = Body (std::move (bodyBytes), std::move (memory));
+    exchange->body = body.takeBody();
     dropBody();
     dispatchIfPossible();
 }
