Close a connection whose body began without 100 Continue and is refused

What callers could see: a client that asks for 100 Continue, begins its body without waiting (as it may) and is refused by the head kept its connection, and the rest of the body was read as its next request. Only the server for other nodes has a body gate, and our own nodes withhold the body until they are told to send it, so no request between two of them did this.

Cause: whether a body may still follow was told by whether unread input was there. The first bytes of the body are decoded as they arrive, so nothing was unread, and the client still counted as waiting.

Now: once a byte of the body has been decoded, the client no longer counts as waiting. It isn't sent 100 Continue then either, which RFC 9110 (10.1.1) allows.

Ruled out: the same at the server for clients, which has no body gate and answers no request before its body is complete or is passed on; a body that is passed on; the client's side, which sends nothing before it is told.

--- a/src/sidecar/http/server_connection_body.cc
+++ b/src/sidecar/http/server_connection_body.cc
@@ -183,6 +183,7 @@
     if (! reserveBodyMemory() || body.isWaiting())
         return;
 
+    continuePending = false;
     input.erase (0, decoder->feed (input, body.bytes(), body.room()));
     const auto limit = server->settings.limits().bodyBytes;
 
--- a/tests/sidecar/http/body_gate_test.cc
+++ b/tests/sidecar/http/body_gate_test.cc
@@ -111,8 +111,9 @@
     std::this_thread::sleep_for (std::chrono::milliseconds (30));
     reject();
     EXPECT_EQ (socket.Read().body, "refused");
-    EXPECT_TRUE (socket.AwaitClosed());
+    socket.Send (smuggled);
     EXPECT_TRUE (receivedCountStaysAt (0));
+    EXPECT_TRUE (socket.AwaitClosed());
 }
 
 TEST_F (BodyGate, ADisconnectBeforeTheDecisionIsNoticed)
