A body of unknown length gives back the memory that it doesn't need

What callers saw: chunked uploads above 640 KiB ran one at a time on a machine of 160 MB, however small they were, for as long as their requests took; the ninth that waited was refused.

Cause: such a body reserves memory for the largest one as it grows, so that several half-read ones can't wait for one another for ever. It kept that until its request ended, although it is read after a moment.

Now: once the body is complete, what it has less than half used is copied to a string of its size, and the rest of the reservation ends. The bytes stay within the reservation while they are copied, since both are less than half of it. Bodies of a known length reserve what they need and aren't copied. Reservation::shrink() had been written for this and had no caller.

Evidence: TwoLargestBodies.AChunkedBodyKeepsNoMoreMemoryThanItHasBytes, a pool for two of the largest bodies, with five short ones at a time.

Still so: while they are read, as many at a time as the pool has room for the largest one.

--- a/src/sidecar/http/body_buffer.cc
+++ b/src/sidecar/http/body_buffer.cc
@@ -37,6 +37,12 @@
 
 Body BodyBuffer::takeBody()
 {
+    if (contents.capacity() / 2 > contents.size())
+    {
+        contents.shrink_to_fit();
+        memory.shrink (contents.capacity());
+    }
+
     Body taken (std::move (contents), takeMemory());
     clear();
     return taken;
--- a/tests/sidecar/http/body_memory_test.cc
+++ b/tests/sidecar/http/body_memory_test.cc
@@ -13,6 +13,12 @@
 /** Members that exist before the server is configured. */
 struct PoolOfTest
 {
+    explicit PoolOfTest (std::size_t bytes)
+        : poolSize (bytes)
+    {
+    }
+
+    std::size_t poolSize;
     std::shared_ptr<BufferPool> pool;
     std::atomic<std::size_t> refusedBytes{ 0 };
 };
@@ -23,15 +29,16 @@
 class BodyMemory : protected PoolOfTest, public test::HoldingServer
 {
 protected:
-    BodyMemory()
-        : HoldingServer ([] (HoldingServer& server, ServerSettings& settings)
+    explicit BodyMemory (std::size_t bytes = poolBytes)
+        : PoolOfTest (bytes)
+        , HoldingServer ([] (HoldingServer& server, ServerSettings& settings)
                          { static_cast<BodyMemory&> (server).configure (settings); })
     {
     }
 
     void configure (ServerSettings& settings)
     {
-        pool = std::make_shared<BufferPool> (reactor, mesh::BufferAccount (poolBytes, 0, 1));
+        pool = std::make_shared<BufferPool> (reactor, mesh::BufferAccount (poolSize, 0, 1));
         settings.bodyPools = { pool, pool, pool };
         settings.onMemoryRefused = [this] (const RequestHead&, std::size_t bytes, const BufferPool&)
         { refusedBytes = bytes; };
@@ -163,6 +170,35 @@
     EXPECT_EQ (used(), 0U);
 }
 
+/** A server with a pool for two bodies of the largest size. */
+class TwoLargestBodies : public BodyMemory
+{
+protected:
+    TwoLargestBodies()
+        : BodyMemory (200'000)
+    {
+    }
+};
+
+/** Guards against short bodies of unknown length that run one at a time, because each keeps the
+    memory for the largest one.
+*/
+TEST_F (TwoLargestBodies, AChunkedBodyKeepsNoMoreMemoryThanItHasBytes)
+{
+    std::vector<RawSocket> sockets;
+
+    for (std::size_t count = 1; count <= 5; ++count)
+    {
+        sockets.push_back (RawSocket::Connect (address));
+        sockets.back().Send (
+            "POST /chunked HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5000\r\n" +
+            std::string (0x5000, 'c') + "\r\n0\r\n\r\n");
+        ASSERT_TRUE (awaitReceived (count));
+        EXPECT_EQ (receivedRequest (count - 1)->body.size(), 0x5000U);
+        EXPECT_EQ (used(), count * 0x5000);
+    }
+}
+
 /** Guards against bytes that arrive during the wait for memory and are parsed as a request. */
 TEST_F (BodyMemory, ABodyThatIsRefusedDuringItsWaitIsNeverParsedAsARequest)
 {
