--- a/tests/mesh_integration/large_body_test.cc
+++ b/tests/mesh_integration/large_body_test.cc
@@ -21,6 +21,8 @@
 // Ample for what the test's machine and the link of 1,000 Mbps carry.
 constexpr int kTimeoutMs = 15'000;
 constexpr auto kSlowPause = std::chrono::milliseconds(5);
+constexpr int kShortOnes = 20;
+constexpr auto kShortOnesInterval = std::chrono::milliseconds(20);
 
 enum class Framing { kLength, kChunked };
 
@@ -260,6 +262,27 @@
   ExpectWithinMemory();
 }
 
+// Guards against short bodies of unknown length that are refused, because each keeps the memory for
+// the largest one while its request runs.
+TEST_F(LargeBodies, ShortOnesInChunksRunAtTheSameTime) {
+  ASSERT_NO_FATAL_FAILURE(Start(260));
+  desk().instance->SetWork(std::chrono::milliseconds(300));
+  const std::string body(kMegabyte, 'm');
+  std::atomic<int> served{0};
+  std::vector<std::thread> threads;
+  for (int client = 0; client < kShortOnes; ++client) {
+    std::this_thread::sleep_for(kShortOnesInterval);
+    threads.emplace_back([&, client] {
+      const auto name = "short-" + std::to_string(client);
+      served += Upload(hub(), "/up-desk/1", name, body, Framing::kChunked, 1);
+    });
+  }
+  for (auto& thread : threads) thread.join();
+  EXPECT_EQ(served, kShortOnes);
+  ExpectWhole(body);
+  ExpectWithinMemory();
+}
+
 // Guards against answers, of which nothing bounds the number, that take a process over its memory.
 TEST_F(LargeBodies, LargeAnswersArriveWholeWithinTheMemoryOfTheMachine) {
   ASSERT_NO_FATAL_FAILURE(Start(0));
