The part of ClientConnection that reads bodies in a file of its own

The second part moves to client_connection_body.cc, as ServerConnection has it. The functions are moved as they were, in their order.

--- /dev/null
+++ b/src/sidecar/http/client_connection_body.cc
@@ -0,0 +1,226 @@
+/** The part of ClientConnection that reads the bodies of responses, and passes large ones on while
+    they arrive.
+*/
+#include <utility>
+
+#include "mesh/memory_plan.h"
+#include "sidecar/http/client_connection.h"
+
+namespace copperlead::sidecar
+{
+namespace
+{
+
+Timestamp now() { return SteadyClock().Now(); }
+
+} // namespace
+
+void ClientConnection::readBody()
+{
+    while (state == State::body && ! body.isWaiting() && ! readIntoMemory())
+        if (isLargeAnswer())
+            awaitStream();
+        else
+            growBodyMemory();
+}
+
+bool ClientConnection::readIntoMemory()
+{
+    input.erase (0, decoder->feed (input, body.bytes(), body.room()));
+
+    // The body of a response to another request is read past.
+    if (answersOtherRequest)
+        body.bytes().clear();
+
+    if (decoder->malformed() ||
+        (! client->settings.streamsAnswers && body.size() > client->settings.maxAnswerBytes))
+    {
+        finish (CallEnd::broken, "response body malformed or too large");
+        return true;
+    }
+
+    return ! decoder->expectsData() || ! (body.isFull() || isLargeAnswer());
+}
+
+bool ClientConnection::isLargeAnswer() const
+{
+    return client->settings.streamsAnswers && ! answersOtherRequest &&
+           body.size() >= mesh::wholeBodyBytes;
+}
+
+bool ClientConnection::reserveMemory (std::size_t bytes, const std::shared_ptr<BufferPool>& pool)
+{
+    const bool accepted = bytes == 0 || body.request (bytes, pool,
+                                                      [weak = weak_from_this()]
+                                                      {
+                                                          if (const auto self = weak.lock())
+                                                              self->onMemoryGranted();
+                                                      });
+
+    if (! accepted)
+    {
+        finish (CallEnd::broken, "no memory for the response body");
+        return false;
+    }
+
+    if (body.isGranted() && ! streamWanted)
+        body.grow();
+
+    updateInterest();
+    return true;
+}
+
+void ClientConnection::onMemoryGranted()
+{
+    if (! body.isWaiting())
+        return;
+
+    if (streamWanted)
+        return beginStream();
+
+    body.grow();
+    updateInterest();
+    advance();
+}
+
+bool ClientConnection::reserveBodyMemory (const BodyFraming& framing)
+{
+    const bool hasLength = framing.kind == BodyKind::kLength || framing.kind == BodyKind::kNone;
+    bodyLength = hasLength ? std::optional<std::size_t> (framing.length) : std::nullopt;
+
+    if (! hasLength || answersOtherRequest)
+        return reserveMemory (mesh::BufferAccount::smallBytes, client->settings.answerPools.whole);
+
+    if (framing.length <= mesh::wholeBodyBytes)
+        return reserveMemory (framing.length, client->settings.answerPools.whole);
+
+    if (client->settings.streamsAnswers)
+    {
+        awaitStream();
+        return false;
+    }
+
+    if (framing.length <= client->settings.maxAnswerBytes)
+        return reserveMemory (framing.length, client->settings.answerPools.unsized);
+
+    finish (CallEnd::broken, "response body too large");
+    return false;
+}
+
+void ClientConnection::growBodyMemory()
+{
+    const auto& pools = client->settings.answerPools;
+
+    if (body.capacity() < mesh::wholeBodyBytes)
+        reserveMemory (mesh::wholeBodyBytes, pools.whole);
+    else
+        reserveMemory (client->settings.maxAnswerBytes + 1, pools.unsized);
+}
+
+void ClientConnection::awaitStream()
+{
+    const auto& pool = client->settings.answerPools.streams;
+    streamWanted = true;
+
+    if (! reserveMemory (BodyStream::reservedBytes, pool))
+        return;
+
+    if (pool == nullptr || body.isGranted())
+        beginStream();
+}
+
+void ClientConnection::beginStream()
+{
+    const auto self = shared_from_this();
+    const auto rest = std::make_shared<BodyStream> (client->reactor, body.takeRequested());
+    rest->onRoom = [weak = weak_from_this()]
+    {
+        if (const auto open = weak.lock())
+            open->onStreamRoom();
+    };
+    rest->onAbandoned = [weak = weak_from_this()]
+    {
+        if (const auto open = weak.lock())
+            open->abandonStream();
+    };
+    stream = rest;
+    streamWanted = false;
+    result.end = CallEnd::answered;
+    result.body = Body (body.takeBody(), rest, bodyLength);
+    result.took = now() - sentAt;
+    state = State::streaming;
+    lastReadAt = now();
+    armTimer (lastReadAt);
+    const auto done = std::exchange (call, nullptr);
+    auto answer = std::exchange (result, {});
+
+    done->callback (std::move (answer));
+
+    readStream();
+    updateInterest();
+}
+
+void ClientConnection::readStream()
+{
+    const auto rest = stream.lock();
+
+    if (rest == nullptr)
+        return;
+
+    input.erase (0, decoder->feed (input, rest->buffer(), rest->room()));
+    rest->bytesAdded();
+
+    if (decoder->malformed())
+        abandonStream();
+    else if (decoder->complete())
+        endStream();
+}
+
+void ClientConnection::endStream()
+{
+    if (const auto rest = std::exchange (stream, {}).lock())
+        rest->finish();
+
+    endResponse();
+}
+
+void ClientConnection::abandonStream()
+{
+    if (state != State::streaming)
+        return;
+
+    if (const auto rest = std::exchange (stream, {}).lock())
+        rest->fail();
+
+    close();
+}
+
+void ClientConnection::onStreamRoom()
+{
+    if (state != State::streaming)
+        return;
+
+    lastReadAt = now();
+    readStream();
+    updateInterest();
+}
+
+bool ClientConnection::isReadingPaused() const
+{
+    if (body.isWaiting())
+        return true;
+
+    const auto rest = stream.lock();
+    return state == State::streaming && (rest == nullptr || rest->room() == 0);
+}
+
+void ClientConnection::dropBody()
+{
+    body.clear();
+    streamWanted = false;
+
+    if (const auto rest = std::exchange (stream, {}).lock())
+        rest->fail();
+}
+
+} // namespace copperlead::sidecar
