--- a/tests/sidecar/http/body_gate_test.cc
+++ b/tests/sidecar/http/body_gate_test.cc
@@ -252,6 +252,25 @@
 
     ~Admitting() override { reactor->Stop(); }
 
+    /** @returns the result of a function that is called on the reactor's thread */
+    template <typename Function>
+    auto onReactor (const Function& function)
+    {
+        decltype (function()) result{};
+        reactor->RunAndWait ([&] { result = function(); });
+        return result;
+    }
+
+    std::size_t waiting()
+    {
+        return onReactor ([&] { return bodies->waiting(); });
+    }
+
+    BodyCounters counters()
+    {
+        return onReactor ([&] { return bodies->counters(); });
+    }
+
     /** Requests admission of a body. The decision is counted in `granted` or `refused`, immediately
         or later.
     */
@@ -289,7 +308,8 @@
     EXPECT_LE (together, 4);
     reactor->RunAndWait ([&] { bodies->arrived (ids[0], bytes); });
     EXPECT_LE (granted, together + 1);
-    EXPECT_GT (bodies->expectedMs(), 900); // Nineteen bodies of 50 ms precede the next one.
+    const auto expectedMs = onReactor ([&] { return bodies->expectedMs(); });
+    EXPECT_GT (expectedMs, 900); // Nineteen bodies of 50 ms precede the next one.
 }
 
 TEST_F (Admitting, ABodyThatCannotArriveInTimeIsRefusedImmediately)
@@ -300,7 +320,7 @@
     // A body that takes 50 ms can't arrive in time for a run of 100 ms that must end within 120 ms.
     ask (120, 120);
     EXPECT_EQ (refused, 1);
-    EXPECT_EQ (bodies->counters().refused, 1U);
+    EXPECT_EQ (counters().refused, 1U);
 }
 
 TEST_F (Admitting, AWithdrawnBodyMakesRoomForTheNext)
@@ -322,7 +342,7 @@
 
 TEST_F (Admitting, ASilentSenderKeepsItsPlaceNoLongerThanItsRequestLives)
 {
-    while (bodies->waiting() == 0)
+    while (waiting() == 0)
         ask (2000, 300);
 
     const int before = granted;
@@ -338,7 +358,7 @@
 {
     BodyAdmission::Id silent = ask (2000, 8000);
 
-    while (bodies->waiting() == 0)
+    while (waiting() == 0)
         ask (2000, 8000);
 
     const int before = granted;
@@ -346,7 +366,7 @@
     EXPECT_TRUE (Eventually ([&] { return granted > before; }));
     EXPECT_LT (SteadyClock().Now() - startedAt, Milliseconds (2000)) << "a quarter of its time";
     reactor->RunAndWait ([&] { bodies->arrived (silent, bytes); });
-    EXPECT_EQ (bodies->counters().arrived, 1U) << "a late body is still accepted";
+    EXPECT_EQ (counters().arrived, 1U) << "a late body is still accepted";
 }
 
 } // namespace
