Tests: no call of a fixture that is still being constructed; sanitizers noted

UndefinedBehaviorSanitizer on sidecar_test: BodyMemory configured its server by a member function before its own construction had begun, since the server starts in the base class. The pool's part is a base class of its own that is complete by then; BodyGate no longer casts to a class that isn't constructed yet.

--- a/tests/sidecar/http/body_gate_test.cc
+++ b/tests/sidecar/http/body_gate_test.cc
@@ -23,11 +23,9 @@
 protected:
     BodyGate()
         : HoldingServer (
-              [] (HoldingServer& server, ServerSettings& settings)
-              {
-                  settings.bodyGate =
-                      [&self = static_cast<BodyGate&> (server)] (const ExchangePointer& exchange)
-                  { self.onGate (exchange); };
+              [this] (HoldingServer&, ServerSettings& settings) {
+                  settings.bodyGate = [this] (const ExchangePointer& exchange)
+                  { onGate (exchange); };
               })
     {
     }
--- a/tests/sidecar/http/body_memory_test.cc
+++ b/tests/sidecar/http/body_memory_test.cc
@@ -10,14 +10,23 @@
 
 constexpr std::size_t poolBytes = 60'000;
 
-/** Members that exist before the server is configured. */
-struct PoolOfTest
+/** The part of the fixture that exists before its server is configured. */
+class PoolOfTest
 {
+protected:
     explicit PoolOfTest (std::size_t bytes)
         : poolSize (bytes)
     {
     }
 
+    void usePool (const std::shared_ptr<Reactor>& reactor, ServerSettings& settings)
+    {
+        pool = std::make_shared<BufferPool> (reactor, mesh::BufferAccount (poolSize, 0, 1));
+        settings.bodyPools = { pool, pool, pool };
+        settings.onMemoryRefused = [this] (const RequestHead&, std::size_t bytes, const BufferPool&)
+        { refusedBytes = bytes; };
+    }
+
     std::size_t poolSize;
     std::shared_ptr<BufferPool> pool;
     std::atomic<std::size_t> refusedBytes{ 0 };
@@ -31,19 +40,11 @@
 protected:
     explicit BodyMemory (std::size_t bytes = poolBytes)
         : PoolOfTest (bytes)
-        , HoldingServer ([] (HoldingServer& server, ServerSettings& settings)
-                         { static_cast<BodyMemory&> (server).configure (settings); })
+        , HoldingServer ([this] (HoldingServer&, ServerSettings& settings)
+                         { usePool (reactor, settings); })
     {
     }
 
-    void configure (ServerSettings& settings)
-    {
-        pool = std::make_shared<BufferPool> (reactor, mesh::BufferAccount (poolSize, 0, 1));
-        settings.bodyPools = { pool, pool, pool };
-        settings.onMemoryRefused = [this] (const RequestHead&, std::size_t bytes, const BufferPool&)
-        { refusedBytes = bytes; };
-    }
-
     static std::string post (const std::string& target, std::size_t bytes)
     {
         return request (target, {}, std::string (bytes, 'b'));
