BodyBuffer: say when a body's memory is reduced

The comment of takeBody() promised that all memory beyond the bytes is given back; a body that fills half of it or more keeps it, so that it isn't copied. A comment only.

--- a/src/sidecar/http/body_buffer.h
+++ b/src/sidecar/http/body_buffer.h
@@ -55,7 +55,9 @@
     /** Returns the memory in use. The bytes stay, so it has to live as long as they do. */
     Reservation takeMemory();
 
-    /** Returns what has been read together with its memory, and gives back what exceeds it. */
+    /** Returns what has been read together with its memory, which is reduced to the bytes if they
+        take less than half of it.
+    */
     Body takeBody();
     void clear();
 
