ClientConnection: an end of input behind a failed write is no orderly end

What callers saw: an instance answers a long upload at once with a 200 that has no length, sends part of its body and resets the connection while the upload is still being written. The client gets the part as a complete answer.

Cause: the system reports the failure of a connection once, to the call that comes first. write() went on after an error, since the server may have answered before it closed; that is right, but the write had taken the ECONNRESET, and the read behind the bytes that had arrived returned 0. That was taken for an orderly end, which completes a body without a length. The same happened to the rest of a large answer that is passed on.

SO_ERROR takes the error as send does; only the connecting state asks for it, and ends on it.

Why this mends it: the first failed write is recorded. It is EPIPE only if the end of the peer's side had arrived; then all bytes before it have, too, and the end is orderly. Behind any other error no end of the input is. One place decides (EndOfInput), for whole and for streamed answers.

Ruled out: reading before writing in onEvents(), as the rest of an upload arrives at any time and writes outside of it; ending the call on the first failed write, which drops whole answers that ended in order.

--- a/src/sidecar/http/client_connection.cc
+++ b/src/sidecar/http/client_connection.cc
@@ -123,10 +123,7 @@
 
     // After a reset, nothing more can be read once there is room.
     if (isReadingPaused() && (events & (EPOLLHUP | EPOLLERR)) != 0)
-    {
-        errno = ECONNRESET;
-        return onEndOfStream (false);
-    }
+        return onEndOfInput (ECONNRESET);
 
     if (state != State::closed && (events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0)
         readAll();
@@ -165,6 +162,7 @@
         // it.
         if (count < 0)
         {
+            endOfInput.RecordFailedWrite (errno);
             writeFailed = true;
             bodyWithheld = false;
             reusable = false;
--- a/src/sidecar/http/client_connection.h
+++ b/src/sidecar/http/client_connection.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 
+#include "proxy/end_of_input.h"
 #include "sidecar/http/body_buffer.h"
 #include "sidecar/http/body_decoder.h"
 #include "sidecar/http/http_client.h"
@@ -85,7 +86,11 @@
     void onBytesOfRequest();
     void onResponseComplete();
     std::size_t writableBytes() const;
-    void onEndOfStream (bool orderly);
+
+    /** Ends the response, which is complete if only its connection's end delimits it.
+        @param error  0 at an orderly end
+    */
+    void onEndOfInput (int error);
     void finish (CallEnd end, std::string cause);
     void finishAnswered();
     void endResponse();
@@ -108,6 +113,7 @@
     BodyBuffer body;           /**< The part of the response's body that has been read. */
     bool bodyWithheld = false; /**< Only the head of `output` may be written so far. */
     bool writeFailed = false;  /**< The server may have answered before it closed. */
+    EndOfInput endOfInput;
     std::optional<BodyDecoder> decoder;
     bool streamWanted = false; /**< The body is passed on as soon as there is memory for that. */
     std::optional<std::size_t> bodyLength; /**< As the response announces it. */
--- a/src/sidecar/http/client_connection_answers.cc
+++ b/src/sidecar/http/client_connection_answers.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <cstring>
 #include <utility>
 
 #include "mesh/milliseconds.h"
@@ -43,7 +44,7 @@
             return;
 
         if (count <= 0)
-            return onEndOfStream (count == 0);
+            return onEndOfInput (endOfInput.ErrorOf (count));
 
         // Data without an outstanding request can't be attributed to any call.
         if (state == State::idle)
@@ -185,8 +186,10 @@
     finishAnswered();
 }
 
-void ClientConnection::onEndOfStream (bool orderly)
+void ClientConnection::onEndOfInput (int error)
 {
+    const bool orderly = error == 0;
+
     if (state == State::streaming)
     {
         reusable = false;
@@ -204,7 +207,7 @@
 
     const bool responseStarted = state == State::body || ! input.empty();
     finish (responseStarted ? CallEnd::broken : CallEnd::connectionLost,
-            orderly ? "connection closed before the response was complete" : std::strerror (errno));
+            orderly ? "connection closed before the response was complete" : std::strerror (error));
 }
 
 void ClientConnection::finishAnswered()
--- a/src/standin/instance.cc
+++ b/src/standin/instance.cc
@@ -17,6 +17,7 @@
 
 constexpr auto kPeerCheckInterval = std::chrono::milliseconds(5);
 constexpr int kBacklog = 256;
+constexpr std::size_t kCutBytes = 5;  // Missing at the end of an answer that is cut off.
 constexpr char kSignature[] = "X-Response-Seal: 3e1b.07.5a2.600.0.c9f2a4d1\r\n";
 
 bool SendAll(int socket, const std::string& bytes) {
@@ -34,6 +35,17 @@
   setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
 }
 
+// Reads and drops what comes until the peer has closed.
+void ReadOn(int socket) {
+  char dropped[65536];
+  while (recv(socket, dropped, sizeof(dropped), 0) > 0) {
+  }
+}
+
+bool IsEarly(InstanceTrouble trouble) {
+  return trouble == InstanceTrouble::kEarlyCut || trouble == InstanceTrouble::kEarlyWhole;
+}
+
 std::int64_t UnixMilliseconds() {
   const auto since = std::chrono::system_clock::now().time_since_epoch();
   return std::chrono::duration_cast<std::chrono::milliseconds>(since).count();
@@ -169,8 +181,11 @@
     std::string fault;
     BodyFraming framing;
     const std::size_t end = FindHeadEnd(buffer);
-    if (end != 0 && ParseRequestHead(buffer.substr(0, end), message.head, fault) &&
-        FindRequestFraming(message.head, framing, fault) && buffer.size() >= end + framing.length) {
+    const bool has_head = end != 0 &&
+                          ParseRequestHead(buffer.substr(0, end), message.head, fault) &&
+                          FindRequestFraming(message.head, framing, fault);
+    if (has_head && AnswerEarly(socket, message)) break;
+    if (has_head && buffer.size() >= end + framing.length) {
       message.body = buffer.substr(end, framing.length);
       buffer.erase(0, end + framing.length);
       open = Handle(socket, message);
@@ -192,6 +207,34 @@
   return fault_.trouble;
 }
 
+InstanceTrouble Instance::NextTrouble() const {
+  const std::lock_guard lock(mutex_);
+  return fault_.times == 0 ? InstanceTrouble::kNone : fault_.trouble;
+}
+
+bool Instance::AnswerEarly(int socket, const Message& message) {
+  if (message.head.target == "/health" || !IsEarly(NextTrouble())) return false;
+  const InstanceTrouble trouble = TakeTrouble();
+  const std::size_t run = AddRun(message);
+  {
+    const std::lock_guard lock(mutex_);
+    runs_[run].ran = true;
+    runs_[run].answered_early = true;
+    runs_[run].ran_at = runs_[run].came_at;
+  }
+  const std::string id = FirstValue(message.head.fields, "X-Request-Id");
+  const std::string whole = Answer(200, id, "answer to " + id, true, false);
+  if (trouble == InstanceTrouble::kEarlyCut) {
+    SendAll(socket, whole.substr(0, whole.size() - kCutBytes));
+    CloseByReset(socket);
+  } else {
+    SendAll(socket, whole);
+    shutdown(socket, SHUT_WR);
+    ReadOn(socket);
+  }
+  return true;
+}
+
 std::size_t Instance::AddRun(const Message& message) {
   const auto& fields = message.head.fields;
   InstanceRun run;
@@ -309,7 +352,7 @@
       CloseByReset(socket);
       return false;
     case InstanceTrouble::kCut:
-      SendAll(socket, whole.substr(0, whole.size() - 5));
+      SendAll(socket, whole.substr(0, whole.size() - kCutBytes));
       return false;
     case InstanceTrouble::kExtra:
       return SendAll(socket, whole + Answer(200, "earlier", "another's answer", true, true));
--- a/src/standin/instance.h
+++ b/src/standin/instance.h
@@ -39,7 +39,10 @@
   kError,     // Runs, then answers 500, signed.
   kShed,      // 503 without having run it.
   kClosing,   // Answers, then closes the connection without having said so.
-  kSilent     // Reads and never answers.
+  kSilent,    // Reads and never answers.
+  // The others answer as soon as the head has come, while the body is still being sent.
+  kEarlyCut,   // Answers without a length, cuts that off and resets the connection.
+  kEarlyWhole  // Answers without a length, ends its side and reads on.
 };
 
 struct InstanceFault {
@@ -82,7 +85,8 @@
   std::chrono::steady_clock::time_point came_at{};
   bool ran = false;
   std::chrono::steady_clock::time_point ran_at{};
-  bool broken_off = false;  // The connection ended while it worked.
+  bool answered_early = false;  // It was answered without regard to its body, which isn't here.
+  bool broken_off = false;      // The connection ended while it worked.
 };
 
 // A value of Server-Limit in the instance's answers.
@@ -153,7 +157,11 @@
   void Serve(int socket);
   // @return false when the connection ends.
   bool Handle(int socket, const Message& message);
+  // Answers a request whose head has come, if the trouble is to do so. @return false when it isn't
+  bool AnswerEarly(int socket, const Message& message);
   InstanceTrouble TakeTrouble();
+  // The trouble of the next request.
+  InstanceTrouble NextTrouble() const;
   // Takes a slot and works. @return false when the connection ended meanwhile.
   bool Work(int socket, std::size_t run, std::chrono::milliseconds work);
   std::string Answer(int status, const std::string& id, const std::string& body, bool is_signed,
--- a/tests/proxy/raw_socket.cc
+++ b/tests/proxy/raw_socket.cc
@@ -98,14 +98,20 @@
   return fd_ >= 0 && left.count() > 0 && poll(&descriptor, 1, static_cast<int>(left.count())) > 0;
 }
 
-RawMessage RawSocket::Read(bool answers_head) {
-  RawMessage message;
+std::string RawSocket::ReadHead() {
   std::size_t end = 0;
   while ((end = buffer_.find("\r\n\r\n")) == std::string::npos) {
-    if (!Fill()) return message;
+    if (!Fill()) return {};
   }
-  message.head = buffer_.substr(0, end + 4);
+  std::string head = buffer_.substr(0, end + 4);
   buffer_.erase(0, end + 4);
+  return head;
+}
+
+RawMessage RawSocket::Read(bool answers_head) {
+  RawMessage message;
+  message.head = ReadHead();
+  if (message.head.empty()) return message;
   message.complete = ReadBody(message, answers_head);
   return message;
 }
@@ -163,6 +169,8 @@
   Close();
 }
 
+void RawSocket::EndSending() const { shutdown(fd_, SHUT_WR); }
+
 void RawSocket::Close() {
   if (fd_ >= 0) close(fd_);
   fd_ = -1;
--- a/tests/proxy/raw_socket.h
+++ b/tests/proxy/raw_socket.h
@@ -44,6 +44,8 @@
 
   // @return false when the connection has failed.
   bool Send(std::string_view bytes) const;
+  // Reads one head and leaves the rest of its message unread. @return "" when none was received
+  std::string ReadHead();
   // Reads one message. Expects no body in a response to HEAD or with a status that allows none.
   RawMessage Read(bool answers_head = false);
   // @return true when there are bytes to read, or the end, before `until`.
@@ -57,6 +59,9 @@
   bool was_reset() const { return was_reset_; }
   void Reset();
   void Close();
+  // Ends this side in an orderly way; the other one may still send.
+  void EndSending() const;
+  int fd() const { return fd_; }
 
  private:
   bool Fill();
