SocketStream: an end of input behind a failed write is no orderly end

A back end answers an upload with a 200 without a length, sends a part and resets the connection. If the proxy's write meets the reset, it takes the error; BodyReader then finds an end that looks orderly, and the part is relayed as a complete response.

Evidence: SocketStream.ABodyThatAResetCutsOffIsIncompleteAlsoAfterAFailedWrite failed before. It is rare here since Wait() prefers input.

Why this mends it: the stream records its failed writes, and EndOfInput decides on the end, as for the sidecar's client.

--- a/src/proxy/socket_stream.cc
+++ b/src/proxy/socket_stream.cc
@@ -68,9 +68,10 @@
       end_ += static_cast<std::size_t>(count);
       return IoStatus::kOk;
     }
-    if (count == 0) return IoStatus::kEnd;
-    if (errno == EINTR) continue;
-    if (errno != EAGAIN) return IoStatus::kReset;
+    const int error = end_of_input_.ErrorOf(count);
+    if (error == 0) return IoStatus::kEnd;
+    if (error == EINTR) continue;
+    if (error != EAGAIN) return IoStatus::kReset;
     const IoStatus status = Wait(POLLIN, limits);
     if (status != IoStatus::kOk) return status;
   }
@@ -104,7 +105,10 @@
       continue;
     }
     if (errno == EINTR) continue;
-    if (errno != EAGAIN) return IoStatus::kReset;
+    if (errno != EAGAIN) {
+      end_of_input_.RecordFailedWrite(errno);
+      return IoStatus::kReset;
+    }
     const short events = limits.stop_when_readable ? POLLOUT | POLLIN : POLLOUT;
     const IoStatus status = Wait(events, limits);
     if (status != IoStatus::kOk) return status;
--- a/src/proxy/socket_stream.h
+++ b/src/proxy/socket_stream.h
@@ -12,12 +12,13 @@
 #include <string_view>
 
 #include "base/time.h"
+#include "proxy/end_of_input.h"
 
 namespace copperlead {
 
 enum class IoStatus : std::uint8_t {
   kOk,
-  kEnd,       // The peer closed its side in an orderly way.
+  kEnd,       // The peer closed its side in an orderly way; see EndOfInput.
   kReset,     // The connection failed.
   kTimeout,   // No progress within IoLimits::progress.
   kDeadline,  // IoLimits::deadline passed.
@@ -76,6 +77,7 @@
   IoStatus Wait(short events, const IoLimits& limits);
 
   int fd_;
+  EndOfInput end_of_input_;
   std::unique_ptr<char[]> buffer_;
   std::size_t begin_ = 0;
   std::size_t end_ = 0;
