ClientConnection: read what has arrived before a reset, also for a slow receiver

What callers saw: nothing that was reported. An instance answers a long upload whole and at once, ends its side and closes; the rest of the upload resets the connection. Where the client reads slowly, so that reading from the instance pauses just then, its answer was cut off.

Cause: while reading pauses, an error or hang-up was taken for the end, since a failed connection reports it all the time. The bytes that had arrived can still be read, and the orderly end behind them, too.

Evidence: EndOfAnswer.ASlowReceiverGetsWhatHasArrivedBeforeTheReset with an orderly end failed before; with a reset the part is still no answer.

Why this mends it: the connection is no longer watched, and continues without events when there is room. EndOfInput decides on the end as ever.

--- a/src/sidecar/http/client_connection.cc
+++ b/src/sidecar/http/client_connection.cc
@@ -61,6 +61,7 @@
                                     if (const auto self = weak.lock())
                                         self->finishOnException ([&] { self->onEvents (events); });
                                 });
+    isWatched = true;
     return true;
 }
 
@@ -121,9 +122,9 @@
     if ((events & EPOLLOUT) != 0)
         write();
 
-    // After a reset, nothing more can be read once there is room.
+    // A failed connection reports that all the time, while what has arrived can be read later.
     if (isReadingPaused() && (events & (EPOLLHUP | EPOLLERR)) != 0)
-        return onEndOfInput (ECONNRESET);
+        return stopWatching();
 
     if (state != State::closed && (events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0)
         readAll();
@@ -200,14 +201,28 @@
     call.reset();
     output.clear();
     dropBody();
-    client->reactor->Unwatch (watch, socket);
+    stopWatching();
     socket.Close();
     client->forget (*this);
 }
 
+void ClientConnection::stopWatching()
+{
+    if (std::exchange (isWatched, false))
+        client->reactor->Unwatch (watch, socket);
+}
+
+void ClientConnection::resumeReading()
+{
+    updateInterest();
+
+    if (! isWatched)
+        readAll();
+}
+
 void ClientConnection::updateInterest()
 {
-    if (state == State::closed)
+    if (state == State::closed || ! isWatched)
         return;
 
     const std::uint32_t wanted =
--- a/src/sidecar/http/client_connection.h
+++ b/src/sidecar/http/client_connection.h
@@ -99,10 +99,17 @@
     void onTimer();
     void updateInterest();
 
+    /** Ignores all further events; see resumeReading(). */
+    void stopWatching();
+
+    /** Continues after a pause, without an event if the connection isn't watched any more. */
+    void resumeReading();
+
     std::shared_ptr<HttpClient> client;
     std::string name;
     Socket socket;
     Reactor::WatchId watch = 0;
+    bool isWatched = false;
     std::uint32_t interest = 0;
     State state = State::connecting;
     CallPointer call;
--- a/src/sidecar/http/client_connection_answers.cc
+++ b/src/sidecar/http/client_connection_answers.cc
@@ -54,7 +54,8 @@
         input.append (buffer.data(), static_cast<std::size_t> (count));
         advance();
 
-        if (static_cast<std::size_t> (count) < wanted)
+        // Without events, only a read tells that nothing is left.
+        if (isWatched && static_cast<std::size_t> (count) < wanted)
             return;
     }
 }
--- a/src/sidecar/http/client_connection_body.cc
+++ b/src/sidecar/http/client_connection_body.cc
@@ -76,11 +76,16 @@
         return;
 
     if (streamWanted)
-        return beginStream();
+    {
+        beginStream();
+    }
+    else
+    {
+        body.grow();
+        advance();
+    }
 
-    body.grow();
-    updateInterest();
-    advance();
+    resumeReading();
 }
 
 bool ClientConnection::reserveBodyMemory (const BodyFraming& framing)
@@ -202,7 +207,7 @@
 
     lastReadAt = now();
     readStream();
-    updateInterest();
+    resumeReading();
 }
 
 bool ClientConnection::isReadingPaused() const
--- a/tests/sidecar/http/end_of_answer_test.cc
+++ b/tests/sidecar/http/end_of_answer_test.cc
@@ -25,6 +25,7 @@
 
 constexpr std::size_t uploadBytes = 6'000'000;
 constexpr std::size_t largeAnswerBytes = 900'000;
+constexpr std::size_t pieceBytes = 16384;
 constexpr std::string_view unsizedHead = "HTTP/1.1 200 OK\r\nX-Id: q\r\n\r\n";
 constexpr int maxDescriptor = 1024;
 
@@ -236,6 +237,37 @@
         return isComplete;
     }
 
+    /** Sends pieces of a body until the client reads no more, and then one that stays unread.
+        @returns the bytes of all pieces
+    */
+    std::size_t sendUntilClientPauses (RawSocket& socket)
+    {
+        const std::string piece (pieceBytes, 'p');
+
+        for (std::size_t sent = 0;; sent += pieceBytes)
+        {
+            socket.Send (piece);
+
+            if (sent > 2 * mesh::wholeBodyBytes || ! awaitReadOrPaused())
+                return sent + pieceBytes;
+        }
+    }
+
+    /** @returns true once everything that has arrived was read, false once the client pauses */
+    bool awaitReadOrPaused()
+    {
+        bool isPaused = false;
+        EXPECT_TRUE (Eventually (
+            [&]
+            {
+                int unread = 0;
+                ioctl (clientDescriptor, FIONREAD, &unread);
+                reactor->RunAndWait ([&] { isPaused = rest != nullptr && rest->room() == 0; });
+                return isPaused ? unread > 0 : unread == 0;
+            }));
+        return ! isPaused;
+    }
+
     std::shared_ptr<Reactor> reactor = Resolve ([] { return Reactor::Start(); }).value();
     std::shared_ptr<HttpClient> client;
     std::function<void (RawSocket&)> script;
@@ -341,6 +373,36 @@
     EXPECT_EQ (received, isOrderly ? largeAnswerBytes : received);
 }
 
+/** Guards against a whole answer that is dropped, because its connection fails while the receiver
+    takes nothing and the last bytes of it wait in the socket.
+*/
+TEST_P (EndOfAnswer, ASlowReceiverGetsWhatHasArrivedBeforeTheReset)
+{
+    const bool isOrderly = GetParam() == PeerEnd::orderlyThenReset;
+    std::size_t sent = 0;
+    isReceiverReady = false;
+    script = [&] (RawSocket& socket)
+    {
+        socket.Send (unsizedHead);
+        sent = sendUntilClientPauses (socket);
+        holdClient (
+            [&]
+            {
+                endConnection (socket, GetParam());
+                EXPECT_TRUE (awaitFailed (clientDescriptor));
+            });
+        reactor->RunAndWait (
+            [this]
+            {
+                isReceiverReady = true;
+                takeRest();
+            });
+    };
+    send (true);
+    EXPECT_EQ (isAnsweredCompletely(), isOrderly);
+    EXPECT_EQ (received, sent);
+}
+
 TEST_F (EndOfAnswer, AWholeAnswerIsServedWhileTheServerStillReadsTheUpload)
 {
     script = [] (RawSocket& socket)
