ParseResponseHead: status codes above 599 are no answer

What callers saw: an instance's status from 600 to 999 was passed on as it came. RFC 9110, section 15, takes such a status for invalid and for a failure of the server. It is a malformed status line now, as 000 to 099 already were: 502, or another attempt for what may be repeated.

Handled already, the tests are kept: 000, 099, two and four digits, signs, a missing blank, other versions, control bytes in the reason; blanks, tabs, NUL and other control bytes, DEL, LF and CR in a field's name, in its value, folded lines, missing names and colons.

--- a/src/proxy/http_message.cc
+++ b/src/proxy/http_message.cc
@@ -10,6 +10,7 @@
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
 constexpr std::string_view kVersionStart = "HTTP/1.";
 constexpr std::size_t kMaxDigits = 18;
+constexpr std::uint64_t kMinStatus = 100, kMaxStatus = 599;  // RFC 9110, section 15.
 
 char ToLower(char letter) {
   return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter + ('a' - 'A')) : letter;
@@ -187,7 +188,7 @@
   if (line.size() < kVersionLength + 1 + kStatusLength || line[kVersionLength] != ' ') return false;
   if (!ParseVersion(line.substr(0, kVersionLength), head.minor_version)) return false;
   if (!ParseWholeNumber(line.substr(kVersionLength + 1, kStatusLength), status)) return false;
-  if (status < 100) return false;
+  if (status < kMinStatus || status > kMaxStatus) return false;
   const std::string_view rest = line.substr(kVersionLength + 1 + kStatusLength);
   if (!rest.empty() && rest[0] != ' ') return false;
   head.status = static_cast<int>(status);
