ClientConnection: wait while reading pauses, without polling

What callers saw: a large answer to a client that reads slowly, or over a link that is shared, takes the whole processor of the node beside the instance. Found with the tests of reading that pauses.

Cause: when a stream fills up during a read, the interest in EPOLLIN stayed; with unread bytes each epoll_wait() returned at once.

--- a/src/sidecar/http/client_connection.cc
+++ b/src/sidecar/http/client_connection.cc
@@ -126,8 +126,11 @@
     if (isReadingPaused() && (events & (EPOLLHUP | EPOLLERR)) != 0)
         return stopWatching();
 
-    if (state != State::closed && (events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0)
-        readAll();
+    if (state == State::closed || (events & (EPOLLIN | EPOLLHUP | EPOLLERR)) == 0)
+        return;
+
+    readAll();
+    updateInterest();
 }
 
 void ClientConnection::onConnected()
--- a/tests/sidecar/http/end_of_answer_test.cc
+++ b/tests/sidecar/http/end_of_answer_test.cc
@@ -8,11 +8,13 @@
 #include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
+#include <time.h>
 
 #include <array>
 #include <atomic>
 #include <functional>
 #include <future>
+#include <thread>
 
 #include "sidecar/http/http_client.h"
 #include "sidecar/http/messages.h"
@@ -25,6 +27,7 @@
 
 constexpr std::size_t uploadBytes = 6'000'000;
 constexpr std::size_t largeAnswerBytes = 900'000;
+constexpr std::chrono::milliseconds pauseTime{ 200 };
 constexpr std::size_t pieceBytes = 16384;
 constexpr std::string_view unsizedHead = "HTTP/1.1 200 OK\r\nX-Id: q\r\n\r\n";
 constexpr int maxDescriptor = 1024;
@@ -243,29 +246,40 @@
     std::size_t sendUntilClientPauses (RawSocket& socket)
     {
         const std::string piece (pieceBytes, 'p');
+        std::size_t sent = 0;
 
-        for (std::size_t sent = 0;; sent += pieceBytes)
+        do
         {
             socket.Send (piece);
+            sent += pieceBytes;
+            EXPECT_TRUE (Eventually ([this] { return isStreamFull() || unreadBytes() == 0; }));
+        } while (! isStreamFull() && sent < 2 * mesh::wholeBodyBytes);
 
-            if (sent > 2 * mesh::wholeBodyBytes || ! awaitReadOrPaused())
-                return sent + pieceBytes;
-        }
+        socket.Send (piece);
+        EXPECT_TRUE (Eventually ([this] { return unreadBytes() > 0; }));
+        return sent + pieceBytes;
     }
 
-    /** @returns true once everything that has arrived was read, false once the client pauses */
-    bool awaitReadOrPaused()
+    int unreadBytes() const
     {
-        bool isPaused = false;
-        EXPECT_TRUE (Eventually (
-            [&]
-            {
-                int unread = 0;
-                ioctl (clientDescriptor, FIONREAD, &unread);
-                reactor->RunAndWait ([&] { isPaused = rest != nullptr && rest->room() == 0; });
-                return isPaused ? unread > 0 : unread == 0;
-            }));
-        return ! isPaused;
+        int unread = 0;
+        ioctl (clientDescriptor, FIONREAD, &unread);
+        return unread;
+    }
+
+    Duration processorTimeOfReactor()
+    {
+        timespec time{};
+        reactor->RunAndWait ([&] { clock_gettime (CLOCK_THREAD_CPUTIME_ID, &time); });
+        return std::chrono::duration_cast<Duration> (std::chrono::seconds (time.tv_sec) +
+                                                     std::chrono::nanoseconds (time.tv_nsec));
+    }
+
+    bool isStreamFull()
+    {
+        bool isFull = false;
+        reactor->RunAndWait ([&] { isFull = rest != nullptr && rest->room() == 0; });
+        return isFull;
     }
 
     std::shared_ptr<Reactor> reactor = Resolve ([] { return Reactor::Start(); }).value();
@@ -403,6 +417,33 @@
     EXPECT_EQ (received, sent);
 }
 
+/** Guards against a process that polls without a pause, because a receiver takes nothing and bytes
+    of the answer wait in the socket.
+*/
+TEST_F (EndOfAnswer, ASlowReceiverCostsNoProcessorTime)
+{
+    Duration used{};
+    isReceiverReady = false;
+    script = [&] (RawSocket& socket)
+    {
+        socket.Send (unsizedHead);
+        sendUntilClientPauses (socket);
+        const auto before = processorTimeOfReactor();
+        std::this_thread::sleep_for (pauseTime);
+        used = processorTimeOfReactor() - before;
+        reactor->RunAndWait (
+            [this]
+            {
+                isReceiverReady = true;
+                takeRest();
+            });
+        socket.EndSending();
+    };
+    send (true);
+    EXPECT_TRUE (isAnsweredCompletely());
+    EXPECT_LT (used, pauseTime / 2);
+}
+
 TEST_F (EndOfAnswer, AWholeAnswerIsServedWhileTheServerStillReadsTheUpload)
 {
     script = [] (RawSocket& socket)
