A planned stop refuses what comes too late for a usual run

What callers saw: in the planned stop of a node, in calm, uploads whose last byte came late in the grace were passed on, and got 504 at its end while their instance was at work, among them those that may not be repeated.

Cause: the node beside the instance asks whether a run of the usual time still fits, when that node stops. The node of the client took whatever came until the end of the grace; its deadline then cut it off.

A request, or another attempt of it, starts only if twice its usual time fits before the last answers must be sent, and 1.05 s at least, as what waits takes longer. Otherwise it gets 503 at once, which is true, with Retry-After and Connection: close, so that its client comes back elsewhere.

Ruled out: letting the process end later, as the kill follows; a limit by the route's time, which most runs are far below.

--- a/src/mesh/stop_plan.cc
+++ b/src/mesh/stop_plan.cc
@@ -1,5 +1,7 @@
 #include "mesh/stop_plan.h"
 
+#include <algorithm>
+
 namespace copperlead::mesh
 {
 
@@ -9,6 +11,12 @@
 {
 }
 
+bool StopPlan::mayStart (Timestamp now, Duration usualRun, Timestamp answerDeadline)
+{
+    constexpr Duration minTimeToRun = lastRequestTime - answerMargin;
+    return now + std::max (2 * usualRun, minTimeToRun) <= answerDeadline;
+}
+
 StopStep StopPlan::at (Timestamp now, bool idle) const
 {
     StopStep step;
--- a/src/mesh/stop_plan.h
+++ b/src/mesh/stop_plan.h
@@ -29,6 +29,11 @@
     /** The time by which the last answers must have been sent off. */
     Timestamp answerDeadline() const { return endsAt - answerMargin; }
 
+    /** Returns true if a request that starts now can be expected to end by answerDeadline(), also if
+        it takes longer than usual. One that couldn't would be cut off while its instance works.
+    */
+    static bool mayStart (Timestamp now, Duration usualRun, Timestamp answerDeadline);
+
     Duration since (Timestamp now) const { return now - start; }
 
 private:
--- a/src/sidecar/hop/active_request.cc
+++ b/src/sidecar/hop/active_request.cc
@@ -5,6 +5,7 @@
 #include "mesh/avoidance.h"
 #include "mesh/enum_names.h"
 #include "mesh/milliseconds.h"
+#include "mesh/stop_plan.h"
 #include "sidecar/http/messages.h"
 
 namespace copperlead::sidecar
@@ -156,13 +157,13 @@
     finish (withoutRetry (facts(), lastOutcome), lastAnswer);
 }
 
-void ActiveRequest::refuseAsCrashSuspect()
+void ActiveRequest::endWithoutLaunch (mesh::HopCause cause)
 {
     // Another attempt may still deliver the answer.
     if (activeCount() > 0)
         return;
 
-    lastAnswer.report.cause = mesh::HopCause::crashSuspect;
+    lastAnswer.report.cause = cause;
     finish (withoutRetry (facts(), lastOutcome), lastAnswer);
 }
 
@@ -175,7 +176,10 @@
     // An earlier attempt or another node may have reported a crash in the meantime. Without this
     // check, each attempt of a client could crash one instance for every retry that it has.
     if (facts().isHeld)
-        return refuseAsCrashSuspect();
+        return endWithoutLaunch (mesh::HopCause::crashSuspect);
+
+    if (! mesh::StopPlan::mayStart (now(), facts().usualRun, hop->endsAt))
+        return endWithoutLaunch (mesh::HopCause::nodeStopping);
 
     const auto index = attempts.size();
     auto& attempt = attempts.emplace_back();
--- a/src/sidecar/hop/active_request.h
+++ b/src/sidecar/hop/active_request.h
@@ -47,7 +47,7 @@
     mesh::LoadQuery loadQuery() const;
     void onSearchEnded (const SearchResult& result);
     void launch (const mesh::Choice& choice);
-    void refuseAsCrashSuspect();
+    void endWithoutLaunch (mesh::HopCause cause);
     HopCall makeCall (const mesh::Choice& choice) const;
     void send (std::size_t index, HopCall call);
     void onDelivery (std::size_t index, HopDelivery delivery, const HopAnswer& answer);
--- a/tests/mesh/stop_plan_test.cc
+++ b/tests/mesh/stop_plan_test.cc
@@ -44,5 +44,17 @@
     EXPECT_EQ (plan.answerDeadline(), at (5550));
 }
 
+TEST_F (Stopping, StartsOnlyWhatEndsInTimeIfItTakesTwiceItsUsualTime)
+{
+    const auto mayStart = [this] (int ms, int usualMs)
+    { return StopPlan::mayStart (at (ms), Milliseconds (usualMs), plan.answerDeadline()); };
+    EXPECT_TRUE (mayStart (3550, 1000));
+    EXPECT_FALSE (mayStart (3551, 1000));
+    // Short ones may have to wait, so they need some time, too.
+    EXPECT_TRUE (mayStart (4500, 10));
+    EXPECT_FALSE (mayStart (4501, 10));
+    EXPECT_TRUE (StopPlan::mayStart (at (0), Milliseconds (1000), Timestamp::max()));
+}
+
 } // namespace
 } // namespace copperlead::mesh::test
--- a/tests/mesh_integration/two_hops_test.cc
+++ b/tests/mesh_integration/two_hops_test.cc
@@ -377,6 +377,54 @@
   EXPECT_EQ(hub.sidecar->Wait(std::chrono::seconds(3)), 0);
 }
 
+// Guards against requests that are passed on late in the grace and then cut off while their
+// instance is at work: uploads whose last byte comes when a usual run doesn't fit any more.
+TEST(MeshStop, ARequestThatComesTooLateForAUsualRunIsRefusedAndNeverRuns) {
+  MeshFleet fleet;
+  fleet.Configure(4);
+  MeshMachine& desk = fleet.Add("desk");
+  MeshMachine& hub = fleet.Add("hub");
+  fleet.Start(desk);
+  fleet.Start(hub);
+  ASSERT_TRUE(fleet.AwaitReady(desk) && fleet.AwaitReady(hub));
+  desk.instance->SetWork(std::chrono::milliseconds(800));
+  const std::string body(20'000, 'u');
+  const auto begin = [&](const std::string& id) {
+    RawSocket socket = RawSocket::Connect(fleet.outbound(hub));
+    socket.Send("POST /buy/1 HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: " + id +
+                "\r\nX-Deadline-Ms: 5000\r\nContent-Length: " + std::to_string(body.size()) +
+                "\r\n\r\n" + body.substr(1));
+    return socket;
+  };
+  // So that the usual time is known.
+  for (int sent = 0; sent < 3; ++sent) {
+    RawSocket socket = begin("before-" + std::to_string(sent));
+    socket.Send(body.substr(0, 1));
+    EXPECT_EQ(socket.Read().status(), 200);
+  }
+  std::vector<RawSocket> clients;
+  constexpr int kClients = 10;
+  for (int client = 0; client < kClients; ++client) {
+    clients.push_back(begin("late-" + std::to_string(client)));
+  }
+  const auto signalled = std::chrono::steady_clock::now();
+  hub.sidecar->Signal(SIGTERM);
+  for (int client = 0; client < kClients; ++client) {
+    std::this_thread::sleep_until(signalled + std::chrono::milliseconds(3500 + 200 * client));
+    clients[client].Send(body.substr(0, 1));
+  }
+  for (int client = 0; client < kClients; ++client) {
+    const std::string id = "late-" + std::to_string(client);
+    const RawMessage answer = clients[client].Read();
+    EXPECT_TRUE(answer.complete) << id;
+    EXPECT_EQ(answer.status(), fleet.RunsOf(id) == 0 ? 503 : 200) << id << answer.body;
+    EXPECT_EQ(answer.Header("connection"), "close") << id;
+  }
+  EXPECT_EQ(fleet.RunsOf("late-0"), 1) << "there was enough time";
+  EXPECT_EQ(fleet.RunsOf("late-9"), 0);
+  EXPECT_EQ(hub.sidecar->Wait(std::chrono::seconds(8)), 0);
+}
+
 // Each of the pipelined requests that was passed on gets its answer; what comes behind them after
 // the signal is left to the client, who sends it again.
 TEST(MeshStop, PipelinedRequestsThatWerePassedOnAreAllAnswered) {
