A planned stop answers pipelined requests that were read before it closes

What callers saw: two requests sent at once on a kept connection during a planned stop: the first is answered with Connection: close, the one behind it was read, hasn't run and gets nothing.

Decided: RFC 9112, section 9.6, lets a server do so. But the server chooses when it says close, and a client that gets nothing to a request that was read can't know whether it ran; what may not be repeated is lost for it. So a response closes the connection only if nothing of a later request has been read (Exchange::isLastRead).

What remains: a response that waits for an earlier one keeps its close if more is read meanwhile.

--- a/src/sidecar/hop/first_hop.cc
+++ b/src/sidecar/hop/first_hop.cc
@@ -176,8 +176,8 @@
 
 bool FirstHop::mustClose (const Exchange& exchange) const
 {
-    // Closing the connection would cut off a later request of it that is already being processed.
-    return exchange.mustClose() || (closing && exchange.isLatest());
+    // A client can't know whether a request that was read and got no response has run.
+    return exchange.mustClose() || (closing && exchange.isLastRead());
 }
 
 bool FirstHop::canRunConcurrently (const RequestHead& head) const
--- a/src/sidecar/http/http_server.cc
+++ b/src/sidecar/http/http_server.cc
@@ -43,10 +43,10 @@
     return closeAfterResponse || (open != nullptr && open->isBodyLeft (*this));
 }
 
-bool Exchange::isLatest() const
+bool Exchange::isLastRead() const
 {
     const auto open = connection.lock();
-    return open == nullptr || open->isLatest (*this);
+    return open == nullptr || open->isLastRead (*this);
 }
 
 HttpServer::HttpServer (std::shared_ptr<Reactor> reactorToUse, ServerSettings settingsToUse)
--- a/src/sidecar/http/http_server.h
+++ b/src/sidecar/http/http_server.h
@@ -56,10 +56,10 @@
     */
     bool mustClose() const;
 
-    /** @returns true if no later request of the connection has been dispatched, so that the
-        response may close the connection without aborting another request
+    /** @returns true if nothing of a later request has been read from the connection, so that the
+        response may close it without leaving another request unanswered
     */
-    bool isLatest() const;
+    bool isLastRead() const;
     bool isHead() const { return head.method == "HEAD"; }
     bool isOldClient() const { return head.minor_version == 0; }
 
--- a/src/sidecar/http/server_connection.cc
+++ b/src/sidecar/http/server_connection.cc
@@ -90,7 +90,13 @@
     return state == State::head && input.empty() && output.isFinished() && pending.empty();
 }
 
-bool ServerConnection::isLatest (const Exchange& asked) const { return pending.isLatest (asked); }
+bool ServerConnection::isLastRead (const Exchange& asked) const
+{
+    const bool isOtherBeingRead = exchange != nullptr && exchange.get() != &asked;
+    // Line breaks may stand between requests.
+    const bool isInputLeft = input.find_first_not_of ("\r\n") != std::string::npos;
+    return pending.isLatest (asked) && ! isOtherBeingRead && ! isInputLeft;
+}
 
 bool ServerConnection::canReadNext() const
 {
--- a/src/sidecar/http/server_connection.h
+++ b/src/sidecar/http/server_connection.h
@@ -42,8 +42,8 @@
     /** @returns true if no request is being read or answered */
     bool idle() const;
 
-    /** @returns true if no later request of the connection has been dispatched */
-    bool isLatest (const Exchange& exchange) const;
+    /** @returns true if nothing of a later request has been read */
+    bool isLastRead (const Exchange& asked) const;
 
     /** @returns true if bytes of a request's body may still arrive */
     bool isBodyLeft (const Exchange& exchange) const;
--- a/src/sidecar/http/server_connection_body.cc
+++ b/src/sidecar/http/server_connection_body.cc
@@ -25,7 +25,7 @@
 
 bool ServerConnection::isCurrentQueued() const
 {
-    return exchange != nullptr && isLatest (*exchange);
+    return exchange != nullptr && pending.isLatest (*exchange);
 }
 
 void ServerConnection::continueBody (const Exchange& asked)
