RequestExchange: break off responses that never end

A body that arrives so fast that the proxy never waits for it was relayed after its deadline for as long as the caller reads.

Why this mends it: mesh::TransferLimit decides, as for the sidecar. Without a deadline nothing is limited, as before.

--- a/src/proxy/request_exchange.cc
+++ b/src/proxy/request_exchange.cc
@@ -183,7 +183,9 @@
 
 BodyStatus RequestExchange::RelayBody(BodyReader& reader, std::string head, bool chunk) {
   const IoLimits write_limits = CallerWriteLimits();
+  mesh::TransferLimit limit = ResponseLimit();
   for (;;) {
+    if (limit.isExceeded(Now())) return BodyStatus::kFailed;
     IoLimits read_limits = AnswerReadLimits();
     // Sends the head together with the part of the body that has arrived, without waiting for more.
     if (!head.empty()) read_limits.progress = Duration::zero();
@@ -191,6 +193,8 @@
     const bool usable = step.status == BodyStatus::kPiece || step.status == BodyStatus::kEnd;
     const bool head_alone = !usable && !head.empty();
     if (!usable && !head_alone) return step.status;
+    limit.received(Now(), step.piece.size());
+    limit.setPaused(Now(), true);
     IoStatus status = IoStatus::kOk;
     if (step.status == BodyStatus::kEnd) {
       status = caller_.Write({head, chunk ? kLastChunk : ""}, write_limits);
@@ -203,10 +207,17 @@
     }
     if (status != IoStatus::kOk) return BodyStatus::kFailed;
     if (step.status == BodyStatus::kEnd) return BodyStatus::kEnd;
+    limit.setPaused(Now(), false);
     head.clear();
   }
 }
 
+mesh::TransferLimit RequestExchange::ResponseLimit() const {
+  std::optional<std::size_t> length;
+  if (attempt_.framing.kind == BodyKind::kLength) length = attempt_.framing.length;
+  return {Now(), deadline_.value_or(Timestamp::max()), length};
+}
+
 ConnectionDisposition RequestExchange::FinishRelay(bool complete, bool close) {
   if (complete && ConnectionIsReusable()) attempt_.lease->ReturnToPool(address_);
   attempt_.lease.reset();
--- a/src/proxy/request_exchange.h
+++ b/src/proxy/request_exchange.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 
+#include "mesh/transfer_limit.h"
 #include "proxy/caller_request.h"
 #include "proxy/forwarded_headers.h"
 #include "proxy/proxy_server.h"
@@ -67,6 +68,9 @@
   // Relays the body, preceded by `head`.
   // @return how the response ended.
   BodyStatus RelayBody(BodyReader& reader, std::string head, bool chunk);
+  // @return the limit of the response that is about to be relayed. Without a deadline it limits
+  //         nothing.
+  mesh::TransferLimit ResponseLimit() const;
   ConnectionDisposition FinishRelay(bool complete, bool close);
   ConnectionDisposition SendLocalResponse(LocalResponse answer);
   // Reads a small body into memory, so that it can be sent again.
--- a/tests/proxy/exchange_test.cc
+++ b/tests/proxy/exchange_test.cc
@@ -412,6 +412,31 @@
   EXPECT_TRUE(caller.was_reset());
 }
 
+// Guards against a response without end, which arrives so fast that the proxy never waits for it,
+// and is relayed after its deadline for as long as the caller reads.
+TEST_F(ProxyTest, ABodyWithoutEndIsBrokenOffAfterTheDeadline) {
+  RawServer backend([](RawSocket& socket, int) {
+    socket.Read();
+    socket.Send("HTTP/1.1 200 OK\r\n\r\n");
+    while (socket.Send(std::string(1 << 16, 'b'))) {
+    }
+  });
+  StartProxy({{backend.address()}});
+  for (const char* version : {"HTTP/1.1", "HTTP/1.0"}) {
+    RawSocket caller = Connect();
+    const auto begun = std::chrono::steady_clock::now();
+    caller.Send(std::string("GET / ") + version +
+                "\r\nHost: test\r\ncopperlead-deadline-ms: 500\r\n\r\n");
+    std::string last;
+    for (std::string piece = "-"; !piece.empty(); last = piece.empty() ? last : piece) {
+      piece = caller.AwaitReadable(begun + std::chrono::seconds(5)) ? caller.ReadToEnd(1) : "";
+    }
+    EXPECT_LT(std::chrono::steady_clock::now() - begun, std::chrono::seconds(5)) << version;
+    EXPECT_FALSE(last.ends_with("0\r\n\r\n"));
+    EXPECT_TRUE(version == std::string("HTTP/1.1") || caller.was_reset());
+  }
+}
+
 TEST_F(ProxyTest, ContinuesWhenTheCallerWaitsForIt) {
   RawServer backend(Answering(Echo));
   settings_.buffer_limit = 8;
