Soak: instances that answer uploads early, or answer without end

In the plays with large bodies an instance at a time answers uploads from their head, whole or in part with a reset behind it, or sends a head or a body without end, for some requests; everything else goes on meanwhile. The summary says how many uploads were answered early.

--- a/src/standin/instance.cc
+++ b/src/standin/instance.cc
@@ -184,13 +184,13 @@
     const bool has_head = end != 0 &&
                           ParseRequestHead(buffer.substr(0, end), message.head, fault) &&
                           FindRequestFraming(message.head, framing, fault);
-    if (has_head && AnswerEarly(socket, message)) break;
     if (has_head && buffer.size() >= end + framing.length) {
       message.body = buffer.substr(end, framing.length);
       buffer.erase(0, end + framing.length);
       open = Handle(socket, message);
       continue;
     }
+    if (has_head && AnswerEarly(socket, message)) break;
     const auto count = recv(socket, piece, sizeof(piece), 0);
     if (count <= 0) break;
     buffer.append(piece, static_cast<std::size_t>(count));
@@ -200,21 +200,18 @@
   close(socket);
 }
 
-InstanceTrouble Instance::TakeTrouble() {
+InstanceTrouble Instance::TakeTrouble(bool before_body) {
   const std::lock_guard lock(mutex_);
-  if (fault_.times == 0) return InstanceTrouble::kNone;
+  if (fault_.times == 0 || IsEarly(fault_.trouble) != before_body) return InstanceTrouble::kNone;
   if (fault_.times != UINT64_MAX) --fault_.times;
   return fault_.trouble;
 }
 
-InstanceTrouble Instance::NextTrouble() const {
-  const std::lock_guard lock(mutex_);
-  return fault_.times == 0 ? InstanceTrouble::kNone : fault_.trouble;
-}
-
 bool Instance::AnswerEarly(int socket, const Message& message) {
-  if (message.head.target == "/health" || !IsEarly(NextTrouble())) return false;
-  const InstanceTrouble trouble = TakeTrouble();
+  const std::string expected = FirstValue(message.head.fields, "X-Expect-Instance");
+  if (!expected.empty() && expected != id()) return false;
+  const InstanceTrouble trouble = TakeTrouble(true);
+  if (trouble == InstanceTrouble::kNone) return false;
   const std::size_t run = AddRun(message);
   {
     const std::lock_guard lock(mutex_);
@@ -304,12 +301,16 @@
   return here && !stopping_ && crashes == crashes_.size();
 }
 
-void Instance::AnswerWithoutEnd(int socket) {
+void Instance::AnswerWithoutEnd(int socket, const std::string& id) {
   EndlessAnswer answer;
   {
     const std::lock_guard lock(mutex_);
     answer = endless_;
   }
+  const auto mark = answer.begin.find(kRequestIdMark);
+  if (mark != std::string::npos) {
+    answer.begin.replace(mark, std::string_view(kRequestIdMark).size(), id);
+  }
   bool open = SendAll(socket, answer.begin);
   while (open) {
     std::this_thread::sleep_for(answer.pause);
@@ -345,7 +346,7 @@
   if (other) return SendAll(socket, Answer(421, id, "", false, true));
   if (!Bears()) return false;
 
-  const InstanceTrouble trouble = TakeTrouble();
+  const InstanceTrouble trouble = TakeTrouble(false);
   if (full || trouble == InstanceTrouble::kShed) {
     return SendAll(socket, Answer(503, id, "", false, true));
   }
@@ -384,7 +385,7 @@
     case InstanceTrouble::kSilent:
       return true;
     case InstanceTrouble::kEndless:
-      AnswerWithoutEnd(socket);
+      AnswerWithoutEnd(socket, id);
       return false;
     default:
       return SendAll(socket, whole);
--- a/src/standin/instance.h
+++ b/src/standin/instance.h
@@ -41,14 +41,16 @@
   kClosing,   // Answers, then closes the connection without having said so.
   kSilent,    // Reads and never answers.
   kEndless,   // Sends its EndlessAnswer until the caller closes.
-  // The others answer as soon as the head has come, while the body is still being sent.
+  // The others are for requests whose body is still being sent: they answer its head.
   kEarlyCut,   // Answers without a length, cuts that off and resets the connection.
   kEarlyWhole  // Answers without a length, ends its side and reads on.
 };
 
+inline constexpr char kRequestIdMark[] = "@id";
+
 // An answer that goes on until its caller closes the connection.
 struct EndlessAnswer {
-  std::string begin;
+  std::string begin;                   // A kRequestIdMark in it becomes the request's id.
   std::string piece;                   // Sent again and again,
   std::chrono::milliseconds pause{0};  // each time after this pause.
 };
@@ -166,14 +168,13 @@
   bool AwaitRestart();
   void Crash();
   void Serve(int socket);
-  void AnswerWithoutEnd(int socket);
+  void AnswerWithoutEnd(int socket, const std::string& id);
   // @return false when the connection ends.
   bool Handle(int socket, const Message& message);
   // Answers a request whose head has come, if the trouble is to do so. @return false when it isn't
   bool AnswerEarly(int socket, const Message& message);
-  InstanceTrouble TakeTrouble();
-  // The trouble of the next request.
-  InstanceTrouble NextTrouble() const;
+  // @param before_body  the request's body is still to come
+  InstanceTrouble TakeTrouble(bool before_body);
   // Takes a slot and works. @return false when the connection ended meanwhile.
   bool Work(int socket, std::size_t run, std::chrono::milliseconds work);
   std::string Answer(int status, const std::string& id, const std::string& body, bool is_signed,
--- a/tests/mesh_integration/mesh_soak_test.cc
+++ b/tests/mesh_integration/mesh_soak_test.cc
@@ -7,7 +7,7 @@
 // PromisesHoldUnderFaultsFromOutside, COPPERLEAD_SOAK_STATEMENTS instances that state limits and
 // that they leave, COPPERLEAD_SOAK_LEAVINGS (alone) instances whose entries go after a short
 // trouble, COPPERLEAD_SOAK_MESSAGES (alone) large bodies both ways, clients that pipeline and leave
-// at their deadline, slow instances and ids of all legal signs.
+// at their deadline, slow instances, broken answers and ids of all legal signs.
 #include <gtest/gtest.h>
 
 #include <cstdlib>
--- a/tests/mesh_integration/soak.h
+++ b/tests/mesh_integration/soak.h
@@ -27,7 +27,8 @@
   kWideWithStatements,  // As kWide, and instances state limits and that they leave.
   kWideWithStatementsAndRestores,
   kWideWithMessages,  // As kWide, and large bodies both ways, clients that pipeline and leave at
-                      // their deadline, slow instances, and ids of all legal signs.
+                      // their deadline, slow instances, ids of all legal signs, and instances that
+                      // answer uploads early, whole or in part, or without end.
   kWideWithLeavings   // As kWide, and entries of instances go after a short trouble with the store.
 };
 
@@ -83,6 +84,8 @@
   // Sends several requests at once and leaves at their deadline.
   void RunPipeliner(int client);
   void SlowInstancesDown();
+  // Instances answer uploads early, whole or in part, or without end.
+  void BreakAnswers();
 
   // The sidecars that run, for the watch over their memory.
   std::vector<WatchedProcess> RunningSidecars();
--- a/tests/mesh_integration/soak_messages.cc
+++ b/tests/mesh_integration/soak_messages.cc
@@ -16,6 +16,7 @@
 constexpr std::size_t kMostBodyBytes = 12'000'000;
 constexpr std::size_t kPieceBytes = 100'000;
 constexpr int kPipelined = 6;
+constexpr std::size_t kEndlessPieceBytes = 0x8000;
 
 std::string Head(const std::string& method, const std::string& path, const std::string& id,
                  const std::string& deadline_ms, const std::string& framing) {
@@ -30,6 +31,24 @@
   return kSizes[random() % std::size(kSizes)];
 }
 
+// Sends so slowly that its caller bears it until the deadline.
+EndlessAnswer SomeEndlessAnswer(std::mt19937_64& random) {
+  const std::string ok =
+      "HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\nX-Request-Id: " + std::string(kRequestIdMark) +
+      "\r\n";
+  const std::string body(kEndlessPieceBytes, 'b');
+  const EndlessAnswer answers[] = {
+      {ok + "\r\n", body},
+      {ok + "Content-Length: 1000000000000\r\n\r\n", body},
+      {ok + "Transfer-Encoding: chunked\r\n\r\n", "8000\r\n" + body + "\r\n"},
+      {ok, "X-Other: value\r\n"},
+      {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"", body}};
+  EndlessAnswer answer = answers[random() % std::size(answers)];
+  answer.pause = milliseconds(2 + random() % 50);
+  return answer;
+}
+
 }  // namespace
 
 std::string IdOfAllSigns(const std::string& name, std::mt19937_64& random) {
@@ -141,4 +160,22 @@
   }
 }
 
+void Soak::BreakAnswers() {
+  static constexpr InstanceTrouble kTroubles[] = {
+      InstanceTrouble::kEndless, InstanceTrouble::kEarlyCut, InstanceTrouble::kEarlyWhole};
+  std::mt19937_64 random(700);
+  while (!stopping_) {
+    const std::size_t index = random() % fleet_.machines().size();
+    MeshMachine& machine = *fleet_.machines()[index];
+    const auto trouble = kTroubles[random() % std::size(kTroubles)];
+    RecordFault("answers", &machine, std::to_string(static_cast<int>(trouble)));
+    health_.BeginFault(index);
+    machine.instance->SetEndlessAnswer(SomeEndlessAnswer(random));
+    machine.instance->SetFault({trouble, 1 + random() % 4});
+    std::this_thread::sleep_for(milliseconds(300 + random() % 1500));
+    machine.instance->SetFault({});
+    health_.EndFault(index);
+  }
+}
+
 }  // namespace copperlead::standin
--- a/tests/mesh_integration/soak_observations.h
+++ b/tests/mesh_integration/soak_observations.h
@@ -137,6 +137,8 @@
         if (run.target != "/up/1") continue;
         if (sent == uploads_.end()) {
           Violate(run.request_id + " was sent by no client");
+        } else if (run.answered_early) {
+          ++uploads_answered_early_;
         } else if (run.body_bytes != sent->second.bytes || run.body_hash != sent->second.hash) {
           Violate(run.request_id + " came with another body");
         }
@@ -196,7 +198,8 @@
     text += "  peak memory: " + std::to_string(peak_memory_ / 1'000'000) + " MB";
     if (!uploads_.empty()) {
       text += "  uploads served: " + std::to_string(uploads_served_) + " of " +
-              std::to_string(uploads_.size()) + "  downloads:";
+              std::to_string(uploads_.size()) + " (" + std::to_string(uploads_answered_early_) +
+              " answered early)  downloads:";
       for (const auto& [status, count] : downloads_) {
         text += " " + std::to_string(status) + "x" + std::to_string(count);
       }
@@ -239,6 +242,7 @@
   std::map<std::string, Upload> uploads_;
   std::map<int, int> downloads_;  // Whole answers by status.
   int uploads_served_ = 0;
+  int uploads_answered_early_ = 0;
   std::size_t peak_memory_ = 0;
   std::map<std::string, int> purchases_;  // Status of each; 0 for no whole answer.
   std::map<std::pair<std::size_t, int>, std::uint64_t> served_version_;
