StopPlan: before clients can go elsewhere, only a usual run has to fit

Read again: with twice the usual time from the signal on, a node that stops would have refused all requests of routes whose runs take 2.8 s or more at once, for clients that have no other node yet; those mostly end in time. Now that holds from 3 s after the signal on, when the platform has stopped sending clients; before that, a usual run has to fit. LastHop keeps its own condition as it was: callers of other nodes always have other instances.

--- a/src/mesh/stop_plan.cc
+++ b/src/mesh/stop_plan.cc
@@ -11,10 +11,12 @@
 {
 }
 
-bool StopPlan::mayStart (Timestamp now, Duration usualRun, Timestamp answerDeadline)
+bool StopPlan::mayStart (Timestamp now, Duration usualRun) const
 {
     constexpr Duration minTimeToRun = lastRequestTime - answerMargin;
-    return now + std::max (2 * usualRun, minTimeToRun) <= answerDeadline;
+    const bool isLate = since (now) >= drainNoticeTime;
+    const auto run = isLate ? std::max (2 * usualRun, minTimeToRun) : usualRun;
+    return now + run <= answerDeadline();
 }
 
 StopStep StopPlan::at (Timestamp now, bool idle) const
--- a/src/mesh/stop_plan.h
+++ b/src/mesh/stop_plan.h
@@ -29,10 +29,12 @@
     /** The time by which the last answers must have been sent off. */
     Timestamp answerDeadline() const { return endsAt - answerMargin; }
 
-    /** Returns true if a request that starts now can be expected to end by answerDeadline(), also if
-        it takes longer than usual. One that couldn't would be cut off while its instance works.
+    /** Returns true if a request that starts now can be expected to end by answerDeadline(). One
+       that couldn't would be cut off while its instance works. As long as the platform sends new
+       clients here, they have no other node, and a usual run has to fit. Later ones can go
+       elsewhere, so their requests have to fit also if they take longer than usual.
     */
-    static bool mayStart (Timestamp now, Duration usualRun, Timestamp answerDeadline);
+    bool mayStart (Timestamp now, Duration usualRun) const;
 
     Duration since (Timestamp now) const { return now - start; }
 
--- a/src/sidecar/hop/active_request.cc
+++ b/src/sidecar/hop/active_request.cc
@@ -5,7 +5,6 @@
 #include "mesh/avoidance.h"
 #include "mesh/enum_names.h"
 #include "mesh/milliseconds.h"
-#include "mesh/stop_plan.h"
 #include "sidecar/http/messages.h"
 
 namespace copperlead::sidecar
@@ -63,7 +62,11 @@
     if (priorAttemptsTime > Milliseconds (0))
         hop->clientRetries.recordRetry (route.name);
 
-    deadline = std::min ({ deadline, clientGivesUpAt, hop->endsAt });
+    deadline = std::min (deadline, clientGivesUpAt);
+
+    if (hop->stopPlan)
+        deadline = std::min (deadline, hop->stopPlan->answerDeadline());
+
     fields = forwardedFields (received, names);
     fields.insert (fields.begin(), { "Host", std::string (onlyValue (received, "Host")) });
     service = route.services[hop->split.next (route)].service;
@@ -178,7 +181,7 @@
     if (facts().isHeld)
         return endWithoutLaunch (mesh::HopCause::crashSuspect);
 
-    if (! mesh::StopPlan::mayStart (now(), facts().usualRun, hop->endsAt))
+    if (hop->stopPlan && ! hop->stopPlan->mayStart (now(), facts().usualRun))
         return endWithoutLaunch (mesh::HopCause::nodeStopping);
 
     const auto index = attempts.size();
--- a/src/sidecar/hop/first_hop.cc
+++ b/src/sidecar/hop/first_hop.cc
@@ -116,11 +116,10 @@
     guard->setDirectory (*directory);
 }
 
-void FirstHop::setClosing (Timestamp end)
+void FirstHop::beginStop (const mesh::StopPlan& plan)
 {
-    closing = true;
-    endsAt = end;
-    reactor->RunAt (end,
+    stopPlan = plan;
+    reactor->RunAt (plan.answerDeadline(),
                     [weak = weak_from_this()]
                     {
                         if (const auto self = weak.lock())
@@ -177,7 +176,7 @@
 bool FirstHop::mustClose (const Exchange& exchange) const
 {
     // A client can't know whether a request that was read and got no response has run.
-    return exchange.mustClose() || (closing && exchange.isLastRead());
+    return exchange.mustClose() || (stopPlan && exchange.isLastRead());
 }
 
 bool FirstHop::canRunConcurrently (const RequestHead& head) const
--- a/src/sidecar/hop/first_hop.h
+++ b/src/sidecar/hop/first_hop.h
@@ -20,6 +20,7 @@
 #include "mesh/latency_histogram.h"
 #include "mesh/retry_budget.h"
 #include "mesh/return_share.h"
+#include "mesh/stop_plan.h"
 #include "mesh/tenant_quotas.h"
 #include "mesh/weighted_split.h"
 #include "sidecar/decision_log.h"
@@ -91,10 +92,11 @@
     void setDirectory (mesh::DirectoryPointer newDirectory);
     void setService (std::string service) { settings.service = std::move (service); }
 
-    /** Makes answers close their connections from now on. Requests that are still active at `end`,
-        including those that began before this call, are answered then.
+    /** Makes answers close their connections from now on, and refuses requests that can't be
+       expected to end in time. Requests that are still active at the plan's answerDeadline(),
+       including those that began before this call, are answered then.
     */
-    void setClosing (Timestamp end);
+    void beginStop (const mesh::StopPlan& plan);
 
     /** Called with the configuration version that another node runs, and its IP. */
     std::function<void (std::uint64_t, const std::string&)> onPeerVersion;
@@ -177,8 +179,7 @@
     mesh::DirectoryPointer directory;
     FirstHopCounters counts;
     std::unordered_set<ActiveRequest*> active; /**< Started and not yet answered. */
-    bool closing = false;
-    Timestamp endsAt = Timestamp::max();
+    std::optional<mesh::StopPlan> stopPlan;    /**< Once the node stops. */
 };
 
 } // namespace copperlead::sidecar
--- a/src/sidecar/http/client_connection.cc
+++ b/src/sidecar/http/client_connection.cc
@@ -125,7 +125,10 @@
 
     // A failed connection reports that all the time, while what has arrived can be read later.
     if (isReadingPaused() && (events & (EPOLLHUP | EPOLLERR)) != 0)
+    {
+        reusable = false;
         return stopWatching();
+    }
 
     if (state == State::closed || (events & (EPOLLIN | EPOLLHUP | EPOLLERR)) == 0)
         return;
--- a/src/sidecar/instance/last_hop.cc
+++ b/src/sidecar/instance/last_hop.cc
@@ -5,7 +5,6 @@
 
 #include "mesh/enum_names.h"
 #include "mesh/milliseconds.h"
-#include "mesh/stop_plan.h"
 #include "sidecar/http/messages.h"
 #include "sidecar/instance/instance_answer.h"
 
@@ -84,7 +83,8 @@
 {
     const auto usualRun = mesh::fromMilliseconds (usualRunMs);
 
-    if (stopping || ! mesh::StopPlan::mayStart (SteadyClock().Now(), usualRun, runDeadline))
+    if (stopping ||
+        (runDeadline != Timestamp::max() && SteadyClock().Now() + 2 * usualRun > runDeadline))
         return HopCause::nodeStopping;
 
     if (! instance.known())
--- a/src/sidecar/sidecar_stop.cc
+++ b/src/sidecar/sidecar_stop.cc
@@ -26,7 +26,7 @@
     const auto at = now();
     stopPlan.emplace (at, settings.grace);
     onStopped = std::move (ended);
-    firstHop->setClosing (stopPlan->answerDeadline());
+    firstHop->beginStop (*stopPlan);
     lastHop->setRunDeadline (stopPlan->answerDeadline());
     outbound->drain();
 
