--- a/tests/mesh_integration/broken_answer_test.cc
+++ b/tests/mesh_integration/broken_answer_test.cc
@@ -7,6 +7,7 @@
 #include <cstring>
 #include <memory>
 #include <thread>
+#include <utility>
 
 #include "tests/mesh_integration/memory_watch.h"
 #include "tests/mesh_integration/mesh_fleet.h"
@@ -82,6 +83,38 @@
   EXPECT_EQ(UploadWith(InstanceTrouble::kEarlyWhole), kUploads);
 }
 
+// Guards against bytes of an instance in trouble that reach the client as its answer.
+TEST_F(BrokenAnswers, BytesThatAreNoAnswerGive502AtOnce) {
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string fields =
+      "X-Request-Id: @id\r\nX-Response-Seal: s\r\nContent-Length: 2\r\n\r\nok";
+  const std::pair<const char*, std::string> cases[] = {
+      {"status-000", "HTTP/1.1 000 Trouble\r\n" + fields},
+      {"status-999", "HTTP/1.1 999 Trouble\r\n" + fields},
+      {"blank-in-name", ok + "X Other: 1\r\n" + fields},
+      {"control-byte-in-name", ok + "X\x01Other: 1\r\n" + fields},
+      {"blank-in-name-of-length", ok + "X-Request-Id: @id\r\nX-Response-Seal: s\r\n"
+                                       "Content-Length : 2\r\n\r\nokay"},
+      {"no-http", "no answer"},
+      {"no-carriage-return", "HTTP/1.1 200 OK\n"}};
+  for (const auto& [id, bytes] : cases) {
+    desk().instance->SetEndlessAnswer({bytes, "x", milliseconds(50)});
+    desk().instance->SetFault({InstanceTrouble::kEndless, 1});
+    MeshRequest purchase;
+    purchase.method = "POST";
+    purchase.path = "/buy/1";
+    purchase.id = id;
+    purchase.body = "b";
+    purchase.deadline_ms = "4000";
+    const auto begun = std::chrono::steady_clock::now();
+    const HttpAnswer answer = fleet_.Call(hub(), purchase);
+    EXPECT_EQ(answer.status, 502) << id << answer.body;
+    EXPECT_TRUE(answer.Header("x-response-seal").empty()) << id;
+    EXPECT_LT(std::chrono::steady_clock::now() - begun, milliseconds(1000)) << id;
+    EXPECT_EQ(fleet_.RunsOf(id), 1);
+  }
+}
+
 // Guards against a limit on answers without end that breaks off a sound one, which is ready at the
 // deadline and which its client reads slowly.
 TEST_F(BrokenAnswers, AnAnswerThatIsReadyReachesASlowClientAfterTheDeadline) {
