--- a/tests/proxy/raw_socket.h
+++ b/tests/proxy/raw_socket.h
@@ -44,8 +44,6 @@
 
   // @return false when the connection has failed.
   bool Send(std::string_view bytes) const;
-  // Reads one head and leaves the rest of its message unread. @return "" when none was received
-  std::string ReadHead();
   // Reads one message. Expects no body in a response to HEAD or with a status that allows none.
   RawMessage Read(bool answers_head = false);
   // @return true when there are bytes to read, or the end, before `until`.
@@ -64,6 +62,8 @@
   int fd() const { return fd_; }
 
  private:
+  // @return "" when no head was received.
+  std::string ReadHead();
   bool Fill();
   bool ReadBody(RawMessage& message, bool answers_head);
   bool ReadChunks(std::string& body);
