BoundedGet: no Result is moved on a path that the linter can't follow

clang-tidy took the value of a moved Result for uninitialised (core.uninitialized.Assign). A cancelled exchange is noticed where its body has ended; the tests of the source pass as before.

--- a/src/source/bounded_get.cc
+++ b/src/source/bounded_get.cc
@@ -31,10 +31,11 @@
   // Makes the connection known to Cancel() while it exists.
   class Cancellable;
 
+  bool WasCancelled();
   Result<BoundedGetAnswer> Exchange(SocketStream& stream);
   std::string RequestText() const;
-  Result<ResponseHead> ReadFinalHead(SocketStream& stream);
-  Result<ResponseHead> ReadHead(SocketStream& stream);
+  Result<Done> ReadFinalHead(SocketStream& stream, ResponseHead& head);
+  Result<Done> ReadHead(SocketStream& stream, ResponseHead& head);
   Result<std::string> ReadBody(SocketStream& stream, BodyFraming framing);
   IoLimits Limits() const { return {request_.total_timeout, deadline_}; }
   boost::leaf::error_id FailOf(IoStatus status) const;
@@ -62,11 +63,6 @@
   Cancellable(const Cancellable&) = delete;
   Cancellable& operator=(const Cancellable&) = delete;
 
-  bool WasCancelled() const {
-    const std::lock_guard lock(get_.mutex_);
-    return get_.cancelled_;
-  }
-
  private:
   SocketGet& get_;
 };
@@ -80,10 +76,12 @@
   }
   if (!lease) return FailWithUrl(ErrorKind::kSourceUnreachable, "cannot connect");
   const Cancellable cancellable(*this, lease->stream().fd());
-  BOOST_LEAF_AUTO(answer, Exchange(lease->stream()));
-  // A cancelled connection ends as one does that its peer has closed.
-  if (cancellable.WasCancelled()) return FailWithUrl(ErrorKind::kSourceBadAnswer, "cancelled");
-  return answer;
+  return Exchange(lease->stream());
+}
+
+bool SocketGet::WasCancelled() {
+  const std::lock_guard lock(mutex_);
+  return cancelled_;
 }
 
 void SocketGet::Cancel() {
@@ -96,7 +94,8 @@
   // A server may have answered before it closed, so a failed write doesn't end the exchange.
   const IoStatus written = stream.Write({RequestText()}, Limits());
   if (written != IoStatus::kOk && written != IoStatus::kReset) return FailOf(written);
-  BOOST_LEAF_AUTO(head, ReadFinalHead(stream));
+  ResponseHead head;
+  BOOST_LEAF_CHECK(ReadFinalHead(stream, head));
   BoundedGetAnswer answer;
   answer.status = head.status;
   const auto etags = ValuesOf(head.fields, "ETag");
@@ -111,6 +110,8 @@
     return FailWithUrl(ErrorKind::kSourceBadAnswer, fault);
   }
   BOOST_LEAF_ASSIGN(answer.body, ReadBody(stream, framing));
+  // A cancelled connection ends as one does that its peer has closed.
+  if (WasCancelled()) return FailWithUrl(ErrorKind::kSourceBadAnswer, "cancelled");
   return answer;
 }
 
@@ -121,26 +122,26 @@
   return text + "\r\n";
 }
 
-Result<ResponseHead> SocketGet::ReadFinalHead(SocketStream& stream) {
+Result<Done> SocketGet::ReadFinalHead(SocketStream& stream, ResponseHead& head) {
   for (;;) {
-    BOOST_LEAF_AUTO(head, ReadHead(stream));
-    if (head.status >= kFirstFinalStatus) return head;
+    BOOST_LEAF_CHECK(ReadHead(stream, head));
+    if (head.status >= kFirstFinalStatus) return Done{};
     if (head.status == kSwitchingProtocols) {
       return FailWithUrl(ErrorKind::kSourceBadAnswer, "unsolicited 101 Switching Protocols");
     }
   }
 }
 
-Result<ResponseHead> SocketGet::ReadHead(SocketStream& stream) {
+Result<Done> SocketGet::ReadHead(SocketStream& stream, ResponseHead& head) {
   std::string fault;
+  head = {};
   for (;;) {
     if (Now() >= deadline_) return FailOf(IoStatus::kDeadline);
     const std::size_t size = FindHeadEnd(stream.buffered());
     if (size != 0) {
-      ResponseHead head;
       if (!ParseResponseHead(stream.buffered().substr(0, size), head, fault)) break;
       stream.Consume(size);
-      return head;
+      return Done{};
     }
     if (!MayBecomeResponseHead(stream.buffered(), fault)) break;
     if (stream.full()) return FailWithUrl(ErrorKind::kSourceBadAnswer, "response head too large");
