--- a/src/standin/instance.cc
+++ b/src/standin/instance.cc
@@ -306,6 +306,7 @@
   {
     const std::lock_guard lock(mutex_);
     answer = endless_;
+    ++endless_begun_;
   }
   const auto mark = answer.begin.find(kRequestIdMark);
   if (mark != std::string::npos) {
--- a/src/standin/instance.h
+++ b/src/standin/instance.h
@@ -137,8 +137,9 @@
   std::int64_t born() const;
   // Whether it has crashed and not yet started again.
   bool down() const;
-  // Answers without end whose caller has closed the connection.
+  // Answers without end whose caller has closed the connection, and those that go on.
   int endless_answers_ended() const;
+  int endless_answers_open() const;
   // Whether a fault applies to requests that are still to come.
   bool troubled() const;
   // When each of its incarnations began.
@@ -189,6 +190,7 @@
   InstanceSettings settings_;  // Guarded by mutex_, as all below.
   InstanceFault fault_;
   EndlessAnswer endless_;
+  int endless_begun_ = 0;
   int endless_ended_ = 0;
   InstanceCrash crash_;
   std::vector<std::chrono::steady_clock::time_point> crashes_;
--- a/src/standin/instance_control.cc
+++ b/src/standin/instance_control.cc
@@ -40,6 +40,11 @@
   return endless_ended_;
 }
 
+int Instance::endless_answers_open() const {
+  const std::lock_guard lock(mutex_);
+  return endless_begun_ - endless_ended_;
+}
+
 bool Instance::troubled() const {
   const std::lock_guard lock(mutex_);
   return fault_.trouble != InstanceTrouble::kNone && fault_.times > 0;
