ClientConnection: nothing is kept that another member tells

- isWatched stood beside the id of the watch, which is 0 without one.
- updateInterest() also broke responses off, from places where whether reading pauses can't have changed (each write, each reservation).
That is applyPause() now, called behind reads and when there is room.
- The transfer limit takes the time of the read that was just noted, in place of one more look at the clock for each piece.
- ActiveRequest::launch() worked its facts out twice during a stop; they look the request up among those that are held.
- Two comments whose lines the formatter had set off by a column.

--- a/src/sidecar/hop/active_request.cc
+++ b/src/sidecar/hop/active_request.cc
@@ -176,12 +176,14 @@
     if (now() >= deadline)
         return onDeadline();
 
+    const auto known = facts();
+
     // An earlier attempt or another node may have reported a crash in the meantime. Without this
     // check, each attempt of a client could crash one instance for every retry that it has.
-    if (facts().isHeld)
+    if (known.isHeld)
         return endWithoutLaunch (mesh::HopCause::crashSuspect);
 
-    if (hop->stopPlan && ! hop->stopPlan->mayStart (now(), facts().usualRun))
+    if (hop->stopPlan && ! hop->stopPlan->mayStart (now(), known.usualRun))
         return endWithoutLaunch (mesh::HopCause::nodeStopping);
 
     const auto index = attempts.size();
--- a/src/sidecar/hop/first_hop.h
+++ b/src/sidecar/hop/first_hop.h
@@ -93,8 +93,8 @@
     void setService (std::string service) { settings.service = std::move (service); }
 
     /** Makes answers close their connections from now on, and refuses requests that can't be
-       expected to end in time. Requests that are still active at the plan's answerDeadline(),
-       including those that began before this call, are answered then.
+        expected to end in time. Requests that are still active at the plan's answerDeadline(),
+        including those that began before this call, are answered then.
     */
     void beginStop (const mesh::StopPlan& plan);
 
--- a/src/sidecar/http/client_connection.cc
+++ b/src/sidecar/http/client_connection.cc
@@ -61,7 +61,6 @@
                                     if (const auto self = weak.lock())
                                         self->finishOnException ([&] { self->onEvents (events); });
                                 });
-    isWatched = true;
     return true;
 }
 
@@ -134,7 +133,7 @@
         return;
 
     readAll();
-    updateInterest();
+    applyPause();
 }
 
 void ClientConnection::onConnected()
@@ -215,23 +214,27 @@
 
 void ClientConnection::stopWatching()
 {
-    if (std::exchange (isWatched, false))
-        client->reactor->Unwatch (watch, socket);
+    if (isWatched())
+        client->reactor->Unwatch (std::exchange (watch, 0), socket);
 }
 
 void ClientConnection::resumeReading()
 {
-    updateInterest();
+    applyPause();
 
-    if (! isWatched)
+    if (! isWatched())
         readAll();
 }
 
-void ClientConnection::updateInterest()
+void ClientConnection::applyPause()
 {
     checkTransferLimit();
+    updateInterest();
+}
 
-    if (state == State::closed || ! isWatched)
+void ClientConnection::updateInterest()
+{
+    if (state == State::closed || ! isWatched())
         return;
 
     const std::uint32_t wanted =
--- a/src/sidecar/http/client_connection.h
+++ b/src/sidecar/http/client_connection.h
@@ -83,6 +83,9 @@
 
     /** Breaks the response off if it exceeds the limit, and arms the timer for the next check. */
     void checkTransferLimit();
+
+    /** Adapts the transfer limit and the events to whether reading pauses now. */
+    void applyPause();
     void onStreamRoom();
     bool isReadingPaused() const;
     std::size_t readSize() const;
@@ -105,6 +108,7 @@
 
     /** Ignores all further events; see resumeReading(). */
     void stopWatching();
+    bool isWatched() const { return watch != 0; }
 
     /** Continues after a pause, without an event if the connection isn't watched any more. */
     void resumeReading();
@@ -112,8 +116,7 @@
     std::shared_ptr<HttpClient> client;
     std::string name;
     Socket socket;
-    Reactor::WatchId watch = 0;
-    bool isWatched = false;
+    Reactor::WatchId watch = 0; /**< 0 if events are ignored; see stopWatching(). */
     std::uint32_t interest = 0;
     State state = State::connecting;
     CallPointer call;
--- a/src/sidecar/http/client_connection_answers.cc
+++ b/src/sidecar/http/client_connection_answers.cc
@@ -55,7 +55,7 @@
         advance();
 
         // Without events, only a read tells that nothing is left.
-        if (isWatched && static_cast<std::size_t> (count) < wanted)
+        if (isWatched() && static_cast<std::size_t> (count) < wanted)
             return;
     }
 }
--- a/src/sidecar/http/client_connection_body.cc
+++ b/src/sidecar/http/client_connection_body.cc
@@ -171,7 +171,7 @@
     done->callback (std::move (answer));
 
     readStream();
-    updateInterest();
+    applyPause();
 }
 
 void ClientConnection::readStream()
@@ -185,7 +185,7 @@
     input.erase (0, decoder->feed (input, rest->buffer(), rest->room()));
 
     if (transferLimit)
-        transferLimit->received (now(), rest->buffer().size() - before);
+        transferLimit->received (lastReadAt, rest->buffer().size() - before);
 
     rest->bytesAdded();
 
