LastHop: an answer that breaks off is recorded as every other failure

What was seen: an instance whose large answers broke off passed the share of failures that is logged, and instance_failing never came, against what OPERATIONS says: recordBrokenOff() observed the failure beside recordFailure(), which logs that. It calls recordFailure() now, and stands next to it.

Evidence: BrokenAnswers.AnInstanceWhoseLargeAnswersBreakOffIsLoggedAsFailing, eight downloads of 1 MB that break off: on the commit before no instance_failing, now one; answer_broken_off eight times in both.

--- a/src/sidecar/instance/last_hop.cc
+++ b/src/sidecar/instance/last_hop.cc
@@ -357,18 +357,6 @@
     };
 }
 
-void LastHop::recordBrokenOff (const std::string& requestId, const std::string& instanceId,
-                               Timestamp startedAt, Timestamp deadline)
-{
-    const auto now = SteadyClock().Now();
-    failures.observe (now, true);
-    log->write (now, EventKind::answerBrokenOff,
-                { { "request", requestId },
-                  { "instance", instanceId },
-                  { "took_ms", toMilliseconds (now - startedAt) },
-                  { "left_ms", toMilliseconds (deadline - now) } });
-}
-
 void LastHop::pump()
 {
     // What waits may have been queued before the instance's entry or an answer said that it leaves.
--- a/src/sidecar/instance/last_hop_instance.cc
+++ b/src/sidecar/instance/last_hop_instance.cc
@@ -184,6 +184,20 @@
                       { "running", static_cast<std::int64_t> (queue.running()) } });
 }
 
+void LastHop::recordBrokenOff (const std::string& requestId, const std::string& instanceId,
+                               Timestamp startedAt, Timestamp deadline)
+{
+    const auto now = SteadyClock().Now();
+    CallResult rest;
+    rest.cause = "the rest of the response didn't come";
+    recordFailure (HopOutcome::unknown, rest);
+    log->write (now, EventKind::answerBrokenOff,
+                { { "request", requestId },
+                  { "instance", instanceId },
+                  { "took_ms", toMilliseconds (now - startedAt) },
+                  { "left_ms", toMilliseconds (deadline - now) } });
+}
+
 void LastHop::setService (std::string service)
 {
     instance.setConfiguredService (std::move (service));
--- a/tests/mesh_integration/broken_answer_test.cc
+++ b/tests/mesh_integration/broken_answer_test.cc
@@ -19,6 +19,7 @@
 
 constexpr std::size_t kUploadBytes = 6'000'000;
 constexpr int kUploads = 20;
+constexpr std::size_t kLargeAnswerBytes = 1'000'000;
 constexpr std::size_t kSlowAnswerBytes = 12'000'000;
 constexpr std::size_t kSlowPieceBytes = 100'000;
 
@@ -77,6 +78,27 @@
   EXPECT_EQ(UploadWith(InstanceTrouble::kEarlyWhole), kUploads);
 }
 
+// Guards against an instance that keeps its good name although it breaks off large answers, whose
+// first parts have been passed on.
+TEST_F(BrokenAnswers, AnInstanceWhoseLargeAnswersBreakOffIsLoggedAsFailing) {
+  constexpr int kDownloads = 8;
+  desk().instance->SetFault({InstanceTrouble::kCut, kDownloads});
+  for (int number = 0; number < kDownloads; ++number) {
+    MeshRequest download;
+    download.path = "/down/?" + std::string(kAnswerBytes) + std::to_string(kLargeAnswerBytes);
+    download.id = "cut-" + std::to_string(number);
+    EXPECT_FALSE(fleet_.Call(hub(), download).whole);
+  }
+  int broken_off = 0;
+  bool is_failing = false;
+  while (const auto line = desk().decisions->ReadLine(milliseconds(600))) {
+    broken_off += line->find("\"answer_broken_off\"") != std::string::npos ? 1 : 0;
+    is_failing = is_failing || line->find("\"instance_failing\"") != std::string::npos;
+  }
+  EXPECT_EQ(broken_off, kDownloads);
+  EXPECT_TRUE(is_failing);
+}
+
 // Guards against bytes of an instance in trouble that reach the client as its answer.
 TEST_F(BrokenAnswers, BytesThatAreNoAnswerGive502AtOnce) {
   const std::string ok = "HTTP/1.1 200 OK\r\n";
