--- a/tests/proxy/raw_socket.cc
+++ b/tests/proxy/raw_socket.cc
@@ -217,6 +217,13 @@
   return address;
 }
 
+bool AwaitFailed(int fd) {
+  return Eventually([fd] {
+    pollfd descriptor{fd, 0, 0};
+    return poll(&descriptor, 1, 0) == 1 && (descriptor.revents & (POLLERR | POLLHUP)) != 0;
+  });
+}
+
 bool Eventually(const std::function<bool()>& condition) {
   // Measures the time by the clock, so that a slow condition does not extend the limit.
   const auto until =
--- a/tests/proxy/raw_socket.h
+++ b/tests/proxy/raw_socket.h
@@ -101,6 +101,10 @@
 // @return an address on which nothing listens.
 SocketAddress RefusingAddress();
 
+// Waits until a connection has failed, without taking the error from its socket. @return whether it
+// has, in time.
+bool AwaitFailed(int fd);
+
 // Waits until a condition becomes true, for a limited time. @return whether it became true.
 bool Eventually(const std::function<bool()>& condition);
 
--- a/tests/proxy/socket_stream_test.cc
+++ b/tests/proxy/socket_stream_test.cc
@@ -2,7 +2,6 @@
 #include "proxy/socket_stream.h"
 
 #include <gtest/gtest.h>
-#include <poll.h>
 #include <unistd.h>
 
 #include <functional>
@@ -32,14 +31,6 @@
 
   SocketStream& stream() { return stream_; }
 
-  // Waits for the reset without taking its error from the socket.
-  bool AwaitFailed() const {
-    return Eventually([this] {
-      pollfd polled{stream_.fd(), 0, 0};
-      return poll(&polled, 1, 0) == 1 && (polled.revents & (POLLERR | POLLHUP)) != 0;
-    });
-  }
-
   BodyStatus ReadBodyUntilClose() {
     BodyReader reader(stream_, {BodyKind::kUntilClose, 0});
     for (;;) {
@@ -66,20 +57,20 @@
 // takes the error of the reset, and the read after it finds an end that looks orderly.
 TEST(SocketStream, ABodyThatAResetCutsOffIsIncompleteAlsoAfterAFailedWrite) {
   EndedConnection connection(Reset);
-  ASSERT_TRUE(connection.AwaitFailed());
+  ASSERT_TRUE(AwaitFailed(connection.stream().fd()));
   EXPECT_EQ(connection.stream().Write({"more of the request"}, kLimits), IoStatus::kReset);
   EXPECT_EQ(connection.ReadBodyUntilClose(), BodyStatus::kFailed);
 }
 
 TEST(SocketStream, ABodyThatAResetCutsOffIsIncomplete) {
   EndedConnection connection(Reset);
-  ASSERT_TRUE(connection.AwaitFailed());
+  ASSERT_TRUE(AwaitFailed(connection.stream().fd()));
   EXPECT_EQ(connection.ReadBodyUntilClose(), BodyStatus::kFailed);
 }
 
 TEST(SocketStream, ABodyThatEndsBeforeAResetIsComplete) {
   EndedConnection connection(EndThenReset);
-  ASSERT_TRUE(connection.AwaitFailed());
+  ASSERT_TRUE(AwaitFailed(connection.stream().fd()));
   EXPECT_EQ(connection.stream().Write({"more of the request"}, kLimits), IoStatus::kReset);
   EXPECT_EQ(connection.ReadBodyUntilClose(), BodyStatus::kEnd);
 }
