DRAIN: a node's own pause no longer counts as an outage of the source

What callers saw: requests reached an instance up to 2.4 s after its entry had gone (bound 2 s), from nodes that nothing had disturbed, after another node of the zone had stood still for 4 s.

Cause: a follower that had no answer for 2.5 s concludes that entries may have expired, and takes removals for lapses. A paused, suspended or cut-off node comes to the same conclusion from its own silence, and passes it on with the removal: the nodes that had been answered all the time took the word of the one that had not.

Why this mends it: each node keeps the period in which the source is known to have answered, by its own calls and by the heartbeats of its zone's readers, which now say since when they know of answers. A lapse that presumes an outage which these answers exclude is a removal, at once, or as soon as the answers are known. Without such answers the lapse holds, so that an outage that a node slept through drops no running instance.

The heartbeat grows by one field; both earlier forms are still read. The codec's test cuts off the new field too (-4: the previous form, -12: the one before, -8 now is no heartbeat), which checks more than before.

Ruled out: late news (known 0.4 s after the entry went), queued requests (the state is `lapsed`).

--- a/src/mesh/instance_directory.cc
+++ b/src/mesh/instance_directory.cc
@@ -187,12 +187,7 @@
             entry.lapseEnd = now + lapsedGracePeriod;
 
         if (entry.state == InstanceState::lapsed && now >= entry.lapseEnd)
-        {
-            entry.state = InstanceState::leaving;
-            entry.changedAt = now;
-            reportUnlisted (now, entry, UnlistedCause::notBack);
-            current.reset();
-        }
+            endLapse (now, entry, UnlistedCause::notBack);
 
         // An instance that is still listed after this time is in service, unless it announced that
         // it is draining.
@@ -218,6 +213,22 @@
     }
 }
 
+void InstanceDirectory::endLapse (Timestamp now, ListedInstance& entry, UnlistedCause cause)
+{
+    entry.state = InstanceState::leaving;
+    entry.changedAt = now;
+    reportUnlisted (now, entry, cause);
+    current.reset();
+}
+
+void InstanceDirectory::endLapses (Timestamp now,
+                                   const std::function<bool (Timestamp outageEnd)>& isExcluded)
+{
+    for (auto& [id, entry] : byId)
+        if (entry.state == InstanceState::lapsed && isExcluded (entry.lapseEnd - entryRenewalTime))
+            endLapse (now, entry, UnlistedCause::noOutage);
+}
+
 bool InstanceDirectory::changesSince (SourcePosition position,
                                       std::vector<ListedInstance>& changes) const
 {
--- a/src/mesh/instance_directory.h
+++ b/src/mesh/instance_directory.h
@@ -14,6 +14,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -98,11 +99,12 @@
 /** The reason for which an instance became lapsed or leaving without its entry saying so. */
 enum class UnlistedCause : std::uint8_t
 {
-    removed, /**< Its entry was removed. */
-    notBack  /**< It wasn't listed again before its lapse ended. */
+    removed,  /**< Its entry was removed. */
+    notBack,  /**< It wasn't listed again before its lapse ended. */
+    noOutage, /**< The source has answered other nodes while the entry was presumed to expire. */
 };
 
-inline constexpr std::string_view unlistedCauseNames[] = { "removed", "not_back" };
+inline constexpr std::string_view unlistedCauseNames[] = { "removed", "not_back", "no_outage" };
 
 /** Reports that an instance lost its entry. */
 struct UnlistedInstance
@@ -167,6 +169,11 @@
     */
     void advance (Timestamp now, bool sourceAnswers = true);
 
+    /** Ends the lapses that the end of an outage began at a time for which `isExcluded` returns
+     * true.
+     */
+    void endLapses (Timestamp now, const std::function<bool (Timestamp outageEnd)>& isExcluded);
+
     /** @returns when the next lapse ends; Timestamp::max() if no instance has lapsed */
     Timestamp nextLapseEnd() const;
 
@@ -185,6 +192,7 @@
     void keepAcrossRestore (Timestamp now, ListedInstance& entry, const Instance& listed,
                             SourcePosition position);
 
+    void endLapse (Timestamp now, ListedInstance& entry, UnlistedCause cause);
     void reportUnlisted (Timestamp now, const ListedInstance& entry, UnlistedCause cause);
 
     std::map<std::string, ListedInstance> byId;
--- a/src/mesh/mesh_state.cc
+++ b/src/mesh/mesh_state.cc
@@ -4,6 +4,22 @@
 
 namespace copperlead::mesh
 {
+namespace
+{
+
+SourceContinuity continuityFor (Milliseconds entryHeartbeat)
+{
+    FollowerSettings settings;
+    settings.entryHeartbeat = entryHeartbeat;
+    return { settings.lapseTime(), entryHeartbeat, entryRenewalTime };
+}
+
+} // namespace
+
+MeshState::MeshState (Milliseconds entryHeartbeat)
+    : continuity (continuityFor (entryHeartbeat))
+{
+}
 
 UpdateOutcome MeshState::take (Timestamp now, MeshUpdate update)
 {
@@ -30,7 +46,11 @@
     outcome.restored = reachedPosition.isKnown() && update.position.epoch > reachedPosition.epoch;
     outcome.instancesChanged = update.complete || ! update.instances.empty();
 
-    outcome.staleIncarnations = takeInstances (now, update, graceOf (update, outcome.restored));
+    if (outcome.restored)
+        continuity.restart (now);
+
+    outcome.staleIncarnations =
+        takeInstances (now, update, graceOf (now, update, outcome.restored));
     outcome.evacuations = takeEvacuations (now, update);
     outcome.instancesChanged = outcome.instancesChanged || ! outcome.evacuations.empty();
 
@@ -42,14 +62,38 @@
     return outcome;
 }
 
-Milliseconds MeshState::graceOf (const MeshUpdate& update, bool restored) const
+Milliseconds MeshState::confirmedGrace (Timestamp now, Milliseconds grace) const
+{
+    const auto outageEnd = now + grace - entryRenewalTime;
+    return continuity.excludesOutageUntil (outageEnd) ? Milliseconds (0) : grace;
+}
+
+bool MeshState::expiredTogether (const MeshUpdate& update) const
+{
+    const auto lapsed = std::count_if (update.instances.begin(), update.instances.end(),
+                                       [] (const auto& change) {
+                                           return change.removed && change.grace &&
+                                                  *change.grace > Milliseconds (0);
+                                       });
+    return expiredTogether (static_cast<std::size_t> (lapsed));
+}
+
+bool MeshState::expiredTogether (std::size_t missing) const
+{
+    // Entries that expire are missing together, whereas instances leave one after the other.
+    return missing > 1 && missing * 2 > instances.countUsable();
+}
+
+Milliseconds MeshState::graceOf (Timestamp now, const MeshUpdate& update, bool restored)
 {
     // A restored source may lack the entries of running instances.
     if (restored)
         return std::max (update.absence.grace, InstanceDirectory::lapsedGracePeriod);
 
-    if (update.absence.grace > Milliseconds (0) || ! update.absence.interrupted)
-        return update.absence.grace;
+    const auto grace = confirmedGrace (now, update.absence.grace);
+
+    if (grace > Milliseconds (0) || ! update.absence.interrupted)
+        return grace;
 
     const auto removed = static_cast<std::size_t> (
         std::count_if (update.instances.begin(), update.instances.end(),
@@ -58,9 +102,11 @@
     const auto listed = std::min (usable, update.instances.size() - removed);
     const auto missing = update.complete ? usable - listed : removed;
 
-    // Entries that expire are missing together, whereas instances leave one after the other.
-    return missing > 1 && missing * 2 > usable ? InstanceDirectory::lapsedGracePeriod
-                                               : Milliseconds (0);
+    if (! expiredTogether (missing))
+        return Milliseconds (0);
+
+    continuity.restart (now);
+    return InstanceDirectory::lapsedGracePeriod;
 }
 
 std::vector<std::string> MeshState::takeInstances (Timestamp now, MeshUpdate& update,
@@ -68,10 +114,13 @@
 {
     std::vector<std::string> staleIncarnations, listed;
 
+    if (expiredTogether (update))
+        continuity.restart (now);
+
     for (auto& change : update.instances)
     {
         const auto id = change.instance.id;
-        const auto ownGrace = change.grace.value_or (grace);
+        const auto ownGrace = change.grace ? confirmedGrace (now, *change.grace) : grace;
 
         // A lapsed instance has no entry, but must not be removed below as if it had left.
         if (! change.removed || ownGrace > Milliseconds (0))
@@ -123,6 +172,8 @@
 std::vector<EvacuationChange> MeshState::advance (Timestamp now, bool sourceAnswers)
 {
     instances.advance (now, sourceAnswers);
+    instances.endLapses (now, [this] (Timestamp outageEnd)
+                         { return continuity.excludesOutageUntil (outageEnd); });
     auto changed = evacuations.advance (now);
 
     if (! changed.empty())
--- a/src/mesh/mesh_state.h
+++ b/src/mesh/mesh_state.h
@@ -8,6 +8,7 @@
 
 #include "mesh/configuration_holder.h"
 #include "mesh/mesh_update.h"
+#include "mesh/source_continuity.h"
 
 namespace copperlead::mesh
 {
@@ -39,9 +40,23 @@
 class MeshState
 {
 public:
+    /** @param entryHeartbeat  interval at which instances renew their entries */
+    explicit MeshState (Milliseconds entryHeartbeat = FollowerSettings{}.entryHeartbeat);
+
+    /** Records when the source last answered this node itself. */
+    void sourceAnswered (Timestamp when) { continuity.add ({ when, when }); }
+
+    /** Records when the source has answered another node of the zone. */
+    void answersReported (const AnswerPeriod& reported) { continuity.add (reported); }
+
+    /** @returns the latest period in which the source is known to have answered, this node or
+     * others
+     */
+    const AnswerPeriod& answerPeriod() const { return continuity.period(); }
+
     UpdateOutcome take (Timestamp now, MeshUpdate update);
 
-    /** Ends expired lapses and retentions.
+    /** Ends expired lapses and retentions, and lapses that no outage of the source explains.
         @param sourceAnswers  false in an outage of the source
         @returns the evacuations that changed
     */
@@ -65,13 +80,27 @@
     /** @returns the time for which instances stay usable that the update removes or lacks, unless a
                  removal states it itself
     */
-    Milliseconds graceOf (const MeshUpdate& update, bool restored) const;
+    Milliseconds graceOf (Timestamp now, const MeshUpdate& update, bool restored);
+
+    /** @returns the grace of entries that are missing one by one: zero if the source is known to
+       have answered while, by `grace`, there was an outage in which they can have expired
+    */
+    Milliseconds confirmedGrace (Timestamp now, Milliseconds grace) const;
+
+    /** @returns true if so many of the usable instances are missing at once that their entries have
+                 expired
+    */
+    bool expiredTogether (std::size_t missing) const;
+
+    /** @returns true if most entries are missing at once from an update of another node */
+    bool expiredTogether (const MeshUpdate& update) const;
     std::vector<std::string> takeInstances (Timestamp now, MeshUpdate& update, Milliseconds grace);
     std::vector<EvacuationChange> takeEvacuations (Timestamp now, const MeshUpdate& update);
 
     ConfigurationHolder holder;
     InstanceDirectory instances;
     ZoneEvacuations evacuations;
+    SourceContinuity continuity;
     SourcePosition reachedPosition;
     bool hasKnownSource = false;
 };
--- a/src/mesh/reader_heartbeat_codec.cc
+++ b/src/mesh/reader_heartbeat_codec.cc
@@ -9,8 +9,14 @@
 
 constexpr std::uint32_t heartbeatTag = 0x636f7064; // Distinguishes heartbeats from stray datagrams.
 
-/** A heartbeat of a release that doesn't report when the source last answered. */
-struct EarlierHeartbeat
+/** A heartbeat of a release that doesn't report since when the source has answered. */
+struct HeartbeatWithoutPeriod
+{
+    ReaderHeartbeat heartbeat;
+};
+
+/** A heartbeat of an earlier release, which doesn't report when the source last answered either. */
+struct HeartbeatWithoutAge
 {
     ReaderHeartbeat heartbeat;
 };
@@ -23,19 +29,46 @@
 }
 
 template <typename Archive>
-void serialize (Archive& archive, EarlierHeartbeat& earlier)
+void archiveAges (Archive& archive, ReaderHeartbeat& heartbeat)
+{
+    archiveTime (archive, heartbeat.confirmationAge);
+    archiveTime (archive, heartbeat.absenceGrace);
+}
+
+template <typename Archive>
+void serialize (Archive& archive, HeartbeatWithoutPeriod& earlier)
+{
+    archiveCommonFields (archive, earlier.heartbeat);
+    archiveAges (archive, earlier.heartbeat);
+}
+
+template <typename Archive>
+void serialize (Archive& archive, HeartbeatWithoutAge& earlier)
 {
     archiveCommonFields (archive, earlier.heartbeat);
 }
 
+/** @returns the heartbeat if the datagram is exactly one of the release that writes `Earlier` */
+template <typename Earlier>
+std::optional<ReaderHeartbeat> decodeEarlier (std::string_view bytes)
+{
+    const auto earlier = decodeDatagram<Earlier> (heartbeatTag, bytes);
+
+    // A truncated heartbeat of a later release is longer.
+    if (! earlier || encodeDatagram (heartbeatTag, *earlier).size() != bytes.size())
+        return std::nullopt;
+
+    return earlier->heartbeat;
+}
+
 } // namespace
 
 template <typename Archive>
 void serialize (Archive& archive, ReaderHeartbeat& heartbeat)
 {
     archiveCommonFields (archive, heartbeat);
-    archiveTime (archive, heartbeat.confirmationAge);
-    archiveTime (archive, heartbeat.absenceGrace);
+    archiveAges (archive, heartbeat);
+    archiveTime (archive, heartbeat.answeringAge);
 }
 
 std::string encode (const ReaderHeartbeat& heartbeat)
@@ -48,13 +81,10 @@
     if (auto heartbeat = decodeDatagram<ReaderHeartbeat> (heartbeatTag, bytes))
         return heartbeat;
 
-    // A truncated heartbeat of this release is longer than one of an earlier release.
-    const auto earlier = decodeDatagram<EarlierHeartbeat> (heartbeatTag, bytes);
-
-    if (! earlier || encodeDatagram (heartbeatTag, *earlier).size() != bytes.size())
-        return std::nullopt;
+    if (auto heartbeat = decodeEarlier<HeartbeatWithoutPeriod> (bytes))
+        return heartbeat;
 
-    return earlier->heartbeat;
+    return decodeEarlier<HeartbeatWithoutAge> (bytes);
 }
 
 } // namespace copperlead::mesh
--- a/src/mesh/reader_role.h
+++ b/src/mesh/reader_role.h
@@ -64,6 +64,11 @@
 
     Milliseconds confirmationAge{}; /**< Time since the source last answered the node. */
     Milliseconds absenceGrace{};    /**< Remaining time in which it doesn't trust absent entries. */
+
+    /** Time for which the source is known to have answered without a silence in which entries can
+        expire; see AnswerPeriod.
+    */
+    Milliseconds answeringAge{};
 };
 
 struct ReaderRoleSettings
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -50,6 +50,7 @@
     , reactor (std::move (reactorToUse))
     , log (std::move (logToUse))
     , pools (reactor, mesh::MemoryPlan::forMachine (settings.memoryBytes))
+    , state (settings.entryHeartbeat)
     , settingsFile (settings.file)
     , lapseTimer (reactor)
 {
@@ -181,6 +182,7 @@
 {
     const auto updated = update.position;
     const auto known = state.reached();
+    recordSourceAnswers();
     const auto outcome = state.take (at, std::move (update));
     logListingOutcome (at, outcome, updated, known);
 
@@ -308,6 +310,20 @@
                       { "lapse_ms", mesh::toMilliseconds (instance.lapse) } });
 }
 
+void Sidecar::recordSourceAnswers()
+{
+    if (sourceStatus)
+        state.sourceAnswered (sourceStatus().lastSuccess);
+}
+
+void Sidecar::handleReportedAnswers (Timestamp at, const mesh::AnswerPeriod& reported)
+{
+    state.answersReported (reported);
+
+    if (state.directory().nextLapseEnd() != Timestamp::max())
+        advanceState (at);
+}
+
 void Sidecar::armLapseTimer()
 {
     const auto end = state.directory().nextLapseEnd();
@@ -378,6 +394,16 @@
         const auto status = self->sourceStatus();
         return mesh::ZoneConfirmation{ status.lastSuccess, status.absenceDistrustedUntil };
     };
+    hooks.answerPeriod = [weak]
+    {
+        const auto self = weak.lock();
+        return self == nullptr ? mesh::AnswerPeriod{} : self->state.answerPeriod();
+    };
+    hooks.onAnswersReported = [weak] (Timestamp at, const mesh::AnswerPeriod& reported)
+    {
+        if (const auto self = weak.lock())
+            self->handleReportedAnswers (at, reported);
+    };
     hooks.refreshListing = [weak]
     {
         const auto self = weak.lock();
@@ -447,6 +473,7 @@
 {
     const auto at = now();
     logPause (at);
+    recordSourceAnswers();
     lastHop->tick (at);
     firstHop->tick();
 
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -95,6 +95,8 @@
                             mesh::SourcePosition updated, mesh::SourcePosition known);
     void logUnlisted (Timestamp now);
     void armLapseTimer();
+    void recordSourceAnswers();
+    void handleReportedAnswers (Timestamp now, const mesh::AnswerPeriod& reported);
     bool sourceAnswers (Timestamp now) const;
     void advanceState (Timestamp now);
     void logEvacuation (Timestamp now, const mesh::EvacuationChange& change);
--- a/src/sidecar/source/relay.cc
+++ b/src/sidecar/source/relay.cc
@@ -66,6 +66,7 @@
     , random (static_cast<std::minstd_rand::result_type> (rankOf (settings).hash))
     , client (std::make_shared<HttpClient> (reactor, pullClientSettings()))
     , subscriptions (rankOf (settings).hash)
+    , receiveDelay (settings.timing.heartbeatInterval)
 {
 }
 
@@ -93,22 +94,24 @@
 
 void Relay::onDatagram (const SocketAddress& from, std::string_view datagram)
 {
-    if (const auto heartbeat = mesh::decodeReaderHeartbeat (datagram))
-        return onHeartbeat (from.ip, *heartbeat);
+    if (auto heartbeat = mesh::decodeReaderHeartbeat (datagram))
+        return onHeartbeat (from.ip, std::move (*heartbeat));
 
     if (const auto subscription = mesh::decodeSubscription (datagram))
         onSubscription (from.ip, *subscription);
 }
 
-void Relay::onHeartbeat (const std::string& ip, const mesh::ReaderHeartbeat& heartbeat)
+void Relay::onHeartbeat (const std::string& ip, mesh::ReaderHeartbeat heartbeat)
 {
     const auto now = SteadyClock().Now();
     ++counts.heartbeatsReceived;
+    heartbeat.confirmationAge += std::chrono::ceil<Milliseconds> (receiveDelay.longest (now));
     const bool otherZone = heartbeat.zone != settings.zone;
 
     if (! otherZone && heartbeat.reads)
     {
         role.heartbeatReceived (now, heartbeat);
+        reportAnswers (now, heartbeat);
         // The role is updated at once, so that the nodes of a zone that start together don't all
         // send heartbeats.
         updateRole (now);
@@ -123,6 +126,16 @@
         pullChanges (ip);
 }
 
+void Relay::reportAnswers (Timestamp now, const mesh::ReaderHeartbeat& heartbeat)
+{
+    if (! heartbeat.healthy)
+        return;
+
+    // A node of an earlier release reports only its last answer.
+    const auto age = std::max (heartbeat.answeringAge, heartbeat.confirmationAge);
+    hooks.onAnswersReported (now, { now - age, now - heartbeat.confirmationAge });
+}
+
 void Relay::pullChanges (const std::string& ip)
 {
     if (pullInProgress)
@@ -327,6 +340,9 @@
         heartbeat.confirmationAge = std::chrono::ceil<Milliseconds> (now - confirmedAt);
         heartbeat.absenceGrace =
             std::chrono::ceil<Milliseconds> (std::max (Duration (0), distrustedUntil - now));
+
+        if (const auto period = hooks.answerPeriod(); period.isKnown())
+            heartbeat.answeringAge = std::chrono::floor<Milliseconds> (now - period.since);
     }
 
     return mesh::encode (heartbeat);
@@ -361,6 +377,7 @@
 
 void Relay::tick (Timestamp now)
 {
+    receiveDelay.recordActivity (now);
     updateRole (now);
     subscribe (now);
 
--- a/src/sidecar/source/relay.h
+++ b/src/sidecar/source/relay.h
@@ -15,6 +15,8 @@
 #include "mesh/mesh_update.h"
 #include "mesh/peer_addresses.h"
 #include "mesh/reader_role.h"
+#include "mesh/receive_delay.h"
+#include "mesh/source_continuity.h"
 #include "mesh/source_timing.h"
 #include "mesh/subscription.h"
 #include "sidecar/decision_log.h"
@@ -48,6 +50,12 @@
 
     /** Returns what this node's own calls have shown, to be reported to the zone. */
     std::function<mesh::ZoneConfirmation()> ownConfirmation;
+
+    /** Returns when the source is known to have answered, to be reported to the zone. */
+    std::function<mesh::AnswerPeriod()> answerPeriod;
+
+    /** Called when another node of the zone reports when the source has answered. */
+    std::function<void (Timestamp, const mesh::AnswerPeriod&)> onAnswersReported;
     /** Lists the source once more, to find peers. */
     std::function<void()> refreshListing;
 
@@ -120,7 +128,8 @@
     void pullChanges (const std::string& ip);
     void onChangesReceived (const CallResult& result, bool otherZone);
     bool isZonePeer (const std::string& ip) const;
-    void onHeartbeat (const std::string& ip, const mesh::ReaderHeartbeat& heartbeat);
+    void onHeartbeat (const std::string& ip, mesh::ReaderHeartbeat heartbeat);
+    void reportAnswers (Timestamp now, const mesh::ReaderHeartbeat& heartbeat);
     void subscribe (Timestamp now);
     void onSubscription (const std::string& from, const mesh::Subscription& subscription);
     void send (const mesh::OutgoingSubscriptions& subscriptionsToSend);
@@ -152,6 +161,7 @@
     RelayCounters counts;
     mesh::PeerAddresses peers;
     mesh::Subscriptions subscriptions;
+    mesh::ReceiveDelay receiveDelay; /**< Of heartbeats. */
     /** Whether the instance beside this node is listed. */
     bool listed = false;
     mesh::SourcePosition ownPosition;
--- a/tests/mesh/reader_role_test.cc
+++ b/tests/mesh/reader_role_test.cc
@@ -304,14 +304,25 @@
     auto sent = heartbeat (better, 77);
     sent.confirmationAge = Milliseconds (300);
     sent.absenceGrace = Milliseconds (40);
+    sent.answeringAge = Milliseconds (9000);
     const auto bytes = encode (sent);
     EXPECT_EQ (decodeReaderHeartbeat (bytes)->confirmationAge, Milliseconds (300));
     EXPECT_EQ (decodeReaderHeartbeat (bytes)->absenceGrace, Milliseconds (40));
+    EXPECT_EQ (decodeReaderHeartbeat (bytes)->answeringAge, Milliseconds (9000));
 
-    const auto earlier = decodeReaderHeartbeat (bytes.substr (0, bytes.size() - 8));
-    ASSERT_TRUE (earlier);
-    EXPECT_EQ (earlier->position, revision (77));
-    EXPECT_EQ (earlier->confirmationAge, Milliseconds (0));
+    const auto withoutPeriod = decodeReaderHeartbeat (bytes.substr (0, bytes.size() - 4));
+    ASSERT_TRUE (withoutPeriod);
+    EXPECT_EQ (withoutPeriod->position, revision (77));
+    EXPECT_EQ (withoutPeriod->confirmationAge, Milliseconds (300));
+    EXPECT_EQ (withoutPeriod->absenceGrace, Milliseconds (40));
+    EXPECT_EQ (withoutPeriod->answeringAge, Milliseconds (0));
+
+    const auto withoutAge = decodeReaderHeartbeat (bytes.substr (0, bytes.size() - 12));
+    ASSERT_TRUE (withoutAge);
+    EXPECT_EQ (withoutAge->position, revision (77));
+    EXPECT_EQ (withoutAge->confirmationAge, Milliseconds (0));
+
+    EXPECT_FALSE (decodeReaderHeartbeat (bytes.substr (0, bytes.size() - 8)));
 }
 
 TEST_F (Role, KnowsWhenTheSourceLastAnsweredTheReaderThatItIsUpToDateWith)
