GONE: a connection to an instance that has carried a body isn't used again

What callers saw: lookups got no answer in the time that they had, though instances were free, and ran for nobody 0.6 to 0.9 s after their clients had left.

Cause: an instance may answer an upload by its head and read the rest later. The node kept the connection since all bytes were written, which only says that a kernel has them, and sent the next request behind them.

Why this mends it: an answer proves that the head was read, and nothing about the bytes behind it, whatever its status and however small the body. Without a later answer on the same connection nothing proves it, so the connection closes.

Ruled out: the hop between nodes (a node that answers before it has read a body closes the connection).

The stand-in instance can now leave uploads unread; the soak draws that.

--- a/src/sidecar/http/client_connection.cc
+++ b/src/sidecar/http/client_connection.cc
@@ -84,6 +84,7 @@
     options = newOptions;
     output.clear();
     output.append (message);
+    requestHasBody = ! message.body.empty();
     bodyWithheld = options.headBytes > 0;
     writeFailed = false;
     transferLimit.reset();
--- a/src/sidecar/http/client_connection.h
+++ b/src/sidecar/http/client_connection.h
@@ -135,7 +135,8 @@
     std::optional<mesh::TransferLimit> transferLimit; /**< Of the stream. */
     Timestamp lastReadAt{};
     bool answersOtherRequest = false; /**< True while the response to another request is read. */
-    bool reusable = true;             /**< False if the connection must close after its call. */
+    bool requestHasBody = false;
+    bool reusable = true; /**< False if the connection must close after its call. */
     bool usedBefore = false;
     Timestamp connectDeadline = Timestamp::max(), idleDeadline{}, timerAt = Timestamp::max(),
               sentAt{}, idleAt{};
--- a/src/sidecar/http/client_connection_answers.cc
+++ b/src/sidecar/http/client_connection_answers.cc
@@ -231,9 +231,11 @@
 void ClientConnection::endResponse()
 {
     // The connection can't be reused if unattributable bytes follow the response, or if the request
-    // was not sent completely.
+    // was not sent completely or may not have been read completely.
     const bool isSent = bodyWithheld ? writableBytes() == 0 : output.isFinished();
-    const bool keep = reusable && input.empty() && isSent;
+    const bool mayBeUnread =
+        client->settings.mayLeaveBodiesUnread && requestHasBody && ! bodyWithheld;
+    const bool keep = reusable && input.empty() && isSent && ! mayBeUnread;
     output.clear();
     bodyWithheld = false;
     sentAt = {};
--- a/src/sidecar/http/http_client.h
+++ b/src/sidecar/http/http_client.h
@@ -97,6 +97,13 @@
         Body::stream().
     */
     bool streamsAnswers = false;
+
+    /** True if servers may answer a request before they have read its body. Bytes that were
+       written, or acknowledged by the server's kernel, may then lie unread on the connection, and a
+       further request would wait behind them. A connection that has carried a body isn't used
+       again.
+    */
+    bool mayLeaveBodiesUnread = false;
 };
 
 class ClientConnection;
--- a/src/sidecar/instance/last_hop.cc
+++ b/src/sidecar/instance/last_hop.cc
@@ -31,6 +31,7 @@
     ClientSettings settings;
     settings.answerPools = answerPools;
     settings.streamsAnswers = true;
+    settings.mayLeaveBodiesUnread = true;
     settings.connectTimeout = Milliseconds (250);
     settings.unacknowledgedTimeout = Milliseconds (800);
     settings.idleTime = Milliseconds (8000);
--- a/src/standin/instance.cc
+++ b/src/standin/instance.cc
@@ -7,6 +7,7 @@
 #include <cstdlib>
 #include <functional>
 #include <string_view>
+#include <utility>
 
 #include "proxy/http_message.h"
 #include "standin/http_service.h"
@@ -43,7 +44,8 @@
 }
 
 bool IsEarly(InstanceTrouble trouble) {
-  return trouble == InstanceTrouble::kEarlyCut || trouble == InstanceTrouble::kEarlyWhole;
+  return trouble == InstanceTrouble::kEarlyCut || trouble == InstanceTrouble::kEarlyWhole ||
+         trouble == InstanceTrouble::kLeaveUnread;
 }
 
 std::int64_t UnixMilliseconds() {
@@ -176,6 +178,7 @@
 void Instance::Serve(int socket) {
   std::string buffer;
   char piece[65536];
+  bool refused = false;  // The request whose body is being read.
   for (bool open = true; open;) {
     Message message;
     std::string fault;
@@ -184,13 +187,18 @@
     const bool has_head = end != 0 &&
                           ParseRequestHead(buffer.substr(0, end), message.head, fault) &&
                           FindRequestFraming(message.head, framing, fault);
+    const bool has_body = has_head && framing.length > 0;
+    if (has_body && !refused && LeaveUnread(socket, message)) {
+      refused = true;
+      continue;
+    }
     if (has_head && buffer.size() >= end + framing.length) {
       message.body = buffer.substr(end, framing.length);
       buffer.erase(0, end + framing.length);
-      open = Handle(socket, message);
+      open = std::exchange(refused, false) || Handle(socket, message);
       continue;
     }
-    if (has_head && AnswerEarly(socket, message)) break;
+    if (has_head && !refused && AnswerEarly(socket, message)) break;
     const auto count = recv(socket, piece, sizeof(piece), 0);
     if (count <= 0) break;
     buffer.append(piece, static_cast<std::size_t>(count));
@@ -200,8 +208,22 @@
   close(socket);
 }
 
+bool Instance::LeaveUnread(int socket, const Message& message) {
+  {
+    const std::lock_guard lock(mutex_);
+    if (fault_.times == 0 || fault_.trouble != InstanceTrouble::kLeaveUnread) return false;
+    if (fault_.times != UINT64_MAX) --fault_.times;
+  }
+  AddRun(message);
+  SendAll(socket, Answer(503, FirstValue(message.head.fields, "X-Request-Id"), "", false, true));
+  std::unique_lock lock(mutex_);
+  changed_.wait_for(lock, kUnreadTime, [&] { return stopping_; });
+  return true;
+}
+
 InstanceTrouble Instance::TakeTrouble(bool before_body) {
   const std::lock_guard lock(mutex_);
+  if (fault_.trouble == InstanceTrouble::kLeaveUnread) return InstanceTrouble::kNone;
   if (fault_.times == 0 || IsEarly(fault_.trouble) != before_body) return InstanceTrouble::kNone;
   if (fault_.times != UINT64_MAX) --fault_.times;
   return fault_.trouble;
--- a/src/standin/instance.h
+++ b/src/standin/instance.h
@@ -42,10 +42,14 @@
   kSilent,    // Reads and never answers.
   kEndless,   // Sends its EndlessAnswer until the caller closes.
   // The others are for requests whose body is still being sent: they answer its head.
-  kEarlyCut,   // Answers without a length, cuts that off and resets the connection.
-  kEarlyWhole  // Answers without a length, ends its side and reads on.
+  kEarlyCut,    // Answers without a length, cuts that off and resets the connection.
+  kEarlyWhole,  // Answers without a length, ends its side and reads on.
+  // For requests with a body.
+  kLeaveUnread  // Refuses it, reads on after kUnreadTime and serves what lies behind the body.
 };
 
+inline constexpr std::chrono::milliseconds kUnreadTime{900};
+
 inline constexpr char kRequestIdMark[] = "@id";
 
 // An answer that goes on until its caller closes the connection.
@@ -176,6 +180,9 @@
   bool AnswerEarly(int socket, const Message& message);
   // @param before_body  the request's body is still to come
   InstanceTrouble TakeTrouble(bool before_body);
+  // Applies kLeaveUnread to a request whose head has arrived.
+  // @return false when the fault doesn't apply
+  bool LeaveUnread(int socket, const Message& message);
   // Takes a slot and works. @return false when the connection ended meanwhile.
   bool Work(int socket, std::size_t run, std::chrono::milliseconds work);
   std::string Answer(int status, const std::string& id, const std::string& body, bool is_signed,
--- a/tests/mesh_integration/soak_messages.cc
+++ b/tests/mesh_integration/soak_messages.cc
@@ -148,7 +148,8 @@
 
 void Soak::SpoilInstances() {
   static constexpr InstanceTrouble kTroubles[] = {
-      InstanceTrouble::kEndless, InstanceTrouble::kEarlyCut, InstanceTrouble::kEarlyWhole};
+      InstanceTrouble::kEndless, InstanceTrouble::kEarlyCut, InstanceTrouble::kEarlyWhole,
+      InstanceTrouble::kLeaveUnread};
   std::mt19937_64 random(600);
   while (!stopping_) {
     const std::size_t index = random() % fleet_.machines().size();
--- a/tests/sidecar/http/http_test.cc
+++ b/tests/sidecar/http/http_test.cc
@@ -218,16 +218,21 @@
     CallResult call (const SocketAddress& target, const std::string& id = "q",
                      Milliseconds time = Milliseconds (1000), Milliseconds minIdleTime = {})
     {
+        CallOptions options;
+        options.deadline = SteadyClock().Now() + time;
+        options.id = id;
+        options.minIdleTime = minIdleTime;
+        return send (target, Message ("GET / HTTP/1.1\r\nHost: h\r\n\r\n"), options);
+    }
+
+    CallResult send (const SocketAddress& target, const Message& message, CallOptions options)
+    {
+        options.idField = "X-Request-Id";
         std::promise<CallResult> promise;
         reactor->RunAndWait (
             [&]
             {
-                CallOptions options;
-                options.deadline = SteadyClock().Now() + time;
-                options.idField = "X-Request-Id";
-                options.id = id;
-                options.minIdleTime = minIdleTime;
-                client->send (target, Message ("GET / HTTP/1.1\r\nHost: h\r\n\r\n"), options,
+                client->send (target, message, options,
                               [&] (CallResult result) { promise.set_value (std::move (result)); });
             });
         return promise.get_future().get();
@@ -422,6 +427,32 @@
     }
 }
 
+/** Guards against sending a request behind a body that the server has answered without reading it,
+    whatever its answer was.
+*/
+TEST_F (Calling, SentARequestBehindABodyThatTheServerHadNotRead)
+{
+    RawServer peer (
+        [&] (RawSocket& socket, int)
+        {
+            while (! socket.Read().head.empty())
+                socket.Send (responseFor ("q"));
+        });
+    ClientSettings settings;
+    settings.mayLeaveBodiesUnread = true;
+    reactor->RunAndWait ([&] { client = std::make_shared<HttpClient> (reactor, settings); });
+    CallOptions options;
+    options.id = "q";
+    const auto post =
+        requestMessage ("POST", "/", { { "Host", "h" } }, Body (std::string ("body")));
+    EXPECT_EQ (call (peer.address()).end, CallEnd::answered);
+    EXPECT_EQ (send (peer.address(), post, options).end, CallEnd::answered);
+    EXPECT_EQ (peer.connections(), 1);
+    EXPECT_EQ (call (peer.address()).end, CallEnd::answered);
+    EXPECT_EQ (call (peer.address()).end, CallEnd::answered);
+    EXPECT_EQ (peer.connections(), 2);
+}
+
 /** Guards against a lost request that must not be repeated: it was sent just after an answer on a
     connection that the server then closed without having announced it.
 */
