Proxy: a connection whose back end refused a request with a body isn't pooled

A back end that refuses a request may not have read its body; a later request on the pooled connection would wait behind the rest.

After a success the connection is kept: this proxy's back ends are servers of any kind that have processed the request then, and tests ask for it (PassesEveryMethodWithItsBody, StreamsChunksBothWays). Tried and not taken: never pooling after a body, which breaks that.

Evidence: ProxyTest.SentARequestBehindABodyThatTheBackEndHadNotRead failed before (one connection for all requests) and passes now; the other 38 tests pass unchanged.

--- a/src/proxy/request_exchange.cc
+++ b/src/proxy/request_exchange.cc
@@ -18,6 +18,7 @@
 // Limit for all bodies held in memory at the same time. Further bodies are streamed and cannot be
 // sent again.
 constexpr std::uint64_t kMaxBufferedBytes = 16ULL * 1024 * 1024;
+constexpr int kFirstStatusBeyondSuccess = 300;
 
 Timestamp Now() { return SteadyClock().Now(); }
 
@@ -160,8 +161,12 @@
 }
 
 bool RequestExchange::ConnectionIsReusable() const {
-  return keep_connection_ && attempt_.request_sent_completely && attempt_.head.minor_version > 0 &&
-         attempt_.framing.kind != BodyKind::kUntilClose &&
+  // A back end that refuses a request may not have read its body. A later request would wait behind
+  // the rest.
+  const bool has_body = request_.framing.kind == BodyKind::kChunked || request_.framing.length > 0;
+  const bool may_be_unread = has_body && attempt_.head.status >= kFirstStatusBeyondSuccess;
+  return keep_connection_ && !may_be_unread && attempt_.request_sent_completely &&
+         attempt_.head.minor_version > 0 && attempt_.framing.kind != BodyKind::kUntilClose &&
          !ListContains(attempt_.head.fields, "Connection", "close");
 }
 
--- a/tests/proxy/exchange_test.cc
+++ b/tests/proxy/exchange_test.cc
@@ -307,6 +307,20 @@
   }
 }
 
+// Guards against sending a request behind a body that the back end has refused without reading it.
+TEST_F(ProxyTest, SentARequestBehindABodyThatTheBackEndHadNotRead) {
+  RawServer backend(Answering([](const RawMessage& request) {
+    return request.body.empty() ? Echo(request) : "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+  }));
+  StartProxy({{backend.address()}});
+  EXPECT_EQ(SendRequest(Get("/a")).status(), 200);
+  EXPECT_EQ(SendRequest(Post("/a", "body")).status(), 503);
+  EXPECT_EQ(backend.connections(), 1);
+  EXPECT_EQ(SendRequest(Get("/a")).status(), 200);
+  EXPECT_EQ(SendRequest(Get("/a")).status(), 200);
+  EXPECT_EQ(backend.connections(), 2);
+}
+
 TEST_F(ProxyTest, TakesAFreshConnectionWhenThePooledOneWasClosed) {
   RawServer backend([](RawSocket& socket, int) {
     socket.Send(Echo(socket.Read()));  // Then closes without having announced it.
