RECOVER: entries of other writers no longer hide the instance at their address

What callers saw: 503 for every request, as long as an entry of a service that no configuration names lay at the addresses of the instances.

Cause: the node beside an instance believed the newest entry of its address, of whichever service and state. It then refused all requests for the instance's real service, and so gave the instance no occasion to name itself.

Why this mends it: the directory keeps all entries of an address. Those of services that the running configuration doesn't name are passed over, whenever it comes or changes. Among the others the id that the instance reports decides, unless an entry was created since; a newer one that would make it unusable is used only once the instance, asked by a health check, has named itself so. Requests name the id that they are meant for, so going on is safe: another instance rejects them unrun. The instance's own entry is followed even if it isn't the newest, so that its leaving is heeded. The operator gets one `entry_refused` line with the id.

Ruled out: the unnamed service alone as the cause; the kill of the case (a running node was hidden from as well). Failed try: believing the newest entry until the health check is answered, up to 1.25 s without service.

--- a/src/mesh/instance_directory.cc
+++ b/src/mesh/instance_directory.cc
@@ -259,6 +259,64 @@
     current.reset();
 }
 
+bool InstanceDirectory::isNamed (const std::string& service) const
+{
+    return ! namedServices || namedServices->contains (service);
+}
+
+bool InstanceDirectory::setServices (std::set<std::string> services)
+{
+    if (namedServices == services)
+        return false;
+
+    namedServices = std::move (services);
+    current.reset();
+    return true;
+}
+
+std::vector<std::string> InstanceDirectory::takeUnnamed()
+{
+    std::vector<std::string> found;
+    std::set<std::string> unnamed;
+
+    for (const auto& [id, entry] : byId)
+    {
+        if (entry.state == InstanceState::leaving || isNamed (entry.instance.service))
+            continue;
+
+        if (! reportedUnnamed.contains (id))
+            found.push_back (id);
+
+        unnamed.insert (id);
+    }
+
+    reportedUnnamed = std::move (unnamed);
+    return found;
+}
+
+namespace
+{
+
+/** Swaps the newest instance at an address, of a named service if possible, to `newest`, and sorts
+    the others.
+*/
+void putNewestFirst (ListedInstance& newest, std::vector<ListedInstance>& others)
+{
+    others.push_back (std::move (newest));
+    std::stable_sort (others.begin(), others.end(),
+                      [] (const auto& a, const auto& b)
+                      {
+                          if (a.isNamed != b.isNamed)
+                              return a.isNamed;
+
+                          return b.instance.createdAt < a.instance.createdAt;
+                      });
+    newest = std::move (others.front());
+    others.erase (others.begin());
+}
+
+} // namespace
+
 DirectoryPointer InstanceDirectory::snapshot()
 {
     if (current != nullptr)
@@ -269,6 +327,8 @@
 
     for (const auto& [id, entry] : byId)
     {
+        const bool named = isNamed (entry.instance.service);
+
         if (entry.state != InstanceState::leaving)
         {
             used.insert (entry.instance.address.ip);
@@ -277,15 +337,20 @@
             {
                 auto& listed = result->byService[entry.instance.service].emplace_back (entry);
                 listed.proximity = locality.proximityTo (entry.instance.zone);
+                listed.isNamed = named;
             }
         }
 
-        auto& newest = result->byAddress[ToString (entry.instance.address)];
-
-        if (newest.instance.id.empty() || newest.instance.createdAt < entry.instance.createdAt)
-            newest = entry;
+        const auto address = ToString (entry.instance.address);
+        const auto [first, isFirst] = result->byAddress.try_emplace (address, entry);
+        auto& added =
+            isFirst ? first->second : result->othersByAddress[address].emplace_back (entry);
+        added.isNamed = named;
     }
 
+    for (auto& [address, others] : result->othersByAddress)
+        putNewestFirst (result->byAddress[address], others);
+
     for (auto& [service, listed] : result->byService)
         std::stable_sort (listed.begin(), listed.end(),
                           [] (const auto& a, const auto& b) { return a.proximity < b.proximity; });
--- a/src/mesh/instance_directory.h
+++ b/src/mesh/instance_directory.h
@@ -70,6 +70,11 @@
     Proximity proximity = Proximity::sameRegion; /**< To this node; set in snapshots. */
     std::uint64_t writtenRevision = 0;           /**< The revision that wrote `instance`. */
 
+    /** Whether the configuration names the instance's service; set in snapshots. An entry of
+       another service may come from another writer and names no instance to use.
+    */
+    bool isNamed = true;
+
     /** When it was last retained as leaving although a restored source lists it as ready. */
     std::optional<Timestamp> retainedAt{};
 };
@@ -81,8 +86,12 @@
     std::map<std::string, std::vector<ListedInstance>> byService;
     std::set<std::string> evacuatedZones; /**< Instances there get no new requests. */
 
-    /** The newest instance at each address, in any state. */
+    /** The newest instance at each address, in any state; one of a named service if there is any.
+     */
     std::map<std::string, ListedInstance> byAddress;
+
+    /** The other instances at each address, newest first. */
+    std::map<std::string, std::vector<ListedInstance>> othersByAddress;
     std::size_t nodes = 0; /**< Number of distinct IP addresses with a ready or lapsed instance. */
 };
 
@@ -164,6 +173,14 @@
     /** Replaces the set of zones whose instances get no new requests. */
     void setEvacuatedZones (std::set<std::string> zones);
 
+    /** Sets the services that the configuration names. Until then all count as named.
+        @returns true if the set has changed
+    */
+    bool setServices (std::set<std::string> services);
+
+    /** @returns the ids of entries whose service isn't named, each once */
+    std::vector<std::string> takeUnnamed();
+
     /** Ends expired grace periods and retentions, and drops entries whose retention has ended.
         @param sourceAnswers  false in an outage, in which lapsed instances can't be listed again
     */
@@ -192,12 +209,15 @@
     void keepAcrossRestore (Timestamp now, ListedInstance& entry, const Instance& listed,
                             SourcePosition position);
 
+    bool isNamed (const std::string& service) const;
     void endLapse (Timestamp now, ListedInstance& entry, UnlistedCause cause);
     void reportUnlisted (Timestamp now, const ListedInstance& entry, UnlistedCause cause);
 
     std::map<std::string, ListedInstance> byId;
     std::vector<UnlistedInstance> unlisted;
     std::set<std::string> evacuatedZones;
+    std::optional<std::set<std::string>> namedServices;
+    std::set<std::string> reportedUnnamed; /**< Ids that takeUnnamed() has returned. */
     Locality locality;
     SourcePosition forgotten; /**< Removals up to this position may be unknown here. */
     DirectoryPointer current; /**< Null after a change. */
--- a/src/mesh/local_instance.cc
+++ b/src/mesh/local_instance.cc
@@ -23,6 +23,45 @@
         currentService = configured;
 }
 
+bool LocalInstance::isUsable (const ListedInstance& entry) const
+{
+    return entry.instance.service == configured && entry.state == InstanceState::ready;
+}
+
+const ListedInstance* LocalInstance::chooseEntry (const std::vector<const ListedInstance*>& entries)
+{
+    const ListedInstance *newest = nullptr, *reported = nullptr, *usable = nullptr;
+    isDoubtful = false;
+
+    for (const auto* entry : entries)
+    {
+        const auto& listed = entry->instance;
+
+        if (! entry->isNamed && listed.service != configured)
+            continue;
+
+        if (newest == nullptr)
+            newest = entry;
+
+        if (usable == nullptr && isUsable (*entry))
+            usable = entry;
+
+        if (listed.id == reportedId)
+            reported = entry;
+    }
+
+    if (newest == nullptr)
+        return nullptr;
+
+    latestCreation = std::max (latestCreation, newest->instance.createdAt);
+
+    if (reported != nullptr && newest->instance.createdAt <= reportedSince)
+        return reported;
+
+    isDoubtful = newest != reported && ! isUsable (*newest) && usable != nullptr;
+    return isDoubtful ? usable : newest;
+}
+
 bool LocalInstance::updateFromEntry (const ListedInstance* entry)
 {
     if (entry == nullptr)
@@ -55,12 +94,19 @@
     return changed;
 }
 
-bool LocalInstance::recordReportedId (const std::string& reportedId)
+bool LocalInstance::recordReportedId (const std::string& id)
 {
-    if (reportedId.empty() || reportedId == currentId)
+    if (id.empty())
+        return false;
+
+    reportedId = id;
+    reportedSince = latestCreation;
+    isDoubtful = false;
+
+    if (id == currentId)
         return false;
 
-    currentId = reportedId;
+    currentId = id;
     incarnationStart = 0;
     currentService = configured;
     source = IdentitySource::selfReported;
@@ -88,7 +134,8 @@
 
 bool LocalInstance::wantsProbe (Timestamp now) const
 {
-    return (isLost || ! known()) && now - probedAt >= probeInterval;
+    const auto interval = isLost || ! known() ? probeInterval : doubtProbeInterval;
+    return (isLost || ! known() || isDoubtful) && now - probedAt >= interval;
 }
 
 } // namespace copperlead::mesh
--- a/src/mesh/local_instance.h
+++ b/src/mesh/local_instance.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include <string>
+#include <vector>
 
 #include "base/time.h"
 #include "mesh/instance_directory.h"
@@ -31,8 +32,18 @@
 
     void setConfiguredService (std::string service);
 
-    /** Updates the identity from the newest entry of the instance's address, nullptr if there is
-        none.
+    /** Chooses the entry that names this instance among those of its address: that of the id that
+        the instance has reported, unless another one was created since, and otherwise the newest.
+       If that makes the instance unusable while another one doesn't, the other one is used until
+       the instance has been asked: it rejects requests that are meant for another. Entries of
+       services that the configuration doesn't name are passed over, except of the configured one,
+       whose name the configuration may still lack.
+        @param entries  newest first
+        @returns nullptr if there is none
+    */
+    const ListedInstance* chooseEntry (const std::vector<const ListedInstance*>& entries);
+
+    /** Updates the identity from the entry of the instance's address, nullptr if there is none.
         @returns true if the entry is of another incarnation: it has another id, or a later start
                  time under the same id
     */
@@ -41,7 +52,7 @@
     /** Updates the identity from the id that the instance reports itself.
         @returns true if the id changed
     */
-    bool recordReportedId (const std::string& reportedId);
+    bool recordReportedId (const std::string& id);
 
     /** Records that the instance stated that it leaves, which holds for this incarnation whatever
         its entry says.
@@ -73,14 +84,23 @@
     Duration lostFor (Timestamp now) const { return now - lostAt; }
 
 private:
+    bool isUsable (const ListedInstance& entry) const;
+
     static constexpr Milliseconds probeInterval{ 250 };
+    static constexpr Milliseconds doubtProbeInterval{ 1000 };
     static constexpr int unansweredCallsUntilLost = 4;
 
-    std::string configured, currentId, currentService, spoken;
+    std::string configured, currentId, currentService;
+    std::string reportedId;        /**< The id that the instance last reported itself. */
+    SourcePosition reportedSince;  /**< Entries created later may name its successor. */
+    SourcePosition latestCreation; /**< Of the entries at the address. */
     IdentitySource source = IdentitySource::entry;
     SourcePosition createdAt;
     std::uint64_t incarnationStart = 0; /**< Unix ms; 0 if unknown. */
     int slotCount = 1;
+
+    /** Whether an entry is used although a newer one makes the instance unusable. */
+    bool isDoubtful = false;
     bool isLeaving = false, hasStatedLeaving = false, isLost = false;
     int unansweredCalls = 0;
     Timestamp lostAt{}, probedAt{};
--- a/src/mesh/mesh_state.cc
+++ b/src/mesh/mesh_state.cc
@@ -1,6 +1,7 @@
 #include "mesh/mesh_state.h"
 
 #include <algorithm>
+#include <set>
 
 namespace copperlead::mesh
 {
@@ -33,6 +34,7 @@
         if (update.configuration)
             outcome.configuration = takeConfiguration (std::move (*update.configuration));
 
+        outcome.instancesChanged = updateServices();
         return outcome;
     }
 
@@ -57,6 +59,7 @@
     if (update.configuration)
         outcome.configuration = takeConfiguration (std::move (*update.configuration));
 
+    outcome.instancesChanged = updateServices() || outcome.instancesChanged;
     reachedPosition = std::max (reachedPosition, update.position);
     hasKnownSource = hasKnownSource || reachedPosition.isKnown();
     return outcome;
@@ -215,6 +218,23 @@
     return outcome;
 }
 
+bool MeshState::updateServices()
+{
+    const auto& routes = holder.routes();
+
+    if (routes == nullptr || routes->configuration().version == servicesVersion)
+        return false;
+
+    const auto& running = routes->configuration();
+    servicesVersion = running.version;
+    std::set<std::string> named;
+
+    for (const auto& [name, settings] : running.services)
+        named.insert (name);
+
+    return instances.setServices (std::move (named));
+}
+
 MeshUpdate MeshState::changesSince (Timestamp now, SourcePosition position,
                                     std::uint64_t version) const
 {
--- a/src/mesh/mesh_state.h
+++ b/src/mesh/mesh_state.h
@@ -77,6 +77,11 @@
 
 private:
     ConfigurationOutcome takeConfiguration (ConfigurationChange change);
+
+    /** Tells the directory which services the running configuration names.
+        @returns true if that changes which instances are usable
+    */
+    bool updateServices();
     /** @returns the time for which instances stay usable that the update removes or lacks, unless a
                  removal states it itself
     */
@@ -99,6 +104,7 @@
 
     ConfigurationHolder holder;
     InstanceDirectory instances;
+    std::uint64_t servicesVersion = 0; /**< Version that the directory's services are of. */
     ZoneEvacuations evacuations;
     SourceContinuity continuity;
     SourcePosition reachedPosition;
--- a/src/sidecar/instance/last_hop_instance.cc
+++ b/src/sidecar/instance/last_hop_instance.cc
@@ -203,13 +203,34 @@
     instance.setConfiguredService (std::move (service));
 }
 
+namespace
+{
+
+/** @returns the entries of an address, newest first */
+std::vector<const mesh::ListedInstance*> entriesAt (const mesh::DirectorySnapshot& directory,
+                                                    const SocketAddress& address)
+{
+    std::vector<const mesh::ListedInstance*> found;
+    const auto text = ToString (address);
+
+    if (const auto newest = directory.byAddress.find (text); newest != directory.byAddress.end())
+        found.push_back (&newest->second);
+
+    if (const auto others = directory.othersByAddress.find (text);
+        others != directory.othersByAddress.end())
+        for (const auto& other : others->second)
+            found.push_back (&other);
+
+    return found;
+}
+
+} // namespace
+
 void LastHop::setDirectory (Timestamp now, const mesh::DirectorySnapshot& directory)
 {
     const auto before = instance.id();
     const bool wasLeaving = instance.leaving();
-    const auto entry = directory.byAddress.find (ToString (settings.instanceAddress));
-
-    const auto* listed = entry == directory.byAddress.end() ? nullptr : &entry->second;
+    const auto* listed = instance.chooseEntry (entriesAt (directory, settings.instanceAddress));
 
     if (instance.updateFromEntry (listed))
     {
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -342,6 +342,11 @@
 void Sidecar::handleDirectoryChange (Timestamp at)
 {
     logUnlisted (at);
+
+    for (const auto& id : state.directory().takeUnnamed())
+        refuseEntry (at, id,
+                     { ErrorKind::kUnknownService, "service", "isn't in the configuration" });
+
     const auto snapshot = state.directory().snapshot();
     lastHop->setDirectory (at, *snapshot);
     armLapseTimer();
--- a/tests/mesh/instance_directory_test.cc
+++ b/tests/mesh/instance_directory_test.cc
@@ -205,5 +205,93 @@
     EXPECT_EQ (usable (directory), (Ids{ "a", "b" }));
 }
 
+/** Entries at one address, newest first. */
+class EntriesAtOneAddress : public ::testing::Test
+{
+protected:
+    static ListedInstance entryOf (const std::string& id, const std::string& service,
+                                   std::uint64_t createdAt)
+    {
+        ListedInstance entry;
+        entry.instance = makeInstance (id, "z1", 1, createdAt);
+        entry.instance.service = service;
+        return entry;
+    }
+
+    /** @returns the id that the node takes the instance for */
+    std::string idAfter (const std::vector<const ListedInstance*>& entries)
+    {
+        local.updateFromEntry (local.chooseEntry (entries));
+        return local.id();
+    }
+
+    LocalInstance local{ "desk" };
+    ListedInstance own = entryOf ("own", "desk", 1), other = entryOf ("other", "hub", 2);
+};
+
+// Guards against an instance that gets no request because of a newer entry, while it tells that it
+// is the one of the older entry.
+TEST_F (EntriesAtOneAddress, TheInstanceIsUsedAndAskedWhichEntryIsItsOwn)
+{
+    EXPECT_EQ (idAfter ({ &other, &own }), "own");
+    EXPECT_TRUE (local.wantsProbe (at (0)));
+    local.probed (at (0));
+    EXPECT_FALSE (local.wantsProbe (at (900)));
+    local.recordReportedId ("own");
+    EXPECT_EQ (idAfter ({ &other, &own }), "own");
+    EXPECT_FALSE (local.wantsProbe (at (5000)));
+
+    own.state = InstanceState::leaving;
+    idAfter ({ &other, &own });
+    EXPECT_TRUE (local.leaving());
+}
+
+TEST_F (EntriesAtOneAddress, AnInstanceThatHasReplacedAnotherIsTakenForItself)
+{
+    EXPECT_EQ (idAfter ({ &own }), "own");
+    local.recordReportedId ("own");
+    EXPECT_EQ (idAfter ({ &other, &own }), "own");
+    EXPECT_TRUE (local.recordReportedId ("other"));
+    EXPECT_EQ (idAfter ({ &other, &own }), "other");
+    EXPECT_EQ (local.service(), "hub");
+    EXPECT_FALSE (local.wantsProbe (at (0)));
+}
+
+TEST_F (EntriesAtOneAddress, AnEntryCreatedAfterTheReportNamesASuccessor)
+{
+    EXPECT_EQ (idAfter ({ &own }), "own");
+    local.recordReportedId ("own");
+    const auto successor = entryOf ("next", "desk", 3);
+    EXPECT_EQ (idAfter ({ &successor, &own }), "next");
+    own.state = InstanceState::leaving;
+    EXPECT_EQ (idAfter ({ &other, &own }), "other") << "the instance has left its address";
+}
+
+// Guards against taking an entry of an unnamed service for the instance, in whichever order entry
+// and configuration come.
+TEST (InstanceDirectory, EntriesOfUnnamedServicesComeLastAtTheirAddress)
+{
+    InstanceDirectory directory;
+    auto foreign = makeInstance ("foreign", "z1", 1, 5);
+    foreign.service = "inventory";
+    directory.put (at (0), makeInstance ("own", "z1", 1, 2), revision (2));
+    directory.put (at (0), foreign, revision (5));
+    const auto first = [&] { return directory.snapshot()->byAddress.at ("10.0.0.1:8000"); };
+    EXPECT_EQ (first().instance.id, "foreign") << "no configuration is known yet";
+    EXPECT_TRUE (directory.takeUnnamed().empty());
+
+    EXPECT_TRUE (directory.setServices ({ "desk" }));
+    EXPECT_FALSE (directory.setServices ({ "desk" }));
+    EXPECT_EQ (first().instance.id, "own");
+    const auto& others = directory.snapshot()->othersByAddress.at ("10.0.0.1:8000");
+    ASSERT_EQ (others.size(), 1U);
+    EXPECT_FALSE (others[0].isNamed);
+    EXPECT_EQ (directory.takeUnnamed(), std::vector<std::string>{ "foreign" });
+    EXPECT_TRUE (directory.takeUnnamed().empty()) << "each is reported once";
+
+    directory.setServices ({ "desk", "inventory" });
+    EXPECT_EQ (first().instance.id, "foreign");
+}
+
 } // namespace
 } // namespace copperlead::mesh::test
