Tests of heads that stop, for every reader of answers

Reports of other operators: an instance stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body, framed as whole; and an answer whose status was 000.

Handled already, nothing changed for it. Load queries, heartbeats, subscriptions, quotas and changes between nodes: their tests cut every form short already.

--- a/src/standin/instance.cc
+++ b/src/standin/instance.cc
@@ -335,7 +335,7 @@
     answer.begin.replace(mark, std::string_view(kRequestIdMark).size(), id);
   }
   bool open = SendAll(socket, answer.begin);
-  while (open) {
+  while (open && !answer.stops) {
     std::this_thread::sleep_for(answer.pause);
     open = SendAll(socket, answer.piece);
   }
--- a/src/standin/instance.h
+++ b/src/standin/instance.h
@@ -57,6 +57,7 @@
   std::string begin;                   // A kRequestIdMark in it becomes the request's id.
   std::string piece;                   // Sent again and again,
   std::chrono::milliseconds pause{0};  // each time after this pause.
+  bool stops = false;                  // Ends the connection behind `begin` instead.
 };
 
 struct InstanceFault {
--- a/tests/proxy/exchange_test.cc
+++ b/tests/proxy/exchange_test.cc
@@ -321,6 +321,25 @@
   EXPECT_EQ(backend.connections(), 2);
 }
 
+// Guards against a response that becomes one by the end of its connection, at whichever byte of its
+// head that comes.
+TEST_F(ProxyTest, AResponseWhoseHeadStopsIsNoResponse) {
+  for (const std::string fields : {"Content-Length: 0\r\n", "Transfer-Encoding: chunked\r\n", ""}) {
+    const std::string head = "HTTP/1.1 200 OK\r\n" + fields + "\r\n";
+    std::atomic<std::size_t> size = 0;
+    RawServer backend([&](RawSocket& socket, int) {
+      socket.Read();
+      socket.Send(head.substr(0, size));
+    });
+    StartProxy({{backend.address()}});
+    for (; size < head.size(); ++size) {
+      const RawMessage answer = SendRequest(Get("/a"));
+      EXPECT_EQ(answer.status(), 502) << size;
+      EXPECT_TRUE(answer.complete) << size;
+    }
+  }
+}
+
 TEST_F(ProxyTest, TakesAFreshConnectionWhenThePooledOneWasClosed) {
   RawServer backend([](RawSocket& socket, int) {
     socket.Send(Echo(socket.Read()));  // Then closes without having announced it.
--- a/tests/source/source_client_test.cc
+++ b/tests/source/source_client_test.cc
@@ -324,6 +324,24 @@
   }
 }
 
+// Guards against a head that stops, at whichever byte, and counts as an empty document or as news.
+TEST(SourceClientTest, AResponseWhoseHeadStopsIsNoAnswer) {
+  for (const std::string head :
+       {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n", "HTTP/1.1 304 Not Modified\r\n\r\n"}) {
+    std::atomic<std::size_t> size = 0;
+    RawServer source([&](RawSocket& socket, int) {
+      socket.Read();
+      socket.Send(head.substr(0, size));
+    });
+    for (; size < head.size(); ++size) {
+      Answers answers;
+      const auto client = StartSourceClient(SettingsFor(source.address().port), answers.receiver());
+      client->Fetch({StreamKind::kMachines, ""});
+      EXPECT_EQ(answers.Next().status, SourceAnswered::Status::kFailed) << size;
+    }
+  }
+}
+
 TEST(SourceClientTest, RefusedConnectionIsUnreachable) {
   int port = 0;
   {
