LOST, CONFIG: changes that are too many for an answer lead to a listing

Cause: the answer to a watch holds every configuration written since. Above 4 MiB it isn't read, counted as a failed call, and was asked for again from the same revision, so that it could only grow.

Why this mends it: the client tells a response that is too large from a broken one, and the follower lists the source then, which has each entry once, in pages. Logged as `source_answer_too_large`.

Ruled out: the kill, stale answers and the other nodes as the cause; a single paused node shows the fault.

--- a/src/mesh/source_follower.cc
+++ b/src/mesh/source_follower.cc
@@ -272,7 +272,16 @@
 std::optional<SourceUpdate> SourceFollower::handleAnswer (Timestamp now, SourceAnswer answer)
 {
     requestPending = false;
-    const bool isReadable = answer.reply != SourceReply::failed;
+
+    // The changes can only become more, whereas a listing has each entry once, in pages.
+    if (answer.reply == SourceReply::tooLarge && current == SourceCall::watch)
+    {
+        handleHistoryLoss (now);
+        return std::nullopt;
+    }
+
+    const bool isReadable =
+        answer.reply != SourceReply::failed && answer.reply != SourceReply::tooLarge;
 
     if (isReadable && answer.position.epoch > epoch)
         beginEpoch (now, answer.position.epoch);
--- a/src/mesh/source_follower.h
+++ b/src/mesh/source_follower.h
@@ -56,7 +56,7 @@
 {
     start,       /**< The first page of the first listing. */
     page,        /**< A further page of any listing. */
-    historyLost, /**< The first page of a listing after the source has discarded its history. */
+    historyLost, /**< The first page of a listing since a watch can't continue. */
     refresh,     /**< The first page of a repeated listing of a node that doesn't read. */
     takeOver,    /**< The first watch of a node that starts to read. */
     watch,       /**< A further watch. */
@@ -86,11 +86,12 @@
     entries,
     historyLost, /**< The watch can't continue; the source must be listed again. */
     refused,     /**< The source or a rate limit rejected the call. */
-    failed       /**< There is no answer, or it can't be parsed. */
+    failed,      /**< There is no answer, or it can't be parsed. */
+    tooLarge     /**< The answer has more changes than can be read at once. */
 };
 
 inline constexpr std::string_view sourceReplyNames[] = { "entries", "history_lost", "refused",
-                                                         "failed" };
+                                                         "failed", "too_large" };
 
 struct SourceAnswer
 {
--- a/src/sidecar/decision_log.cc
+++ b/src/sidecar/decision_log.cc
@@ -37,6 +37,7 @@
     { EventKind::sourceRestored, "source_restored", 5,
       "epoch revision known_epoch known_revision" },
     { EventKind::historyLost, "history_lost", 5, "epoch revision answered" },
+    { EventKind::sourceAnswerTooLarge, "source_answer_too_large", 5, "epoch revision limit" },
     { EventKind::listingIgnored, "listing_ignored", 5,
       "epoch revision known_epoch known_revision" },
     { EventKind::roleChanged, "role_changed", 5, "reading epoch revision version" },
--- a/src/sidecar/decision_log.h
+++ b/src/sidecar/decision_log.h
@@ -30,6 +30,7 @@
     sourceRegained,
     sourceRestored,
     historyLost,
+    sourceAnswerTooLarge,
     listingIgnored,
     roleChanged,
     subscribed,
--- a/src/sidecar/http/client_connection_body.cc
+++ b/src/sidecar/http/client_connection_body.cc
@@ -32,8 +32,10 @@
     if (answersOtherRequest)
         body.bytes().clear();
 
-    if (decoder->malformed() ||
-        (! client->settings.streamsAnswers && body.size() > client->settings.maxAnswerBytes))
+    result.tooLarge =
+        ! client->settings.streamsAnswers && body.size() > client->settings.maxAnswerBytes;
+
+    if (decoder->malformed() || result.tooLarge)
     {
         finish (CallEnd::broken, "response body malformed or too large");
         return true;
@@ -108,6 +110,7 @@
     if (framing.length <= client->settings.maxAnswerBytes)
         return reserveMemory (framing.length, client->settings.answerPools.unsized);
 
+    result.tooLarge = true;
     finish (CallEnd::broken, "response body too large");
     return false;
 }
--- a/src/sidecar/http/http_client.h
+++ b/src/sidecar/http/http_client.h
@@ -43,10 +43,11 @@
     bool reused = false; /**< An existing connection was used. */
     bool sent = false;   /**< At least one byte was written. */
     bool connectionRefused =
-        false;          /**< Nothing listens at the target, so that the connection was refused. */
-    Duration took{};    /**< Time since the request was written. */
-    Timestamp headAt{}; /**< When the head of the response had arrived. */
-    std::string cause;  /**< Description of a failure. */
+        false; /**< Nothing listens at the target, so that the connection was refused. */
+    bool tooLarge = false; /**< The response exceeds ClientSettings::maxAnswerBytes. */
+    Duration took{};       /**< Time since the request was written. */
+    Timestamp headAt{};    /**< When the head of the response had arrived. */
+    std::string cause;     /**< Description of a failure. */
 };
 
 struct CallOptions
--- a/src/sidecar/source/source_reader.h
+++ b/src/sidecar/source/source_reader.h
@@ -171,6 +171,8 @@
 
         if (result.end == CallEnd::answered)
             answer = dialect.read (result.head, result.body.bytes());
+        else if (result.tooLarge)
+            answer.reply = mesh::SourceReply::tooLarge;
 
         const auto reply = answer.reply;
         const bool wasFailing = follower.failing();
@@ -202,6 +204,12 @@
                           { "revision", revision },
                           { "answered", static_cast<std::int64_t> (follower.latestEpoch()) } });
 
+        if (reply == mesh::SourceReply::tooLarge)
+            log->write (now, EventKind::sourceAnswerTooLarge,
+                        { { "epoch", epoch },
+                          { "revision", revision },
+                          { "limit", static_cast<std::int64_t> (mesh::maxSourceAnswerBytes) } });
+
         if (follower.failing() && ! wasFailing)
             log->write (now, EventKind::sourceLost,
                         { { "call", mesh::nameOf (result.end, callEndNames) },
--- a/tests/mesh/source_follower_test.cc
+++ b/tests/mesh/source_follower_test.cc
@@ -74,6 +74,29 @@
     EXPECT_EQ (follower.poll (at (10))->call, SourceCall::list);
 }
 
+// Guards against asking for the same changes again and again, which can only become more.
+TEST_F (Following, AskedAgainForChangesThatAreTooManyForAnAnswer)
+{
+    follower.poll (at (5));
+    EXPECT_FALSE (follower.handleAnswer (at (10), failure (SourceReply::tooLarge)));
+    const auto listing = follower.poll (at (10));
+    ASSERT_TRUE (listing);
+    EXPECT_EQ (listing->call, SourceCall::list);
+    EXPECT_FALSE (listing->mayBeStale);
+    EXPECT_TRUE (follower.isSourceReachable (at (10)));
+    EXPECT_TRUE (follower.handleAnswer (at (20), page ({ entry ("a", 9) }, 9))->complete);
+    EXPECT_EQ (follower.poll (at (20))->afterRevision, 9U);
+}
+
+TEST (SourceFollower, AListingThatIsTooLargeIsAFailure)
+{
+    SourceFollower follower ({}, 1);
+    follower.poll (at (0));
+    EXPECT_FALSE (follower.handleAnswer (at (5), failure (SourceReply::tooLarge)));
+    EXPECT_TRUE (follower.failing());
+    EXPECT_GT (follower.nextDue(), at (5));
+}
+
 TEST_F (Following, AnUnansweredWatchIsRepeatedSoonFromTheSameRevision)
 {
     const auto watch = follower.poll (at (5));
