An entry that has come and gone at a machine's address hides the machine from no quota node

Cause: another writer's entry of `hub` lay at the address of 127.98.0.4 for a moment. Nodes that read it and its removal didn't count the machine among the quota nodes for 30 s, while they retained the entry as departed; nodes that read the store only afterwards did. So {1, 2, 5} asked one keeper and {3, 4, 6} another, each with the whole limit (`quota_used` of all nodes).

Why this mends it: a machine counts if any entry of its address stays.

--- a/src/mesh/instance_directory.cc
+++ b/src/mesh/instance_directory.cc
@@ -22,6 +22,24 @@
     return position.revision <= known.writtenRevision;
 }
 
+/** Swaps the newest instance at an address, of a named service if possible, to `newest`, and sorts
+    the others.
+*/
+void putNewestFirst (ListedInstance& newest, std::vector<ListedInstance>& others)
+{
+    others.push_back (std::move (newest));
+    std::stable_sort (others.begin(), others.end(),
+                      [] (const auto& a, const auto& b)
+                      {
+                          if (a.isNamed != b.isNamed)
+                              return a.isNamed;
+
+                          return b.instance.createdAt < a.instance.createdAt;
+                      });
+    newest = std::move (others.front());
+    others.erase (others.begin());
+}
+
 } // namespace
 
 void InstanceDirectory::keepAcrossRestore (Timestamp now, ListedInstance& entry,
@@ -294,29 +312,6 @@
     return found;
 }
 
-namespace
-{
-
-/** Swaps the newest instance at an address, of a named service if possible, to `newest`, and sorts
-    the others.
-*/
-void putNewestFirst (ListedInstance& newest, std::vector<ListedInstance>& others)
-{
-    others.push_back (std::move (newest));
-    std::stable_sort (others.begin(), others.end(),
-                      [] (const auto& a, const auto& b)
-                      {
-                          if (a.isNamed != b.isNamed)
-                              return a.isNamed;
-
-                          return b.instance.createdAt < a.instance.createdAt;
-                      });
-    newest = std::move (others.front());
-    others.erase (others.begin());
-}
-
-} // namespace
-
 DirectoryPointer InstanceDirectory::snapshot()
 {
     if (current != nullptr)
--- a/src/mesh/instance_directory.h
+++ b/src/mesh/instance_directory.h
@@ -70,8 +70,8 @@
     Proximity proximity = Proximity::sameRegion; /**< To this node; set in snapshots. */
     std::uint64_t writtenRevision = 0;           /**< The revision that wrote `instance`. */
 
-    /** Whether the configuration names the instance's service; set in snapshots. An entry of
-       another service may come from another writer and names no instance to use.
+    /** Whether the configuration names the instance's service; set in snapshots. Any other entry
+        may come from another writer and names no instance to use.
     */
     bool isNamed = true;
 
@@ -86,11 +86,10 @@
     std::map<std::string, std::vector<ListedInstance>> byService;
     std::set<std::string> evacuatedZones; /**< Instances there get no new requests. */
 
-    /** The newest instance at each address, in any state; one of a named service if there is any.
-     */
+    /** The newest instance at each address, of a named service if possible, in any state. */
     std::map<std::string, ListedInstance> byAddress;
 
-    /** The other instances at each address, newest first. */
+    /** The other instances at each address, those of named services first, then the newest. */
     std::map<std::string, std::vector<ListedInstance>> othersByAddress;
     std::size_t nodes = 0; /**< Number of distinct IP addresses with a ready or lapsed instance. */
 };
@@ -186,9 +185,7 @@
     */
     void advance (Timestamp now, bool sourceAnswers = true);
 
-    /** Ends the lapses that the end of an outage began at a time for which `isExcluded` returns
-     * true.
-     */
+    /** Ends the lapses that presume an outage whose end `isExcluded` rules out. */
     void endLapses (Timestamp now, const std::function<bool (Timestamp outageEnd)>& isExcluded);
 
     /** @returns when the next lapse ends; Timestamp::max() if no instance has lapsed */
--- a/src/mesh/local_instance.h
+++ b/src/mesh/local_instance.h
@@ -34,10 +34,10 @@
 
     /** Chooses the entry that names this instance among those of its address: that of the id that
         the instance has reported, unless another one was created since, and otherwise the newest.
-       If that makes the instance unusable while another one doesn't, the other one is used until
-       the instance has been asked: it rejects requests that are meant for another. Entries of
-       services that the configuration doesn't name are passed over, except of the configured one,
-       whose name the configuration may still lack.
+        If that makes the instance unusable while another one doesn't, the other one is used until
+        the instance has been asked: it rejects requests that are meant for another. Entries of
+        services that the configuration doesn't name are passed over, except of the configured one,
+        whose name the configuration may still lack.
         @param entries  newest first
         @returns nullptr if there is none
     */
--- a/src/mesh/mesh_state.h
+++ b/src/mesh/mesh_state.h
@@ -49,9 +49,7 @@
     /** Records when the source has answered another node of the zone. */
     void answersReported (const AnswerPeriod& reported) { continuity.add (reported); }
 
-    /** @returns the latest period in which the source is known to have answered, this node or
-     * others
-     */
+    /** @returns the latest period in which the source is known to have answered any node */
     const AnswerPeriod& answerPeriod() const { return continuity.period(); }
 
     UpdateOutcome take (Timestamp now, MeshUpdate update);
@@ -82,13 +80,14 @@
         @returns true if that changes which instances are usable
     */
     bool updateServices();
+
     /** @returns the time for which instances stay usable that the update removes or lacks, unless a
                  removal states it itself
     */
     Milliseconds graceOf (Timestamp now, const MeshUpdate& update, bool restored);
 
     /** @returns the grace of entries that are missing one by one: zero if the source is known to
-       have answered while, by `grace`, there was an outage in which they can have expired
+                 have answered while, by `grace`, they can have expired in an outage
     */
     Milliseconds confirmedGrace (Timestamp now, Milliseconds grace) const;
 
--- a/src/mesh/quota_view.cc
+++ b/src/mesh/quota_view.cc
@@ -66,13 +66,39 @@
     return digest;
 }
 
+namespace
+{
+
+/** @returns the newest entry of an address that isn't leaving; nullptr if all are. Not all nodes
+   may know of an entry that has come and gone at the address of another one.
+*/
+const ListedInstance* stayingAt (const DirectorySnapshot& directory, const std::string& address,
+                                 const ListedInstance& newest)
+{
+    const auto stays = [] (const ListedInstance& listed)
+    { return listed.state != InstanceState::leaving; };
+
+    if (stays (newest))
+        return &newest;
+
+    const auto others = directory.othersByAddress.find (address);
+
+    if (others == directory.othersByAddress.end())
+        return nullptr;
+
+    const auto found = std::find_if (others->second.begin(), others->second.end(), stays);
+    return found == others->second.end() ? nullptr : &*found;
+}
+
+} // namespace
+
 std::vector<QuotaNode> quotaNodesOf (const DirectorySnapshot& directory)
 {
     std::set<QuotaNode> nodes;
 
-    for (const auto& [address, listed] : directory.byAddress)
-        if (listed.state != InstanceState::leaving)
-            nodes.insert ({ listed.instance.address.ip, listed.instance.zone });
+    for (const auto& [address, newest] : directory.byAddress)
+        if (const auto* listed = stayingAt (directory, address, newest))
+            nodes.insert ({ listed->instance.address.ip, listed->instance.zone });
 
     return { nodes.begin(), nodes.end() };
 }
--- a/src/mesh/source_continuity.h
+++ b/src/mesh/source_continuity.h
@@ -2,8 +2,8 @@
     and by what other nodes of its zone report. Contains no I/O.
 
     Entries of running instances expire only if the source doesn't answer for a while. A node that
-    got no answer for as long may have been paused or cut off by itself. Only another node, which
-   was answered all the time, can tell that from an outage of the source.
+    got no answer for as long may itself have been paused or cut off. Only another node, which was
+    answered all the time, can tell that from an outage of the source.
 */
 #pragma once
 
--- a/src/standin/instance.cc
+++ b/src/standin/instance.cc
@@ -214,7 +214,11 @@
     if (fault_.times == 0 || fault_.trouble != InstanceTrouble::kLeaveUnread) return false;
     if (fault_.times != UINT64_MAX) --fault_.times;
   }
-  AddRun(message);
+  const std::size_t run = AddRun(message);
+  {
+    const std::lock_guard lock(mutex_);
+    runs_[run].answered_early = true;
+  }
   SendAll(socket, Answer(503, FirstValue(message.head.fields, "X-Request-Id"), "", false, true));
   std::unique_lock lock(mutex_);
   changed_.wait_for(lock, kUnreadTime, [&] { return stopping_; });
--- a/tests/mesh/instance_directory_test.cc
+++ b/tests/mesh/instance_directory_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "mesh/local_instance.h"
+#include "mesh/quota_view.h"
 #include "tests/mesh/fixtures.h"
 
 namespace copperlead::mesh::test
@@ -293,5 +294,21 @@
     EXPECT_EQ (first().instance.id, "foreign");
 }
 
+// Guards against two keepers of one quota: nodes that have seen another writer's entry come and go
+// at a machine's address didn't count that machine, while the others did.
+TEST (InstanceDirectory, AnEntryThatHasComeAndGoneHidesNoMachineFromItsQuotaNodes)
+{
+    InstanceDirectory directory;
+    auto foreign = makeInstance ("foreign", "z1", 1, 5);
+    foreign.service = "hub";
+    directory.put (at (0), makeInstance ("own", "z1", 1, 2), revision (2));
+    const auto before = quotaNodesOf (*directory.snapshot());
+    directory.put (at (0), foreign, revision (5));
+    directory.remove (at (0), "foreign", revision (6), Milliseconds (0));
+    EXPECT_EQ (quotaNodesOf (*directory.snapshot()), before);
+    directory.remove (at (0), "own", revision (7), Milliseconds (0));
+    EXPECT_TRUE (quotaNodesOf (*directory.snapshot()).empty());
+}
+
 } // namespace
 } // namespace copperlead::mesh::test
--- a/tests/mesh_integration/mesh_soak_test.cc
+++ b/tests/mesh_integration/mesh_soak_test.cc
@@ -7,7 +7,9 @@
 // PromisesHoldUnderFaultsFromOutside, COPPERLEAD_SOAK_STATEMENTS instances that state limits and
 // that they leave, COPPERLEAD_SOAK_LEAVINGS (alone) instances whose entries go after a short
 // trouble, COPPERLEAD_SOAK_MESSAGES (alone) large bodies both ways, clients that pipeline and leave
-// at their deadline, slow instances, broken answers and ids of all legal signs.
+// at their deadline, slow instances, broken answers and ids of all legal signs,
+// COPPERLEAD_SOAK_PAUSES (alone) the same and nodes that are paused for seconds beside a change
+// just before an entry goes, other writers' sound entries, and uploads that instances leave unread.
 #include <gtest/gtest.h>
 
 #include <cstdlib>
@@ -28,6 +30,7 @@
   const bool restores = std::getenv("COPPERLEAD_SOAK_RESTORES") != nullptr;
   const bool statements = std::getenv("COPPERLEAD_SOAK_STATEMENTS") != nullptr;
   if (std::getenv("COPPERLEAD_SOAK_MESSAGES") != nullptr) return SoakKind::kWideWithMessages;
+  if (std::getenv("COPPERLEAD_SOAK_PAUSES") != nullptr) return SoakKind::kWideWithPauses;
   if (std::getenv("COPPERLEAD_SOAK_LEAVINGS") != nullptr) return SoakKind::kWideWithLeavings;
   if (statements) {
     return restores ? SoakKind::kWideWithStatementsAndRestores : SoakKind::kWideWithStatements;
@@ -91,6 +94,12 @@
   for (const std::uint64_t seed : {9501, 9502, 9713}) PlaySeed(seed, SoakKind::kWideWithMessages);
 }
 
+// Guards against requests to instances whose entries went right after a node's own pause, and
+// against entries of other writers and unread uploads that keep instances from serving.
+TEST(MeshSoak, PromisesHoldBesidePausesForeignEntriesAndUnreadUploads) {
+  PlaySeed(9801, SoakKind::kWideWithPauses);
+}
+
 // Guards against exceeding a tenant's limit (176 requests ran where 157 are allowed) when its quota
 // keeper changes and the next one grants from a bucket that has refilled.
 TEST(MeshSoak, ALimitHoldsWhileTheStoreIsRestored) { PlaySeed(7002, SoakKind::kWideWithRestores); }
--- a/tests/mesh_integration/soak.h
+++ b/tests/mesh_integration/soak.h
@@ -29,7 +29,10 @@
   kWideWithMessages,  // As kWide, and large bodies both ways, clients that pipeline and leave at
                       // their deadline, slow instances, ids of all legal signs, and instances that
                       // answer uploads early, whole or in part, or without end.
-  kWideWithLeavings   // As kWide, and entries of instances go after a short trouble with the store.
+  kWideWithLeavings,  // As kWide, and entries of instances go after a short trouble with the store.
+  kWideWithPauses     // As kWideWithMessages, and entries go after a node was paused for seconds
+                   // beside a change, other writers put sound entries at instances' addresses, and
+                   // instances leave uploads unread.
 };
 
 // An id with any signs that a header field may hold.
@@ -50,8 +53,9 @@
                        kind == SoakKind::kWideWithStatementsAndRestores),
         with_statements_(kind == SoakKind::kWideWithStatements ||
                          kind == SoakKind::kWideWithStatementsAndRestores),
-        with_messages_(kind == SoakKind::kWideWithMessages),
-        with_leavings_(kind == SoakKind::kWideWithLeavings) {}
+        with_messages_(kind == SoakKind::kWideWithMessages || kind == SoakKind::kWideWithPauses),
+        with_leavings_(kind == SoakKind::kWideWithLeavings),
+        with_pauses_(kind == SoakKind::kWideWithPauses) {}
 
   void Play(std::chrono::seconds duration);
 
@@ -110,6 +114,19 @@
   void InjectLeaving();
   void InjectShortTrouble(std::size_t leaving);
 
+  // An instance's entry goes while it serves on, just after another node was paused for seconds
+  // beside a change. Checks that the instance gets nothing after the bound.
+  void InjectLongPause();
+
+  // Another writer's sound entry at an instance's address, for a while. The instance stays in use.
+  void WriteSoundForeign(std::size_t index);
+
+  // Picks an instance of `desk`.
+  std::size_t PickDesk();
+
+  // An instance's entry goes while it serves on. @return its start, and when the entry had gone
+  std::pair<std::int64_t, std::chrono::steady_clock::time_point> RemoveEntry(MeshMachine& machine);
+
   // Rewrites the instance entries, with the one at `draining` marked as such, and the
   // configuration.
   void RewriteStore(std::size_t draining);
@@ -143,6 +160,7 @@
   bool with_statements_;
   bool with_messages_;
   bool with_leavings_;
+  bool with_pauses_;
   std::mutex processes_;  // Guards the machines' sidecar processes.
   std::mutex listing_;  // Guards the machines' instance ids, which crashes change, and former ids.
   std::set<std::string> former_instance_ids_;
--- a/tests/mesh_integration/soak_faults.cc
+++ b/tests/mesh_integration/soak_faults.cc
@@ -220,8 +220,7 @@
   ClearFaults();
   std::this_thread::sleep_for(kOutageEffects);
 
-  // The first two of every three machines serve `desk`.
-  const std::size_t leaving = Pick(0, fleet_.machines().size() / 3 - 1) * 3 + Pick(0, 1);
+  const std::size_t leaving = PickDesk();
   MeshMachine& machine = *fleet_.machines()[leaving];
   health_.SetStoreFault(true);
   health_.BeginFault(leaving);
@@ -230,14 +229,7 @@
     InjectShortTrouble(leaving);
     std::this_thread::sleep_for(milliseconds(Pick(0, 1500)));
   }
-  RecordFault("entry goes", &machine);
-  std::int64_t born = 0;
-  {
-    const std::lock_guard lock(listing_);
-    born = machine.instance->born();
-    fleet_.store().Remove("servers/" + machine.instance_id);
-  }
-  const auto acknowledged = std::chrono::steady_clock::now();
+  const auto [born, acknowledged] = RemoveEntry(machine);
   if (!before) InjectShortTrouble(leaving);
   std::this_thread::sleep_until(acknowledged + kMaxDrainDelay + milliseconds(Pick(300, 1500)));
   fleet_.store().SetFault(0, {});
@@ -248,12 +240,72 @@
   health_.SetStoreFault(false);
 }
 
+std::size_t Soak::PickDesk() {
+  // The first two of every three machines serve `desk`.
+  return Pick(0, fleet_.machines().size() / 3 - 1) * 3 + Pick(0, 1);
+}
+
+std::pair<std::int64_t, std::chrono::steady_clock::time_point> Soak::RemoveEntry(
+    MeshMachine& machine) {
+  RecordFault("entry goes", &machine);
+  const std::lock_guard lock(listing_);
+  const auto born = machine.instance->born();
+  fleet_.store().Remove("servers/" + machine.instance_id);
+  return {born, std::chrono::steady_clock::now()};
+}
+
+void Soak::InjectLongPause() {
+  ClearFaults();
+  std::this_thread::sleep_for(kOutageEffects);
+  const std::size_t leaving = PickDesk();
+  const std::size_t other =
+      (leaving + Pick(1, fleet_.machines().size() - 1)) % fleet_.machines().size();
+  MeshMachine& machine = *fleet_.machines()[leaving];
+  RecordFault("long pause", fleet_.machines()[other].get());
+  health_.BeginFault(leaving);
+  health_.BeginFault(other);
+  {
+    const Paused paused(*fleet_.machines()[other]->sidecar);
+    std::this_thread::sleep_for(milliseconds(Pick(0, 300)));
+    Change();
+    std::this_thread::sleep_for(milliseconds(Pick(3000, 4500)));
+  }
+  std::this_thread::sleep_for(milliseconds(Pick(0, 600)));
+  const auto [born, acknowledged] = RemoveEntry(machine);
+  std::this_thread::sleep_until(acknowledged + kMaxDrainDelay + milliseconds(Pick(300, 1500)));
+  const std::lock_guard lock(listing_);
+  seen_.CheckDrained(machine, born, acknowledged + kMaxDrainDelay);
+  fleet_.List(machine);
+  health_.EndFault(other);
+  health_.EndFault(leaving);
+}
+
+void Soak::WriteSoundForeign(std::size_t index) {
+  const MeshMachine& machine = *fleet_.machines()[index];
+  static constexpr const char* kServices[] = {"inventory", "", "desk", "hub"};
+  static constexpr const char* kStates[] = {"ready", "draining"};
+  const std::string service = kServices[Pick(0, std::size(kServices) - 1)];
+  const std::string state = kStates[Pick(0, 1)];
+  RecordFault("sound foreign entry", &machine, service + " " + state);
+  fleet_.store().Put("servers/foreign-sound",
+                     R"({"service":")" + service + R"(","address":")" +
+                         ToString(machine.instance_address) + R"(","zone":")" + machine.zone +
+                         R"(","version":"v1","slots":1,"state":")" + state +
+                         R"(","cold_remaining_ms":0,"call_seq":0,"born":1})");
+  std::this_thread::sleep_for(milliseconds(Pick(200, 1500)));
+  fleet_.store().Remove("servers/foreign-sound");
+}
+
 void Soak::InjectFault() {
   if (with_leavings_ && Pick(0, 3) == 0) return InjectLeaving();
   if (with_restores_ && Pick(0, 3) == 0) return InjectRestore();
   if (with_statements_ && Pick(0, 2) == 0) {
     return ChangeStatement(*fleet_.machines()[Pick(0, fleet_.machines().size() - 1)]);
   }
+  if (with_pauses_ && Pick(0, 3) == 0) return InjectLongPause();
+  if (with_pauses_ && Pick(0, 3) == 0) {
+    return WriteSoundForeign(Pick(0, fleet_.machines().size() - 1));
+  }
   const std::size_t index = Pick(0, fleet_.machines().size() - 1);
   MeshMachine& machine = *fleet_.machines()[index];
   switch (Pick(0, wide_ ? 10 : 8)) {
--- a/tests/mesh_integration/soak_messages.cc
+++ b/tests/mesh_integration/soak_messages.cc
@@ -147,9 +147,11 @@
 }
 
 void Soak::SpoilInstances() {
+  // kWideWithMessages draws from all but the last one.
   static constexpr InstanceTrouble kTroubles[] = {
       InstanceTrouble::kEndless, InstanceTrouble::kEarlyCut, InstanceTrouble::kEarlyWhole,
       InstanceTrouble::kLeaveUnread};
+  const std::size_t troubles = std::size(kTroubles) - (with_pauses_ ? 0 : 1);
   std::mt19937_64 random(600);
   while (!stopping_) {
     const std::size_t index = random() % fleet_.machines().size();
@@ -158,7 +160,7 @@
     if (random() % 2 == 0) {
       machine.instance->SetWork(milliseconds(50 + random() % 400));
     } else {
-      const auto trouble = kTroubles[random() % std::size(kTroubles)];
+      const auto trouble = kTroubles[random() % troubles];
       RecordFault("answers", &machine, std::to_string(static_cast<int>(trouble)));
       machine.instance->SetEndlessAnswer(SomeEndlessAnswer(random));
       // An answer without end takes a slot until its request's deadline.
