Soak: the pick of an instance of desk stands once

Soak::InjectRestore had the two lines that Soak::PickDesk, added with the new draws, holds as well; it calls it now. The draws are the same. A comment of quota_view is laid out as the others are.

--- a/src/mesh/quota_view.cc
+++ b/src/mesh/quota_view.cc
@@ -69,8 +69,8 @@
 namespace
 {
 
-/** @returns the newest entry of an address that isn't leaving; nullptr if all are. Not all nodes
-   may know of an entry that has come and gone at the address of another one.
+/** @returns the newest entry of an address that isn't leaving; nullptr if all are. Some nodes may
+             not know of an entry that has come and gone at the address of another one.
 */
 const ListedInstance* stayingAt (const DirectorySnapshot& directory, const std::string& address,
                                  const ListedInstance& newest)
--- a/tests/mesh_integration/soak_faults.cc
+++ b/tests/mesh_integration/soak_faults.cc
@@ -162,8 +162,7 @@
   std::this_thread::sleep_for(kPropagationTime);
   health_.SetStoreFault(true);
 
-  // The first two of every three machines serve `desk`.
-  const std::size_t draining = Pick(0, fleet_.machines().size() / 3 - 1) * 3 + Pick(0, 1);
+  const std::size_t draining = PickDesk();
   MeshMachine& machine = *fleet_.machines()[draining];
   const auto born = machine.instance->born();
   RecordFault("leaving", &machine);
