--- a/tests/transport/transport_test.cc
+++ b/tests/transport/transport_test.cc
@@ -5,6 +5,7 @@
 
 #include <condition_variable>
 #include <deque>
+#include <future>
 #include <mutex>
 #include <thread>
 
@@ -132,6 +133,8 @@
     EXPECT_EQ(push.from, right_->local_address())
         << "must be the sender's listening address, not the end of the TCP connection";
   }
+  // The last push may arrive before its sender's thread has counted it.
+  EXPECT_TRUE(WaitFor([&] { return right_->counters().messages_sent >= 3; }));
   EXPECT_EQ(right_->counters().messages_sent, 3U);
   EXPECT_EQ(right_->counters().messages_received, 3U);
   EXPECT_GT(left_->counters().bytes_received, 3 * kLarge);
@@ -192,6 +195,30 @@
   EXPECT_TRUE(inbox.Next().message);
 }
 
+// Guards against messages that are lost because they are written to a connection whose closing by
+// the peer has not been handled yet.
+TEST_F(TransportTest, AMessageBehindTheClosingOfItsConnectionGoesOverANewOne) {
+  std::promise<void> busy;
+  std::promise<void> release;
+  const auto busy_sender = Start(keys_, [&](const SocketAddress&, const auto&) {
+    busy.set_value();
+    release.get_future().wait();
+  });
+  ASSERT_TRUE(busy_sender);
+  const SocketAddress address = right_->local_address();
+  busy_sender->Send(address, MessageFrom(*busy_sender, MakePush(50'000)));
+  ASSERT_TRUE(right_inbox_.Next().message);
+  left_->Send(busy_sender->local_address(), MessageFrom(*left_, Ping{1, {}}));
+  busy.get_future().wait();
+  right_->Stop();
+  Inbox inbox;
+  auto outcome = Resolve([&] { return StartTransport(address, keys_, inbox.receiver()); });
+  ASSERT_TRUE(outcome.ok()) << ToString(outcome.error());
+  busy_sender->Send(address, MessageFrom(*busy_sender, MakePush(50'000)));
+  release.set_value();
+  EXPECT_TRUE(inbox.Next().message);
+}
+
 TEST_F(TransportTest, StopDeliversQueuedMessagesAndIsIdempotent) {
   for (int count = 0; count < 8; ++count) {
     left_->Send(right_->local_address(), MessageFrom(*left_, MakePush(1'000'000)));
