Search: a suspected instance is asked before a request is refused for the limits of others

What callers saw: two of three instances at their limits, the third idle, and for up to a second 503 instance_limited from nodes that had just found the third slow once.

Cause: an instance is suspected for 1 s after a slow attempt or a load query without a reply, which should rank it last. The search left it out altogether, also where all others had refused.

Why this mends it: past the limits of those that replied, suspected instances are drawn before those known to be at their limits. For refusals for load alone nothing changes.

--- a/src/mesh/instance_chooser.cc
+++ b/src/mesh/instance_chooser.cc
@@ -104,11 +104,20 @@
 }
 
 bool InstanceChooser::mayPrefer (Timestamp now, const std::string& id) const
+{
+    return ! isExcluded (now, id) && ! isSuspected (now, id);
+}
+
+bool InstanceChooser::isExcluded (Timestamp now, const std::string& id) const
 {
     const auto found = views.find (id);
-    return ! leaving.contains (id) &&
-           (found == views.end() ||
-            (found->second.avoidedUntil <= now && found->second.suspectedUntil <= now));
+    return leaving.contains (id) || (found != views.end() && found->second.avoidedUntil > now);
+}
+
+bool InstanceChooser::isSuspected (Timestamp now, const std::string& id) const
+{
+    const auto found = views.find (id);
+    return found != views.end() && found->second.suspectedUntil > now;
 }
 
 bool InstanceChooser::isLimited (Timestamp now, const std::string& id) const
@@ -122,7 +131,7 @@
 {
     const auto& id = candidate.instance.id;
     return ! request.excludes (id) && candidate.state == InstanceState::ready &&
-           mayPrefer (now, id) && isAllowed (candidate.instance, request);
+           ! isExcluded (now, id) && isAllowed (candidate.instance, request);
 }
 
 std::optional<double> InstanceChooser::statedLimit (const std::string& id) const
@@ -138,7 +147,7 @@
 
 std::vector<Instance> InstanceChooser::sample (Timestamp now, const DirectorySnapshot& directory,
                                                const ChoiceRequest& request, std::size_t count,
-                                               Proximity proximity)
+                                               Proximity proximity, Suspects suspects)
 {
     std::vector<Instance> drawn;
     const auto listed = directory.byService.find (request.service);
@@ -150,7 +159,7 @@
     const auto range = rangeOf (all, proximity);
     const auto most = std::min (range.size(), count + extraDraws);
     std::vector<std::size_t> tried;
-    std::vector<Instance> limited;
+    std::vector<Instance> limited, suspected;
 
     while (drawn.size() < count && tried.size() < most)
     {
@@ -163,15 +172,22 @@
         tried.push_back (place);
         const auto& candidate = all[place];
 
-        if (mayBeDrawn (now, candidate, request))
-            (isLimited (now, candidate.instance.id) ? limited : drawn)
-                .push_back (candidate.instance);
+        if (! mayBeDrawn (now, candidate, request))
+            continue;
+
+        const auto& id = candidate.instance.id;
+        auto& rank = isSuspected (now, id) ? suspected : isLimited (now, id) ? limited : drawn;
+        rank.push_back (candidate.instance);
     }
 
-    if (drawn.empty() && limited.size() > count)
-        limited.resize (count);
+    if (drawn.empty() && suspects == Suspects::drawn)
+        drawn = std::move (suspected);
+
+    if (drawn.empty())
+        drawn = std::move (limited);
 
-    return drawn.empty() ? limited : drawn;
+    drawn.resize (std::min (drawn.size(), count));
+    return drawn;
 }
 
 bool InstanceChooser::choose (Timestamp now, const DirectorySnapshot& directory,
--- a/src/mesh/instance_chooser.h
+++ b/src/mesh/instance_chooser.h
@@ -66,18 +66,26 @@
     double ageMs = 0; /**< Age of the load report; negative if there is none. */
 };
 
+/** Whether instances that are suspected are drawn for a poll when no other may have room. */
+enum class Suspects : std::uint8_t
+{
+    leftOut,
+    drawn
+};
+
 /** Not thread-safe. */
 class InstanceChooser
 {
 public:
     InstanceChooser (ChooserSettings settingsToUse, std::uint64_t seed);
 
-    /** Draws random instances that may get the request, for a poll. Instances that are avoided,
-        suspected or lapsed aren't drawn.
+    /** Draws random instances that may get the request, for a poll. Instances that are avoided or
+        lapsed aren't drawn, and those at their limits only if there are no others.
+        @param suspects  whether suspected instances are drawn before those at their limits
     */
     std::vector<Instance> sample (Timestamp now, const DirectorySnapshot& directory,
                                   const ChoiceRequest& request, std::size_t count,
-                                  Proximity proximity);
+                                  Proximity proximity, Suspects suspects = Suspects::leftOut);
 
     /** @returns true if the allowed regions of the route and the tenant include the instance */
     bool isAllowed (const Instance& instance, const ChoiceRequest& request) const;
@@ -150,6 +158,8 @@
 
     void resetIfRestarted (const Instance& instance);
     bool isLimited (Timestamp now, const std::string& id) const;
+    bool isExcluded (Timestamp now, const std::string& id) const;
+    bool isSuspected (Timestamp now, const std::string& id) const;
     bool mayBeDrawn (Timestamp now, const ListedInstance& candidate,
                      const ChoiceRequest& request) const;
 
--- a/src/mesh/instance_poll.h
+++ b/src/mesh/instance_poll.h
@@ -71,6 +71,11 @@
     /** Decides without the missing replies, since the wait is over. */
     PollStep waitExpired();
 
+    /** @returns true if the poll widens because all that replied refuse, and some for their limits.
+        A suspected instance may then be the only one with room.
+    */
+    bool widensPastLimits() const { return widenedPastLimits > 0; }
+
     const PolledInstance& best() const { return asked[bestIndex]; }
     HopCause refusal() const { return refusalCause; }
 
--- a/src/sidecar/hop/instance_search.cc
+++ b/src/sidecar/hop/instance_search.cc
@@ -120,13 +120,17 @@
 std::size_t InstanceSearch::ask (mesh::Proximity proximity)
 {
     auto request = wanted;
-    request.excluded.push_back (context.lastHop->instanceId());
+    const auto suspects = poll.widensPastLimits() ? mesh::Suspects::drawn : mesh::Suspects::leftOut;
+
+    // Past limits, a local instance that hasn't been asked yet is a suspected one.
+    if (suspects == mesh::Suspects::leftOut)
+        request.excluded.push_back (context.lastHop->instanceId());
 
     for (const auto& asked : poll.all())
         request.excluded.push_back (asked.instance.id);
 
     const auto instances =
-        context.chooser->sample (startedAt, *directory, request, sampleSize, proximity);
+        context.chooser->sample (startedAt, *directory, request, sampleSize, proximity, suspects);
 
     for (const auto& instance : instances)
     {
--- a/tests/mesh/choice_test.cc
+++ b/tests/mesh/choice_test.cc
@@ -372,6 +372,30 @@
     EXPECT_EQ (drawn.size(), 2U) << "a limit may have ended, so it is asked for again";
 }
 
+TEST_F (Choosing, ASuspectedInstanceIsDrawnBeforeThoseAtTheirLimitsWhereAllowed)
+{
+    const ChoiceRequest wanted{ &route, "desk", 0, {} };
+    directory.setLocality ({ "z1", {} });
+    directory.put (at (0), makeInstance ("next", "z1", 3), revision (5));
+    const auto draw = [&] (Suspects suspects)
+    {
+        return chooser.sample (at (100), *directory.snapshot(), wanted, 2, Proximity::sameZone,
+                               suspects);
+    };
+    chooser.suspect (at (0), "near", Milliseconds (1000));
+    ASSERT_EQ (draw (Suspects::drawn).size(), 1U);
+    EXPECT_EQ (draw (Suspects::drawn)[0].id, "next") << "which is neither suspected nor limited";
+
+    chooser.recordLimited (at (0), "next", Milliseconds (200));
+    ASSERT_EQ (draw (Suspects::leftOut).size(), 1U);
+    EXPECT_EQ (draw (Suspects::leftOut)[0].id, "next");
+    ASSERT_EQ (draw (Suspects::drawn).size(), 1U);
+    EXPECT_EQ (draw (Suspects::drawn)[0].id, "near");
+
+    chooser.avoidInstance (at (0), "near", Milliseconds (600));
+    EXPECT_EQ (draw (Suspects::drawn)[0].id, "next");
+}
+
 TEST_F (Choosing, TheLimitInTheLatestAnswerIsKept)
 {
     EXPECT_FALSE (chooser.statedLimit ("near"));
--- a/tests/mesh_integration/instance_statement_test.cc
+++ b/tests/mesh_integration/instance_statement_test.cc
@@ -14,6 +14,8 @@
 
 using std::chrono::milliseconds;
 
+constexpr std::size_t kHub = 3;
+
 // Three machines with an instance of `desk` and one with `hub`, all of which get clients.
 class InstanceStatements : public ::testing::Test {
  protected:
@@ -99,6 +101,21 @@
   ExpectKept();
 }
 
+// Guards against refusals for the limits of some instances while another is free, which has just
+// taken too long for one request.
+TEST_F(InstanceStatements, AFreeInstanceThatWasSlowOnceIsAskedBeforeARefusal) {
+  At(0).StateLimit("0.5");
+  At(1).StateLimit("0.5");
+  Load(milliseconds(3500));
+  for (int slow = 0; slow < 3; ++slow) {
+    At(2).SetWork(milliseconds(700));
+    Call(Desk(kHub));
+    At(2).SetWork(milliseconds(0));
+    EXPECT_GE(Load(milliseconds(700), kHub), 0.98);
+  }
+  ExpectKept();
+}
+
 // Guards against a node that starts beside a limited instance and knows nothing of the limit.
 TEST_F(InstanceStatements, ALimitHoldsThroughRestartsOfTheNodeBesideTheInstance) {
   for (std::size_t desk = 0; desk < 3; ++desk) {
