LOST: requests behind a large answer wait until it can't break off

What callers saw: requests that were sent at once behind one for a large answer ran and got no answer, when the large answer broke off: 30 in 6 s, 12 to 18 at a machine.

Cause: whether a request runs beside earlier ones of its connection was decided by its own route alone. An answer that is too large to be held is passed on while it arrives; when it breaks off, the connection has to be reset, with all that runs behind.

Why this mends it: what waits hasn't run, and its client sends it again. Requests wait for an answer that is being passed on, and behind one that is likely to be: of a download, or of a route that lately had one (StreamedAnswers, new).

Ruled out: to hold each request until the head of the answer before it has come, which would end all pipelining. To hold large answers whole: the memory for it is bounded.

--- a/src/sidecar/hop/active_request_end.cc
+++ b/src/sidecar/hop/active_request_end.cc
@@ -89,6 +89,10 @@
     setDone();
     cancelAttempts();
     ++hop->counts.served;
+
+    if (answer.body.stream() != nullptr)
+        hop->streamedAnswers.record (now(), route.name);
+
     const bool close = hop->mustClose (*exchange);
     exchange->respond (answerMessage ({ answer.status,
                                         answer.reason,
--- a/src/sidecar/hop/first_hop.cc
+++ b/src/sidecar/hop/first_hop.cc
@@ -179,15 +179,25 @@
     return exchange.mustClose() || (stopPlan && exchange.isLastRead());
 }
 
-bool FirstHop::canRunConcurrently (const RequestHead& head) const
+const mesh::Route* FirstHop::routeOf (const RequestHead& head) const
 {
-    if (routes == nullptr)
-        return false;
+    return routes == nullptr ? nullptr
+                             : routes->find (onlyValue (head.fields, "Host"), head.target);
+}
 
-    const auto* route = routes->find (onlyValue (head.fields, "Host"), head.target);
+bool FirstHop::canRunConcurrently (const RequestHead& head) const
+{
+    const auto* route = routeOf (head);
     return route != nullptr && route->mayRepeat();
 }
 
+bool FirstHop::mayBreakOff (const RequestHead& head) const
+{
+    const auto* route = routeOf (head);
+    return route != nullptr && (route->repeatability == mesh::Repeatability::download ||
+                                streamedAnswers.areLikely (SteadyClock().Now(), route->name));
+}
+
 std::optional<double> FirstHop::msSinceConfirmation() const
 {
     return msSinceRoutesConfirmed ? msSinceRoutesConfirmed() : std::nullopt;
--- a/src/sidecar/hop/first_hop.h
+++ b/src/sidecar/hop/first_hop.h
@@ -21,6 +21,7 @@
 #include "mesh/retry_budget.h"
 #include "mesh/return_share.h"
 #include "mesh/stop_plan.h"
+#include "mesh/streamed_answers.h"
 #include "mesh/tenant_quotas.h"
 #include "mesh/weighted_split.h"
 #include "sidecar/decision_log.h"
@@ -85,6 +86,9 @@
     */
     bool canRunConcurrently (const RequestHead& head) const;
 
+    /** Whether the answer is likely to be passed on while it arrives. */
+    bool mayBreakOff (const RequestHead& head) const;
+
     /** To be called several times a second. */
     void tick() { calls.sample (instanceIsIdle()); }
 
@@ -146,6 +150,7 @@
     void answerLocally (const ExchangePointer& exchange, int status, std::string_view cause,
                         Milliseconds retryAfter);
     bool mustClose (const Exchange& exchange) const;
+    const mesh::Route* routeOf (const RequestHead& head) const;
     std::optional<double> msSinceConfirmation() const;
     bool isRecentlyConfirmed() const;
 
@@ -173,6 +178,7 @@
     std::map<std::string, mesh::RetryBudget> budgets;
     mesh::ReturnShare clientRetries;
     mesh::CallShare calls;
+    mesh::StreamedAnswers streamedAnswers;
     const Timestamp startedAt = SteadyClock().Now();
     const double budgetThreshold; /**< Shared by all budgets of this node. */
     std::shared_ptr<const mesh::RouteTable> routes;
--- a/src/sidecar/http/http_server.h
+++ b/src/sidecar/http/http_server.h
@@ -92,6 +92,12 @@
     */
     std::function<bool (const RequestHead&)> canRunConcurrently;
 
+    /** Decides whether the response to a request is likely to be passed on while it arrives. If one
+        breaks off, the connection can't carry any further response, so later requests wait for its
+        end. If empty, no response is.
+    */
+    std::function<bool (const RequestHead&)> mayBreakOff;
+
     /** Called with the head of a request whose client withholds the body ("Expect: 100-continue").
         It either calls continueBody(), at any time, or respond(), after which the body is not sent
         and the connection remains usable. If empty, each client is told to continue immediately.
--- a/src/sidecar/http/server_connection.cc
+++ b/src/sidecar/http/server_connection.cc
@@ -111,10 +111,15 @@
 
 bool ServerConnection::canDispatch() const
 {
-    return canReadNext() &&
+    return canReadNext() && ! mayBreakOff() &&
            (pending.empty() || server->settings.canRunConcurrently (exchange->head));
 }
 
+bool ServerConnection::mayBreakOff() const
+{
+    return output.awaitsBody() || (latestMayBreakOff && ! pending.empty());
+}
+
 bool ServerConnection::isReadingBlocked() const
 {
     if (body.isWaiting() || isStreamPaused())
@@ -283,6 +288,8 @@
         exchange.reset();
 
     noMoreRequests = dispatched->closeAfterResponse;
+    latestMayBreakOff =
+        server->settings.mayBreakOff && server->settings.mayBreakOff (dispatched->head);
     headStartedAt = now();
     dispatched->connection = weak_from_this();
 
--- a/src/sidecar/http/server_connection_answers.cc
+++ b/src/sidecar/http/server_connection_answers.cc
@@ -190,8 +190,8 @@
 
     sendAllowedContinue();
 
-    // Continues with requests that were delayed because too much was unsent.
-    if (wrote)
+    // Continues with requests that were delayed because too much was unsent or might break off.
+    if (wrote || state == State::waiting)
         advance();
 }
 
--- a/src/sidecar/sidecar_servers.cc
+++ b/src/sidecar/sidecar_servers.cc
@@ -92,6 +92,11 @@
         const auto self = weak.lock();
         return self != nullptr && self->firstHop->canRunConcurrently (head);
     };
+    forClients.mayBreakOff = [weak] (const RequestHead& head)
+    {
+        const auto self = weak.lock();
+        return self != nullptr && self->firstHop->mayBreakOff (head);
+    };
     auto forNodes = serverSettings (hopLimits, &Sidecar::answerPeer);
     forNodes.bodyGate = [weak] (const ExchangePointer& exchange)
     {
--- a/tests/mesh_integration/broken_answer_test.cc
+++ b/tests/mesh_integration/broken_answer_test.cc
@@ -29,7 +29,9 @@
   void SetUp() override {
     fleet_.AllowBodies(2 * kUploadBytes);
     fleet_.Configure(4, RouteOfKind("up", "/up/", "upload", 4000, "desk") +
-                            RouteOfKind("down", "/down/", "download", 4000, "desk"));
+                            RouteOfKind("down", "/down/", "download", 4000, "desk") +
+                            RouteOfKind("plain", "/plain/", "idempotent", 4000, "desk") +
+                            RouteOfKind("near", "/near/", "idempotent", 4000, "hub"));
     fleet_.Add("desk");
     fleet_.Add("hub");
     ASSERT_TRUE(fleet_.StartAll());
@@ -99,6 +101,34 @@
   EXPECT_TRUE(is_failing);
 }
 
+// Guards against requests that run and get no answer, because the large answer before them on their
+// connection breaks off.
+TEST_F(BrokenAnswers, RequestsPipelinedBehindALargeAnswerRunOnlyIfTheyCanBeAnswered) {
+  const auto request = [](const std::string& path, const std::string& id) {
+    return "GET " + path + " HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: " + id +
+           "\r\nX-Deadline-Ms: 4000\r\n\r\n";
+  };
+  // The first answer on the second route is not known to be large.
+  const std::string prefixes[] = {"/down/", "/down/", "/plain/", "/plain/", "/plain/"};
+  for (int round = 0; round < 5; ++round) {
+    const std::string large = prefixes[round] + "?" + std::string(kAnswerBytes);
+    const bool breaks_off = round % 2 != 0 || round == 0;
+    if (breaks_off) desk().instance->SetFault({InstanceTrouble::kCut, 1});
+    const std::string id = "r" + std::to_string(round);
+    const std::vector<std::string> behind = {id + "-1", id + "-2", id + "-3"};
+    RawSocket socket = RawSocket::Connect(fleet_.outbound(hub()));
+    std::string requests = request(large + std::to_string(kLargeAnswerBytes), id);
+    for (const std::string& small : behind) requests += request("/near/1", small);
+    socket.Send(requests);
+    EXPECT_NE(socket.Read().complete, breaks_off) << id;
+    if (breaks_off) std::this_thread::sleep_for(milliseconds(100));
+    for (const std::string& small : behind) {
+      EXPECT_EQ(socket.Read().body, breaks_off ? "" : "answer to " + small);
+      EXPECT_EQ(fleet_.RunsOf(small), breaks_off ? 0 : 1) << small;
+    }
+  }
+}
+
 // Guards against bytes of an instance in trouble that reach the client as its answer.
 TEST_F(BrokenAnswers, BytesThatAreNoAnswerGive502AtOnce) {
   const std::string ok = "HTTP/1.1 200 OK\r\n";
--- a/tests/sidecar/http/holding_server.h
+++ b/tests/sidecar/http/holding_server.h
@@ -124,6 +124,22 @@
             });
     }
 
+    /** Responds with the first part of a body of unknown length. @returns the rest to come */
+    std::shared_ptr<BodyStream> beginAnswer (std::size_t index, const std::string& part)
+    {
+        std::shared_ptr<BodyStream> rest;
+        reactor->RunAndWait (
+            [&]
+            {
+                rest = std::make_shared<BodyStream> (reactor, Reservation());
+                receivedRequest (index)->respond (
+                    answerMessage ({ 200, {}, {}, false, false }, {},
+                                   Body (Body (part), rest, std::nullopt)),
+                    false);
+            });
+        return rest;
+    }
+
     std::shared_ptr<Reactor> reactor;
     std::shared_ptr<HttpServer> server;
     SocketAddress address;
--- a/tests/sidecar/http/pipelining_test.cc
+++ b/tests/sidecar/http/pipelining_test.cc
@@ -30,6 +30,8 @@
               {
                   settings.canRunConcurrently = [] (const RequestHead& head)
                   { return head.target.starts_with ("/safe"); };
+                  settings.mayBreakOff = [] (const RequestHead& head)
+                  { return head.target == "/safe/large"; };
               })
     {
     }
@@ -71,6 +73,49 @@
     EXPECT_EQ (socket.Read().body, "/safe/2");
 }
 
+/** Guards against requests that run and get no response, because an earlier response breaks off and
+    its connection ends.
+*/
+TEST_F (Pipelining, RequestsBehindAResponseThatMayBreakOffWaitForItsEnd)
+{
+    auto socket = RawSocket::Connect (address);
+    socket.Send (request ("/safe/1") + request ("/safe/large") + request ("/safe/2"));
+    ASSERT_TRUE (awaitReceived (2));
+    EXPECT_TRUE (receivedCountStaysAt (2));
+    answer (0);
+    EXPECT_TRUE (receivedCountStaysAt (2));
+    answer (1);
+    ASSERT_TRUE (awaitReceived (3));
+    answer (2);
+
+    for (const auto* target : { "/safe/1", "/safe/large", "/safe/2" })
+        EXPECT_EQ (socket.Read().body, target);
+}
+
+TEST_F (Pipelining, RequestsBehindAResponseThatIsStillArrivingWaitForItsEnd)
+{
+    for (const bool isFinished : { true, false })
+    {
+        for (const auto* target : { "/safe/2", "/once" })
+        {
+            const auto before = receivedCount();
+            auto socket = RawSocket::Connect (address);
+            socket.Send (request ("/safe/1"));
+            ASSERT_TRUE (awaitReceived (before + 1));
+            const auto rest = beginAnswer (before, "first ");
+            socket.Send (request (target));
+            EXPECT_TRUE (receivedCountStaysAt (before + 1)) << target;
+            reactor->RunAndWait ([&] { isFinished ? rest->finish() : rest->fail(); });
+            EXPECT_EQ (socket.Read().complete, isFinished);
+
+            if (! isFinished)
+                EXPECT_TRUE (receivedCountStaysAt (before + 1)) << target;
+            else
+                EXPECT_TRUE (awaitReceived (before + 2)) << target;
+        }
+    }
+}
+
 TEST_F (Pipelining, AClosingResponseCancelsLaterRequests)
 {
     auto socket = RawSocket::Connect (address);
