Tests: a scripted back end says that it closes its connection

Cause: the check's. The scripted back end answers one request on a connection and closes it without saying so. After an answer with a Content-Length the proxy of the test keeps the connection; if the next request goes out before the close arrives, it is lost (CallEnd of a reused connection), and this proxy, which makes no second attempt, answers 502. That is right: whether the request has run isn't known. Sidecars repeat what may be repeated (TwoHops, Faults/lost).

Why this mends it: with "Connection: close" the proxy keeps no such connection; sizes and bodies are compared as before.

Besides: the kind "/size-chunked/" was never sent in chunks, since only "/chunked" was looked for; now it is.

--- a/tests/sidecar/http/body_stream_test.cc
+++ b/tests/sidecar/http/body_stream_test.cc
@@ -295,11 +295,12 @@
             std::this_thread::sleep_for (std::chrono::milliseconds (200)); // Until it is read.
             socket.Reset();
         }
-        else if (head.find ("/chunked") != std::string::npos)
-            socket.Send (start + "Transfer-Encoding: chunked\r\n\r\n" +
+        else if (target.find ("chunked") != std::string::npos)
+            socket.Send (start + "Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n" +
                          (bytes > 0 ? chunkHead.data() + body + "\r\n" : "") + "0\r\n\r\n");
         else if (head.find ("-framed") != std::string::npos)
-            socket.Send (start + "Content-Length: " + std::to_string (bytes) + "\r\n\r\n" + body);
+            socket.Send (start + "Connection: close\r\nContent-Length: " + std::to_string (bytes) +
+                         "\r\n\r\n" + body);
         else
             socket.Send (start + "\r\n" + body);
     }
