Tests: an id may run once more only for a second attempt that its node has counted

Cause: the check's. The test took the number of runs for fixed.

The check that replaces it compares each id's runs with the second attempts that the two nodes count (copperlead_hedges_total), and is stricter in what it is there for: every run at an instance must carry an id that was sent.

--- a/tests/mesh_integration/two_hops_test.cc
+++ b/tests/mesh_integration/two_hops_test.cc
@@ -1,6 +1,7 @@
 // Requests over two hops with real sidecars, and what they do when instances misbehave.
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <atomic>
 #include <thread>
 
@@ -31,7 +32,10 @@
     fleet_.Add("desk");
     fleet_.Add("desk");
     fleet_.Add("hub");
-    ASSERT_TRUE(fleet_.StartAll());
+    for (auto& machine : fleet_.machines()) {
+      fleet_.Start(*machine, {"--metrics", std::to_string(fleet_.metrics_port()) + "/figures"});
+    }
+    for (auto& machine : fleet_.machines()) ASSERT_TRUE(fleet_.AwaitReady(*machine));
   }
 
   MeshMachine& desk(std::size_t index) { return *fleet_.machines()[index]; }
@@ -42,6 +46,15 @@
     desk(1).instance->SetFault({trouble, times});
   }
 
+  // Second attempts beside slow first ones that the machine's sidecar has begun.
+  int Hedges(const MeshMachine& machine) const {
+    const std::string name = "\ncopperlead_hedges_total ";
+    const std::string figures = Get({machine.ip, fleet_.metrics_port()}, "/figures").body;
+    const std::size_t begin = figures.find(name);
+    EXPECT_NE(begin, std::string::npos) << figures;
+    return begin == std::string::npos ? 0 : std::stoi(figures.substr(begin + name.size()));
+  }
+
   MeshFleet fleet_;
 };
 
@@ -75,6 +88,7 @@
   for (int byte = 0x21; byte < 256; ++byte) {
     if (byte != 0x7f) ids.push_back("a" + std::string(1, static_cast<char>(byte)) + "z");
   }
+  int hedges_before = 0;
   for (const std::string& id : ids) {
     for (const MeshMachine* machine : {&hub(), &desk(0)}) {
       RawSocket socket = RawSocket::Connect(fleet_.outbound(*machine));
@@ -84,7 +98,17 @@
       EXPECT_EQ(answer.status(), 200) << id;
       EXPECT_EQ(answer.Header("x-request-id"), id);
     }
-    EXPECT_EQ(fleet_.RunsOf(id), 2) << id;
+    // A lookup whose first attempt is slow may run at a second instance as well.
+    const int runs = fleet_.RunsOf(id);
+    const int hedges = Hedges(hub()) + Hedges(desk(0));
+    EXPECT_GE(runs, 2) << id;
+    EXPECT_LE(runs, 2 + hedges - hedges_before) << id;
+    hedges_before = hedges;
+  }
+  for (std::size_t index : {0, 1}) {
+    for (const InstanceRun& run : desk(index).instance->runs()) {
+      EXPECT_EQ(std::count(ids.begin(), ids.end(), run.request_id), 1) << run.request_id;
+    }
   }
 }
 
