Sockets: one function tells whether input is waiting

StreamSender and ClientConnection looked at their idle connections with the same system call, each in a function of its own, of which one was named for only one of its results. HasUnreadInput (transport/socket.h) takes their place; no behaviour changes. The similar checks of src/proxy and of the stand-ins answer other questions and stay.

--- a/src/sidecar/http/client_connection.cc
+++ b/src/sidecar/http/client_connection.cc
@@ -1,7 +1,6 @@
 #include "sidecar/http/client_connection.h"
 
 #include <sys/epoll.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -69,12 +68,7 @@
     return state == State::idle && at < idleDeadline;
 }
 
-bool ClientConnection::hasUnreadInput() const
-{
-    char byte = 0;
-    const auto count = ::recv (socket.descriptor(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return count >= 0 || (errno != EAGAIN && errno != EINTR);
-}
+bool ClientConnection::hasUnreadInput() const { return HasUnreadInput (socket); }
 
 void ClientConnection::startCall (CallPointer newCall, const Message& message,
                                   const CallOptions& newOptions)
--- a/src/transport/socket.cc
+++ b/src/transport/socket.cc
@@ -120,6 +120,12 @@
   return Fail(ErrorKind::kAddressInUse, ToString(address), std::strerror(reason));
 }
 
+bool HasUnreadInput(const Socket& socket) {
+  char byte = 0;
+  const ssize_t size = recv(socket.descriptor(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return size >= 0 || (errno != EAGAIN && errno != EINTR);
+}
+
 Socket StartConnect(const NativeAddress& address) {
   Socket socket = OpenSocket(address.storage.ss_family, SOCK_STREAM);
   if (!socket.open()) return socket;
--- a/src/transport/socket.h
+++ b/src/transport/socket.h
@@ -59,6 +59,9 @@
 //         error text.
 Result<BoundSockets> BindSockets(const SocketAddress& address);
 
+// @return true if data, the end of the connection or an error is waiting to be read.
+bool HasUnreadInput(const Socket& socket);
+
 // Starts a non-blocking TCP connection attempt.
 // @return the socket, which is closed when the attempt fails immediately.
 Socket StartConnect(const NativeAddress& address);
--- a/src/transport/stream_sender.cc
+++ b/src/transport/stream_sender.cc
@@ -16,13 +16,6 @@
 
 Timestamp Now() { return SteadyClock().Now(); }
 
-// @return true when the peer has closed the connection, even if no event has reported it yet.
-bool IsClosedByPeer(const Socket& socket) {
-  char byte = 0;
-  const ssize_t size = recv(socket.descriptor(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return size >= 0 || (errno != EAGAIN && errno != EINTR);
-}
-
 }  // namespace
 
 StreamSender::StreamSender(Reactor& reactor, const StreamSenderLimits& limits,
@@ -62,8 +55,9 @@
   if (peer->frames.size() >= limits_.frames_per_peer) DropFrame(*peer, 1);
   peer->frames.push_back(std::move(frame));
   if (peer->connected && peer->frames.size() == 1) {
-    // The kernel would accept the frame, and the peer's reset would discard it.
-    if (IsClosedByPeer(peer->socket)) return HandleConnectionLoss(peer);
+    // After a close that no event has reported yet, the kernel would accept the frame, and the
+    // peer's reset would discard it.
+    if (HasUnreadInput(peer->socket)) return HandleConnectionLoss(peer);
     peer->deadline = Now() + limits_.write_timeout;
     Write(peer);
   }
