Pipelining: what stands last in the queue is asked for, not remembered

ServerConnection kept, beside its queue of answers, a flag for the request that was dispatched last. FirstHop::handle finds its route through routeOf, as the checks beside it do.

Behaviour as before, with one difference: a route whose answers turn out to be large while one is under way holds the next request back at once, where the judgement was made when the first one was dispatched.

--- a/src/mesh/streamed_answers.h
+++ b/src/mesh/streamed_answers.h
@@ -1,6 +1,6 @@
 /** Remembers on which routes answers are too large to be held, so that they are passed on while
-   they arrive. Such an answer may break off after its head has been sent. This is decision logic
-   without I/O.
+    they arrive. Such an answer may break off after its head has been sent. This is decision logic
+    without I/O.
 */
 #pragma once
 
--- a/src/sidecar/hop/first_hop.cc
+++ b/src/sidecar/hop/first_hop.cc
@@ -249,8 +249,7 @@
         return refuse (exchange, 503, "no configuration yet");
 
     const auto id = onlyValue (exchange->head.fields, settings.names.requestId);
-    const auto* route =
-        routes->find (onlyValue (exchange->head.fields, "Host"), exchange->head.target);
+    const auto* route = routeOf (exchange->head);
 
     if (route == nullptr && ! isRecentlyConfirmed())
         return refuse (exchange, 503, "the configuration may be out of date");
--- a/src/sidecar/http/answer_queue.cc
+++ b/src/sidecar/http/answer_queue.cc
@@ -64,9 +64,11 @@
                         [&] (const auto& entry) { return entry.exchange.get() == &exchange; });
 }
 
-bool AnswerQueue::isLatest (const Exchange& exchange) const
+bool AnswerQueue::isLatest (const Exchange& exchange) const { return latest() == &exchange; }
+
+const Exchange* AnswerQueue::latest() const
 {
-    return ! pending.empty() && pending.back().exchange.get() == &exchange;
+    return pending.empty() ? nullptr : pending.back().exchange.get();
 }
 
 std::size_t AnswerQueue::messageBytes() const
--- a/src/sidecar/http/answer_queue.h
+++ b/src/sidecar/http/answer_queue.h
@@ -55,6 +55,11 @@
     std::size_t size() const { return pending.size(); }
     bool isLatest (const Exchange& exchange) const;
 
+    /** @returns the request that was added last, or null if there is none or an error response
+                 follows it
+    */
+    const Exchange* latest() const;
+
     /** @returns true if the request is in the queue */
     bool contains (const Exchange& exchange) const;
 
--- a/src/sidecar/http/server_connection.cc
+++ b/src/sidecar/http/server_connection.cc
@@ -117,7 +117,9 @@
 
 bool ServerConnection::mayBreakOff() const
 {
-    return output.awaitsBody() || (latestMayBreakOff && ! pending.empty());
+    const auto* latest = pending.latest();
+    const auto& breaksOff = server->settings.mayBreakOff;
+    return output.awaitsBody() || (latest != nullptr && breaksOff && breaksOff (latest->head));
 }
 
 bool ServerConnection::isReadingBlocked() const
@@ -288,8 +290,6 @@
         exchange.reset();
 
     noMoreRequests = dispatched->closeAfterResponse;
-    latestMayBreakOff =
-        server->settings.mayBreakOff && server->settings.mayBreakOff (dispatched->head);
     headStartedAt = now();
     dispatched->connection = weak_from_this();
 
--- a/src/sidecar/http/server_connection.h
+++ b/src/sidecar/http/server_connection.h
@@ -135,14 +135,13 @@
     std::string input;
     OutgoingBytes output;
     bool closeAfterWrite = false;
-    LinkPacer::Id transfer = 0;  /**< The large response that is being written, or 0. */
-    bool stalled = false;        /**< The client accepts no more bytes of the transfer for now. */
-    bool noMoreRequests = false; /**< Input after the requests read so far is ignored. */
-    bool latestMayBreakOff = false; /**< The response to the request that was dispatched last. */
-    bool continuePending = false;   /**< The client may wait for 100 Continue. */
-    bool continueAllowed = false;   /**< It may be sent as soon as there is memory for the body. */
-    bool advancing = false;         /**< Prevents recursive calls of advance(). */
-    ExchangePointer exchange;       /**< The request that is being read, or is waiting. */
+    LinkPacer::Id transfer = 0;   /**< The large response that is being written, or 0. */
+    bool stalled = false;         /**< The client accepts no more bytes of the transfer for now. */
+    bool noMoreRequests = false;  /**< Input after the requests read so far is ignored. */
+    bool continuePending = false; /**< The client may wait for 100 Continue. */
+    bool continueAllowed = false; /**< It may be sent as soon as there is memory for the body. */
+    bool advancing = false;       /**< Prevents recursive calls of advance(). */
+    ExchangePointer exchange;     /**< The request that is being read, or is waiting. */
     std::optional<BodyDecoder> decoder;
     BodyBuffer body;              /**< The part of the body that has been read. */
     std::size_t memoryWanted = 0; /**< For the body, and not reserved yet. */
--- a/tests/sidecar/http/answer_queue_test.cc
+++ b/tests/sidecar/http/answer_queue_test.cc
@@ -56,6 +56,7 @@
 {
     queue.addConnectionError (at (0), Message ("refused"));
     EXPECT_FALSE (queue.isLatest (*exchanges[2]));
+    EXPECT_EQ (queue.latest(), nullptr);
 
     for (const auto& exchange : exchanges)
         EXPECT_TRUE (queue.answer (at (1), *exchange, Message ("ok"), false));
@@ -72,6 +73,7 @@
 TEST_F (AnswerQueueTest, CountsBytesAndReturnsTheRemainingRequests)
 {
     EXPECT_TRUE (queue.isLatest (*exchanges[2]));
+    EXPECT_EQ (queue.latest(), exchanges[2].get());
     queue.answer (at (0), *exchanges[1], Message ("12345", Body ("body")), false);
     EXPECT_EQ (queue.messageBytes(), 9U);
     queue.removeLatest();
