Soak: pipelining clients ask for large answers, too

The postmortem of requests that ran behind a large answer that broke off names what the soak missed: its pipelining clients asked for small answers only. Every second burst of six requests now has a download among them. When one breaks off after its head, the requests behind it must never run, which is checked at the end.

--- a/tests/mesh_integration/mesh_soak_test.cc
+++ b/tests/mesh_integration/mesh_soak_test.cc
@@ -6,8 +6,9 @@
 // COPPERLEAD_SOAK_RESTORES adds store restores to the wide seeds of
 // PromisesHoldUnderFaultsFromOutside, COPPERLEAD_SOAK_STATEMENTS instances that state limits and
 // that they leave, COPPERLEAD_SOAK_LEAVINGS (alone) instances whose entries go after a short
-// trouble, COPPERLEAD_SOAK_MESSAGES (alone) large bodies both ways, clients that pipeline and leave
-// at their deadline, slow instances, broken answers and ids of all legal signs,
+// trouble, COPPERLEAD_SOAK_MESSAGES (alone) large bodies both ways, clients that pipeline, large
+// answers among the rest, and leave at their deadline, slow instances, broken answers and ids of
+// all legal signs,
 // COPPERLEAD_SOAK_PAUSES (alone) the same and nodes that are paused for seconds beside a change
 // just before an entry goes, other writers' sound entries, and uploads that instances leave unread.
 #include <gtest/gtest.h>
--- a/tests/mesh_integration/soak_messages.cc
+++ b/tests/mesh_integration/soak_messages.cc
@@ -15,7 +15,7 @@
 
 constexpr std::size_t kMostBodyBytes = 12'000'000;
 constexpr std::size_t kPieceBytes = 100'000;
-constexpr int kPipelined = 6;
+constexpr std::size_t kPipelined = 6;
 constexpr std::size_t kEndlessPieceBytes = 0x8000;
 
 std::string Head(const std::string& method, const std::string& path, const std::string& id,
@@ -126,18 +126,34 @@
     std::vector<std::string> ids;
     std::string requests;
     const auto deadline_ms = 50 + random() % 300;
-    for (int count = 0; count < kPipelined; ++count) {
+    const std::size_t large = random() % (2 * kPipelined);  // Every other time there is none.
+    const std::size_t large_bytes = SomeSize(random);
+    for (std::size_t index = 0; index < kPipelined; ++index) {
       ids.push_back(IdOfAllSigns("p" + std::to_string(client), random));
-      requests += Head("GET", "/look/1", ids.back(), std::to_string(deadline_ms), "");
+      const std::string path =
+          index == large ? "/down/?" + std::string(kAnswerBytes) + std::to_string(large_bytes)
+                         : "/look/1";
+      requests += Head("GET", path, ids.back(), std::to_string(deadline_ms), "");
     }
     socket.Send(requests);
     const auto until = std::chrono::steady_clock::now() + milliseconds(deadline_ms);
-    for (const std::string& id : ids) {
+    for (std::size_t index = 0; index < kPipelined; ++index) {
+      const std::string& id = ids[index];
       // What isn't there at the deadline isn't waited for.
       if (!socket.AwaitReadable(until)) break;
       const RawMessage answer = socket.Read();
-      if (!answer.complete) break;
-      seen_.AnsweredKept(id, answer);
+      if (!answer.complete) {
+        if (index == large && answer.status() == 200) {
+          seen_.BrokeOff(
+              {std::next(ids.begin(), static_cast<std::ptrdiff_t>(index) + 1), ids.end()});
+        }
+        break;
+      }
+      if (index == large) {
+        seen_.Downloaded(id, large_bytes, answer);
+      } else {
+        seen_.AnsweredKept(id, answer);
+      }
       const std::string answered = answer.Header("x-request-id");
       if (!answered.empty() && answered != id) {
         seen_.ViolateLocked(id + " got the answer to " + answered);
--- a/tests/mesh_integration/soak_observations.h
+++ b/tests/mesh_integration/soak_observations.h
@@ -9,6 +9,7 @@
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "tests/mesh_integration/mesh_fleet.h"
 #include "tests/proxy/raw_socket.h"
@@ -128,6 +129,12 @@
     }
   }
 
+  // A large answer broke off, so that its client can get none to the requests behind it.
+  void BrokeOff(const std::vector<std::string>& behind) {
+    const std::lock_guard lock(mutex_);
+    unanswerable_.insert(unanswerable_.end(), behind.begin(), behind.end());
+  }
+
   // What instances saw of uploads: each whole, once at most, and never one that was refused.
   void CheckUploads(const MeshFleet& fleet) {
     const std::lock_guard lock(mutex_);
@@ -170,7 +177,7 @@
     }
   }
 
-  // After all has come to rest: how often each purchase ran.
+  // After all has come to rest: how often each purchase ran, and that nothing ran in vain.
   void CheckRuns(const MeshFleet& fleet) {
     const std::lock_guard lock(mutex_);
     for (const auto& [id, status] : purchases_) {
@@ -179,6 +186,9 @@
       if (status == 503 && runs > 0) Violate(id + " was refused and ran");
       if (status == 200 && runs != 1) Violate(id + " was answered and never ran");
     }
+    for (const std::string& id : unanswerable_) {
+      if (fleet.RunsOf(id) > 0) Violate(id + " ran behind an answer that broke off");
+    }
   }
 
   std::string Summary() {
@@ -205,6 +215,9 @@
         text += " " + std::to_string(status) + "x" + std::to_string(count);
       }
     }
+    if (!unanswerable_.empty()) {
+      text += "  behind broken answers: " + std::to_string(unanswerable_.size());
+    }
     if (drains_checked_ > 0) text += "  drains checked: " + std::to_string(drains_checked_);
     for (const std::string& violation : violations_) text += "\n" + violation;
     return text;
@@ -241,7 +254,8 @@
     int status = 0;  // 0 for no whole answer.
   };
   std::map<std::string, Upload> uploads_;
-  std::map<int, int> downloads_;  // Whole answers by status.
+  std::map<int, int> downloads_;           // Whole answers by status.
+  std::vector<std::string> unanswerable_;  // Requests behind answers that broke off.
   int uploads_served_ = 0;
   int uploads_answered_early_ = 0;
   std::size_t peak_memory_ = 0;
